Workspace, settings, messages and checks

Cause: nothing exists yet; parts can only be built side by side once the interfaces between crates are fixed. Change: workspace of libraries and two binaries; names, clock, rings; settings of instance and tree; messages to targets, operators and peers; format, lint, documentation, dependency and test checks.

--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log as a pure step function.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated state: tree, leases, intents and claims.
--- /dev/null
+++ b/crates/daisyctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The command line for operators, with the load tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/daisydrum/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon that runs on every entry instance.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The request path from callers to targets.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load generator and reports.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which instances and targets are alive, in a data centre and across.
--- /dev/null
+++ b/crates/orders/src/lib.rs
@@ -0,0 +1,1 @@
+//! Carries intents out to targets.
--- /dev/null
+++ b/crates/replica/src/lib.rs
@@ -0,0 +1,1 @@
+//! Hosts the replicated logs on an instance with a disk.
--- /dev/null
+++ b/crates/roles/src/lib.rs
@@ -0,0 +1,1 @@
+//! Policy for role changes, pure.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, fairness, choice of target and retries, all pure.
--- /dev/null
+++ b/crates/settings/src/service.rs
@@ -0,0 +1,217 @@
+//! Settings of a service, each of which the venture, a partner or the service itself may set.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::key;
+
+/// Effective settings of one service.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Service {
+    /// What the service's targets are.
+    pub kind: Kind,
+    /// Models that the service answers for, with the share of new requests each gets.
+    pub models: Vec<Model>,
+    /// Keys of the service's callers.
+    pub keys: Vec<key::Key>,
+    /// Time limits.
+    pub limits: Limits,
+    /// Shares and queues.
+    pub admission: Admission,
+    /// Repeated attempts.
+    pub retry: Retry,
+    /// Calls that may not be repeated.
+    pub claims: Claims,
+    /// Changes of engines' roles.
+    pub roles: Roles,
+}
+
+/// What the targets of a service are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// Engines that run models.
+    #[default]
+    Model,
+    /// Plain HTTP services, which calls are passed through to.
+    Plain,
+}
+
+/// A model, adapter (`model:adapter`) or version that a service answers for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// Name that callers use.
+    pub name: String,
+    /// Name that engines load; the caller's name where it is left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<String>,
+    /// Share of new requests for this version against others of the same name.
+    #[serde(default = "Model::default_weight")]
+    pub weight: u32,
+}
+
+impl Model {
+    fn default_weight() -> u32 {
+        100
+    }
+}
+
+/// Time limits of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Longest time from a request's arrival to the end of its answer, in milliseconds.
+    pub deadline_ms: u64,
+    /// Goal for the time to the first token, in milliseconds.
+    pub first_token_ms: u64,
+    /// Goal for the time between tokens, in milliseconds.
+    pub token_gap_ms: u64,
+    /// Longest silence of a target before it is probed over a new connection, in milliseconds.
+    pub progress_ms: u64,
+    /// Largest request body, in kilobytes.
+    pub body_kb: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            deadline_ms: 120_000,
+            first_token_ms: 820,
+            token_gap_ms: 43,
+            progress_ms: 5_000,
+            body_kb: 1_024,
+        }
+    }
+}
+
+/// Order in which waiting requests are served.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    JsonSchema,
+)]
+#[serde(rename_all = "lowercase")]
+pub enum Priority {
+    /// A person waits for the answer.
+    Interactive,
+    /// Ordinary calls.
+    #[default]
+    Standard,
+    /// Nobody waits; may run late.
+    Batch,
+}
+
+/// Shares and queues of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Admission {
+    /// Weight of the service's guaranteed share against the partner's other services.
+    pub share: u32,
+    /// Weight of the partner's guaranteed share against other partners.
+    pub partner_share: u32,
+    /// Order among waiting requests.
+    pub priority: Priority,
+    /// Most tokens, prompt and requested output together, that may wait on one instance.
+    pub queue_tokens: u64,
+    /// Most requests that may wait on one instance.
+    pub queue_requests: u32,
+}
+
+impl Default for Admission {
+    fn default() -> Admission {
+        Admission {
+            share: 100,
+            partner_share: 100,
+            priority: Priority::Standard,
+            queue_tokens: 2_000_000,
+            queue_requests: 2_000,
+        }
+    }
+}
+
+/// Repeated attempts of a service's calls.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Retry {
+    /// Attempts of one request at most, the first included.
+    pub max_attempts: u32,
+    /// Retries as a share of first attempts, in percent.
+    pub budget_percent: u32,
+    /// Shortest pause before a retry, in milliseconds; it doubles with each attempt and is jittered.
+    pub backoff_ms: u64,
+}
+
+impl Default for Retry {
+    fn default() -> Retry {
+        Retry { max_attempts: 3, budget_percent: 20, backoff_ms: 20 }
+    }
+}
+
+/// Calls that may not be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Claims {
+    /// Path prefixes whose calls run at most once; they need an `idempotency-key` header.
+    pub paths: Vec<String>,
+    /// How long a claim and its answer are kept, in seconds.
+    pub retention_s: u64,
+    /// Largest answer that is kept for resends, in kilobytes.
+    pub answer_kb: u64,
+}
+
+impl Default for Claims {
+    fn default() -> Claims {
+        Claims { paths: Vec::new(), retention_s: 86_400, answer_kb: 64 }
+    }
+}
+
+/// Changes of engines' roles.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Roles {
+    /// Weight of goodput, in points for each request answered in time.
+    pub goodput_weight: f64,
+    /// Price of one change, in points.
+    pub change_price: f64,
+    /// Time over which a change must pay, in seconds.
+    pub horizon_s: u64,
+    /// Shortest time between two changes of one engine, in seconds.
+    pub dwell_s: u64,
+    /// Engines that change at once at most in one data centre.
+    pub changes_at_once: u32,
+    /// Fewest engines that can prefill (prefill or mixed).
+    pub prefill_floor: u32,
+    /// Fewest engines that can decode (decode or mixed).
+    pub decode_floor: u32,
+    /// Longest wait for an engine's streams to end before a change is put off, in seconds.
+    pub drain_s: u64,
+    /// Partners whose requests the service's engines may also serve.
+    pub lend_to: Vec<String>,
+}
+
+impl Default for Roles {
+    fn default() -> Roles {
+        Roles {
+            goodput_weight: 1.0,
+            change_price: 20.0,
+            horizon_s: 300,
+            dwell_s: 120,
+            changes_at_once: 1,
+            prefill_floor: 1,
+            decode_floor: 1,
+            drain_s: 60,
+            lend_to: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in engine and plain service for tests and trials.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Write-ahead log and snapshots on disk.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and spans.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,8 @@
+//! Messages between daemons, targets and operators.
+
+pub mod link;
+pub mod operator;
+pub mod outcome;
+pub mod peer;
+pub mod socket;
+pub mod target;
