Thin request path, telemetry, daemon and command line

Cause: there is no process yet that a caller can reach. Change: callers' listener on hyper (oxhttp's server gathers streamed parts and can't be stopped), control listener on oxhttp, peers' listener on tarpc; router's thread that knows targets by their announcements and picks the one with the fewest outstanding attempts; spans as OTLP JSON lines; daisyctl status and trace; an example tree. Figures: none yet; started, called with curl and stopped by SIGTERM by hand. Conclusion: the path works up to the target; a stand-in engine is needed to show the rest.

--- a/crates/daisyctl/src/main.rs
+++ b/crates/daisyctl/src/main.rs
@@ -1,3 +1,7 @@
-//! The command line for operators, with the load tool.
+//! The command line for operators.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    daisyctl::main()
+}
--- /dev/null
+++ b/crates/daisydrum/src/duty.rs
@@ -0,0 +1,5 @@
+//! Duties of the daemon, each with a thread of its own.
+
+pub mod callers;
+pub mod control;
+pub mod peers;
--- /dev/null
+++ b/crates/daisydrum/src/duty/peers.rs
@@ -0,0 +1,101 @@
+//! The peers' listener: serves the calls of other daemons.
+
+use std::{
+    net::SocketAddr,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use common::cancel;
+use futures::{Stream, StreamExt};
+use tarpc::{
+    context, serde_transport,
+    server::{self, Channel},
+    tokio_serde::formats::Bincode,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    runtime, time,
+};
+use tokio_util::codec::LengthDelimitedCodec;
+use wire::{
+    link,
+    peer::{self, Peer},
+    socket,
+};
+
+use crate::error::Fault;
+
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+const WORKERS: usize = 2;
+
+/// Answers the calls of other daemons; cloned for each connection.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Who this daemon is.
+    pub identity: peer::Identity,
+}
+
+impl Peer for Server {
+    async fn identify(self, _context: context::Context) -> peer::Identity {
+        self.identity
+    }
+}
+
+/// Starts to serve peers; the thread ends once `stop` is cancelled.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] when the address can't be listened on.
+pub fn start(
+    address: SocketAddr,
+    server: Server,
+    stop: cancel::Token,
+) -> Result<JoinHandle<()>, Fault> {
+    let runtime = runtime::Builder::new_multi_thread()
+        .worker_threads(WORKERS)
+        .thread_name("peers")
+        .enable_all()
+        .build()?;
+    let listener = runtime.block_on(TcpListener::bind(address)).map_err(|cause| Fault::Listen {
+        address,
+        purpose: "other instances",
+        cause,
+    })?;
+    let thread = thread::Builder::new()
+        .name(String::from("peers"))
+        .spawn(move || runtime.block_on(accept(listener, server, stop)))?;
+    Ok(thread)
+}
+
+async fn accept(listener: TcpListener, server: Server, stop: cancel::Token) {
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _address)) = accepted else {
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if socket::configure(&stream).is_ok() {
+            tokio::spawn(serve(stream, server.clone()));
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, server: Server) {
+    let mut codec = LengthDelimitedCodec::builder();
+    codec.max_frame_length(link::MAX_FRAME_BYTES);
+    let transport = serde_transport::new(codec.new_framed(stream), Bincode::default());
+    let channel = server::BaseChannel::with_defaults(transport);
+    run(channel.execute(server.serve())).await;
+}
+
+async fn run(responses: impl Stream<Item = impl Future<Output = ()> + Send + 'static>) {
+    responses
+        .for_each(|response| async {
+            tokio::spawn(response);
+        })
+        .await;
+}
--- /dev/null
+++ b/crates/daisydrum/src/error.rs
@@ -0,0 +1,41 @@
+//! Why the daemon doesn't start, each with what to do.
+
+use std::net::SocketAddr;
+
+use derive_more::{Display, Error, From};
+
+/// Why the daemon doesn't start.
+#[derive(Debug, Display, Error, From)]
+pub enum Fault {
+    /// A file of settings is wrong.
+    #[display("{_0}")]
+    Settings(settings::error::Fault),
+    /// The settings of a service are wrong.
+    #[display("the tree has a service whose settings are wrong: {_0}")]
+    Tree(serde_json::Error),
+    /// An address can't be listened on.
+    #[display(
+        "can't listen on {address} for {purpose}: {cause}; change the address or stop what uses it"
+    )]
+    #[from(ignore)]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What it is for.
+        purpose: &'static str,
+        /// The operating system's error.
+        cause: std::io::Error,
+    },
+    /// The file of spans can't be written.
+    #[display("can't write spans to {path}: {cause}; change `spans.file`")]
+    #[from(ignore)]
+    Spans {
+        /// The file.
+        path: String,
+        /// The operating system's error.
+        cause: std::io::Error,
+    },
+    /// The process lacks a thread or another resource.
+    #[display("can't start a thread: {_0}")]
+    Thread(std::io::Error),
+}
--- /dev/null
+++ b/crates/daisydrum/src/lib.rs
@@ -0,0 +1,27 @@
+//! The daemon: reads its settings, starts its duties and stops them in order.
+
+use std::{path::Path, process::ExitCode};
+
+pub mod arguments;
+pub mod daemon;
+pub mod duty;
+pub mod error;
+mod signal;
+
+const EXIT_REFUSED: u8 = 1;
+
+/// Runs the command line of the process.
+pub fn main() -> ExitCode {
+    let arguments = arguments::Daisydrum::from_env_or_exit();
+    let result = match arguments.subcommand {
+        arguments::DaisydrumCmd::Run(run) => daemon::run(Path::new(&run.settings)),
+        arguments::DaisydrumCmd::Check(check) => daemon::check(Path::new(&check.settings)),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("daisydrum: {fault}");
+            ExitCode::from(EXIT_REFUSED)
+        }
+    }
+}
--- a/crates/daisydrum/src/main.rs
+++ b/crates/daisydrum/src/main.rs
@@ -1,3 +1,7 @@
 //! The daemon that runs on every entry instance.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    daisydrum::main()
+}
--- /dev/null
+++ b/crates/entry/src/listener.rs
@@ -0,0 +1,72 @@
+//! The callers' listener: accepts connections until it is told to stop, then lets them end.
+
+use std::{io, time::Duration};
+
+use common::cancel;
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::{debug, warn};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time,
+};
+use tokio_util::task::TaskTracker;
+use wire::socket;
+
+use crate::server::Server;
+
+/// Longest time for the head of a request to arrive.
+const HEAD_LIMIT: Duration = Duration::from_secs(10);
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves callers until `stop` is cancelled, then waits until all connections have ended.
+///
+/// # Errors
+///
+/// Returns the operating system's error when the listener's address can't be read.
+pub async fn run(listener: TcpListener, server: Server, stop: cancel::Token) -> io::Result<()> {
+    let connections = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _address)) => {
+                connections.spawn(serve(stream, server.clone(), stop.clone()));
+            }
+            Err(error) => {
+                warn!(server.log, "accept_failed"; "error" => %error);
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    connections.close();
+    connections.wait().await;
+    Ok(())
+}
+
+async fn serve(stream: TcpStream, server: Server, stop: cancel::Token) {
+    if socket::configure(&stream).is_err() {
+        return;
+    }
+    let log = server.log.clone();
+    let service = service_fn(move |request| server.clone().serve(request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_LIMIT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stop.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!(log, "connection_failed"; "error" => %error);
+    }
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,1 +1,6 @@
 //! Logs, metrics and spans.
+
+pub mod log;
+pub mod metric;
+pub mod otlp;
+pub mod span;
--- /dev/null
+++ b/crates/telemetry/src/metric.rs
@@ -0,0 +1,34 @@
+//! Metrics in the Prometheus text form.
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+/// Upper bounds of histogram buckets, in seconds.
+const BUCKETS_S: [f64; 14] =
+    [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 0.82, 1.5, 5.0, 20.0, 60.0];
+
+/// Renders the metrics of the process.
+#[derive(Clone, Debug)]
+pub struct Page(PrometheusHandle);
+
+impl Page {
+    /// The metrics in the Prometheus text form.
+    pub fn render(&self) -> String {
+        self.0.run_upkeep();
+        self.0.render()
+    }
+}
+
+/// Makes `metrics` record for the whole process.
+///
+/// # Panics
+///
+/// Panics when called twice in a process.
+pub fn install() -> Page {
+    let recorder = PrometheusBuilder::new()
+        .set_buckets(&BUCKETS_S)
+        .expect("invariant: there is at least one bucket")
+        .build_recorder();
+    let page = Page(recorder.handle());
+    metrics::set_global_recorder(recorder).expect("invariant: metrics are installed once");
+    page
+}
