Settings: check every fault with its place, origins, differences and deltas

Cause: a file was checked only by its deserializer, which names no line and stops at the first fault. Change: documents keep the place of each key; a schema check and checks across keys report all faults with file, line, column, key, expected form and unit.

--- a/crates/daisydrum/src/daemon.rs
+++ b/crates/daisydrum/src/daemon.rs
@@ -10,7 +10,7 @@
 
 use common::{cancel, name};
 use entry::{directory::Directory, router, server};
-use settings::{document, instance, tree};
+use settings::{check, error::Faults, instance, tree};
 use slog::{Level, Logger, info};
 use telemetry::{log, metric, span};
 use tokio::{runtime, sync::watch};
@@ -28,8 +28,8 @@
 ///
 /// Returns the first [`Fault`] found.
 pub fn check(path: &Path) -> Result<(), Fault> {
-    let instance: instance::Instance = document::read(path)?;
-    load_directory(&instance)?;
+    let instance = check::instance(path).map_err(Faults::from)?;
+    load_directory(path, &instance)?;
     Ok(())
 }
 
@@ -39,8 +39,8 @@
 ///
 /// Returns a [`Fault`] when the instance can't start.
 pub fn run(path: &Path) -> Result<(), Fault> {
-    let instance: instance::Instance = document::read(path)?;
-    let directory = load_directory(&instance)?;
+    let instance = check::instance(path).map_err(Faults::from)?;
+    let directory = load_directory(path, &instance)?;
     let log = log::start(level(instance.log.level));
     let metrics = metric::install();
     let signals = runtime::Builder::new_current_thread().enable_all().build()?;
@@ -96,12 +96,16 @@
         "callers" => %instance.callers, "control" => %instance.control, "peers" => %instance.peers_listen);
 }
 
-fn load_directory(instance: &instance::Instance) -> Result<Directory, Fault> {
+fn load_directory(path: &Path, instance: &instance::Instance) -> Result<Directory, Fault> {
     let Some(folder) = &instance.tree else {
         return Ok(Directory::default());
     };
-    let tree = tree::read(Path::new(folder))?;
-    Ok(Directory::new(&tree)?)
+    let mut loaded = tree::load(Path::new(folder));
+    loaded.faults.extend(check::places(path, instance, &loaded.tree));
+    if !loaded.faults.is_empty() {
+        return Err(Fault::from(Faults::from(loaded.faults)));
+    }
+    Ok(Directory::new(&loaded.tree)?)
 }
 
 type SpansThread = Option<std::thread::JoinHandle<()>>;
--- a/crates/daisydrum/src/error.rs
+++ b/crates/daisydrum/src/error.rs
@@ -7,9 +7,9 @@
 /// Why the daemon doesn't start.
 #[derive(Debug, Display, Error, From)]
 pub enum Fault {
-    /// A file of settings is wrong.
-    #[display("{_0}")]
-    Settings(settings::error::Fault),
+    /// Files of settings are wrong.
+    #[display("settings are refused:\n{_0}")]
+    Settings(settings::error::Faults),
     /// The settings of a service are wrong.
     #[display("the tree has a service whose settings are wrong: {_0}")]
     Tree(serde_json::Error),
--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,282 @@
+//! Checks across settings that a schema can't express.
+
+use std::path::Path;
+
+use common::{collections::Map, name};
+
+use crate::{
+    document::{self, Document},
+    error::Fault,
+    instance::Instance,
+    service::{Kind, Service},
+    tree::{self, Branch, Documents, Tree},
+};
+
+/// Name of the branch that is the root of the tree.
+pub const VENTURE: &str = "venture";
+
+/// Reads an instance's file and collects every fault.
+///
+/// # Errors
+///
+/// Returns all faults, at least one.
+pub fn instance(path: &Path) -> Result<Instance, Vec<Fault>> {
+    let document = Document::read(path).map_err(|fault| vec![fault])?;
+    let instance: Instance = document::typed(&document)?;
+    let faults = instance_faults(&instance, &document);
+    if faults.is_empty() { Ok(instance) } else { Err(faults) }
+}
+
+/// Checks an instance against the tree: its data centres must be declared by a partner.
+pub fn places(path: &Path, instance: &Instance, tree: &Tree) -> Vec<Fault> {
+    let Ok(document) = Document::read(path) else {
+        return Vec::new();
+    };
+    let known: Vec<&str> = tree
+        .partners
+        .values()
+        .flat_map(|branch| &branch.partner.data_centres)
+        .map(String::as_str)
+        .collect();
+    let own = std::iter::once((String::from("data_centre"), &instance.data_centre));
+    let peers = instance
+        .peers
+        .iter()
+        .enumerate()
+        .map(|(position, peer)| (format!("peers[{position}].data_centre"), &peer.data_centre));
+    own.chain(peers)
+        .filter(|(_, data_centre)| !known.contains(&data_centre.as_str()))
+        .map(|(key, data_centre)| {
+            let known = known.join(", ");
+            let problem = format!("unknown data centre `{data_centre}`; expected one of {known}");
+            document.fault(&key, problem)
+        })
+        .collect()
+}
+
+/// Checks a whole tree; `documents` may be empty, then faults name files without lines.
+pub fn tree(tree: &Tree, documents: &Documents) -> Vec<Fault> {
+    let mut checker = Checker { tree, documents, faults: Vec::new(), keys: Map::default() };
+    checker.data_centres();
+    for (partner, branch) in &tree.partners {
+        if partner.0 == VENTURE {
+            let problem =
+                format!("`{VENTURE}` is kept for the root; give the partner another name");
+            checker.report(&tree::partner_file(partner), "title", problem);
+        }
+        for service in branch.services.keys() {
+            checker.service(partner, branch, service);
+        }
+    }
+    checker.faults
+}
+
+fn instance_faults(instance: &Instance, document: &Document) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    if !instance.replicas.is_empty() && instance.data_folder.is_none() {
+        let problem = String::from("a replica needs `data_folder`, a folder on a disk");
+        faults.push(document.fault("replicas", problem));
+    }
+    if instance.callers == instance.control {
+        let problem = format!("{} is used by `callers` already", instance.control);
+        faults.push(document.fault("control", problem));
+    }
+    let mut names: Map<&str, usize> = Map::default();
+    for (position, peer) in instance.peers.iter().enumerate() {
+        if peer.name == instance.name {
+            let key = format!("peers[{position}].name");
+            faults.push(document.fault(&key, String::from("is the instance itself")));
+        }
+        if let Some(first) = names.insert(&peer.name, position) {
+            let problem = format!("`{}` stands in peers[{first}] already", peer.name);
+            faults.push(document.fault(&format!("peers[{position}].name"), problem));
+        }
+        let same =
+            instance.peers[..position].iter().position(|other| other.address == peer.address);
+        if let Some(first) = same {
+            let problem = format!("{} is the address of peers[{first}] already", peer.address);
+            faults.push(document.fault(&format!("peers[{position}].address"), problem));
+        }
+    }
+    let mut branches: Map<&str, usize> = Map::default();
+    for (position, replica) in instance.replicas.iter().enumerate() {
+        if let Some(first) = branches.insert(&replica.branch, position) {
+            let problem = format!("`{}` stands in replicas[{first}] already", replica.branch);
+            faults.push(document.fault(&format!("replicas[{position}].branch"), problem));
+        }
+    }
+    faults
+}
+
+struct Checker<'a> {
+    tree: &'a Tree,
+    documents: &'a Documents,
+    faults: Vec<Fault>,
+    keys: Map<String, String>,
+}
+
+impl Checker<'_> {
+    fn report(&mut self, file: &str, key: &str, problem: String) {
+        self.faults.push(match self.documents.get(file) {
+            Some(document) => document.fault(key, problem),
+            None => Fault { key: String::from(key), ..Fault::of_file(file, problem) },
+        });
+    }
+
+    fn data_centres(&mut self) {
+        let mut owners: Map<&str, &name::Partner> = Map::default();
+        for (partner, branch) in &self.tree.partners {
+            let file = tree::partner_file(partner);
+            if branch.partner.data_centres.is_empty() {
+                let problem = String::from("expected at least one data centre");
+                self.report(&file, "data_centres", problem);
+            }
+            for (position, data_centre) in branch.partner.data_centres.iter().enumerate() {
+                if let Some(owner) = owners.insert(data_centre, partner) {
+                    let problem = format!("`{data_centre}` is a data centre of `{owner}` already");
+                    self.report(&file, &format!("data_centres[{position}]"), problem);
+                }
+            }
+        }
+    }
+
+    fn service(&mut self, partner: &name::Partner, branch: &Branch, service: &name::Service) {
+        let file = tree::service_file(partner, service);
+        let effective = match tree::effective(&self.tree.venture, branch, service) {
+            Ok(effective) => effective,
+            Err(error) => {
+                self.report(&file, "", error.to_string());
+                return;
+            }
+        };
+        let scope = Scope { partner, file };
+        self.limits(&scope, &effective);
+        self.models(&scope, &effective);
+        self.paths(&scope, &effective);
+        self.lending(&scope, &effective);
+        self.keys(&scope, &effective);
+    }
+
+    /// Reports at the lowest level that sets one of `keys`.
+    fn at(&mut self, scope: &Scope<'_>, keys: &[&str], problem: String) {
+        let partner = tree::partner_file(scope.partner);
+        let levels = [
+            (scope.file.as_str(), ""),
+            (partner.as_str(), "defaults."),
+            (tree::VENTURE_FILE, "defaults."),
+        ];
+        for (file, prefix) in levels {
+            for key in keys {
+                let path = format!("{prefix}{key}");
+                if self.documents.get(file).is_some_and(|document| document.sets(&path)) {
+                    self.report(file, &path, problem);
+                    return;
+                }
+            }
+        }
+        self.report(&scope.file, keys.first().copied().unwrap_or_default(), problem);
+    }
+
+    fn limits(&mut self, scope: &Scope<'_>, service: &Service) {
+        let (limits, defaults) = (&service.limits, Service::default());
+        // The program's own defaults may lie above a short deadline, which then simply ends the wait.
+        let under = [
+            ("limits.first_token_ms", limits.first_token_ms, None),
+            ("limits.progress_ms", limits.progress_ms, Some(defaults.limits.progress_ms)),
+            ("retry.backoff_ms", service.retry.backoff_ms, Some(defaults.retry.backoff_ms)),
+        ];
+        for (key, value, default) in under {
+            if value > limits.deadline_ms && Some(value) != default {
+                let problem = format!(
+                    "{key} {value} contradicts limits.deadline_ms {}; expected at most the deadline, in milliseconds",
+                    limits.deadline_ms
+                );
+                self.at(scope, &[key, "limits.deadline_ms"], problem);
+            }
+        }
+    }
+
+    fn models(&mut self, scope: &Scope<'_>, service: &Service) {
+        match (service.kind, service.models.is_empty()) {
+            (Kind::Model, true) => {
+                let problem = String::from("a service of kind `model` needs at least one model");
+                self.at(scope, &["models", "kind"], problem);
+            }
+            (Kind::Plain, false) => {
+                let problem = String::from("a service of kind `plain` has no models");
+                self.at(scope, &["models", "kind"], problem);
+            }
+            _ => {}
+        }
+        for (position, model) in service.models.iter().enumerate() {
+            let same = |other: &&crate::service::Model| {
+                other.name == model.name && other.version == model.version
+            };
+            if service.models[..position].iter().find(same).is_some() {
+                let problem = format!("`{}` stands twice with the same version", model.name);
+                self.at(scope, &[&format!("models[{position}].name"), "models"], problem);
+            }
+            let versions = service.models.iter().filter(|other| other.name == model.name);
+            if versions.map(|other| u64::from(other.weight)).sum::<u64>() == 0 {
+                let problem = format!("all versions of `{}` have weight 0", model.name);
+                self.at(scope, &[&format!("models[{position}].weight"), "models"], problem);
+            }
+        }
+        self.floors(scope, service);
+    }
+
+    fn floors(&mut self, scope: &Scope<'_>, service: &Service) {
+        let roles = &service.roles;
+        if service.kind == Kind::Model && roles.prefill_floor + roles.decode_floor == 0 {
+            let problem = String::from(
+                "both floors are 0, so every engine may leave a role; expected one of at least 1",
+            );
+            self.at(scope, &["roles.prefill_floor", "roles.decode_floor"], problem);
+        }
+    }
+
+    fn paths(&mut self, scope: &Scope<'_>, service: &Service) {
+        for (position, path) in service.claims.paths.iter().enumerate() {
+            if !path.starts_with('/') {
+                let key = format!("claims.paths[{position}]");
+                let problem = format!("`{path}`: expected a path that begins with `/`");
+                self.at(scope, &[&key, "claims.paths"], problem);
+            }
+        }
+    }
+
+    fn lending(&mut self, scope: &Scope<'_>, service: &Service) {
+        for (position, partner) in service.roles.lend_to.iter().enumerate() {
+            let known = self.tree.partners.contains_key(&name::Partner(partner.clone()));
+            let own = *partner == scope.partner.0;
+            if own || !known {
+                let key = format!("roles.lend_to[{position}]");
+                let problem = format!("`{partner}`: expected the name of another partner");
+                self.at(scope, &[&key, "roles.lend_to"], problem);
+            }
+        }
+    }
+
+    fn keys(&mut self, scope: &Scope<'_>, service: &Service) {
+        for (position, key) in service.keys.iter().enumerate() {
+            let path = format!("keys[{position}].sha256");
+            if !key.sha256.is_valid() {
+                let problem = String::from(
+                    "expected 64 lower-case hexadecimal digits, as `daisyctl hash-key` prints",
+                );
+                self.at(scope, &[&path], problem);
+            }
+            if let Some(first) = self.keys.insert(key.sha256.0.clone(), scope.file.clone()) {
+                let problem =
+                    format!("the same key stands in {first}; expected a key for one service");
+                self.at(scope, &[&path, "keys"], problem);
+            }
+        }
+    }
+}
+
+/// The service that is checked.
+struct Scope<'a> {
+    partner: &'a name::Partner,
+    file: String,
+}
--- /dev/null
+++ b/crates/settings/src/delta.rs
@@ -0,0 +1,191 @@
+//! Changes of one branch's declarations, small enough to be logged and spread for each change.
+//!
+//! Groups of settings are replaced whole. Callers' keys, of which there are many, are added and removed one by
+//! one.
+
+use std::collections::BTreeMap;
+
+use common::{collections::Set, name};
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+use crate::tree::{Branch, Partner, Venture};
+
+const KEYS: &str = "keys";
+const KEY_ID: &str = "sha256";
+
+/// Declarations of one branch with the venture's defaults that it has adopted.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Content {
+    /// The venture's part: its own on the venture's branch, as adopted on a partner's.
+    pub venture: Venture,
+    /// The partner's part; empty on the venture's branch.
+    pub branch: Branch,
+}
+
+/// Changes that turn one content into another.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Delta {
+    /// The venture's part after the change, where it changes.
+    pub venture: Option<Venture>,
+    /// The partner's file after the change, where it changes.
+    pub partner: Option<Partner>,
+    /// Changes of services by name.
+    pub services: BTreeMap<name::Service, Service>,
+}
+
+/// The change of one service's declarations.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Service {
+    /// The service is declared anew.
+    Declared(Map<String, Value>),
+    /// The service is gone.
+    Removed,
+    /// Some of its settings change.
+    Edited(Edit),
+}
+
+/// Edits of a service that stays.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Edit {
+    /// Groups of settings that are replaced.
+    pub set: Map<String, Value>,
+    /// Groups of settings that are no longer declared.
+    pub unset: Vec<String>,
+    /// Keys of callers that are added, in the form of the file.
+    pub added_keys: Vec<Value>,
+    /// Hashes of callers' keys that are removed.
+    pub removed_keys: Vec<String>,
+}
+
+/// A delta does not fit the content that it was applied to.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("service {service} is not declared")]
+pub struct Mismatch {
+    /// The service that is missing.
+    pub service: name::Service,
+}
+
+impl Delta {
+    /// Whether it changes nothing.
+    pub fn is_empty(&self) -> bool {
+        self.venture.is_none() && self.partner.is_none() && self.services.is_empty()
+    }
+}
+
+/// Works out the changes from `before` to `after`.
+pub fn between(before: &Content, after: &Content) -> Delta {
+    let (old, new) = (&before.branch, &after.branch);
+    let mut services = BTreeMap::new();
+    for service in old.services.keys().filter(|service| !new.services.contains_key(*service)) {
+        services.insert(service.clone(), Service::Removed);
+    }
+    for (service, settings) in &new.services {
+        match old.services.get(service) {
+            None => {
+                services.insert(service.clone(), Service::Declared(settings.clone()));
+            }
+            Some(earlier) if earlier != settings => {
+                services.insert(service.clone(), edited(earlier, settings));
+            }
+            Some(_) => {}
+        }
+    }
+    Delta {
+        venture: (before.venture != after.venture).then(|| after.venture.clone()),
+        partner: (old.partner != new.partner).then(|| new.partner.clone()),
+        services,
+    }
+}
+
+/// Applies changes in place.
+///
+/// # Errors
+///
+/// Returns a [`Mismatch`], and leaves the content as it was, when an edited service is not declared.
+pub fn apply(content: &mut Content, delta: &Delta) -> Result<(), Mismatch> {
+    let missing = delta.services.iter().find(|(service, change)| {
+        matches!(change, Service::Edited(_)) && !content.branch.services.contains_key(*service)
+    });
+    if let Some((service, _)) = missing {
+        return Err(Mismatch { service: service.clone() });
+    }
+    if let Some(venture) = &delta.venture {
+        content.venture = venture.clone();
+    }
+    if let Some(partner) = &delta.partner {
+        content.branch.partner = partner.clone();
+    }
+    let services = &mut content.branch.services;
+    for (service, change) in &delta.services {
+        match change {
+            Service::Declared(settings) => {
+                services.insert(service.clone(), settings.clone());
+            }
+            Service::Removed => {
+                services.remove(service);
+            }
+            Service::Edited(edit) => {
+                edit_service(services.entry(service.clone()).or_default(), edit);
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Describes a change by edits, or whole where edits would not give the same order of keys.
+fn edited(before: &Map<String, Value>, after: &Map<String, Value>) -> Service {
+    let edit = edit(before, after);
+    let mut result = before.clone();
+    edit_service(&mut result, &edit);
+    if result == *after { Service::Edited(edit) } else { Service::Declared(after.clone()) }
+}
+
+fn edit(before: &Map<String, Value>, after: &Map<String, Value>) -> Edit {
+    let mut edit = Edit::default();
+    edit.unset.extend(before.keys().filter(|group| !after.contains_key(*group)).cloned());
+    for (group, value) in after {
+        match (before.get(group), value) {
+            (Some(earlier), _) if earlier == value => {}
+            (Some(Value::Array(earlier)), Value::Array(later)) if group == KEYS => {
+                edit_keys(&mut edit, earlier, later);
+            }
+            _ => {
+                edit.set.insert(group.clone(), value.clone());
+            }
+        }
+    }
+    edit
+}
+
+fn edit_keys(edit: &mut Edit, before: &[Value], after: &[Value]) {
+    let old: Set<String> = before.iter().map(Value::to_string).collect();
+    let new: Set<String> = after.iter().map(Value::to_string).collect();
+    let gone = before.iter().filter(|key| !new.contains(&key.to_string()));
+    edit.removed_keys = gone.map(|key| String::from(id(key))).collect();
+    edit.added_keys = after.iter().filter(|key| !old.contains(&key.to_string())).cloned().collect();
+}
+
+fn edit_service(settings: &mut Map<String, Value>, edit: &Edit) {
+    for group in &edit.unset {
+        settings.shift_remove(group);
+    }
+    for (group, value) in &edit.set {
+        settings.insert(group.clone(), value.clone());
+    }
+    if edit.added_keys.is_empty() && edit.removed_keys.is_empty() {
+        return;
+    }
+    let keys = settings.entry(KEYS).or_insert_with(|| Value::Array(Vec::new()));
+    if let Value::Array(keys) = keys {
+        let removed: Set<&str> = edit.removed_keys.iter().map(String::as_str).collect();
+        keys.retain(|key| !removed.contains(id(key)));
+        keys.extend(edit.added_keys.iter().cloned());
+    }
+}
+
+fn id(key: &Value) -> &str {
+    key[KEY_ID].as_str().unwrap_or_default()
+}
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -1,34 +1,182 @@
-//! Reads JSON with comments and reports faults by line and column.
+//! Reads JSON with comments and keeps the line and column of each key.
 
 use std::{fs, path::Path};
 
-use jsonc_parser::{ParseOptions, errors::ParseError, parse_to_serde_value};
+use common::collections::Map;
+use jsonc_parser::{
+    CollectOptions, ParseOptions,
+    ast::{Object, Value as Node},
+    common::Ranged,
+    errors::ParseError,
+    parse_to_ast,
+};
+use schemars::JsonSchema;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use crate::error::Fault;
+use crate::{
+    error::{Fault, NO_KEY},
+    schema,
+};
 
-/// Reads a file of JSON with comments into `T`.
+/// JSON with comments and trailing commas, and no other extension.
+const SYNTAX: ParseOptions = ParseOptions {
+    allow_comments: true,
+    allow_trailing_commas: true,
+    allow_loose_object_property_names: false,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_non_finite_numbers: false,
+    allow_extended_string_escapes: false,
+};
+
+/// Line and column, both from 1.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Line, from 1.
+    pub line: usize,
+    /// Column in characters, from 1.
+    pub column: usize,
+}
+
+/// A parsed file.
+#[derive(Clone, Debug)]
+pub struct Document {
+    /// The file as the operator named it.
+    pub file: String,
+    /// What it holds, without comments.
+    pub value: Value,
+    /// Keys that stand twice in one object.
+    pub repeated: Vec<Fault>,
+    places: Map<String, Place>,
+}
+
+impl Document {
+    /// Reads a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] when the file can't be read or is no JSON.
+    pub fn read(path: &Path) -> Result<Document, Fault> {
+        let file = path.display().to_string();
+        let text = fs::read_to_string(path)
+            .map_err(|error| Fault::of_file(&file, format!("can't be read: {error}")))?;
+        Document::parse(&file, &text)
+    }
+
+    /// Parses a text; `file` is named in faults.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] when the text is no JSON.
+    pub fn parse(file: &str, text: &str) -> Result<Document, Fault> {
+        let result = parse_to_ast(text, &CollectOptions::default(), &SYNTAX)
+            .map_err(|error| syntax(file, &error))?;
+        let Some(node) = result.value else {
+            return Err(Fault::of_file(file, String::from("is empty; expected an object")));
+        };
+        let mut document = Document {
+            file: String::from(file),
+            value: Value::Null,
+            repeated: Vec::new(),
+            places: Map::default(),
+        };
+        let lines = Lines::of(text);
+        document.collect("", &node, &lines);
+        document.value = Value::from(node);
+        Ok(document)
+    }
+
+    /// Whether the file sets `key`, such as `limits.deadline_ms`.
+    pub fn sets(&self, key: &str) -> bool {
+        self.places.contains_key(key)
+    }
+
+    /// Makes a fault at `key`, or at the nearest key around it that the file sets.
+    pub fn fault(&self, key: &str, problem: String) -> Fault {
+        let mut around = key;
+        while !self.places.contains_key(around) {
+            match around.rfind(['.', '[']) {
+                Some(end) => around = &around[..end],
+                None => break,
+            }
+        }
+        let place = self.places.get(around).copied().unwrap_or(Place { line: 1, column: 1 });
+        let key = if key.is_empty() { NO_KEY } else { key };
+        Fault {
+            file: self.file.clone(),
+            line: place.line,
+            column: place.column,
+            key: String::from(key),
+            problem,
+        }
+    }
+
+    fn collect(&mut self, key: &str, node: &Node<'_>, lines: &Lines<'_>) {
+        match node {
+            Node::Object(object) => self.collect_object(key, object, lines),
+            Node::Array(array) => {
+                for (position, element) in array.elements.iter().enumerate() {
+                    let key = format!("{key}[{position}]");
+                    self.places.insert(key.clone(), lines.place(element.start()));
+                    self.collect(&key, element, lines);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn collect_object(&mut self, key: &str, object: &Object<'_>, lines: &Lines<'_>) {
+        for property in &object.properties {
+            let inner = schema::join(key, property.name.as_str());
+            let place = lines.place(property.start());
+            if let Some(first) = self.places.insert(inner.clone(), place) {
+                let problem = format!("stands twice, first in line {}", first.line);
+                self.repeated.push(self.fault(&inner, problem));
+            }
+            self.collect(&inner, &property.value, lines);
+        }
+    }
+}
+
+/// Reads a file into `T` and checks it against the schema of `T`.
+///
+/// # Errors
+///
+/// Returns the first [`Fault`].
+pub fn read<T: DeserializeOwned + JsonSchema>(path: &Path) -> Result<T, Fault> {
+    typed(&Document::read(path)?).map_err(first)
+}
+
+/// Parses a text into `T` and checks it against the schema of `T`; `file` is named in faults.
 ///
 /// # Errors
 ///
-/// Returns a [`Fault`] when the file can't be read, is no JSON or doesn't have the expected form.
-pub fn read<T: DeserializeOwned>(path: &Path) -> Result<T, Fault> {
-    let file = path.display().to_string();
-    let text = fs::read_to_string(path)
-        .map_err(|error| fault(&file, "-", format!("can't be read: {error}")))?;
-    parse(&file, &text)
+/// Returns the first [`Fault`].
+pub fn parse<T: DeserializeOwned + JsonSchema>(file: &str, text: &str) -> Result<T, Fault> {
+    typed(&Document::parse(file, text)?).map_err(first)
 }
 
-/// Parses JSON with comments into `T`; `file` is named in faults.
+/// Turns a document into `T` after it was checked against the schema of `T`.
 ///
 /// # Errors
 ///
-/// Returns a [`Fault`] when the text is no JSON or doesn't have the expected form.
-pub fn parse<T: DeserializeOwned>(file: &str, text: &str) -> Result<T, Fault> {
-    let value: Value = parse_to_serde_value(text, &ParseOptions::default())
-        .map_err(|error| syntax(file, &error))?;
-    serde_json::from_value(value).map_err(|error| fault(file, "-", error.to_string()))
+/// Returns all faults, at least one.
+pub fn typed<T: DeserializeOwned + JsonSchema>(document: &Document) -> Result<T, Vec<Fault>> {
+    let mut faults = document.repeated.clone();
+    faults.extend(schema::check(document, &schemars::schema_for!(T)));
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    serde_json::from_value(document.value.clone())
+        .map_err(|error| vec![document.fault("", error.to_string())])
+}
+
+fn first(mut faults: Vec<Fault>) -> Fault {
+    faults.swap_remove(0)
 }
 
 fn syntax(file: &str, error: &ParseError) -> Fault {
@@ -36,11 +184,26 @@
         file: String::from(file),
         line: error.line_display(),
         column: error.column_display(),
-        key: String::from("-"),
-        problem: error.kind().to_string(),
+        key: String::from(NO_KEY),
+        problem: format!("no JSON with comments: {}", error.kind()),
     }
 }
 
-fn fault(file: &str, key: &str, problem: String) -> Fault {
-    Fault { file: String::from(file), line: 1, column: 1, key: String::from(key), problem }
+/// Starts of the lines of a text.
+struct Lines<'a> {
+    text: &'a str,
+    starts: Vec<usize>,
+}
+
+impl<'a> Lines<'a> {
+    fn of(text: &'a str) -> Lines<'a> {
+        let breaks = text.match_indices('\n').map(|(position, _)| position + 1);
+        Lines { text, starts: std::iter::once(0).chain(breaks).collect() }
+    }
+
+    fn place(&self, offset: usize) -> Place {
+        let line = self.starts.partition_point(|&start| start <= offset);
+        let start = self.starts[line - 1];
+        Place { line, column: self.text[start..offset].chars().count() + 1 }
+    }
 }
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -10,14 +10,18 @@
 #[serde(deny_unknown_fields)]
 pub struct Instance {
     /// Unique name of the instance.
+    #[schemars(length(min = 1))]
     pub name: String,
     /// The data centre it stands in.
     pub data_centre: String,
     /// Where callers connect (HTTP).
+    #[schemars(extend("format" = "ip-port"))]
     pub callers: SocketAddr,
     /// Where targets announce themselves and operators call (HTTP).
+    #[schemars(extend("format" = "ip-port"))]
     pub control: SocketAddr,
     /// Where the other instances connect.
+    #[schemars(extend("format" = "ip-port"))]
     pub peers_listen: SocketAddr,
     /// The other instances.
     #[serde(default)]
@@ -39,6 +43,7 @@
     pub spans: Spans,
     /// Longest wait for streams to end at a graceful stop, in seconds.
     #[serde(default = "Instance::default_stop_s")]
+    #[schemars(range(min = 1, max = 86_400))]
     pub stop_s: u64,
 }
 
@@ -53,10 +58,12 @@
 #[serde(deny_unknown_fields)]
 pub struct Peer {
     /// Name of the instance.
+    #[schemars(length(min = 1))]
     pub name: String,
     /// The data centre it stands in.
     pub data_centre: String,
     /// Its `peers_listen` address, or that of a proxy before it.
+    #[schemars(extend("format" = "ip-port"))]
     pub address: SocketAddr,
     /// Branches whose log it keeps a replica of.
     #[serde(default)]
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -21,7 +21,10 @@
     JsonSchema,
 )]
 #[serde(transparent)]
-pub struct Hash(pub String);
+pub struct Hash(#[schemars(length(equal = 64))] pub String);
+
+/// Hexadecimal digits of a hash.
+const HASH_DIGITS: usize = 64;
 
 impl Hash {
     /// Hashes a key as a caller presents it.
@@ -29,6 +32,12 @@
         let digest = Sha256::digest(key.as_bytes());
         Hash(digest.iter().map(|byte| format!("{byte:02x}")).collect())
     }
+
+    /// Whether it has the form of a hash.
+    pub fn is_valid(&self) -> bool {
+        let digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+        self.0.len() == HASH_DIGITS && self.0.bytes().all(digit)
+    }
 }
 
 /// A caller's key and whom it stands for.
@@ -38,5 +47,6 @@
     /// SHA-256 of the key in lower-case hexadecimal, as `daisyctl hash-key` prints it.
     pub sha256: Hash,
     /// The organisation that the key was given to.
+    #[schemars(length(min = 1))]
     pub organisation: String,
 }
--- a/crates/settings/src/service.rs
+++ b/crates/settings/src/service.rs
@@ -43,12 +43,14 @@
 #[serde(deny_unknown_fields)]
 pub struct Model {
     /// Name that callers use.
+    #[schemars(length(min = 1))]
     pub name: String,
     /// Name that engines load; the caller's name where it is left out.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub version: Option<String>,
     /// Share of new requests for this version against others of the same name.
     #[serde(default = "Model::default_weight")]
+    #[schemars(range(min = 0, max = 1_000_000))]
     pub weight: u32,
 }
 
@@ -63,14 +65,19 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// Longest time from a request's arrival to the end of its answer, in milliseconds.
+    #[schemars(range(min = 1, max = 3_600_000))]
     pub deadline_ms: u64,
     /// Goal for the time to the first token, in milliseconds.
+    #[schemars(range(min = 1, max = 3_600_000))]
     pub first_token_ms: u64,
     /// Goal for the time between tokens, in milliseconds.
+    #[schemars(range(min = 1, max = 60_000))]
     pub token_gap_ms: u64,
     /// Longest silence of a target before it is probed over a new connection, in milliseconds.
+    #[schemars(range(min = 100, max = 600_000))]
     pub progress_ms: u64,
     /// Largest request body, in kilobytes.
+    #[schemars(range(min = 1, max = 1_048_576))]
     pub body_kb: u64,
 }
 
@@ -117,14 +124,18 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Admission {
     /// Weight of the service's guaranteed share against the partner's other services.
+    #[schemars(range(min = 1, max = 1_000_000))]
     pub share: u32,
     /// Weight of the partner's guaranteed share against other partners.
+    #[schemars(range(min = 1, max = 1_000_000))]
     pub partner_share: u32,
     /// Order among waiting requests.
     pub priority: Priority,
     /// Most tokens, prompt and requested output together, that may wait on one instance.
+    #[schemars(range(min = 1, max = 1_000_000_000))]
     pub queue_tokens: u64,
     /// Most requests that may wait on one instance.
+    #[schemars(range(min = 1, max = 1_000_000))]
     pub queue_requests: u32,
 }
 
@@ -145,10 +156,13 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Retry {
     /// Attempts of one request at most, the first included.
+    #[schemars(range(min = 1, max = 10))]
     pub max_attempts: u32,
     /// Retries as a share of first attempts, in percent.
+    #[schemars(range(min = 0, max = 100))]
     pub budget_percent: u32,
     /// Shortest pause before a retry, in milliseconds; it doubles with each attempt and is jittered.
+    #[schemars(range(min = 1, max = 60_000))]
     pub backoff_ms: u64,
 }
 
@@ -165,8 +179,10 @@
     /// Path prefixes whose calls run at most once; they need an `idempotency-key` header.
     pub paths: Vec<String>,
     /// How long a claim and its answer are kept, in seconds.
+    #[schemars(range(min = 60, max = 2_592_000))]
     pub retention_s: u64,
     /// Largest answer that is kept for resends, in kilobytes.
+    #[schemars(range(min = 0, max = 1_024))]
     pub answer_kb: u64,
 }
 
@@ -181,20 +197,28 @@
 #[serde(deny_unknown_fields, default)]
 pub struct Roles {
     /// Weight of goodput, in points for each request answered in time.
+    #[schemars(range(min = 0.0))]
     pub goodput_weight: f64,
     /// Price of one change, in points.
+    #[schemars(range(min = 0.0))]
     pub change_price: f64,
     /// Time over which a change must pay, in seconds.
+    #[schemars(range(min = 1, max = 86_400))]
     pub horizon_s: u64,
     /// Shortest time between two changes of one engine, in seconds.
+    #[schemars(range(min = 0, max = 86_400))]
     pub dwell_s: u64,
     /// Engines that change at once at most in one data centre.
+    #[schemars(range(min = 1, max = 1_000))]
     pub changes_at_once: u32,
     /// Fewest engines that can prefill (prefill or mixed).
+    #[schemars(range(min = 0, max = 100_000))]
     pub prefill_floor: u32,
     /// Fewest engines that can decode (decode or mixed).
+    #[schemars(range(min = 0, max = 100_000))]
     pub decode_floor: u32,
     /// Longest wait for an engine's streams to end before a change is put off, in seconds.
+    #[schemars(range(min = 1, max = 86_400))]
     pub drain_s: u64,
     /// Partners whose requests the service's engines may also serve.
     pub lend_to: Vec<String>,
--- /dev/null
+++ b/crates/settings/src/unit.rs
@@ -0,0 +1,52 @@
+//! Units by the suffix of a key, and suggestions for misspelt keys.
+
+const UNITS: [(&str, &str); 4] =
+    [("_ms", "milliseconds"), ("_s", "seconds"), ("_kb", "kilobytes"), ("_percent", "percent")];
+/// Edits that a misspelt key may be away from a known one.
+const MAX_EDITS: usize = 2;
+
+/// The unit of a key's value, by its suffix.
+pub fn of(key: &str) -> Option<&'static str> {
+    UNITS.iter().find(|(suffix, _)| key.ends_with(suffix)).map(|&(_, unit)| unit)
+}
+
+/// The unit as a clause such as ` in milliseconds`, or nothing.
+pub fn clause(key: &str) -> String {
+    of(key).map(|unit| format!(" in {unit}")).unwrap_or_default()
+}
+
+/// The known key that `name` most likely stands for.
+pub fn nearest<'a>(name: &str, known: &[&'a str]) -> Option<&'a str> {
+    let stem = stem(name);
+    if let Some(same) = known.iter().find(|key| self::stem(key) == stem) {
+        return Some(same);
+    }
+    known
+        .iter()
+        .map(|key| (edits(self::stem(key), stem), *key))
+        .min()
+        .filter(|&(edits, _)| edits <= MAX_EDITS)
+        .map(|(_, key)| key)
+}
+
+/// The key without its unit.
+fn stem(key: &str) -> &str {
+    let suffix = UNITS.iter().find(|(suffix, _)| key.ends_with(suffix));
+    suffix.map_or(key, |(suffix, _)| &key[..key.len() - suffix.len()])
+}
+
+/// Levenshtein distance.
+fn edits(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (position, one) in left.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = position + 1;
+        for (column, &other) in right.iter().enumerate() {
+            let replaced = diagonal + usize::from(one != other);
+            diagonal = row[column + 1];
+            row[column + 1] = replaced.min(diagonal + 1).min(row[column] + 1);
+        }
+    }
+    row[right.len()]
+}
