Stand-in engine and plain service

Cause: tests need targets that speak the protocol and whose answers can be checked. Change: an engine with continuous batching, prefix cache, orders and KV transfer, a plain service that counts runs by key, a weight store, and both targets as examples; wire::completion shares the view of prompts. Conclusion: streamed, whole, resumed and refused calls and a role change were tried by hand over curl.

--- /dev/null
+++ b/crates/standin/src/announce.rs
@@ -0,0 +1,53 @@
+//! Announces a target to a random one of some control addresses, again and again.
+
+use std::{net::SocketAddr, time::Duration};
+
+use common::cancel;
+use tokio::time;
+use wire::target;
+
+use crate::{http, random::Random};
+
+/// Longest wait for an announcement's answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(2);
+
+/// Where and how often a target announces itself.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// Control addresses, of which each announcement takes one at random.
+    pub control: Vec<SocketAddr>,
+    /// Time between two announcements.
+    pub interval: Duration,
+    /// Seed of the choice.
+    pub seed: u64,
+}
+
+/// Makes the announcements of a target.
+pub trait Source: Send + 'static {
+    /// The announcement to send now.
+    fn announcement(&mut self) -> target::Announcement;
+}
+
+/// Announces `source` until `token` is cancelled.
+pub async fn run<S: Source>(route: Route, mut source: S, token: cancel::Token) {
+    let mut random = Random::new(route.seed);
+    let mut ticks = time::interval(route.interval);
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        let announcement = source.announcement();
+        let Some(&address) = route.control.get(random.below(route.control.len())) else {
+            continue;
+        };
+        tokio::spawn(async move { send(address, &announcement).await });
+    }
+}
+
+async fn send(address: SocketAddr, announcement: &target::Announcement) {
+    let Ok(request) = http::post(target::ANNOUNCE_PATH, announcement) else {
+        return;
+    };
+    let _ = http::call(address, request, ANSWER_LIMIT).await;
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,312 @@
+//! A small engine: continuous batching, prefix cache, orders and KV transfer, with answers that can be checked.
+
+mod batch;
+mod cache;
+mod call;
+mod kv;
+mod order;
+mod report;
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use common::{cancel, clock, name, role::Role};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use tokio::{net::TcpListener, sync::Notify};
+use wire::target;
+
+use crate::{announce, http};
+
+/// How an engine is set up.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Name of the target.
+    pub name: name::Target,
+    /// Partner that owns it.
+    pub partner: name::Partner,
+    /// Service it runs for.
+    pub service: name::Service,
+    /// Data centre it stands in.
+    pub data_centre: name::DataCentre,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Address that it announces instead of its own, for a proxy before it.
+    pub announced: Option<SocketAddr>,
+    /// Where it announces itself.
+    pub route: announce::Route,
+    /// Models that it can serve at the start.
+    pub models: Vec<String>,
+    /// Role at the start.
+    pub role: Role,
+    /// Whether it checks fencing numbers.
+    pub fencing: target::Fencing,
+    /// Requests that run at once at most.
+    pub slots: u32,
+    /// Requests that wait at most; more are refused as full.
+    pub queue: u32,
+    /// Pieces that its prefix cache holds.
+    pub cache_pieces: u32,
+    /// How fast it works.
+    pub speed: Speed,
+    /// How late and how complete its reports are.
+    pub reports: Reports,
+    /// Weight store that loads are fetched from; a load takes `speed.load` where there is none.
+    pub weights: Option<SocketAddr>,
+    /// Whether it dies half way through its first change.
+    pub crash_in_change: bool,
+    /// Output tokens after which the whole engine dies.
+    pub crash_after_tokens: Option<u64>,
+}
+
+/// How fast an engine works.
+#[derive(Clone, Copy, Debug)]
+pub struct Speed {
+    /// Prompt tokens computed a second.
+    pub prefill_tokens_s: f64,
+    /// Time of one decode step with one stream.
+    pub step: Duration,
+    /// Time that each further stream adds to a step.
+    pub step_stream: Duration,
+    /// Time of a role change.
+    pub change: Duration,
+    /// Time of a load without a weight store.
+    pub load: Duration,
+    /// KV cache that an import fetches, in tokens a second.
+    pub import_tokens_s: f64,
+    /// All times are multiplied by this.
+    pub scale: f64,
+}
+
+impl Default for Speed {
+    fn default() -> Speed {
+        Speed {
+            prefill_tokens_s: 8_000.0,
+            step: Duration::from_millis(20),
+            step_stream: Duration::from_micros(500),
+            change: Duration::from_secs(4),
+            load: Duration::from_secs(8),
+            import_tokens_s: 100_000.0,
+            scale: 1.0,
+        }
+    }
+}
+
+/// How late and how complete an engine's reports are.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reports {
+    /// Age of load reports.
+    pub load_lag: Duration,
+    /// Announcements by which cache events are late.
+    pub event_lag: u32,
+    /// Share of cache events that is lost, in percent.
+    pub event_loss_percent: u32,
+}
+
+impl Options {
+    /// An engine named `name` that listens on a free loopback port and announces itself to `control`.
+    pub fn new(name: &str, partner: &str, service: &str, control: Vec<SocketAddr>) -> Options {
+        Options {
+            name: name::Target::from(name),
+            partner: name::Partner::from(partner),
+            service: name::Service::from(service),
+            data_centre: name::DataCentre::from("local"),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            announced: None,
+            route: announce::Route { control, interval: Duration::from_secs(1), seed: 1 },
+            models: vec![String::from("small")],
+            role: Role::Mixed,
+            fencing: target::Fencing::Checked,
+            slots: 16,
+            queue: 16,
+            cache_pieces: 64,
+            speed: Speed::default(),
+            reports: Reports::default(),
+            weights: None,
+            crash_in_change: false,
+            crash_after_tokens: None,
+        }
+    }
+}
+
+/// A running engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    options: Options,
+    incarnation: u64,
+    state: Mutex<State>,
+    work: Notify,
+    token: cancel::Token,
+}
+
+/// What an engine keeps in memory.
+#[derive(Debug)]
+struct State {
+    batch: batch::Batch,
+    cache: cache::Cache,
+    exports: kv::Exports,
+    orders: order::Orders,
+    role: Role,
+    models: Vec<String>,
+    phase: target::Phase,
+    totals: Totals,
+}
+
+/// What an engine did since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// Prompt tokens computed.
+    pub prompt_tokens: u64,
+    /// Prompt tokens found in the cache.
+    pub cached_tokens: u64,
+    /// Output tokens generated.
+    pub output_tokens: u64,
+    /// Calls that were taken.
+    pub taken: u64,
+    /// Calls that were refused before running.
+    pub refused: u64,
+    /// Calls that ended before their last token.
+    pub cut: u64,
+    /// Orders that were taken.
+    pub orders: u64,
+}
+
+impl Engine {
+    /// Starts an engine on the current runtime; cancelling `token` kills it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error when it can't listen.
+    pub async fn start(options: Options, token: cancel::Token) -> io::Result<Engine> {
+        let listener = TcpListener::bind(options.listen).await?;
+        let engine = Engine {
+            address: listener.local_addr()?,
+            shared: Arc::new(Shared::new(options, token)),
+        };
+        let (shared, token) = (&engine.shared, &engine.shared.token);
+        tokio::spawn(batch::run(Arc::clone(shared)));
+        let source = report::Source::new(engine.address, Arc::clone(shared));
+        tokio::spawn(announce::run(shared.options.route.clone(), source, token.clone()));
+        tokio::spawn(http::serve(listener, token.clone(), engine.clone()));
+        Ok(engine)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What it did since its start.
+    pub fn totals(&self) -> Totals {
+        self.shared.lock().totals
+    }
+
+    /// Its account of itself.
+    pub fn state(&self) -> target::State {
+        self.shared.account()
+    }
+
+    /// Requests that run and wait.
+    pub fn load(&self) -> target::Load {
+        self.shared.lock().load()
+    }
+
+    /// Kills it at once, with all its connections.
+    pub fn kill(&self) {
+        self.shared.token.cancel();
+    }
+
+    /// Whether it was killed or died.
+    pub fn is_dead(&self) -> bool {
+        self.shared.token.is_cancelled()
+    }
+}
+
+impl Shared {
+    fn new(options: Options, token: cancel::Token) -> Shared {
+        let state = State {
+            batch: batch::Batch::default(),
+            cache: cache::Cache::new(options.cache_pieces),
+            exports: kv::Exports::default(),
+            orders: order::Orders::default(),
+            role: options.role,
+            models: options.models.clone(),
+            phase: target::Phase::Ready,
+            totals: Totals::default(),
+        };
+        Shared {
+            options,
+            incarnation: clock::unix_ms(),
+            state: Mutex::new(state),
+            work: Notify::new(),
+            token,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn scaled(&self, span: Duration) -> Duration {
+        span.mul_f64(self.options.speed.scale)
+    }
+
+    fn account(&self) -> target::State {
+        let state = self.lock();
+        target::State {
+            target: self.options.name.clone(),
+            incarnation: self.incarnation,
+            role: state.role,
+            models: state.models.clone(),
+            phase: state.phase,
+            running: state.batch.load().running,
+            fencing: state.orders.fencing,
+            open_order: state.orders.open.clone(),
+            last_order: state.orders.last.clone(),
+        }
+    }
+}
+
+impl State {
+    fn load(&self) -> target::Load {
+        target::Load {
+            prompt_tokens: self.totals.prompt_tokens,
+            cached_tokens: self.totals.cached_tokens,
+            output_tokens: self.totals.output_tokens,
+            ..self.batch.load()
+        }
+    }
+}
+
+impl http::AsyncHandler for Engine {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<http::Body>, http::Fault> {
+        let shared = &self.shared;
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, "/v1/completions") => {
+                call::run(shared, request, call::Shape::Text).await
+            }
+            (&Method::POST, "/v1/chat/completions") => {
+                call::run(shared, request, call::Shape::Chat).await
+            }
+            (&Method::POST, target::CANCEL_PATH) => Ok(call::cancel(shared, &request)),
+            (&Method::POST, target::ORDERS_PATH) => order::take(shared, request).await,
+            (&Method::GET, target::STATE_PATH) => http::json(StatusCode::OK, &shared.account()),
+            (&Method::POST, target::EXPORT_PATH) => kv::export(shared, request).await,
+            (&Method::POST, target::IMPORT_PATH) => kv::import(shared, request).await,
+            (&Method::GET, kv::FETCH_PATH) => kv::fetch(shared, &request),
+            _ => Ok(http::text(StatusCode::NOT_FOUND, "no such path")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/cache.rs
@@ -0,0 +1,80 @@
+//! A prefix cache in a limited number of pieces, with least recently used eviction and an event for each change.
+
+use std::collections::VecDeque;
+
+use common::collections::Set;
+use wire::{completion, target};
+
+/// Pieces by use, the least recently used first.
+#[derive(Debug)]
+pub(super) struct Cache {
+    capacity: usize,
+    order: VecDeque<u64>,
+    held: Set<u64>,
+    events: Vec<target::Event>,
+    next_event: u64,
+}
+
+impl Cache {
+    /// Makes an empty cache that holds `pieces` pieces.
+    pub(super) fn new(pieces: u32) -> Cache {
+        Cache {
+            capacity: usize::try_from(pieces).unwrap_or(usize::MAX),
+            order: VecDeque::new(),
+            held: Set::default(),
+            events: Vec::new(),
+            next_event: 1,
+        }
+    }
+
+    /// Tokens of the longest held prefix, which counts as used.
+    pub(super) fn lookup(&mut self, pieces: &[u64]) -> u64 {
+        let found = pieces.iter().take_while(|piece| self.held.contains(piece)).count();
+        for &piece in &pieces[..found] {
+            self.touch(piece);
+        }
+        u64::try_from(found * completion::TOKENS_PER_PIECE).unwrap_or(u64::MAX)
+    }
+
+    /// Puts a computed prompt's pieces into the cache.
+    pub(super) fn store(&mut self, pieces: &[u64]) {
+        for &piece in pieces {
+            if self.held.insert(piece) {
+                self.order.push_back(piece);
+                self.record(piece, target::Change::Stored);
+            } else {
+                self.touch(piece);
+            }
+        }
+        while self.held.len() > self.capacity {
+            let Some(piece) = self.order.pop_front() else {
+                return;
+            };
+            self.held.remove(&piece);
+            self.record(piece, target::Change::Removed);
+        }
+    }
+
+    /// Drops all pieces.
+    pub(super) fn clear(&mut self) {
+        while let Some(piece) = self.order.pop_front() {
+            self.held.remove(&piece);
+            self.record(piece, target::Change::Removed);
+        }
+    }
+
+    /// Takes the events since the last call.
+    pub(super) fn take_events(&mut self) -> Vec<target::Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    fn touch(&mut self, piece: u64) {
+        self.order.retain(|&other| other != piece);
+        self.order.push_back(piece);
+    }
+
+    fn record(&mut self, piece: u64, change: target::Change) {
+        self.events.push(target::Event { number: self.next_event, piece, change });
+        self.next_event += 1;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/call.rs
@@ -0,0 +1,268 @@
+//! Completions, streamed and whole.
+
+use std::{io, sync::Arc};
+
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::{Frame, Incoming},
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+use wire::{completion, target};
+
+use super::{Shared, batch};
+use crate::{answer, http};
+
+const DEFAULT_PRIORITY: u8 = 5;
+
+/// The form of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Shape {
+    /// `/v1/completions`.
+    Text,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+/// Runs one completion.
+pub(super) async fn run(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+    shape: Shape,
+) -> Result<Response<http::Body>, http::Fault> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await?.to_bytes();
+    let call: completion::Request = match serde_json::from_slice(&body) {
+        Ok(call) => call,
+        Err(error) => return Ok(http::text(StatusCode::BAD_REQUEST, error.to_string())),
+    };
+    let prompt = call.text();
+    let tokens = match admit(shared, &head.headers, &call, &prompt) {
+        Ok(tokens) => tokens,
+        Err(word) => return Ok(refusal(word)),
+    };
+    let answer = Answer { shape, prompt: answer::hash(&prompt), model: call.model.clone() };
+    let usage = Usage { prompt: completion::tokens(&prompt), output: call.max_tokens() };
+    if call.stream {
+        return Ok(streamed(answer, tokens, call.max_tokens()));
+    }
+    whole(&answer, tokens, usage).await
+}
+
+/// Ends the attempt that a request names.
+pub(super) fn cancel(shared: &Shared, request: &Request<Incoming>) -> Response<http::Body> {
+    let attempt = header(request.headers(), target::ATTEMPT_HEADER);
+    let mut state = shared.lock();
+    if state.batch.cancel(attempt) {
+        state.totals.cut += 1;
+        return http::text(StatusCode::NO_CONTENT, "");
+    }
+    http::text(StatusCode::NOT_FOUND, "no such attempt")
+}
+
+/// The answer to a call that was refused before running.
+pub(super) fn refusal(word: &'static str) -> Response<http::Body> {
+    let status = match word {
+        "full" => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut response = http::text(status, word);
+    response.headers_mut().insert(target::REFUSED_HEADER, HeaderValue::from_static(word));
+    response
+}
+
+/// Why the engine takes no new work now.
+pub(super) fn closed(phase: target::Phase) -> Option<&'static str> {
+    match phase {
+        target::Phase::Ready => None,
+        target::Phase::Draining | target::Phase::Leaving => Some("draining"),
+        target::Phase::Changing => Some("changing"),
+    }
+}
+
+fn admit(
+    shared: &Shared,
+    headers: &HeaderMap,
+    call: &completion::Request,
+    prompt: &str,
+) -> Result<mpsc::UnboundedReceiver<u32>, &'static str> {
+    let mut state = shared.lock();
+    let refused = if let Some(word) = closed(state.phase) {
+        Some(word)
+    } else if !state.models.contains(&call.model) {
+        Some("unknown-model")
+    } else if !state.batch.has_room(&shared.options) {
+        Some("full")
+    } else {
+        None
+    };
+    if let Some(word) = refused {
+        state.totals.refused += 1;
+        return Err(word);
+    }
+    let next: u32 = header(headers, target::RESUME_HEADER).parse().unwrap_or_default();
+    let imported = call.kv_handle.as_ref().is_some_and(|handle| state.exports.is_held(handle));
+    let prompt_tokens = completion::tokens(prompt);
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let work = batch::Work {
+        attempt: header(headers, target::ATTEMPT_HEADER).to_string(),
+        priority: header(headers, target::PRIORITY_HEADER).parse().unwrap_or(DEFAULT_PRIORITY),
+        pieces: completion::pieces(prompt),
+        to_compute: if imported { 0 } else { prompt_tokens + u64::from(next) },
+        next,
+        end: call.max_tokens().max(next),
+        tokens: sender,
+    };
+    state.totals.taken += 1;
+    state.batch.push(work);
+    drop(state);
+    shared.work.notify_one();
+    Ok(receiver)
+}
+
+/// What a stream needs to write its events.
+struct Answer {
+    shape: Shape,
+    prompt: u64,
+    model: String,
+}
+
+struct Usage {
+    prompt: u64,
+    output: u32,
+}
+
+impl Answer {
+    fn token(&self, position: u32) -> String {
+        answer::token_of(self.prompt, usize::try_from(position).unwrap_or(usize::MAX))
+    }
+
+    fn event(&self, position: u32, is_last: bool) -> Bytes {
+        let finish = if is_last { Value::from("length") } else { Value::Null };
+        let choice = match self.shape {
+            Shape::Text => {
+                json!({"index": 0, "text": self.token(position), "finish_reason": finish})
+            }
+            Shape::Chat => {
+                let delta = json!({"content": self.token(position)});
+                json!({"index": 0, "delta": delta, "finish_reason": finish})
+            }
+        };
+        let object = match self.shape {
+            Shape::Text => "text_completion",
+            Shape::Chat => "chat.completion.chunk",
+        };
+        let event = json!({
+            "id": format!("cmpl-{:x}", self.prompt),
+            "object": object,
+            "created": common::clock::unix_ms() / 1_000,
+            "model": self.model,
+            "choices": [choice],
+        });
+        Bytes::from(format!("data: {event}\n\n"))
+    }
+}
+
+fn streamed(
+    answer: Answer,
+    tokens: mpsc::UnboundedReceiver<u32>,
+    end: u32,
+) -> Response<http::Body> {
+    let stream = Stream { answer, tokens, end, next: Next::Token };
+    let events = stream::unfold(stream, |mut stream| async {
+        let frame = stream.frame().await?;
+        Some((frame, stream))
+    });
+    let mut response = Response::new(StreamBody::new(events).boxed_unsync());
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    response
+}
+
+/// What a stream writes next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    Token,
+    Done,
+    Nothing,
+}
+
+struct Stream {
+    answer: Answer,
+    tokens: mpsc::UnboundedReceiver<u32>,
+    end: u32,
+    next: Next,
+}
+
+impl Stream {
+    async fn frame(&mut self) -> Option<io::Result<Frame<Bytes>>> {
+        match self.next {
+            Next::Nothing => None,
+            Next::Done => {
+                self.next = Next::Nothing;
+                Some(Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n"))))
+            }
+            Next::Token => Some(self.token().await),
+        }
+    }
+
+    /// The next token's event; an error, which drops the connection, when the work was cut.
+    async fn token(&mut self) -> io::Result<Frame<Bytes>> {
+        let Some(position) = self.tokens.recv().await else {
+            self.next = Next::Nothing;
+            return Err(io::Error::from(io::ErrorKind::ConnectionAborted));
+        };
+        let is_last = position + 1 >= self.end;
+        if is_last {
+            self.next = Next::Done;
+        }
+        Ok(Frame::data(self.answer.event(position, is_last)))
+    }
+}
+
+async fn whole(
+    answer: &Answer,
+    mut tokens: mpsc::UnboundedReceiver<u32>,
+    usage: Usage,
+) -> Result<Response<http::Body>, http::Fault> {
+    let mut text = String::new();
+    let mut last = 0;
+    while let Some(position) = tokens.recv().await {
+        text.push_str(&answer.token(position));
+        last = position + 1;
+    }
+    if last < usage.output {
+        return Err(http::Fault::Timeout);
+    }
+    let choice = match answer.shape {
+        Shape::Text => json!({"index": 0, "text": text, "finish_reason": "length"}),
+        Shape::Chat => {
+            let message = json!({"role": "assistant", "content": text});
+            json!({"index": 0, "message": message, "finish_reason": "length"})
+        }
+    };
+    let object = match answer.shape {
+        Shape::Text => "text_completion",
+        Shape::Chat => "chat.completion",
+    };
+    let body = json!({
+        "id": format!("cmpl-{:x}", answer.prompt),
+        "object": object,
+        "created": common::clock::unix_ms() / 1_000,
+        "model": answer.model,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": usage.prompt,
+            "completion_tokens": usage.output,
+            "total_tokens": usage.prompt + u64::from(usage.output),
+        },
+    });
+    http::json(StatusCode::OK, &body)
+}
+
+pub(super) fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,9 @@
-//! Stand-in engine and plain service for tests and trials.
+//! Stand-ins for engines, plain services and the network, for tests and trials.
+
+pub mod announce;
+pub mod answer;
+pub mod engine;
+pub mod http;
+pub mod plain;
+pub mod random;
+pub mod weights;
--- /dev/null
+++ b/crates/standin/src/plain.rs
@@ -0,0 +1,187 @@
+//! A small plain service that counts how often each idempotency key ran.
+//!
+//! Any path is answered with the request's own body; [`COUNTS_PATH`] returns the counts.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use common::{cancel, name, role::Role};
+use http_body_util::BodyExt;
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use serde::{Deserialize, Serialize};
+use tokio::{net::TcpListener, time};
+use wire::target;
+
+use crate::{announce, http};
+
+/// Header with the key of a call that may not be repeated.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// Path that returns the [`Counts`] (`GET`).
+pub const COUNTS_PATH: &str = "/control/counts";
+
+/// How a plain service is set up.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Name of the target.
+    pub name: name::Target,
+    /// Partner that owns it.
+    pub partner: name::Partner,
+    /// Service it runs for.
+    pub service: name::Service,
+    /// Data centre it stands in.
+    pub data_centre: name::DataCentre,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Address that it announces instead of its own, for a proxy before it.
+    pub announced: Option<SocketAddr>,
+    /// Where it announces itself.
+    pub route: announce::Route,
+    /// Time that a call takes to run.
+    pub delay: Duration,
+    /// What happens once a call has run.
+    pub fate: Fate,
+}
+
+/// What happens once a call has run.
+#[derive(Clone, Copy, Debug, Default, derive_more::FromStr, PartialEq, Eq)]
+pub enum Fate {
+    /// It is answered.
+    #[default]
+    Answer,
+    /// The connection is dropped without an answer.
+    Drop,
+    /// The whole service dies without an answer.
+    Die,
+}
+
+/// How often each key ran.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Runs of calls with a key, by key.
+    pub keys: BTreeMap<String, u64>,
+    /// Runs of calls without a key.
+    pub others: u64,
+}
+
+/// A running plain service.
+#[derive(Clone, Debug)]
+pub struct Plain {
+    address: SocketAddr,
+    options: Arc<Options>,
+    counts: Arc<Mutex<Counts>>,
+    running: Arc<AtomicU64>,
+    token: cancel::Token,
+}
+
+impl Plain {
+    /// Starts a plain service on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error when it can't listen.
+    pub async fn start(options: Options, token: cancel::Token) -> io::Result<Plain> {
+        let listener = TcpListener::bind(options.listen).await?;
+        let plain = Plain {
+            address: listener.local_addr()?,
+            options: Arc::new(options),
+            counts: Arc::default(),
+            running: Arc::default(),
+            token: token.clone(),
+        };
+        let source =
+            Source { plain: plain.clone(), sequence: 0, incarnation: common::clock::unix_ms() };
+        tokio::spawn(announce::run(plain.options.route.clone(), source, token.clone()));
+        tokio::spawn(http::serve(listener, token, plain.clone()));
+        Ok(plain)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// How often each key ran so far.
+    pub fn counts(&self) -> Counts {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Ends it at once, with all its connections.
+    pub fn kill(&self) {
+        self.token.cancel();
+    }
+
+    fn count(&self, key: Option<String>) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        match key {
+            Some(key) => *counts.keys.entry(key).or_default() += 1,
+            None => counts.others += 1,
+        }
+    }
+}
+
+impl http::AsyncHandler for Plain {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<http::Body>, http::Fault> {
+        if request.uri().path() == COUNTS_PATH {
+            return http::json(StatusCode::OK, &self.counts());
+        }
+        let key = request.headers().get(KEY_HEADER).and_then(|value| value.to_str().ok());
+        let key = key.map(String::from);
+        self.running.fetch_add(1, Ordering::Relaxed);
+        let body = request.into_body().collect().await?.to_bytes();
+        self.count(key);
+        time::sleep(self.options.delay).await;
+        self.running.fetch_sub(1, Ordering::Relaxed);
+        match self.options.fate {
+            Fate::Answer => Ok(http::text(StatusCode::OK, body)),
+            Fate::Drop => Err(http::Fault::Timeout),
+            Fate::Die => {
+                self.kill();
+                Err(http::Fault::Timeout)
+            }
+        }
+    }
+}
+
+struct Source {
+    plain: Plain,
+    sequence: u64,
+    incarnation: u64,
+}
+
+impl announce::Source for Source {
+    fn announcement(&mut self) -> target::Announcement {
+        self.sequence += 1;
+        let options = &self.plain.options;
+        let running = u32::try_from(self.plain.running.load(Ordering::Relaxed)).unwrap_or(u32::MAX);
+        target::Announcement {
+            target: options.name.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            address: options.announced.unwrap_or(self.plain.address),
+            kind: target::Kind::Plain,
+            partner: options.partner.clone(),
+            service: options.service.clone(),
+            data_centre: options.data_centre.clone(),
+            models: Vec::new(),
+            role: Role::Mixed,
+            fencing: target::Fencing::Unchecked,
+            cache_pieces: 0,
+            slots: 64,
+            lease_ms: 3_000,
+            phase: target::Phase::Ready,
+            load: target::Load { running, ..target::Load::default() },
+            cache_events: Vec::new(),
+        }
+    }
+}
