One command runs an instance with stand-ins; a test streams through a real daemon

Cause: the path had been tried by hand only; a settings fault was printed on two lines. Change: example `single` with two stand-in engines and a plain service; a test that starts a real daemon, streams an answer from a stand-in engine and checks each token; refusals without a target say not-run; a fault is one line.

--- /dev/null
+++ b/crates/daisydrum/examples/single.rs
@@ -0,0 +1,56 @@
+//! Runs one instance with two stand-in engines and a stand-in plain service, for a first try.
+//!
+//! Run it from the root of the repository: `cargo run --release -p daisydrum --example single`.
+
+use std::{
+    error::Error,
+    net::{Ipv4Addr, SocketAddr},
+    path::Path,
+    time::Duration,
+};
+
+use common::{cancel, name};
+use settings::{document, instance};
+use standin::{announce, engine, plain};
+use tokio::runtime;
+
+const SETTINGS: &str = "examples/single.jsonc";
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+const PLAIN_DELAY: Duration = Duration::from_millis(20);
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let settings = Path::new(SETTINGS);
+    let instance: instance::Instance = document::read(settings)?;
+    let runtime = runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    let token = cancel::Token::new();
+    runtime.block_on(start_targets(instance.control, &token))?;
+    daisydrum::daemon::run(settings)?;
+    token.cancel();
+    Ok(())
+}
+
+async fn start_targets(control: SocketAddr, token: &cancel::Token) -> Result<(), Box<dyn Error>> {
+    let engines = [
+        ("vent-engine-1", "association", "vent-llm", "vent-7b"),
+        ("ink-engine-1", "inkleaf", "inkmind", "ink-7b"),
+    ];
+    for (name, partner, service, model) in engines {
+        let mut options = engine::Options::new(name, partner, service, vec![control]);
+        options.models = vec![String::from(model)];
+        options.data_centre = name::DataCentre::from("suva");
+        engine::Engine::start(options, token.child_token()).await?;
+    }
+    let options = plain::Options {
+        name: name::Target::from("portal-1"),
+        partner: name::Partner::from("association"),
+        service: name::Service::from("member-portal"),
+        data_centre: name::DataCentre::from("suva"),
+        listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+        announced: None,
+        route: announce::Route { control: vec![control], interval: ANNOUNCE_INTERVAL, seed: 1 },
+        delay: PLAIN_DELAY,
+        fate: plain::Fate::Answer,
+    };
+    plain::Plain::start(options, token.child_token()).await?;
+    Ok(())
+}
--- a/crates/daisydrum/src/error.rs
+++ b/crates/daisydrum/src/error.rs
@@ -8,7 +8,7 @@
 #[derive(Debug, Display, Error, From)]
 pub enum Fault {
     /// Files of settings are wrong.
-    #[display("settings are refused:\n{_0}")]
+    #[display("{_0}")]
     Settings(settings::error::Faults),
     /// The settings of a service are wrong.
     #[display("the tree has a service whose settings are wrong: {_0}")]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Messages between daemons, targets and operators.
 
+pub mod completion;
 pub mod link;
 pub mod operator;
 pub mod outcome;
