--- a/crates/daisydrum/src/daemon.rs
+++ b/crates/daisydrum/src/daemon.rs
@@ -6,22 +6,27 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    thread::JoinHandle,
 };
 
-use common::{cancel, name};
 use entry::{directory::Directory, router, server};
 use settings::{check, error::Faults, instance, tree};
-use slog::{Level, Logger, info};
+use slog::{Level, info};
 use telemetry::{log, metric, span};
-use tokio::{runtime, sync::watch};
-use wire::peer;
+use tokio::{
+    runtime::{self, Runtime},
+    sync::watch,
+};
 
 use crate::{
+    context::Context,
     duty::{callers, control, peers},
     error::Fault,
     signal,
 };
 
+const PEER_WORKERS: usize = 2;
+
 /// Checks the settings of an instance and its tree.
 ///
 /// # Errors
@@ -39,61 +44,79 @@
 ///
 /// Returns a [`Fault`] when the instance can't start.
 pub fn run(path: &Path) -> Result<(), Fault> {
-    let instance = check::instance(path).map_err(Faults::from)?;
-    let directory = load_directory(path, &instance)?;
-    let log = log::start(level(instance.log.level));
-    let metrics = metric::install();
-    let signals = runtime::Builder::new_current_thread().enable_all().build()?;
-    let mut stop_signal = signals.block_on(async { signal::Stop::new() })?;
+    let settings = check::instance(path).map_err(Faults::from)?;
+    let directory = load_directory(path, &settings)?;
+    let log = log::start(level(settings.log.level));
+    let runtime = peer_runtime()?;
+    let context = Context::new(settings, runtime.handle().clone(), log);
+    let mut signals = runtime.block_on(async { signal::Stop::new() })?;
+    let duties = Duties::start(&context, directory)?;
+    let instance = &context.identity.instance;
+    info!(context.log, "started"; "instance" => %instance, "data_centre" => %context.identity.data_centre,
+        "callers" => %context.settings.callers, "control" => %context.settings.control,
+        "peers" => %context.settings.peers_listen);
 
-    let stop = cancel::Token::new();
-    let end = cancel::Token::new();
-    let (router, router_thread) = router::start(end.clone())?;
-    let (spans, spans_thread) = start_spans(&instance)?;
-    let ready = Arc::new(AtomicBool::new(false));
-    let control = control::Control {
-        instance: name::Instance(instance.name.clone()),
-        data_centre: name::DataCentre(instance.data_centre.clone()),
-        ready: Arc::clone(&ready),
-        router: router.clone(),
-        metrics,
-    };
-    let identity = peer::Identity {
-        version: peer::VERSION,
-        instance: control.instance.clone(),
-        data_centre: control.data_centre.clone(),
-    };
-    let (_tree_in_force, directory) = watch::channel(Arc::new(directory));
-    let server = server::Server { directory, router, spans, log: log.clone() };
-    let _listener = control::start(instance.control, control)?;
-    let peers_thread =
-        peers::start(instance.peers_listen, peers::Server { identity }, end.clone())?;
-    let callers_thread = callers::start(instance.callers, server, stop.clone())?;
-    ready.store(true, Ordering::Release);
-    announce_start(&log, &instance);
+    runtime.block_on(signals.wait());
+    info!(context.log, "stopping"; "instance" => %instance);
+    duties.stop(&context);
+    info!(context.log, "stopped"; "instance" => %instance);
+    Ok(())
+}
 
-    signals.block_on(stop_signal.wait());
-    info!(log, "stopping"; "instance" => &instance.name);
-    ready.store(false, Ordering::Release);
-    stop.cancel();
-    join(callers_thread);
-    end.cancel();
-    join(peers_thread);
-    join(router_thread);
-    if let Some(spans_thread) = spans_thread {
-        join(spans_thread);
+/// The running duties, in the groups in which they are stopped.
+struct Duties {
+    ready: Arc<AtomicBool>,
+    /// End once all answers are given after `stop`.
+    callers: JoinHandle<()>,
+    /// End after `end`.
+    others: Vec<JoinHandle<()>>,
+}
+
+impl Duties {
+    fn start(context: &Context, directory: Directory) -> Result<Duties, Fault> {
+        let metrics = metric::install();
+        let ready = Arc::new(AtomicBool::new(false));
+        let (router, router_thread) = router::start(context.end.clone())?;
+        let mut others = vec![router_thread];
+        let (spans, spans_thread) = start_spans(&context.settings)?;
+        others.extend(spans_thread);
+        let (_directory_in_force, directory) = watch::channel(Arc::new(directory));
+        let control = control::Control {
+            identity: context.identity.clone(),
+            ready: Arc::clone(&ready),
+            router: router.clone(),
+            metrics,
+        };
+        let _listener = control::start(context.settings.control, control)?;
+        others.push(peers::start(context, peers::Server { identity: context.identity.clone() })?);
+        let server = server::Server { directory, router, spans, log: context.log.clone() };
+        let callers = callers::start(context.settings.callers, server, context.stop.clone())?;
+        ready.store(true, Ordering::Release);
+        Ok(Duties { ready, callers, others })
+    }
+
+    fn stop(self, context: &Context) {
+        self.ready.store(false, Ordering::Release);
+        context.stop.cancel();
+        join(self.callers);
+        context.end.cancel();
+        for duty in self.others {
+            join(duty);
+        }
     }
-    info!(log, "stopped"; "instance" => &instance.name);
-    Ok(())
 }
 
-fn join(thread: std::thread::JoinHandle<()>) {
-    thread.join().expect("invariant: duties end without a panic");
+fn join(duty: JoinHandle<()>) {
+    duty.join().expect("invariant: duties end without a panic");
 }
 
-fn announce_start(log: &Logger, instance: &instance::Instance) {
-    info!(log, "started"; "instance" => &instance.name, "data_centre" => &instance.data_centre,
-        "callers" => %instance.callers, "control" => %instance.control, "peers" => %instance.peers_listen);
+fn peer_runtime() -> Result<Runtime, Fault> {
+    let runtime = runtime::Builder::new_multi_thread()
+        .worker_threads(PEER_WORKERS)
+        .thread_name("peers")
+        .enable_all()
+        .build()?;
+    Ok(runtime)
 }
 
 fn load_directory(path: &Path, instance: &instance::Instance) -> Result<Directory, Fault> {
@@ -108,9 +131,9 @@
     Ok(Directory::new(&loaded.tree)?)
 }
 
-type SpansThread = Option<std::thread::JoinHandle<()>>;
-
-fn start_spans(instance: &instance::Instance) -> Result<(span::Exporter, SpansThread), Fault> {
+fn start_spans(
+    instance: &instance::Instance,
+) -> Result<(span::Exporter, Option<JoinHandle<()>>), Fault> {
     let Some(file) = &instance.spans.file else {
         return Ok((span::Exporter::off(), None));
     };
--- a/crates/daisydrum/src/duty/control.rs
+++ b/crates/daisydrum/src/duty/control.rs
@@ -9,7 +9,6 @@
     time::Duration,
 };
 
-use common::name;
 use entry::router;
 use oxhttp::{
     ListeningServer, Server,
@@ -18,7 +17,7 @@
 use serde::Serialize;
 use telemetry::metric;
 use tokio::sync::oneshot;
-use wire::{operator, target};
+use wire::{operator, peer, target};
 
 use crate::error::Fault;
 
@@ -29,10 +28,8 @@
 /// What the control listener answers from.
 #[derive(Clone, Debug)]
 pub struct Control {
-    /// Name of the instance.
-    pub instance: name::Instance,
-    /// Its data centre.
-    pub data_centre: name::DataCentre,
+    /// Who the instance is.
+    pub identity: peer::Identity,
     /// Whether the instance takes callers.
     pub ready: Arc<AtomicBool>,
     /// The router's thread.
@@ -86,8 +83,8 @@
         };
         let ready = self.ready.load(Ordering::Acquire);
         let status = operator::Status {
-            instance: self.instance.clone(),
-            data_centre: self.data_centre.clone(),
+            instance: self.identity.instance.clone(),
+            data_centre: self.identity.data_centre.clone(),
             ready,
             targets,
         };
--- a/crates/daisydrum/src/duty/peers.rs
+++ b/crates/daisydrum/src/duty/peers.rs
@@ -1,7 +1,6 @@
 //! The peers' listener: serves the calls of other daemons.
 
 use std::{
-    net::SocketAddr,
     thread::{self, JoinHandle},
     time::Duration,
 };
@@ -15,7 +14,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    runtime, time,
+    time,
 };
 use tokio_util::codec::LengthDelimitedCodec;
 use wire::{
@@ -24,10 +23,9 @@
     socket,
 };
 
-use crate::error::Fault;
+use crate::{context::Context, error::Fault};
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-const WORKERS: usize = 2;
 
 /// Answers the calls of other daemons; cloned for each connection.
 #[derive(Clone, Debug)]
@@ -42,36 +40,30 @@
     }
 }
 
-/// Starts to serve peers; the thread ends once `stop` is cancelled.
+/// Starts to serve peers; the thread ends once `context.end` is cancelled.
 ///
 /// # Errors
 ///
 /// Returns a [`Fault`] when the address can't be listened on.
-pub fn start(
-    address: SocketAddr,
-    server: Server,
-    stop: cancel::Token,
-) -> Result<JoinHandle<()>, Fault> {
-    let runtime = runtime::Builder::new_multi_thread()
-        .worker_threads(WORKERS)
-        .thread_name("peers")
-        .enable_all()
-        .build()?;
+pub fn start(context: &Context, server: Server) -> Result<JoinHandle<()>, Fault> {
+    let address = context.settings.peers_listen;
+    let runtime = context.runtime.clone();
     let listener = runtime.block_on(TcpListener::bind(address)).map_err(|cause| Fault::Listen {
         address,
         purpose: "other instances",
         cause,
     })?;
+    let end = context.end.clone();
     let thread = thread::Builder::new()
         .name(String::from("peers"))
-        .spawn(move || runtime.block_on(accept(listener, server, stop)))?;
+        .spawn(move || runtime.block_on(accept(listener, server, end)))?;
     Ok(thread)
 }
 
-async fn accept(listener: TcpListener, server: Server, stop: cancel::Token) {
+async fn accept(listener: TcpListener, server: Server, end: cancel::Token) {
     loop {
         let accepted = tokio::select! {
-            () = stop.cancelled() => return,
+            () = end.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, _address)) = accepted else {
