Policy for role changes with traces, baselines and a clairvoyant bound

Cause: the mix of prompt and output swings, and each change of role takes an engine away. Change: demand estimate, fluid capacity, plan with reasons and figures, trace generator, baselines, report.

--- /dev/null
+++ b/crates/roles/examples/experiment/main.rs
@@ -0,0 +1,46 @@
+//! Measures the policy against its baselines and writes a report.
+//!
+//! `cargo run --release -p roles --example experiment [REPORT.html]` prints the table, and writes the report to
+//! `target/roles.html` or the given file.
+
+#![allow(clippy::print_stdout, reason = "an example prints its table")]
+
+mod report;
+mod row;
+mod svg;
+
+use std::{env, fs, io, ops::RangeInclusive};
+
+use row::{Row, Verdict};
+
+/// Seed of the table and the report; the settings were chosen on it.
+const SEED: u64 = 1;
+/// Seeds that the settings were not chosen on.
+const OTHER_SEEDS: RangeInclusive<u64> = 2..=6;
+const DEFAULT_REPORT: &str = "target/roles.html";
+
+fn main() -> io::Result<()> {
+    let path = env::args().nth(1).unwrap_or_else(|| String::from(DEFAULT_REPORT));
+    let rows = row::all(SEED);
+    println!("{}", Row::HEADER);
+    for row in &rows {
+        println!("{row}");
+    }
+    print_verdict(SEED, &row::verdict(&rows));
+    for seed in OTHER_SEEDS {
+        print_verdict(seed, &row::verdict(&row::all(seed)));
+    }
+    fs::write(&path, report::page(&rows))?;
+    println!("report: {path}");
+    Ok(())
+}
+
+fn print_verdict(seed: u64, verdict: &Verdict) {
+    println!(
+        "seed {seed}: goal met in {} of {} runs, ahead of both baselines in {}, least goodput {:.1}% of the bound",
+        verdict.met, verdict.runs, verdict.ahead, verdict.percent
+    );
+    for miss in &verdict.misses {
+        println!("  {miss}");
+    }
+}
--- /dev/null
+++ b/crates/roles/examples/experiment/row.rs
@@ -0,0 +1,191 @@
+//! Runs of all controllers over all traces by both partners' weightings.
+
+use std::{
+    fmt::{self, Display, Formatter},
+    time::Duration,
+};
+
+use roles::{
+    baseline::{
+        clairvoyant::{self, Terms},
+        fixed::Fixed,
+        planned::Planned,
+        threshold::Threshold,
+    },
+    capacity::Mix,
+    fluid::{self, Outcome},
+    policy::{Policy, Rule},
+    trace::{
+        Trace,
+        generate::{self, SHAPES},
+    },
+};
+use settings::service;
+
+const ENGINES: u32 = 20;
+/// Delay of the reports.
+const LAG: Duration = Duration::from_secs(5);
+
+/// A deployment's weighting.
+pub struct Weighting {
+    pub name: &'static str,
+    pub roles: service::Roles,
+}
+
+/// What one controller came to on one trace.
+pub struct Row {
+    pub trace: Trace,
+    pub weighting: &'static str,
+    pub controller: &'static str,
+    pub outcome: Outcome,
+    pub score: f64,
+    /// Goodput against the clairvoyant bound's, in percent.
+    pub percent: f64,
+}
+
+/// Both partners' weightings.
+pub fn weightings() -> [Weighting; 2] {
+    [
+        Weighting {
+            name: "association",
+            roles: service::Roles { changes_at_once: 2, ..service::Roles::default() },
+        },
+        Weighting {
+            name: "inkleaf",
+            roles: service::Roles {
+                change_price: 300.0,
+                horizon_s: 1_200,
+                hysteresis_percent: 100,
+                ..service::Roles::default()
+            },
+        },
+    ]
+}
+
+/// All rows; the rows of a trace and weighting stand together.
+pub fn all(seed: u64) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for shape in SHAPES {
+        for weighting in weightings() {
+            let rule = Rule { roles: weighting.roles.clone(), ..Rule::default() };
+            let trace = generate::generate(shape, ENGINES, rule.rates(), seed);
+            rows.extend(trace_rows(&trace, &weighting, rule));
+        }
+    }
+    rows
+}
+
+fn trace_rows(trace: &Trace, weighting: &Weighting, rule: Rule) -> Vec<Row> {
+    let roles = &weighting.roles;
+    let rates = rule.rates();
+    let start = trace.average_split(rates);
+    let policy = Policy { rules: vec![rule] };
+    let terms = Terms {
+        rates,
+        weight: roles.goodput_weight,
+        price: roles.change_price,
+        changes_at_once: roles.changes_at_once,
+    };
+    let mut threshold = Threshold::new(rates, trace.step_seconds(), roles.changes_at_once);
+    let mut planned = Planned::new(policy.clone(), trace, LAG);
+    let best = clairvoyant::best(trace, start, &terms);
+    let bound = best.goodput;
+    let outcomes = [
+        ("clairvoyant", best),
+        ("policy", fluid::run(&mut planned, trace, &policy, start)),
+        ("fixed split", fluid::run(&mut Fixed, trace, &policy, start)),
+        ("threshold", fluid::run(&mut threshold, trace, &policy, start)),
+        ("best fixed", best_fixed(trace, start, &terms)),
+    ];
+    outcomes
+        .into_iter()
+        .map(|(controller, outcome)| Row {
+            trace: trace.clone(),
+            weighting: weighting.name,
+            controller,
+            score: outcome.score(roles.goodput_weight, roles.change_price),
+            percent: 100.0 * outcome.goodput / bound,
+            outcome,
+        })
+        .collect()
+}
+
+/// The fixed mix with the most goodput, mixed engines included, known only afterwards.
+fn best_fixed(trace: &Trace, start: Mix, terms: &Terms) -> Outcome {
+    let mut best = Outcome::default();
+    let engines = start.total();
+    for prefill in 0..=engines {
+        for decode in 0..=engines - prefill {
+            let mix = Mix { prefill, decode, mixed: engines - prefill - decode };
+            let mixes = vec![mix; trace.steps.len()];
+            let goodput = trace.goodput(&mixes, terms.rates);
+            if goodput > best.goodput {
+                best = Outcome { goodput, mixes, ..Outcome::default() };
+            }
+        }
+    }
+    best
+}
+
+/// How the policy compares on one seed.
+pub struct Verdict {
+    /// Runs in which the policy meets the goal: 95% of the bound's goodput, twice its changes at most.
+    pub met: usize,
+    /// Runs in which it scores higher than the fixed split and the threshold.
+    pub ahead: usize,
+    pub runs: usize,
+    /// Least goodput against the bound, in percent.
+    pub percent: f64,
+    /// Runs that miss, by how much.
+    pub misses: Vec<String>,
+}
+
+/// Compares the policy with the other controllers of each run.
+pub fn verdict(rows: &[Row]) -> Verdict {
+    let mut verdict =
+        Verdict { met: 0, ahead: 0, runs: 0, percent: f64::INFINITY, misses: Vec::new() };
+    for run in rows.chunk_by(|a, b| a.trace.name == b.trace.name && a.weighting == b.weighting) {
+        let [bound, policy, fixed, threshold, _best_fixed] = run else { continue };
+        verdict.runs += 1;
+        verdict.percent = verdict.percent.min(policy.percent);
+        let allowed = bound.outcome.changes * 2;
+        if policy.percent >= 95.0 && policy.outcome.changes <= allowed {
+            verdict.met += 1;
+        } else {
+            verdict.misses.push(format!(
+                "{}, {}: {:.1}%, {} changes of {allowed} allowed",
+                policy.trace.name, policy.weighting, policy.percent, policy.outcome.changes
+            ));
+        }
+        if policy.score > fixed.score.max(threshold.score) {
+            verdict.ahead += 1;
+        } else {
+            verdict.misses.push(format!(
+                "{}, {}: score {:.0}, fixed split {:.0}, threshold {:.0}",
+                policy.trace.name, policy.weighting, policy.score, fixed.score, threshold.score
+            ));
+        }
+    }
+    verdict
+}
+
+impl Row {
+    pub const HEADER: &str = "trace                     weighting    controller    goodput  of bound  changes    \
+                              score";
+}
+
+impl Display for Row {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{:<25} {:<12} {:<12} {:>8.0} {:>8.1}% {:>8} {:>8.0}",
+            self.trace.name,
+            self.weighting,
+            self.controller,
+            self.outcome.goodput,
+            self.percent,
+            self.outcome.changes,
+            self.score
+        )
+    }
+}
--- /dev/null
+++ b/crates/roles/src/baseline/clairvoyant.rs
@@ -0,0 +1,151 @@
+//! The best that can be done when the whole trace is known beforehand.
+//!
+//! Dynamic programming over the steps, backwards; the state is the mix. In each step up to `changes_at_once`
+//! engines change and are away for the step. Dwell and floors don't bind it, so no controller of the same model
+//! scores higher.
+
+use common::role::Role;
+
+use crate::{
+    capacity::{Mix, Rates},
+    fluid::Outcome,
+    trace::Trace,
+};
+
+/// What the bound is worked out for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// What an engine can do.
+    pub rates: Rates,
+    /// Points for each request answered in time.
+    pub weight: f64,
+    /// Points that a change costs.
+    pub price: f64,
+    /// Changes in one step at most.
+    pub changes_at_once: u32,
+}
+
+/// Changes made together in one step.
+#[derive(Clone, Copy, Debug, Default)]
+struct Shift {
+    /// Engines taken from prefill, decode and mixed.
+    from: [u32; 3],
+    /// Engines given to prefill, decode and mixed.
+    to: [u32; 3],
+    count: u32,
+}
+
+const ROLES: [Role; 3] = [Role::Prefill, Role::Decode, Role::Mixed];
+
+/// Works out the changes with the highest score from `start`.
+pub fn best(trace: &Trace, start: Mix, terms: &Terms) -> Outcome {
+    let shifts = shifts(terms.changes_at_once);
+    let engines = start.total();
+    let states = all_mixes(engines);
+    let works = trace.works(terms.rates);
+    let mut later = vec![0.0; states.len()];
+    let mut choices: Vec<Vec<u16>> = Vec::with_capacity(works.len());
+    for (step, work) in trace.steps.iter().zip(&works).rev() {
+        let mut values = vec![f64::NEG_INFINITY; states.len()];
+        let mut choice = vec![0; states.len()];
+        for (state, mix) in states.iter().enumerate() {
+            for (index, shift) in (0..).zip(&shifts) {
+                let Some((serving, next)) = shift.apply(*mix) else { continue };
+                let served = step.requests * serving.room(terms.rates).share(*work);
+                let value = terms.weight * served - terms.price * f64::from(shift.count)
+                    + later[place(next, engines)];
+                if value > values[state] {
+                    values[state] = value;
+                    choice[state] = index;
+                }
+            }
+        }
+        later = values;
+        choices.push(choice);
+    }
+    choices.reverse();
+    follow(trace, start, terms, &shifts, &choices)
+}
+
+fn follow(
+    trace: &Trace,
+    start: Mix,
+    terms: &Terms,
+    shifts: &[Shift],
+    choices: &[Vec<u16>],
+) -> Outcome {
+    let mut outcome = Outcome::default();
+    let mut mix = start;
+    for choice in choices {
+        let shift = shifts[usize::from(choice[place(mix, start.total())])];
+        let (serving, next) = shift.apply(mix).expect("invariant: a chosen shift can be made");
+        outcome.mixes.push(serving);
+        outcome.changes += shift.count;
+        mix = next;
+    }
+    outcome.goodput = trace.goodput(&outcome.mixes, terms.rates);
+    outcome
+}
+
+impl Shift {
+    /// The mix that serves during the shift, and the one after it.
+    fn apply(&self, mix: Mix) -> Option<(Mix, Mix)> {
+        let serving = Mix {
+            prefill: mix.prefill.checked_sub(self.from[0])?,
+            decode: mix.decode.checked_sub(self.from[1])?,
+            mixed: mix.mixed.checked_sub(self.from[2])?,
+        };
+        let mut next = serving;
+        for (role, count) in ROLES.into_iter().zip(self.to) {
+            next.add(role, count);
+        }
+        Some((serving, next))
+    }
+
+    fn plus(mut self, from: usize, to: usize) -> Shift {
+        self.from[from] += 1;
+        self.to[to] += 1;
+        self.count += 1;
+        self
+    }
+
+    fn is_same(&self, other: &Shift) -> bool {
+        self.from == other.from && self.to == other.to
+    }
+}
+
+/// All shifts of up to `most` engines; no shift comes first.
+fn shifts(most: u32) -> Vec<Shift> {
+    let mut all = vec![Shift::default()];
+    let mut last = all.clone();
+    for _ in 0..most {
+        let mut grown: Vec<Shift> = Vec::new();
+        for shift in &last {
+            for (from, to) in [(0, 1), (1, 0), (0, 2), (1, 2), (2, 0), (2, 1)] {
+                let shift = shift.plus(from, to);
+                if !grown.iter().any(|other| other.is_same(&shift)) {
+                    grown.push(shift);
+                }
+            }
+        }
+        all.extend_from_slice(&grown);
+        last = grown;
+    }
+    all
+}
+
+fn all_mixes(engines: u32) -> Vec<Mix> {
+    let mut mixes = Vec::new();
+    for prefill in 0..=engines {
+        for decode in 0..=engines - prefill {
+            mixes.push(Mix { prefill, decode, mixed: engines - prefill - decode });
+        }
+    }
+    mixes
+}
+
+/// Place of a mix in [`all_mixes`].
+fn place(mix: Mix, engines: u32) -> usize {
+    let before = mix.prefill * (2 * engines + 3 - mix.prefill) / 2;
+    usize::try_from(before + mix.decode).expect("invariant: usize holds 32 bits")
+}
--- /dev/null
+++ b/crates/roles/src/capacity.rs
@@ -0,0 +1,143 @@
+//! What a mix of roles can serve, as a fluid.
+//!
+//! Work is counted in engines: the demand in tokens a second over the rate of one dedicated engine. A mixed
+//! engine divides its time between both kinds and loses a part of it, since prefill delays decode steps.
+
+use common::role::Role;
+
+/// What one engine can do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rates {
+    /// Prompt tokens a second of a prefill engine.
+    pub prefill: f64,
+    /// Output tokens a second of a decode engine.
+    pub decode: f64,
+    /// Useful share of a mixed engine's time, 0 to 1.
+    pub mixed: f64,
+}
+
+/// Number of engines by role.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Mix {
+    /// Engines that prefill only.
+    pub prefill: u32,
+    /// Engines that decode only.
+    pub decode: u32,
+    /// Engines that do both.
+    pub mixed: u32,
+}
+
+/// Work offered, in engines of each kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Prefill engines that it keeps busy.
+    pub prefill: f64,
+    /// Decode engines that it keeps busy.
+    pub decode: f64,
+}
+
+/// Capacity not yet taken, in engines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Room {
+    prefill: f64,
+    decode: f64,
+    total: f64,
+}
+
+impl Mix {
+    /// Adds `count` engines of a role.
+    pub fn add(&mut self, role: Role, count: u32) {
+        *self.slot(role) += count;
+    }
+
+    /// Takes one engine of a role away, or returns `None` where there is none.
+    pub fn without(mut self, role: Role) -> Option<Mix> {
+        let slot = self.slot(role);
+        *slot = slot.checked_sub(1)?;
+        Some(self)
+    }
+
+    /// The mix after one engine went from one role to another.
+    pub fn moved(self, from: Role, to: Role) -> Option<Mix> {
+        let mut mix = self.without(from)?;
+        mix.add(to, 1);
+        Some(mix)
+    }
+
+    /// Engines of a role.
+    pub fn count(&self, role: Role) -> u32 {
+        match role {
+            Role::Prefill => self.prefill,
+            Role::Decode => self.decode,
+            Role::Mixed => self.mixed,
+        }
+    }
+
+    /// Engines that can prefill.
+    pub fn can_prefill(&self) -> u32 {
+        self.prefill + self.mixed
+    }
+
+    /// Engines that can decode.
+    pub fn can_decode(&self) -> u32 {
+        self.decode + self.mixed
+    }
+
+    /// All engines.
+    pub fn total(&self) -> u32 {
+        self.prefill + self.decode + self.mixed
+    }
+
+    /// The capacity of the mix.
+    pub fn room(&self, rates: Rates) -> Room {
+        let mixed = f64::from(self.mixed) * rates.mixed;
+        Room {
+            prefill: f64::from(self.prefill) + mixed,
+            decode: f64::from(self.decode) + mixed,
+            total: f64::from(self.prefill) + f64::from(self.decode) + mixed,
+        }
+    }
+
+    fn slot(&mut self, role: Role) -> &mut u32 {
+        match role {
+            Role::Prefill => &mut self.prefill,
+            Role::Decode => &mut self.decode,
+            Role::Mixed => &mut self.mixed,
+        }
+    }
+}
+
+impl Work {
+    /// Work of tokens offered in a second.
+    pub fn new(prefill_tokens: f64, decode_tokens: f64, rates: Rates) -> Work {
+        Work { prefill: prefill_tokens / rates.prefill, decode: decode_tokens / rates.decode }
+    }
+
+    /// A share of the work.
+    pub fn scaled(self, share: f64) -> Work {
+        Work { prefill: self.prefill * share, decode: self.decode * share }
+    }
+}
+
+impl Room {
+    /// The largest share of `work` that fits, 0 to 1.
+    ///
+    /// A request counts only when both its prefill and its decode are served, so one share holds for both.
+    pub fn share(&self, work: Work) -> f64 {
+        let total = work.prefill + work.decode;
+        let bound = |room: f64, work: f64| if work > 0.0 { room / work } else { f64::INFINITY };
+        bound(self.prefill, work.prefill)
+            .min(bound(self.decode, work.decode))
+            .min(bound(self.total, total))
+            .clamp(0.0, 1.0)
+    }
+
+    /// The capacity left after `work` is served.
+    pub fn less(self, work: Work) -> Room {
+        Room {
+            prefill: (self.prefill - work.prefill).max(0.0),
+            decode: (self.decode - work.decode).max(0.0),
+            total: (self.total - work.prefill - work.decode).max(0.0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/roles/src/plan.rs
@@ -0,0 +1,223 @@
+//! Which engines should change their role, and why.
+//!
+//! A plan is worked out anew each time from the demand and the fleet as they are, so an engine that was lost
+//! since the last plan only makes the next one different. Engines with an open order are never planned with,
+//! and count towards the bound on changes at once.
+
+pub mod decision;
+
+use std::time::Duration;
+
+use common::{clock::Moment, collections::Map, name, role::Role};
+
+use crate::{
+    capacity::Mix,
+    demand::Demand,
+    fleet::{self, Fleet, State},
+    plan::decision::{Decision, Figures, Hold, Reason},
+    policy::Policy,
+    pool,
+    value::Value,
+};
+
+/// Changes to make now, and why each pool makes no other ones.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Changes, in the order in which they gain most.
+    pub decisions: Vec<Decision>,
+    /// One entry for each pool.
+    pub holds: Vec<Hold>,
+}
+
+/// Works out the changes that pay.
+pub fn plan(demand: &Demand, fleet: &Fleet, policy: &Policy, now: Moment) -> Plan {
+    let mut planner = Planner::new(demand, fleet, policy, now);
+    for key in policy.keys() {
+        planner.plan_pool(key);
+    }
+    planner.plan
+}
+
+/// A partner's deployment in one data centre, which bounds the changes at once.
+type Deployment<'a> = (&'a name::Partner, &'a name::DataCentre);
+
+struct Planner<'a> {
+    fleet: &'a Fleet,
+    policy: &'a Policy,
+    now: Moment,
+    mixes: Vec<Mix>,
+    values: Vec<Option<Value>>,
+    engines: Vec<Vec<fleet::Key>>,
+    open: Map<Deployment<'a>, u32>,
+    plan: Plan,
+}
+
+#[derive(Clone, Copy)]
+struct Candidate {
+    from: Role,
+    to: Role,
+    mix: Mix,
+    figures: Figures,
+}
+
+const MOVES: [(Role, Role); 6] = [
+    (Role::Prefill, Role::Decode),
+    (Role::Decode, Role::Prefill),
+    (Role::Prefill, Role::Mixed),
+    (Role::Decode, Role::Mixed),
+    (Role::Mixed, Role::Prefill),
+    (Role::Mixed, Role::Decode),
+];
+
+impl<'a> Planner<'a> {
+    fn new(demand: &Demand, fleet: &'a Fleet, policy: &'a Policy, now: Moment) -> Planner<'a> {
+        let mixes = fleet.mixes(policy.rules.len());
+        let values = crate::value::all(demand, &mixes, policy);
+        let mut planner = Planner {
+            fleet,
+            policy,
+            now,
+            mixes,
+            values,
+            engines: vec![Vec::new(); policy.rules.len()],
+            open: Map::default(),
+            plan: Plan::default(),
+        };
+        planner.index_engines();
+        planner
+    }
+
+    fn index_engines(&mut self) {
+        for (key, engine) in (0..).map(fleet::Key).zip(&self.fleet.engines) {
+            match engine.state {
+                State::Ready => self.engines[engine.pool.index()].push(key),
+                State::Changing(_) => *self.open_changes(engine.pool) += 1,
+                State::Held | State::Gone => {}
+            }
+        }
+        for engines in &mut self.engines {
+            engines.sort_by_key(|key| {
+                let engine = &self.fleet.engines[key.index()];
+                (engine.running, engine.changed_at, *key)
+            });
+        }
+    }
+
+    fn open_changes(&mut self, key: pool::Key) -> &mut u32 {
+        let pool = &self.policy.rule(key).pool;
+        self.open.entry((&pool.partner, &pool.data_centre)).or_default()
+    }
+
+    fn plan_pool(&mut self, key: pool::Key) {
+        let reason = loop {
+            match self.next_change(key) {
+                Ok(decision) => self.accept(key, decision),
+                Err(reason) => break reason,
+            }
+        };
+        self.plan.holds.push(Hold { pool: key, mix: self.mixes[key.index()], reason });
+    }
+
+    fn accept(&mut self, key: pool::Key, decision: Decision) {
+        self.engines[key.index()].retain(|engine| *engine != decision.engine);
+        self.mixes[key.index()] = self.mixes[key.index()]
+            .moved(decision.from, decision.to)
+            .expect("invariant: the changed engine is counted");
+        *self.open_changes(key) += 1;
+        self.plan.decisions.push(decision);
+    }
+
+    /// The change that gains most among those allowed, or why there is none.
+    fn next_change(&mut self, key: pool::Key) -> Result<Decision, Reason> {
+        let Some(value) = &self.values[key.index()] else {
+            return Err(Reason::UnknownDemand);
+        };
+        let candidates = self.candidates(key, value);
+        let Some(best) = candidates.first().copied() else {
+            return Err(Reason::Balanced);
+        };
+        let rule = self.policy.rule(key);
+        if !best.figures.pays(rule.margin()) {
+            return Err(Reason::NotWorth(best.figures));
+        }
+        let limit = rule.roles.changes_at_once;
+        if *self.open_changes(key) >= limit {
+            return Err(Reason::Bound { limit, figures: best.figures });
+        }
+        let mut obstacle = None;
+        for candidate in candidates {
+            if !candidate.figures.pays(rule.margin()) {
+                break;
+            }
+            match self.engine_for(key, &candidate) {
+                Ok(engine) => return Ok(candidate.decision(engine, key)),
+                Err(reason) => {
+                    obstacle.get_or_insert(reason);
+                }
+            }
+        }
+        Err(obstacle.unwrap_or(Reason::NotWorth(best.figures)))
+    }
+
+    /// Changes with a gain, best first.
+    fn candidates(&self, key: pool::Key, value: &Value) -> Vec<Candidate> {
+        let roles = &self.policy.rule(key).roles;
+        let mix = self.mixes[key.index()];
+        let now = value.now(mix);
+        let ahead = value.ahead(mix);
+        let pause = Duration::from_secs(roles.change_s).as_secs_f64();
+        let after = (Duration::from_secs(roles.horizon_s).as_secs_f64() - pause).max(0.0);
+        let mut candidates = Vec::new();
+        for (from, to) in MOVES {
+            let (Some(less), Some(moved)) = (mix.without(from), mix.moved(from, to)) else {
+                continue;
+            };
+            let figures = Figures {
+                gain: (value.ahead(moved) - ahead) * after,
+                lost: (now - value.now(less)) * pause,
+                price: roles.change_price,
+            };
+            if figures.gain > 0.0 {
+                candidates.push(Candidate { from, to, mix: moved, figures });
+            }
+        }
+        candidates.sort_by(|a, b| b.figures.net().total_cmp(&a.figures.net()));
+        candidates
+    }
+
+    fn engine_for(&self, key: pool::Key, candidate: &Candidate) -> Result<fleet::Key, Reason> {
+        let roles = &self.policy.rule(key).roles;
+        let figures = candidate.figures;
+        let serving = self.serving_without(key, candidate.from);
+        let keeps = candidate.mix.can_prefill().min(serving.can_prefill()) >= roles.prefill_floor
+            && candidate.mix.can_decode().min(serving.can_decode()) >= roles.decode_floor;
+        if !keeps {
+            return Err(Reason::Floor(figures));
+        }
+        let dwell = Duration::from_secs(roles.dwell_s);
+        self.engines[key.index()]
+            .iter()
+            .copied()
+            .find(|engine| {
+                let engine = &self.fleet.engines[engine.index()];
+                engine.role == candidate.from
+                    && engine.changed_at.is_none_or(|at| self.now.since(at) >= dwell)
+            })
+            .ok_or(Reason::Dwell(figures))
+    }
+
+    /// The engines that serve while one more of role `from` changes.
+    fn serving_without(&self, key: pool::Key, from: Role) -> Mix {
+        let mut mix = Mix::default();
+        for engine in &self.engines[key.index()] {
+            mix.add(self.fleet.engines[engine.index()].role, 1);
+        }
+        mix.without(from).unwrap_or(mix)
+    }
+}
+
+impl Candidate {
+    fn decision(&self, engine: fleet::Key, pool: pool::Key) -> Decision {
+        Decision { engine, pool, from: self.from, to: self.to, figures: self.figures }
+    }
+}
--- /dev/null
+++ b/crates/roles/src/trace/generate.rs
@@ -0,0 +1,250 @@
+//! Traces by a seeded generator.
+//!
+//! Three kinds of requests make up the demand: record lookups (2,000 prompt tokens, 400 of output), checklist
+//! drafts (400 and 1,200) and crash reports (6,000 and 200). 30% of the prompt tokens are cached. Each shape
+//! says how many engines each kind keeps busy at a time. Requests of a step are drawn from a normal
+//! distribution with the mean and variance of a Poisson one, and their tokens with a spread of one half.
+
+use std::f64::consts::TAU;
+
+use crate::{
+    capacity::{Rates, Work},
+    trace::{Step, Trace},
+};
+
+/// Length of a step in seconds.
+pub const STEP_S: u64 = 10;
+const HOUR: f64 = 360.0;
+const MINUTE: f64 = 6.0;
+const CACHED: f64 = 0.3;
+const TOKEN_SPREAD: f64 = 0.5;
+/// Engines that the shapes below are written for.
+const REFERENCE_ENGINES: f64 = 20.0;
+
+const LOOKUP: Kind = Kind { prompt: 2_000.0, output: 400.0 };
+const CHECKLIST: Kind = Kind { prompt: 400.0, output: 1_200.0 };
+const CRASH: Kind = Kind { prompt: 6_000.0, output: 200.0 };
+
+/// The shape of a trace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// Twelve hours with two mornings of checklist drafts.
+    Mornings,
+    /// Eight hours with two batches of crash reports.
+    Crashes,
+    /// Ten hours in which a morning and a batch overlap.
+    Both,
+    /// A day whose share of prefill, 26% of the work, moves by half either way.
+    Day,
+    /// Six hours of a steady mix with strong noise.
+    Noise,
+    /// Four hours whose mix steps each 3 minutes.
+    Steps,
+}
+
+/// All shapes.
+pub const SHAPES: [Shape; 6] =
+    [Shape::Mornings, Shape::Crashes, Shape::Both, Shape::Day, Shape::Noise, Shape::Steps];
+
+#[derive(Clone, Copy)]
+struct Kind {
+    prompt: f64,
+    output: f64,
+}
+
+/// Engines kept busy by each kind of request.
+#[derive(Clone, Copy, Default)]
+struct Busy {
+    lookup: f64,
+    checklist: f64,
+    crash: f64,
+}
+
+/// Makes the trace of a shape for `engines` engines; the same seed gives the same trace.
+pub fn generate(shape: Shape, engines: u32, rates: Rates, seed: u64) -> Trace {
+    let mut random = Random(seed);
+    let mut noise = Noise::default();
+    let scale = f64::from(engines) / REFERENCE_ENGINES;
+    let steps = (0..shape.length())
+        .map(|step| {
+            let works = shape.works(f64::from(step), rates, &mut noise, &mut random);
+            arrivals(&works, scale, &mut random)
+        })
+        .collect();
+    Trace { name: String::from(shape.name()), step_s: STEP_S, engines, steps }
+}
+
+impl Shape {
+    /// Name of the shape.
+    pub fn name(self) -> &'static str {
+        match self {
+            Shape::Mornings => "checklist mornings",
+            Shape::Crashes => "batches of crash reports",
+            Shape::Both => "both at once",
+            Shape::Day => "prefill share over a day",
+            Shape::Noise => "noise",
+            Shape::Steps => "a step each 3 minutes",
+        }
+    }
+
+    fn length(self) -> u32 {
+        let hours = match self {
+            Shape::Mornings => 12,
+            Shape::Crashes => 8,
+            Shape::Both => 10,
+            Shape::Day => 24,
+            Shape::Noise => 6,
+            Shape::Steps => 4,
+        };
+        hours * 360
+    }
+
+    /// Requests of each kind a second at a step.
+    fn works(self, step: f64, rates: Rates, noise: &mut Noise, random: &mut Random) -> Vec<Flow> {
+        let busy = match self {
+            Shape::Mornings => Busy {
+                lookup: 8.0,
+                checklist: 11.0 * pulses(step, 1.0 * HOUR, 2.5 * HOUR, 6.0 * HOUR, 20.0 * MINUTE),
+                crash: 0.0,
+            },
+            Shape::Crashes => Busy {
+                lookup: 8.0,
+                checklist: 0.0,
+                crash: 11.0 * pulses(step, 1.5 * HOUR, 0.75 * HOUR, 4.0 * HOUR, MINUTE),
+            },
+            Shape::Both => Busy {
+                lookup: 4.0,
+                checklist: 10.0 * pulse(step, 1.0 * HOUR, 5.0 * HOUR, 20.0 * MINUTE),
+                crash: 12.0 * pulse(step, 4.0 * HOUR, 3.5 * HOUR, MINUTE),
+            },
+            Shape::Day => return share_flows(18.0, day_share(step), rates),
+            Shape::Noise => {
+                noise.advance(random);
+                return noise.flows(rates);
+            }
+            Shape::Steps => {
+                let odd = (step / (3.0 * MINUTE)).rem_euclid(2.0) >= 1.0;
+                return share_flows(18.0, if odd { 0.4 } else { 0.15 }, rates);
+            }
+        };
+        vec![
+            Flow::new(LOOKUP, busy.lookup, rates),
+            Flow::new(CHECKLIST, busy.checklist, rates),
+            Flow::new(CRASH, busy.crash, rates),
+        ]
+    }
+}
+
+/// Requests of one kind and how many arrive in a second.
+#[derive(Clone, Copy)]
+struct Flow {
+    kind: Kind,
+    rate: f64,
+}
+
+impl Flow {
+    fn new(kind: Kind, engines: f64, rates: Rates) -> Flow {
+        let work = kind.work(rates);
+        Flow { kind, rate: engines / (work.prefill + work.decode) }
+    }
+}
+
+impl Kind {
+    fn work(self, rates: Rates) -> Work {
+        Work::new(self.prompt * (1.0 - CACHED), self.output, rates)
+    }
+
+    fn prefill_share(self, rates: Rates) -> f64 {
+        let work = self.work(rates);
+        work.prefill / (work.prefill + work.decode)
+    }
+}
+
+/// Checklist drafts and crash reports that keep `engines` busy, `share` of them with prefill.
+fn share_flows(engines: f64, share: f64, rates: Rates) -> Vec<Flow> {
+    let low = CHECKLIST.prefill_share(rates);
+    let high = CRASH.prefill_share(rates);
+    let crash = ((share - low) / (high - low)).clamp(0.0, 1.0);
+    vec![
+        Flow::new(CHECKLIST, engines * (1.0 - crash), rates),
+        Flow::new(CRASH, engines * crash, rates),
+    ]
+}
+
+fn day_share(step: f64) -> f64 {
+    0.26 * (1.0 + 0.5 * (step / (24.0 * HOUR) * TAU).sin())
+}
+
+/// 1 from `start` for `length` steps, with slopes of `ramp` steps before and after, else 0.
+fn pulse(step: f64, start: f64, length: f64, ramp: f64) -> f64 {
+    let up = (step - start) / ramp + 1.0;
+    let down = (start + length - step) / ramp + 1.0;
+    up.min(down).clamp(0.0, 1.0)
+}
+
+fn pulses(step: f64, start: f64, length: f64, period: f64, ramp: f64) -> f64 {
+    pulse(step, start, length, ramp).max(pulse(step, start + period, length, ramp))
+}
+
+/// Slow random swings of the load and of the mix, as first-order autoregressions.
+#[derive(Default)]
+struct Noise {
+    load: f64,
+    mix: f64,
+}
+
+impl Noise {
+    const KEPT: f64 = 0.7;
+    const LOAD_SPREAD: f64 = 0.12;
+    const MIX_SPREAD: f64 = 0.06;
+
+    fn advance(&mut self, random: &mut Random) {
+        let fresh = (1.0 - Noise::KEPT.powi(2)).sqrt();
+        self.load = Noise::KEPT * self.load + fresh * Noise::LOAD_SPREAD * random.normal();
+        self.mix = Noise::KEPT * self.mix + fresh * Noise::MIX_SPREAD * random.normal();
+    }
+
+    fn flows(&self, rates: Rates) -> Vec<Flow> {
+        share_flows(17.0 * self.load.exp(), (0.26 + self.mix).clamp(0.05, 0.6), rates)
+    }
+}
+
+fn arrivals(flows: &[Flow], scale: f64, random: &mut Random) -> Step {
+    let mut sum = Step::default();
+    for flow in flows {
+        let expected = flow.rate * scale * std::time::Duration::from_secs(STEP_S).as_secs_f64();
+        let requests = (expected + expected.sqrt() * random.normal()).max(0.0);
+        let spread = TOKEN_SPREAD / requests.max(1.0).sqrt();
+        let prompt = requests * flow.kind.prompt * (1.0 + spread * random.normal()).max(0.0);
+        sum.requests += requests;
+        sum.prompt_tokens += prompt;
+        sum.cached_tokens += prompt * CACHED;
+        sum.output_tokens +=
+            requests * flow.kind.output * (1.0 + spread * random.normal()).max(0.0);
+    }
+    sum
+}
+
+/// SplitMix64 (Steele, Lea and Flood, "Fast Splittable Pseudorandom Number Generators", 2014).
+struct Random(u64);
+
+impl Random {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    /// Uniform in (0, 1].
+    fn unit(&mut self) -> f64 {
+        let high = u32::try_from(self.next() >> 32).expect("invariant: 32 bits are left");
+        (f64::from(high) + 1.0) / (f64::from(u32::MAX) + 1.0)
+    }
+
+    /// Normal with mean 0 and variance 1, by Box and Muller.
+    fn normal(&mut self) -> f64 {
+        (-2.0 * self.unit().ln()).sqrt() * (TAU * self.unit()).cos()
+    }
+}
--- /dev/null
+++ b/crates/roles/tests/baseline.rs
@@ -0,0 +1,72 @@
+//! The evaluation itself: traces repeat, and nothing beats the clairvoyant bound.
+
+mod support;
+
+use std::time::Duration;
+
+use roles::{
+    baseline::{
+        clairvoyant::{self, Terms},
+        fixed::Fixed,
+        planned::Planned,
+        threshold::Threshold,
+    },
+    fluid,
+    policy::Policy,
+    pool,
+    trace::{
+        Trace,
+        generate::{self, Shape},
+    },
+};
+use support::{one_pool, roles};
+
+const SHORT_STEPS: usize = 300;
+const ENGINES: u32 = 8;
+
+#[yare::parameterized(
+    mornings = { Shape::Mornings },
+    crashes = { Shape::Crashes },
+    both = { Shape::Both },
+    day = { Shape::Day },
+    noise = { Shape::Noise },
+    steps = { Shape::Steps },
+)]
+fn nothing_beats_the_clairvoyant_bound(shape: Shape) {
+    let policy = one_pool(roles());
+    let trace = short(shape, &policy, 7);
+    let rates = policy.rule(pool::Key(0)).rates();
+    let roles = roles();
+    let terms = Terms {
+        rates,
+        weight: roles.goodput_weight,
+        price: roles.change_price,
+        changes_at_once: roles.changes_at_once,
+    };
+    let start = trace.average_split(rates);
+    let score = |outcome: &fluid::Outcome| outcome.score(terms.weight, terms.price);
+    let bound = score(&clairvoyant::best(&trace, start, &terms));
+    let mut planned = Planned::new(policy.clone(), &trace, Duration::ZERO);
+    let mut threshold = Threshold::new(rates, trace.step_seconds(), terms.changes_at_once);
+    let planned = score(&fluid::run(&mut planned, &trace, &policy, start));
+    let threshold = score(&fluid::run(&mut threshold, &trace, &policy, start));
+    let fixed = score(&fluid::run(&mut Fixed, &trace, &policy, start));
+    let slack = 1e-6 * bound;
+    assert!(planned <= bound + slack && threshold <= bound + slack && fixed <= bound + slack);
+}
+
+#[test]
+fn a_seed_gives_one_trace() {
+    let policy = one_pool(roles());
+    let first = short(Shape::Noise, &policy, 1);
+    assert_eq!(first, short(Shape::Noise, &policy, 1));
+    assert_ne!(first, short(Shape::Noise, &policy, 2));
+}
+
+fn short(shape: Shape, policy: &Policy, seed: u64) -> Trace {
+    let rates = policy.rule(pool::Key(0)).rates();
+    let mut trace = generate::generate(shape, ENGINES, rates, seed);
+    let start = trace.steps.len() / 8;
+    trace.steps = trace.steps[start..start + SHORT_STEPS].to_vec();
+    trace
+}
--- a/crates/settings/src/service.rs
+++ b/crates/settings/src/service.rs
@@ -208,7 +208,7 @@
     /// Shortest time between two changes of one engine, in seconds.
     #[schemars(range(min = 0, max = 86_400))]
     pub dwell_s: u64,
-    /// Engines that change at once at most in one data centre.
+    /// Engines of the partner that change at once at most in one data centre.
     #[schemars(range(min = 1, max = 1_000))]
     pub changes_at_once: u32,
     /// Fewest engines that can prefill (prefill or mixed).
@@ -220,8 +220,29 @@
     /// Longest wait for an engine's streams to end before a change is put off, in seconds.
     #[schemars(range(min = 1, max = 86_400))]
     pub drain_s: u64,
-    /// Partners whose requests the service's engines may also serve.
+    /// Partners whose requests the service's engines may also serve, after the service's own.
     pub lend_to: Vec<String>,
+    /// How much more than it costs a change must gain, in percent.
+    #[schemars(range(min = 0, max = 10_000))]
+    pub hysteresis_percent: u32,
+    /// Time that a change is expected to take an engine away for, its drain included, in seconds.
+    #[schemars(range(min = 0, max = 3_600))]
+    pub change_s: u64,
+    /// Prompt tokens that a prefill engine computes in a second.
+    #[schemars(range(min = 1.0))]
+    pub prefill_rate: f64,
+    /// Output tokens that a decode engine generates in a second.
+    #[schemars(range(min = 1.0))]
+    pub decode_rate: f64,
+    /// Useful share of a mixed engine's time against a prefill or decode engine, in percent.
+    #[schemars(range(min = 1, max = 100))]
+    pub mixed_percent: u32,
+    /// Models, adapters and versions that engines of one data centre load at once at most.
+    #[schemars(range(min = 1, max = 1_000))]
+    pub loads_at_once: u32,
+    /// Loads that may be started in a minute in one data centre, as the weight store's rate allows.
+    #[schemars(range(min = 1, max = 100_000))]
+    pub loads_per_minute: u32,
 }
 
 impl Default for Roles {
@@ -229,13 +250,20 @@
         Roles {
             goodput_weight: 1.0,
             change_price: 20.0,
-            horizon_s: 300,
+            horizon_s: 200,
             dwell_s: 120,
             changes_at_once: 1,
             prefill_floor: 1,
             decode_floor: 1,
             drain_s: 60,
             lend_to: Vec::new(),
+            hysteresis_percent: 300,
+            change_s: 10,
+            prefill_rate: 12_000.0,
+            decode_rate: 1_700.0,
+            mixed_percent: 70,
+            loads_at_once: 2,
+            loads_per_minute: 12,
         }
     }
 }
