--- a/crates/daisyctl/tests/repository.rs
+++ b/crates/daisyctl/tests/repository.rs
@@ -12,6 +12,12 @@
 
 const MIN_LINE_CHARACTERS: usize = 60;
 const DIGEST_BYTES: usize = 8;
+const MAX_SOURCE_LINES: usize = 500;
+/// Folders of machines that sources were written on; split so that this file does not name them.
+const MACHINE_FOLDERS: [&str; 3] =
+    [concat!("/wo", "rk"), concat!("/ro", "ot"), concat!("/tm", "p")];
+/// Names of what is not part of the repository.
+const IGNORED: [&str; 4] = [".git", "target", "data", "spans.jsonl"];
 /// Repeats the users' house style, which they ask for word for word.
 const HOUSE_STYLE_FILE: &str = "CONTRIBUTING.md";
 
@@ -34,6 +40,65 @@
     assert!(is_copied(&format!("  {line} "), &Set::from_iter([sum.as_str()])));
 }
 
+#[test]
+fn sources_keep_the_house_style() {
+    let root = root();
+    let mut files = Vec::new();
+    collect(&root, &mut files);
+    let faults: Vec<String> = files.iter().flat_map(|file| style_faults(file)).collect();
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+#[yare::parameterized(
+    head = { "src/a.rs", "fn a() {}\n", 1 },
+    module = { "src/a/mod.rs", "//! A.\n", 1 },
+    sound = { "src/a.rs", "//! A.\n", 0 },
+)]
+fn recognises_style_faults(file: &str, text: &str, count: usize) {
+    assert_eq!(source_faults(file, text).len(), count);
+}
+
+#[test]
+fn recognises_long_sources_and_machine_paths() {
+    let long = format!("//! A.\n{}", "//\n".repeat(MAX_SOURCE_LINES));
+    assert_eq!(source_faults("src/a.rs", &long).len(), 1);
+    let path = format!("//! See {}/a.\n", MACHINE_FOLDERS[0]);
+    assert_eq!(path_faults("src/a.rs", &path).len(), 1);
+}
+
+fn style_faults(file: &Path) -> Vec<String> {
+    let Ok(text) = fs::read_to_string(file) else {
+        return Vec::new();
+    };
+    let name = file.display().to_string();
+    let mut faults = path_faults(&name, &text);
+    if name.ends_with(".rs") {
+        faults.extend(source_faults(&name, &text));
+    }
+    faults
+}
+
+fn path_faults(name: &str, text: &str) -> Vec<String> {
+    let names_machine =
+        |line: &&str| MACHINE_FOLDERS.iter().any(|folder| line.contains(&format!("{folder}/")));
+    let lines = text.lines().filter(names_machine);
+    lines.map(|line| format!("{name}: names a folder of a machine: {line}")).collect()
+}
+
+fn source_faults(name: &str, text: &str) -> Vec<String> {
+    let mut faults = Vec::new();
+    if !text.starts_with("//!") {
+        faults.push(format!("{name}: has no head"));
+    }
+    if text.lines().count() > MAX_SOURCE_LINES {
+        faults.push(format!("{name}: is longer than {MAX_SOURCE_LINES} lines"));
+    }
+    if name.ends_with("/mod.rs") {
+        faults.push(format!("{name}: should be a file beside its folder"));
+    }
+    faults
+}
+
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
@@ -42,9 +107,12 @@
     for entry in fs::read_dir(folder).unwrap() {
         let path = entry.unwrap().path();
         let name = path.file_name().unwrap().to_string_lossy().into_owned();
-        if path.is_dir() && !matches!(name.as_str(), "target" | ".git" | "data") {
+        if IGNORED.contains(&name.as_str()) {
+            continue;
+        }
+        if path.is_dir() {
             collect(&path, files);
-        } else if path.is_file() && name != HOUSE_STYLE_FILE {
+        } else if name != HOUSE_STYLE_FILE {
             files.push(path);
         }
     }
