--- a/crates/common/src/lib.rs
+++ b/crates/common/src/lib.rs
@@ -1,8 +1,10 @@
-//! Names, time, collections, rings and cancellation shared by every crate.
+//! Names, time, collections, rings, random numbers and cancellation shared by every crate.
 
 pub mod cancel;
 pub mod clock;
 pub mod collections;
 pub mod name;
+pub mod piece;
+pub mod random;
 pub mod ring;
 pub mod role;
