Route: admission, fair order, choice of target, retries and pairing as pure code

Cause: the request path needs decisions that can be tested and measured without a process. Change: route::router with its parts; a benchmark against queue models of engines; tests of each rule.

--- a/crates/common/src/piece.rs
+++ b/crates/common/src/piece.rs
@@ -1,5 +1,7 @@
 //! Chained hashes of a prompt's pieces, by which routers and engines name cached prefixes.
 
+use crate::random;
+
 /// Tokens of one piece.
 pub const TOKENS: usize = 2_000;
 /// Bytes of text taken as one token where no tokenizer is at hand.
@@ -27,6 +29,11 @@
         .collect()
 }
 
+/// Hashes a name, alike on every instance.
+pub fn hash(name: &str) -> u64 {
+    random::mix(fold(FNV_OFFSET, name.as_bytes()))
+}
+
 /// Tokens that `text` is taken to have.
 pub fn tokens(text: &str) -> u64 {
     u64::try_from(text.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u64::MAX)
--- /dev/null
+++ b/crates/route/examples/goodput/load.rs
@@ -0,0 +1,59 @@
+//! Loads of jobs with shared prefixes.
+
+use common::{clock::Moment, random::Random};
+
+use crate::fleet::Job;
+
+/// A stream of jobs of one partner.
+#[derive(Clone, Copy, Debug)]
+pub struct Stream {
+    /// Name of the partner.
+    pub partner: &'static str,
+    /// Jobs a second.
+    pub per_second: f64,
+    /// Second of the first job.
+    pub from_s: u64,
+    /// Second after the last job.
+    pub to_s: u64,
+}
+
+const PREFIXES: usize = 60;
+const PREFIX_PIECES: u64 = 3;
+const MIN_OUTPUT: usize = 20;
+const OUTPUT_SPREAD: usize = 160;
+const MIN_TAIL: usize = 100;
+const TAIL_SPREAD: usize = 900;
+const ORGANISATIONS: usize = 50;
+
+/// Draws the jobs of `streams` in the order of their arrival (Poisson).
+pub fn draw(streams: &[Stream], seed: u64) -> Vec<Job> {
+    let mut random = Random::new(seed);
+    let mut jobs: Vec<Job> =
+        streams.iter().flat_map(|stream| draw_stream(stream, &mut random)).collect();
+    jobs.sort_by_key(|job| job.arrival);
+    jobs.iter_mut().enumerate().for_each(|(id, job)| job.id = id);
+    jobs
+}
+
+fn draw_stream(stream: &Stream, random: &mut Random) -> Vec<Job> {
+    let mut jobs = Vec::new();
+    let mut at_ms = stream.from_s as f64 * 1_000.0;
+    loop {
+        at_ms += -(1.0 - random.unit()).ln() * 1_000.0 / stream.per_second;
+        if at_ms >= stream.to_s as f64 * 1_000.0 {
+            return jobs;
+        }
+        let prefix = random.below(PREFIXES) as u64;
+        let pieces = (1..=PREFIX_PIECES).map(|piece| common::random::mix(prefix * 100 + piece));
+        let tail = MIN_TAIL + random.below(TAIL_SPREAD);
+        jobs.push(Job {
+            id: 0,
+            partner: stream.partner,
+            organisation: random.below(ORGANISATIONS) as u64,
+            pieces: pieces.collect(),
+            prompt: PREFIX_PIECES * common::piece::TOKENS as u64 + tail as u64,
+            output: (MIN_OUTPUT + random.below(OUTPUT_SPREAD)) as u64,
+            arrival: Moment(at_ms as u64),
+        });
+    }
+}
--- /dev/null
+++ b/crates/route/examples/goodput/policy.rs
@@ -0,0 +1,227 @@
+//! The router and the baselines as policies.
+
+use common::{clock::Moment, collections::Map, name, random::Random};
+use route::{
+    request::{Action, Event, Origin, Repeat, Request, Ticket},
+    router::{Owner, Router, Setup},
+};
+use settings::service;
+use wire::target::Announcement;
+
+use crate::fleet::{self, Job, Move, Policy};
+
+/// The router of this crate.
+pub struct Routed {
+    router: Router,
+    moves: Vec<Move>,
+    jobs: Map<Ticket, usize>,
+    tickets: Map<usize, (Ticket, u32)>,
+}
+
+impl Routed {
+    /// Makes the router of one instance among `instances`; partners lend each other their engines.
+    pub fn new(partners: &[&str], instances: u32, seed: u64) -> Routed {
+        let mut router = Router::new(Setup { seed, ..Setup::default() });
+        router.set_instances(instances);
+        for partner in partners {
+            let owner = Owner {
+                partner: name::Partner::from(*partner),
+                service: name::Service::from("llm"),
+            };
+            router.configure(&owner, settings(partners));
+        }
+        Routed { router, moves: Vec::new(), jobs: Map::default(), tickets: Map::default() }
+    }
+}
+
+/// Settings of the services.
+pub fn settings(partners: &[&str]) -> service::Service {
+    let model = service::Model { name: String::from("m"), version: None, weight: 100 };
+    let lend_to = partners.iter().map(|partner| String::from(*partner)).collect();
+    let roles = service::Roles { lend_to, ..service::Roles::default() };
+    service::Service { models: vec![model], roles, ..service::Service::default() }
+}
+
+impl Policy for Routed {
+    fn submit(&mut self, job: &Job, now: Moment) {
+        let request = Request {
+            partner: name::Partner::from(job.partner),
+            service: name::Service::from("llm"),
+            organisation: job.organisation,
+            model: Some(String::from("m")),
+            priority: service::Priority::Standard,
+            prompt_tokens: job.prompt,
+            output_tokens: job.output,
+            pieces: job.pieces.clone(),
+            deadline: now + std::time::Duration::from_secs(30),
+            repeat: Repeat::Allowed,
+            origin: Origin::Caller,
+        };
+        match self.router.submit(request, now) {
+            Ok(ticket) => {
+                self.jobs.insert(ticket, job.id);
+                self.tickets.insert(job.id, (ticket, 0));
+            }
+            Err(_refusal) => self.moves.push(Move::Refuse(job.id)),
+        }
+    }
+
+    fn next_move(&mut self, _now: Moment) -> Option<Move> {
+        if let Some(next) = self.moves.pop() {
+            return Some(next);
+        }
+        Some(match self.router.next_action()? {
+            Action::Dispatch(dispatch) => {
+                let job = self.jobs[&dispatch.ticket];
+                self.tickets.insert(job, (dispatch.ticket, dispatch.attempt));
+                Move::Send(job, fleet::index_of(&dispatch.target))
+            }
+            Action::Preempt { ticket, .. } => Move::Stop(self.jobs[&ticket]),
+            Action::Refuse { ticket, .. } | Action::Fail { ticket, .. } => {
+                Move::Refuse(self.jobs[&ticket])
+            }
+        })
+    }
+
+    fn report(&mut self, job: usize, event: Event, now: Moment) {
+        if let Some((ticket, attempt)) = self.tickets.get(&job).copied() {
+            self.router.report(ticket, attempt, event, now);
+        }
+    }
+
+    fn observe(&mut self, _engine: usize, announcement: &Announcement, now: Moment) {
+        self.router.observe(announcement, now);
+    }
+
+    fn outstanding(&self, engines: usize) -> Vec<u32> {
+        let mut own = vec![0; engines];
+        for outstanding in self.router.outstanding() {
+            own[fleet::index_of(&outstanding.target)] = outstanding.requests;
+        }
+        own
+    }
+
+    fn hear(&mut self, outstanding: &[u32], now: Moment) {
+        for (engine, requests) in outstanding.iter().enumerate() {
+            let name = name::Target(format!("engine-{engine}"));
+            self.router.hear_neighbours(&name, *requests, now);
+        }
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.router.tick(now);
+    }
+}
+
+/// How a baseline chooses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rule {
+    /// At random.
+    Random,
+    /// In turn.
+    RoundRobin,
+    /// The least load reported.
+    LeastReported,
+    /// The fewest own requests.
+    LeastOutstanding,
+}
+
+/// A baseline: sends at once, and up to twice more elsewhere when refused or failed.
+pub struct Baseline {
+    rule: Rule,
+    random: Random,
+    reported: Vec<u32>,
+    own: Vec<u32>,
+    at: Map<usize, usize>,
+    tries: Map<usize, u32>,
+    next: usize,
+    moves: Vec<Move>,
+}
+
+const MAX_TRIES: u32 = 3;
+
+impl Baseline {
+    /// Makes the baseline of one instance.
+    pub fn new(rule: Rule, engines: usize, seed: u64) -> Baseline {
+        Baseline {
+            rule,
+            random: Random::new(seed),
+            reported: vec![0; engines],
+            own: vec![0; engines],
+            at: Map::default(),
+            tries: Map::default(),
+            next: usize::try_from(seed).unwrap_or_default(),
+            moves: Vec::new(),
+        }
+    }
+
+    fn choose(&mut self) -> usize {
+        let count = self.own.len();
+        match self.rule {
+            Rule::Random => self.random.below(count),
+            Rule::RoundRobin => {
+                self.next += 1;
+                self.next % count
+            }
+            Rule::LeastReported => least(&self.reported, &mut self.random),
+            Rule::LeastOutstanding => least(&self.own, &mut self.random),
+        }
+    }
+
+    fn send(&mut self, job: usize) {
+        let engine = self.choose();
+        self.own[engine] += 1;
+        self.at.insert(job, engine);
+        *self.tries.entry(job).or_default() += 1;
+        self.moves.push(Move::Send(job, engine));
+    }
+
+    fn end(&mut self, job: usize) {
+        if let Some(engine) = self.at.remove(&job) {
+            self.own[engine] -= 1;
+        }
+    }
+}
+
+fn least(loads: &[u32], random: &mut Random) -> usize {
+    let lowest = loads.iter().min().copied().unwrap_or_default();
+    let best: Vec<usize> = (0..loads.len()).filter(|index| loads[*index] == lowest).collect();
+    best[random.below(best.len())]
+}
+
+impl Policy for Baseline {
+    fn submit(&mut self, job: &Job, _now: Moment) {
+        self.send(job.id);
+    }
+
+    fn next_move(&mut self, _now: Moment) -> Option<Move> {
+        self.moves.pop()
+    }
+
+    fn report(&mut self, job: usize, event: Event, _now: Moment) {
+        match event {
+            Event::Started => {}
+            Event::Finished => self.end(job),
+            Event::Full | Event::Unavailable | Event::Unsent | Event::Broken => {
+                self.end(job);
+                if self.tries[&job] < MAX_TRIES {
+                    self.send(job);
+                } else {
+                    self.moves.push(Move::Refuse(job));
+                }
+            }
+        }
+    }
+
+    fn observe(&mut self, engine: usize, announcement: &Announcement, _now: Moment) {
+        self.reported[engine] = announcement.load.running + announcement.load.waiting;
+    }
+
+    fn outstanding(&self, _engines: usize) -> Vec<u32> {
+        self.own.clone()
+    }
+
+    fn hear(&mut self, _outstanding: &[u32], _now: Moment) {}
+
+    fn tick(&mut self, _now: Moment) {}
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,16 @@
 //! Admission, fairness, choice of target and retries, all pure.
+//!
+//! Time and seeds are arguments. [`router::Router`] joins the parts: [`fair`] orders what waits, [`queue`]
+//! bounds it, [`pool`] and [`target`] choose, [`prefix`] knows the caches, [`health`] ejects, [`retry`] bounds
+//! repeated attempts and [`pairing`] splits prompts from generation.
+
+pub mod fair;
+pub mod health;
+pub mod pairing;
+pub mod pool;
+pub mod prefix;
+pub mod queue;
+pub mod request;
+pub mod retry;
+pub mod router;
+pub mod target;
--- /dev/null
+++ b/crates/route/src/router/services.rs
@@ -0,0 +1,163 @@
+//! Services and their lanes, as the tree in force declares them.
+
+use std::time::Duration;
+
+use common::name;
+use settings::service::{self, Kind};
+
+use super::{Lane, Owner, Router, Service};
+use crate::{
+    fair, pool, queue,
+    request::{self, Request},
+    retry,
+};
+
+impl Router {
+    /// Adds a service or puts new settings in force; requests that wait keep their place.
+    pub fn configure(&mut self, owner: &Owner, settings: service::Service) {
+        let key = match self.service_names.get(owner) {
+            Some(key) => *key,
+            None => self.add_service(owner),
+        };
+        let weights = fair::Weights {
+            service: settings.admission.share,
+            partner: settings.admission.partner_share,
+        };
+        self.waiters.set_service(key, &owner.partner, weights);
+        let mut lanes = Vec::new();
+        for wanted in wanted_lanes(&settings) {
+            lanes.push(self.lane(key, owner, &settings, wanted));
+        }
+        for old in &self.services[key].lanes {
+            if !lanes.contains(old) {
+                self.lanes[*old].weight = 0;
+            }
+        }
+        let service = &mut self.services[key];
+        let retired = std::mem::take(&mut service.lanes);
+        lanes.extend(retired.into_iter().filter(|old| !lanes.contains(old)).collect::<Vec<_>>());
+        service.lanes = lanes;
+        let lends = service.settings.roles.lend_to != settings.roles.lend_to;
+        service.settings = settings;
+        if lends {
+            self.reassign_all();
+        }
+    }
+
+    /// The lane of a request: a version drawn by weight among those that have targets.
+    pub(super) fn lane_of(
+        &mut self,
+        service: request::Service,
+        request: &Request,
+    ) -> Option<request::Lane> {
+        let fits = |key: &&request::Lane| {
+            let lane = &self.lanes[**key];
+            let pool = &self.pools[lane.pool];
+            let served = !pool.members.keys().is_empty() || !pool.remote.keys().is_empty();
+            lane.weight > 0 && lane.name == request.model && served
+        };
+        let lanes: Vec<request::Lane> =
+            self.services[service].lanes.iter().filter(fits).copied().collect();
+        let sum: u32 = lanes.iter().map(|key| self.lanes[*key].weight).sum();
+        let mut drawn = self.random.below(usize::try_from(sum).unwrap_or_default());
+        lanes.into_iter().find(|key| {
+            let weight = usize::try_from(self.lanes[*key].weight).unwrap_or_default();
+            let hit = drawn < weight;
+            drawn = drawn.saturating_sub(weight);
+            hit
+        })
+    }
+
+    fn add_service(&mut self, owner: &Owner) -> request::Service {
+        let service = Service {
+            owner: owner.clone(),
+            settings: service::Service::default(),
+            gauge: queue::Gauge::default(),
+            first_token: queue::Latency::default(),
+            budget: retry::Budget::default(),
+            lanes: Vec::new(),
+            running: std::collections::BTreeSet::new(),
+            starved_since: None,
+        };
+        let key = self.services.insert(service);
+        self.service_names.insert(owner.clone(), key);
+        key
+    }
+
+    fn lane(
+        &mut self,
+        service: request::Service,
+        owner: &Owner,
+        settings: &service::Service,
+        wanted: Wanted,
+    ) -> request::Lane {
+        let known = self.services[service].lanes.iter().copied().find(|key| {
+            let lane = &self.lanes[*key];
+            lane.name == wanted.name && lane.version == wanted.version
+        });
+        if let Some(key) = known {
+            self.lanes[key].weight = wanted.weight;
+            return key;
+        }
+        let pool = self.pool(scope(owner, settings.kind, wanted.version.as_ref()));
+        let Wanted { name, version, weight } = wanted;
+        let key = self.lanes.insert(Lane { name, version, weight, pool });
+        self.waiters.add_lane(key, service);
+        key
+    }
+
+    fn pool(&mut self, scope: pool::Scope) -> request::Pool {
+        if let Some(key) = self.scopes.get(&scope) {
+            return *key;
+        }
+        let key = self.pools.insert(pool::Pool::new(scope.clone()));
+        self.scopes.insert(scope, key);
+        self.reassign_all();
+        key
+    }
+
+    /// Whether a service's engines also serve the requests of `partner`.
+    pub(super) fn lends(&self, owner: &Owner, partner: &name::Partner) -> bool {
+        let service = self.service_names.get(owner).map(|key| &self.services[*key]);
+        service.is_some_and(|service| service.settings.roles.lend_to.contains(&partner.0))
+    }
+}
+
+impl Service {
+    /// How long a request may wait and still meet the goal for its first token.
+    pub(super) fn time_to_wait(&self) -> Duration {
+        const LEAST_PART: u32 = 4;
+        let goal = Duration::from_millis(self.settings.limits.first_token_ms);
+        goal.saturating_sub(self.first_token.usual_maximum()).max(goal / LEAST_PART)
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Wanted {
+    name: Option<String>,
+    version: Option<String>,
+    weight: u32,
+}
+
+fn wanted_lanes(settings: &service::Service) -> Vec<Wanted> {
+    if settings.kind == Kind::Plain {
+        return vec![Wanted { name: None, version: None, weight: 1 }];
+    }
+    let models = settings.models.iter();
+    models
+        .map(|model| Wanted {
+            name: Some(model.name.clone()),
+            version: Some(model.version.clone().unwrap_or_else(|| model.name.clone())),
+            weight: model.weight,
+        })
+        .collect()
+}
+
+fn scope(owner: &Owner, kind: Kind, version: Option<&String>) -> pool::Scope {
+    match kind {
+        Kind::Model => {
+            pool::Scope::Model(owner.partner.clone(), version.cloned().unwrap_or_default())
+        }
+        Kind::Plain => pool::Scope::Plain(owner.partner.clone(), owner.service.clone()),
+    }
+}
--- /dev/null
+++ b/crates/route/src/router/wait.rs
@@ -0,0 +1,177 @@
+//! Arrival, waiting and giving up.
+
+use std::time::Duration;
+
+use common::clock::Moment;
+
+use super::{Due, Owner, Record, Router, State};
+use crate::{
+    fair, queue,
+    request::{self, Action, Reason, Refusal, Request, Run, Ticket},
+};
+
+/// Pause before a request is tried again for which no fitting target was free.
+const NO_CHOICE_PAUSE: Duration = Duration::from_millis(20);
+
+impl Router {
+    /// Takes in a request; what becomes of it follows as actions.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal when it can't be answered in time or there is no room to wait.
+    pub fn submit(&mut self, request: Request, now: Moment) -> Result<Ticket, Refusal> {
+        let owner = Owner { partner: request.partner.clone(), service: request.service.clone() };
+        let Some(service) = self.service_names.get(&owner).copied() else {
+            return Err(Refusal { reason: Reason::UnknownService, ..queue::no_target() });
+        };
+        let lane = self.lane_of(service, &request).ok_or_else(queue::no_target)?;
+        self.admit(service, lane, &request, now)?;
+        let settings = &self.services[service].settings;
+        let give_up = queue::give_up_at(&request, settings, now);
+        let ticket = self.requests.insert(Record {
+            request,
+            service,
+            lane,
+            state: State::Paused,
+            attempt: 0,
+            failures: 0,
+            refusals: 0,
+            last: None,
+            run: Run::Not,
+            begun: false,
+            charged: false,
+            preempted: false,
+            give_up,
+        });
+        self.schedule(give_up, Due::GiveUp(ticket));
+        self.wait(ticket, now);
+        self.dispatch_waiting(now);
+        Ok(ticket)
+    }
+
+    /// Forgets a request whose caller has gone or whose time is over; its attempt is the caller's to cancel.
+    pub fn cancel(&mut self, ticket: Ticket, now: Moment) {
+        self.stop_attempt(ticket, now);
+        self.forget(ticket, now);
+        self.dispatch_waiting(now);
+    }
+
+    /// Sends what can be sent.
+    pub(super) fn dispatch_waiting(&mut self, now: Moment) {
+        loop {
+            let servable = |lane| self.pools[self.lanes[lane].pool].has_free();
+            let fits = |ticket| {
+                let record: &Record = &self.requests[ticket];
+                let free = &self.pools[self.lanes[record.lane].pool].free;
+                let mut held = self.prefixes.longest(&record.request.pieces, now);
+                held.any(|held| free.contains(held.target))
+            };
+            let Some(ticket) = self.waiters.pick(now, servable, fits) else {
+                return;
+            };
+            self.count(ticket, queue::Change::Dispatched, now);
+            if !self.dispatch(ticket, now) {
+                self.schedule(now + NO_CHOICE_PAUSE, Due::Retry(ticket));
+            }
+        }
+    }
+
+    /// Puts a request among those that wait.
+    pub(super) fn wait(&mut self, ticket: Ticket, now: Moment) {
+        let record = &mut self.requests[ticket];
+        let request = &record.request;
+        let late_at = if record.begun {
+            request.deadline
+        } else {
+            now + self.services[record.service].time_to_wait()
+        };
+        let waiting = fair::Waiting {
+            ticket,
+            class: fair::Class::from(request.priority),
+            organisation: request.organisation,
+            deadline: request.deadline,
+            late_at,
+            tokens: request.cost(),
+            charge: if record.charged { 0 } else { request.cost() },
+        };
+        record.state = State::Waiting;
+        self.waiters.push(record.lane, waiting);
+        self.count(ticket, queue::Change::Begins, now);
+    }
+
+    /// Puts a paused request back among those that wait.
+    pub(super) fn resume(&mut self, ticket: Ticket, now: Moment) {
+        if self.requests.get(ticket).is_some_and(|record| matches!(record.state, State::Paused)) {
+            self.wait(ticket, now);
+        }
+    }
+
+    /// Ends a request that has not been answered in time, unless an attempt of it runs.
+    pub(super) fn give_up(&mut self, ticket: Ticket, now: Moment) {
+        let Some(record) = self.requests.get(ticket) else {
+            return;
+        };
+        let deadline = record.request.deadline;
+        if record.begun && now < deadline {
+            self.schedule(deadline, Due::GiveUp(ticket));
+            return;
+        }
+        if !matches!(record.state, State::Running(_)) {
+            self.end(ticket, Reason::TooLate, now);
+        }
+    }
+
+    /// Ends a request with its final answer.
+    pub(super) fn end(&mut self, ticket: Ticket, reason: Reason, now: Moment) {
+        let Some(record) = self.requests.get(ticket) else {
+            return;
+        };
+        let (run, lane, organisation) = (record.run, record.lane, record.request.organisation);
+        let class = fair::Class::from(record.request.priority);
+        let ahead = self.waiters.ahead(lane, class, organisation);
+        let wait = self.services[record.service].gauge.wait(ahead);
+        let retry_after = queue::retry_after(wait, &mut self.random);
+        let action = match run {
+            Run::Not => Action::Refuse { ticket, refusal: Refusal { reason, retry_after } },
+            Run::Maybe => Action::Fail { ticket, run },
+        };
+        self.forget(ticket, now);
+        self.actions.push_back(action);
+    }
+
+    pub(super) fn forget(&mut self, ticket: Ticket, now: Moment) {
+        if self.waiters.remove(ticket).is_some() {
+            self.count(ticket, queue::Change::Leaves, now);
+        }
+        if let Some(record) = self.requests.remove(ticket) {
+            self.timers.remove(&super::Timer { at: record.give_up, event: Due::GiveUp(ticket) });
+        }
+    }
+
+    fn admit(
+        &mut self,
+        service: request::Service,
+        lane: request::Lane,
+        request: &Request,
+        now: Moment,
+    ) -> Result<(), Refusal> {
+        let class = fair::Class::from(request.priority);
+        let free = self.pools[self.lanes[lane].pool].has_free();
+        if free && self.waiters.waiting(lane) == 0 {
+            return Ok(());
+        }
+        let backlog = queue::Backlog {
+            ahead: self.waiters.ahead(lane, class, request.organisation),
+            organisation: self.waiters.held(lane, request.organisation),
+        };
+        let service = &self.services[service];
+        service.gauge.admit(request, &service.settings, backlog, &mut self.random, now)
+    }
+
+    fn count(&mut self, ticket: Ticket, change: queue::Change, now: Moment) {
+        if let Some(record) = self.requests.get(ticket) {
+            let gauge = &mut self.services[record.service].gauge;
+            gauge.change(change, record.request.cost(), now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/route/choice.rs
@@ -0,0 +1,238 @@
+//! Choice of target, health and versions.
+
+use std::time::Duration;
+
+use common::{name, role::Role};
+use route::{
+    pairing,
+    request::{Action, Event, Origin, Repeat, Request, Run},
+    router::{Router, Setup},
+    target,
+};
+use settings::service::Model;
+use wire::target::{Announcement, Load, Phase};
+
+use crate::support::{
+    START, after, announcement, dispatches, drain, finish, owner, request, router, send, settings,
+};
+
+fn two_targets() -> Router {
+    let mut router = router(&["a"]);
+    router.observe(&announcement("one", "a", 4), START);
+    router.observe(&announcement("two", "a", 4), START);
+    router
+}
+
+fn name(dispatch: &route::request::Dispatch) -> &str {
+    &dispatch.target.0
+}
+
+#[test]
+fn own_dispatches_correct_a_stale_report() {
+    let mut router = two_targets();
+    let counts = (0..6).map(|_| send(&mut router, request("a"), after(1)));
+    let of_one = counts.filter(|dispatch| name(dispatch) == "one").count();
+    assert_eq!(of_one, 3, "reports still say that both are idle");
+    let stale = Announcement {
+        load: Load { age_ms: 5_000, ..Load::default() },
+        ..announcement("one", "a", 4)
+    };
+    router.observe(&stale, after(2));
+    assert_eq!(router.load_of(&"one".into(), after(2)), Some(3));
+}
+
+#[test]
+fn neighbours_dispatches_correct_a_report() {
+    let mut router = two_targets();
+    router.hear_neighbours(&"one".into(), 3, START);
+    for _ in 0..3 {
+        assert_eq!(name(&send(&mut router, request("a"), after(1))), "two");
+    }
+}
+
+#[test]
+fn full_is_remembered_and_costs_no_attempt() {
+    let mut router = two_targets();
+    let first = send(&mut router, request("a"), START);
+    router.report(first.ticket, first.attempt, Event::Full, after(1));
+    router.tick(after(60));
+    let second = dispatches(&mut router).pop().unwrap();
+    assert_ne!(first.target, second.target);
+    for _ in 0..3 {
+        assert_eq!(send(&mut router, request("a"), after(61)).target, second.target);
+    }
+}
+
+#[test]
+fn a_leaving_target_gets_no_new_work() {
+    let mut router = two_targets();
+    let leaving = Announcement { phase: Phase::Leaving, ..announcement("one", "a", 4) };
+    router.observe(&leaving, after(1));
+    for _ in 0..4 {
+        assert_eq!(name(&send(&mut router, request("a"), after(2))), "two");
+    }
+    router.submit(request("a"), after(2)).unwrap();
+    assert_eq!(dispatches(&mut router), Vec::new());
+}
+
+#[test]
+fn failing_targets_are_ejected_up_to_half_and_probed_back() {
+    let mut router = router(&["a"]);
+    for target in ["one", "two", "three", "four"] {
+        router.observe(&announcement(target, "a", 100), START);
+    }
+    let all: Vec<name::Target> = ["one", "two", "three", "four"].map(name::Target::from).into();
+    for at in 0..60 {
+        let sent = send(&mut router, request("a"), after(at));
+        router.report(sent.ticket, sent.attempt, Event::Unsent, after(at));
+        router.cancel(sent.ticket, after(at));
+        drain(&mut router);
+    }
+    let ejected: Vec<_> = all.iter().filter(|name| router.is_ejected(name)).collect();
+    assert_eq!(ejected.len(), 2, "at most half are out");
+    let out = ejected[0].clone();
+    router.tick(after(10_000));
+    assert!(!router.is_ejected(&out));
+    let mut probed = 0;
+    for _ in 0..40 {
+        let sent = send(&mut router, request("a"), after(10_000));
+        probed += usize::from(sent.target == out);
+    }
+    assert_eq!(probed, 1, "one probe at a time");
+}
+
+#[test]
+fn calls_that_may_not_be_repeated_avoid_targets_on_probation() {
+    let mut router = router(&["a"]);
+    for target in ["one", "two"] {
+        router.observe(&announcement(target, "a", 100), START);
+    }
+    for at in 0..20 {
+        let sent = send(&mut router, request("a"), after(at));
+        let event = if name(&sent) == "one" { Event::Unsent } else { Event::Finished };
+        router.report(sent.ticket, sent.attempt, event, after(at));
+        router.cancel(sent.ticket, after(at));
+        drain(&mut router);
+    }
+    router.tick(after(5_000));
+    for _ in 0..20 {
+        let once = Request { repeat: Repeat::Never, ..request("a") };
+        assert_eq!(name(&send(&mut router, once, after(5_000))), "two");
+    }
+}
+
+#[test]
+fn a_call_that_may_not_be_repeated_is_never_sent_twice() {
+    let mut router = two_targets();
+    let once = Request { repeat: Repeat::Never, ..request("a") };
+    let sent = send(&mut router, once.clone(), START);
+    router.report(sent.ticket, sent.attempt, Event::Broken, after(1));
+    let ended = Action::Fail { ticket: sent.ticket, run: Run::Maybe };
+    assert_eq!(drain(&mut router), [ended]);
+    let unsent = send(&mut router, once, START);
+    router.report(unsent.ticket, unsent.attempt, Event::Unsent, after(1));
+    router.tick(after(100));
+    assert_eq!(dispatches(&mut router).len(), 1, "no byte was sent, so another target may get it");
+}
+
+#[test]
+fn late_reports_of_an_old_attempt_are_dropped() {
+    let mut router = two_targets();
+    let first = send(&mut router, request("a"), START);
+    router.report(first.ticket, first.attempt, Event::Broken, after(1));
+    router.tick(after(100));
+    let second = dispatches(&mut router).pop().unwrap();
+    assert_ne!(first.attempt, second.attempt);
+    finish(&mut router, &first, after(101));
+    assert_eq!(router.totals().running, 1);
+    finish(&mut router, &second, after(102));
+    assert_eq!(router.totals().running, 0);
+}
+
+#[test]
+fn the_holder_of_a_prefix_is_preferred_until_it_is_loaded() {
+    let mut router = router(&["a"]);
+    for target in ["one", "two", "three", "four", "five", "six"] {
+        router.observe(&announcement(target, "a", 8), START);
+    }
+    let long = Request { prompt_tokens: 6_100, pieces: vec![1, 2, 3], ..request("a") };
+    let first = send(&mut router, long.clone(), START);
+    router.report(first.ticket, first.attempt, Event::Started, after(300));
+    for _ in 0..3 {
+        let next = send(&mut router, long.clone(), after(301));
+        assert_eq!(next.target, first.target);
+    }
+    let sent: Vec<_> = (0..8).map(|_| send(&mut router, long.clone(), after(302))).collect();
+    assert!(sent.iter().any(|dispatch| dispatch.target != first.target));
+}
+
+#[test]
+fn another_data_centre_gets_work_only_when_none_here_is_free() {
+    let mut router = router(&["a"]);
+    let near = announcement("near", "a", 1);
+    let mut far = target::Description::from_announcement(&announcement("far", "a", 10));
+    far.distance = Duration::from_millis(3);
+    router.describe(far, &Load::default(), START);
+    router.observe(&near, START);
+    let first = send(&mut router, request("a"), after(1));
+    assert_eq!((name(&first), first.relay), ("near", false));
+    let second = send(&mut router, request("a"), after(1));
+    assert_eq!((name(&second), second.relay), ("far", true));
+    let relayed = Request { origin: Origin::Instance, ..request("a") };
+    router.submit(relayed, after(1)).unwrap();
+    assert_eq!(dispatches(&mut router), Vec::new(), "never spilled over twice");
+}
+
+#[test]
+fn versions_share_by_weight_and_can_be_shifted_back() {
+    let mut router = router(&["a"]);
+    let both = Announcement {
+        models: vec![String::from("m-1"), String::from("m-2")],
+        ..announcement("e", "a", 10_000)
+    };
+    router.observe(&both, START);
+    let mut share_of_second = |first: u32, second: u32| {
+        let model = |version: &str, weight| Model {
+            name: String::from("m"),
+            version: Some(String::from(version)),
+            weight,
+        };
+        let mut shifted = settings(&[]);
+        shifted.models = vec![model("m-1", first), model("m-2", second)];
+        router.configure(&owner("a", "llm"), shifted);
+        let sent = (0..200).map(|_| {
+            let sent = send(&mut router, request("a"), after(1));
+            finish(&mut router, &sent, after(1));
+            sent
+        });
+        sent.filter(|dispatch| dispatch.model.as_deref() == Some("m-2")).count()
+    };
+    assert_eq!(share_of_second(100, 0), 0);
+    let part = share_of_second(90, 10);
+    assert!((5..50).contains(&part), "{part} of 200");
+    assert_eq!(share_of_second(0, 100), 200);
+    assert_eq!(share_of_second(100, 0), 0);
+}
+
+#[test]
+fn a_long_prompt_is_paired_only_where_it_pays() {
+    let setup = Setup {
+        transfer: pairing::Transfer { bytes_per_second: 1.0e11, ..pairing::Transfer::default() },
+        ..Setup::default()
+    };
+    let mut router = Router::new(setup);
+    router.configure(&owner("a", "llm"), settings(&[]));
+    let prefill = Announcement { role: Role::Prefill, ..announcement("p", "a", 8) };
+    let busy = Announcement {
+        role: Role::Decode,
+        load: Load { queued_prompt_tokens: 3_000, ..Load::default() },
+        ..announcement("d", "a", 8)
+    };
+    router.observe(&prefill, START);
+    router.observe(&busy, START);
+    let long = Request { prompt_tokens: 8_000, ..request("a") };
+    let paired = send(&mut router, long, START);
+    assert_eq!(name(&paired), "d");
+    assert_eq!(paired.prefill.unwrap().target.0, "p");
+    assert_eq!(send(&mut router, request("a"), START).prefill, None);
+}
--- /dev/null
+++ b/crates/route/tests/route/main.rs
@@ -0,0 +1,21 @@
+//! Admission, fairness, choice of target and retries.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod admission;
+mod choice;
+mod failures;
+mod fairness;
+mod parts;
+mod support;
+
+#[path = "../../examples/goodput/fleet.rs"]
+mod fleet;
+#[path = "../../examples/goodput/load.rs"]
+mod load;
+#[path = "../../examples/goodput/policy.rs"]
+#[allow(dead_code, reason = "the example uses the other baselines")]
+mod policy;
+#[path = "../../examples/goodput/report.rs"]
+#[allow(dead_code, reason = "the example prints the other figures")]
+mod report;
--- /dev/null
+++ b/crates/route/tests/route/parts.rs
@@ -0,0 +1,103 @@
+//! Retry budgets, prefix knowledge and pairing on their own.
+
+use common::{clock::Moment, random::Random};
+use route::{
+    pairing, prefix,
+    request::{Event, Repeat, Target},
+    retry,
+};
+use settings::service;
+use slotmap::SlotMap;
+use wire::target::{self, Change};
+use yare::parameterized;
+
+const NOW: Moment = Moment(1_000);
+
+#[parameterized(
+    repeatable = { Event::Broken, Repeat::Allowed, 1, 60_000, true },
+    not_repeatable_sent = { Event::Broken, Repeat::Never, 1, 60_000, false },
+    not_repeatable_unsent = { Event::Unsent, Repeat::Never, 1, 60_000, true },
+    not_repeatable_refused = { Event::Full, Repeat::Never, 1, 60_000, true },
+    attempts_spent = { Event::Broken, Repeat::Allowed, 3, 60_000, false },
+    refusals_are_no_attempts = { Event::Full, Repeat::Allowed, 5, 60_000, true },
+    too_near_the_deadline = { Event::Broken, Repeat::Allowed, 1, 1_060, false },
+)]
+fn another_attempt(event: Event, repeat: Repeat, attempts: u32, deadline: u64, again: bool) {
+    let deadline = Moment(deadline);
+    let failure = retry::Failure { event, repeat, attempts, begun: false, deadline };
+    let settings = service::Retry::default();
+    let mut budget = retry::Budget::default();
+    let verdict = retry::decide(&failure, &settings, &mut budget, &mut Random::new(1), NOW);
+    assert_eq!(matches!(verdict, retry::Verdict::Again(_)), again);
+}
+
+#[test]
+fn retries_stay_a_share_of_first_attempts() {
+    let settings = service::Retry { budget_percent: 20, ..service::Retry::default() };
+    let mut budget = retry::Budget::default();
+    let retries = (0..1_000).filter(|_| {
+        budget.deposit(&settings);
+        budget.withdraw().is_ok()
+    });
+    assert_eq!(retries.count(), 205);
+}
+
+fn targets() -> [Target; 2] {
+    let mut keys = SlotMap::<Target, ()>::with_key();
+    [keys.insert(()), keys.insert(())]
+}
+
+fn event(number: u64, piece: u64, change: Change) -> target::Event {
+    target::Event { number, piece, change }
+}
+
+#[test]
+fn the_longest_prefix_wins_and_an_eviction_counts() {
+    let [one, two] = targets();
+    let mut index = prefix::Index::default();
+    index.dispatched(one, &[1, 2, 3], NOW);
+    index.dispatched(two, &[1], NOW);
+    let best = index.longest(&[1, 2, 3, 4], NOW).next().unwrap();
+    assert_eq!((best.target, best.pieces), (one, 3));
+    for (number, piece) in [(1, 3), (2, 2), (3, 1)] {
+        index.observe(one, &event(number, piece, Change::Removed), NOW);
+    }
+    let best = index.longest(&[1, 2, 3, 4], NOW).next().unwrap();
+    assert_eq!((best.target, best.pieces), (two, 1));
+}
+
+#[test]
+fn an_old_removal_that_comes_late_does_not_undo_a_newer_store() {
+    let [one, _] = targets();
+    let mut index = prefix::Index::default();
+    index.observe(one, &event(1, 9, Change::Stored), NOW);
+    index.observe(one, &event(3, 9, Change::Stored), NOW);
+    index.observe(one, &event(2, 9, Change::Removed), NOW);
+    assert_eq!(index.longest(&[9], NOW).count(), 1);
+    assert!(index.held(one, &[9], NOW) > 0.99, "the gap was filled");
+}
+
+#[test]
+fn trust_fades_with_age_and_with_each_missed_event() {
+    let [one, _] = targets();
+    let mut index = prefix::Index::default();
+    index.observe(one, &event(1, 9, Change::Stored), NOW);
+    let fresh = index.held(one, &[9], NOW);
+    let aged = index.held(one, &[9], Moment(121_000));
+    index.observe(one, &event(31, 8, Change::Stored), NOW);
+    let gapped = index.held(one, &[9], NOW);
+    assert!(aged < 0.51 * fresh && gapped < 0.6 * fresh, "{fresh} {aged} {gapped}");
+    assert!(index.held(one, &[8], NOW) > 0.99, "what was seen after the gap is trusted");
+}
+
+#[parameterized(
+    cached_here = { 500, 50_000, 8_000, pairing::Plan::Local },
+    long_and_queued_here = { 8_000, 20_000, 8_000, pairing::Plan::Paired },
+    nothing_queued = { 8_000, 0, 8_000, pairing::Plan::Local },
+)]
+fn pairing_pays(tokens: u64, queued: u64, prompt: u64, plan: pairing::Plan) {
+    let here = pairing::Compute { tokens, queued_tokens: queued, ms_per_token: 0.05 };
+    let there = pairing::Compute { tokens: prompt, queued_tokens: 0, ms_per_token: 0.05 };
+    let decided = pairing::decide(&here, &there, prompt, &pairing::Transfer::default());
+    assert_eq!(decided, plan);
+}
