Control: the replicated state of a branch

Cause: orders, accepted declarations and calls that run once need one state that every replica computes alike.

--- /dev/null
+++ b/crates/control/src/declaration/ledger.rs
@@ -0,0 +1,233 @@
+//! The declarations in force and the changes that led to them.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+use settings::{
+    delta::{self, Content, Delta},
+    tree::Venture,
+};
+
+use crate::declaration::{
+    Author, Cause, Change, Record, Refusal, Reply, Request,
+    request::{self, Table},
+};
+
+/// Changes that are kept for the way back and for instances that lag.
+pub const MAX_REVISIONS: usize = 1_000;
+/// Bytes of all kept changes together.
+pub const MAX_REVISION_BYTES: usize = 8 * 1024 * 1024;
+
+/// One change, forth and back.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Revision {
+    /// The version it made.
+    pub record: Record,
+    /// The change.
+    #[serde(with = "settings::text")]
+    pub forward: Delta,
+    /// The change that undoes it.
+    #[serde(with = "settings::text")]
+    pub backward: Delta,
+    bytes: usize,
+}
+
+/// The declarations in force and the changes that led to them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    version: u64,
+    venture_version: u64,
+    #[serde(with = "settings::text")]
+    content: Content,
+    revisions: VecDeque<Revision>,
+    revision_bytes: usize,
+    requests: Table,
+}
+
+impl Ledger {
+    /// The version in force; 0 before the first change.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The venture's version whose defaults are in force.
+    pub fn venture_version(&self) -> u64 {
+        self.venture_version
+    }
+
+    /// The declarations in force.
+    pub fn content(&self) -> &Content {
+        &self.content
+    }
+
+    /// The kept changes, oldest first.
+    pub fn revisions(&self) -> impl DoubleEndedIterator<Item = &Revision> {
+        self.revisions.iter()
+    }
+
+    /// The changes after `version`, or nothing when some of them are no longer kept.
+    pub fn since(&self, version: u64) -> Option<Vec<&Revision>> {
+        if version > self.version || version < self.oldest() {
+            return None;
+        }
+        Some(self.revisions.iter().filter(|revision| revision.record.version > version).collect())
+    }
+
+    /// The oldest version that can be returned to.
+    pub fn oldest(&self) -> u64 {
+        self.version - self.revisions.len() as u64
+    }
+
+    /// Makes a change, once for each request id; `refusal` is why the branch takes none now.
+    pub fn declare(
+        &mut self,
+        index: u64,
+        request: &Request,
+        refusal: Option<Refusal>,
+        keep_venture: KeepVenture,
+    ) -> Reply {
+        let content = request::Content::of(&(request.base, &request.change));
+        if let Some(reply) = self.requests.find(&request.author.request, content) {
+            return reply;
+        }
+        let reply = match refusal {
+            Some(refusal) => Reply::Refused(refusal),
+            None => self.make(index, request, keep_venture),
+        };
+        self.requests.keep(&request.author.request, content, &reply);
+        reply
+    }
+
+    /// Replaces the declarations by ones with the venture's defaults written out.
+    pub fn write_out(&mut self, index: u64, author: &Author, after: &Content) -> Reply {
+        let delta = delta::between(&self.content, after);
+        self.change(index, author, self.version, Cause::WriteOut, &delta)
+    }
+
+    /// The declarations of an earlier version, if it is still kept.
+    pub fn at(&self, version: u64) -> Option<Content> {
+        let later = self.since(version)?;
+        let mut content = self.content.clone();
+        for revision in later.into_iter().rev() {
+            delta::apply(&mut content, &revision.backward).ok()?;
+        }
+        Some(content)
+    }
+
+    fn make(&mut self, index: u64, request: &Request, keep_venture: KeepVenture) -> Reply {
+        let (author, base) = (&request.author, request.base);
+        match &request.change {
+            Change::Apply(delta) => self.change(index, author, base, Cause::Apply, delta),
+            Change::Adopt { venture_version, venture } => {
+                self.adopt(index, author, base, *venture_version, venture)
+            }
+            Change::Rollback { to } => {
+                let Some(mut earlier) = self.at(*to) else {
+                    let oldest = self.oldest();
+                    return Reply::Refused(Refusal::NoVersion { version: *to, oldest });
+                };
+                if keep_venture == KeepVenture::Yes {
+                    earlier.venture = self.content.venture.clone();
+                }
+                let delta = delta::between(&self.content, &earlier);
+                self.change(index, author, base, Cause::Rollback { to: *to }, &delta)
+            }
+        }
+    }
+
+    fn adopt(
+        &mut self,
+        index: u64,
+        author: &Author,
+        base: u64,
+        venture_version: u64,
+        venture: &Venture,
+    ) -> Reply {
+        if venture_version <= self.venture_version {
+            return Reply::Refused(Refusal::OldVenture { version: self.venture_version });
+        }
+        let delta = Delta { venture: Some(venture.clone()), ..Delta::default() };
+        let reply = self.change(index, author, base, Cause::Adopt { venture_version }, &delta);
+        if matches!(reply, Reply::Accepted { .. } | Reply::Unchanged { .. }) {
+            self.venture_version = venture_version;
+        }
+        reply
+    }
+
+    fn change(
+        &mut self,
+        index: u64,
+        author: &Author,
+        base: u64,
+        cause: Cause,
+        forward: &Delta,
+    ) -> Reply {
+        if base != self.version {
+            return self.conflict(base);
+        }
+        let mut after = self.content.clone();
+        if let Err(mismatch) = delta::apply(&mut after, forward) {
+            return Reply::Refused(Refusal::Mismatch { problem: mismatch.to_string() });
+        }
+        let backward = delta::between(&after, &self.content);
+        if backward.is_empty() {
+            return Reply::Unchanged { version: self.version };
+        }
+        self.version += 1;
+        self.content = after;
+        let record = Record { version: self.version, cause, author: author.clone(), index };
+        let bytes = postcard_text(forward).len() + postcard_text(&backward).len();
+        self.push(Revision { record, forward: forward.clone(), backward, bytes });
+        Reply::Accepted { version: self.version }
+    }
+
+    fn conflict(&self, base: u64) -> Reply {
+        let next = self.revisions.iter().find(|revision| revision.record.version == base + 1);
+        let winner = next.or(self.revisions.back()).map(|revision| revision.record.clone());
+        Reply::Conflict { version: self.version, winner }
+    }
+
+    fn push(&mut self, revision: Revision) {
+        self.revision_bytes += revision.bytes;
+        self.revisions.push_back(revision);
+        while self.revisions.len() > MAX_REVISIONS || self.revision_bytes > MAX_REVISION_BYTES {
+            let Some(oldest) = self.revisions.pop_front() else {
+                return;
+            };
+            self.revision_bytes -= oldest.bytes;
+        }
+    }
+}
+
+/// Whether a rollback leaves the venture's defaults as they are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeepVenture {
+    /// On a partner's branch: they are the venture's to change.
+    Yes,
+    /// On the venture's own branch.
+    No,
+}
+
+/// Turns the venture's defaults into the branch's own, so that it needs no venture.
+///
+/// Loans to other partners end, since the partners part.
+pub fn written_out(content: &Content) -> Content {
+    let mut after = content.clone();
+    let partner = &mut after.branch.partner;
+    let mut defaults = content.venture.defaults.clone();
+    settings::tree::merge(&mut defaults, &partner.defaults);
+    partner.defaults = defaults;
+    settings::tree::end_loans(&mut partner.defaults);
+    for service in after.branch.services.values_mut() {
+        settings::tree::end_loans(service);
+    }
+    after.venture = Venture { name: content.venture.name.clone(), ..Venture::default() };
+    after
+}
+
+/// The delta as the log holds it.
+fn postcard_text(delta: &Delta) -> Vec<u8> {
+    #[derive(Serialize)]
+    struct Text<'a>(#[serde(with = "settings::text")] &'a Delta);
+    postcard::to_stdvec(&Text(delta)).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,275 @@
+//! The state of one branch.
+
+use common::name;
+use serde::{Deserialize, Serialize};
+use settings::check;
+
+use crate::{
+    claim,
+    command::Command,
+    declaration::{
+        self, Change, Refusal,
+        ledger::{self, KeepVenture, Ledger},
+    },
+    dissolution::{self, Action, FENCING_STRIDE, Identity, Phase, Step},
+    intent, lease,
+    query::{self, Answer, Query},
+    reply::Reply,
+    snapshot, time,
+};
+
+/// The state of one branch.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    branch: name::Branch,
+    clock: time::Clock,
+    ledger: Ledger,
+    leases: lease::Table,
+    intents: intent::Table,
+    claims: claim::Table,
+    phase: Phase,
+    identity: Identity,
+}
+
+impl State {
+    /// The state of a branch before its first command.
+    pub fn new(branch: name::Branch) -> State {
+        State { branch, ..State::default() }
+    }
+
+    /// The branch.
+    pub fn branch(&self) -> &name::Branch {
+        &self.branch
+    }
+
+    /// The declarations and their history.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Applies the command at `index` of the log. Indexes grow.
+    pub fn apply(&mut self, index: u64, command: &Command) -> Reply {
+        match command {
+            Command::Advance(advance) => {
+                let reply = self.clock.apply(*advance);
+                self.claims.expire(self.clock);
+                Reply::Time(reply)
+            }
+            Command::Declare(request) => Reply::Declaration(self.declare(index, request)),
+            Command::Grant(grant) => Reply::Lease(self.grant(index, grant)),
+            Command::Renew(renew) => Reply::Lease(self.leases.renew(self.clock, renew)),
+            Command::Release(release) => Reply::Lease(self.leases.release(release)),
+            Command::Open(open) => Reply::Intent(self.open(index, open)),
+            Command::Settle(settle) => Reply::Intent(self.settle(settle)),
+            Command::Claim(begin) => Reply::Claim(self.claims.begin(self.clock, begin)),
+            Command::Finish(finish) => Reply::Claim(self.claims.finish(finish)),
+            Command::Abandon(abandon) => Reply::Claim(self.claims.abandon(abandon)),
+            Command::Lose(lose) => Reply::Claim(self.claims.lose(lose)),
+            Command::Dissolve(step) => Reply::Dissolution(self.dissolve(index, step)),
+        }
+    }
+
+    /// Answers a question.
+    pub fn query(&self, query: &Query) -> Answer {
+        match query {
+            Query::Summary => Answer::Summary(self.summary()),
+            Query::Content => Answer::Content(Box::new(self.version())),
+            Query::ContentAt { version } => self.version_at(*version),
+            Query::Changes { since } => Answer::Changes(self.changes(*since)),
+            Query::History { limit } => {
+                let records = self.ledger.revisions().rev().take(*limit);
+                Answer::History(records.map(|revision| revision.record.clone()).collect())
+            }
+            Query::Leases => Answer::Leases(self.leases()),
+            Query::Intents { data_centre } => Answer::Intents(self.intents(data_centre)),
+            Query::Claim { key } => Answer::Claim(self.claims.find(self.clock, key)),
+            Query::Time => Answer::Time(self.time()),
+        }
+    }
+
+    /// Encodes the state for a snapshot.
+    pub fn encode(&self) -> Vec<u8> {
+        snapshot::encode(self)
+    }
+
+    /// Decodes a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`snapshot::Fault`] when the bytes are not the encoding of a state.
+    pub fn decode(bytes: &[u8]) -> Result<State, snapshot::Fault> {
+        snapshot::decode(bytes)
+    }
+
+    fn declare(&mut self, index: u64, request: &declaration::Request) -> declaration::Reply {
+        let adopts = matches!(request.change, Change::Adopt { .. });
+        let refusal = match &self.phase {
+            Phase::Detached { plan } if adopts => Some(Refusal::Closed { plan: plan.clone() }),
+            Phase::Joint | Phase::Detached { .. } => None,
+            Phase::Frozen { plan } | Phase::WrittenOut { plan } => {
+                Some(Refusal::Frozen { plan: plan.clone() })
+            }
+            Phase::Closed { plan } => Some(Refusal::Closed { plan: plan.clone() }),
+        };
+        let root = self.branch.0 == check::VENTURE;
+        let keep_venture = if root { KeepVenture::No } else { KeepVenture::Yes };
+        self.ledger.declare(index, request, refusal, keep_venture)
+    }
+
+    fn grant(&mut self, index: u64, grant: &lease::Grant) -> lease::Reply {
+        let fencing = self.identity.fencing_base + index;
+        self.leases.grant(self.clock, fencing, grant)
+    }
+
+    fn open(&mut self, index: u64, open: &intent::Open) -> intent::Reply {
+        if !self.leases.allows(&open.data_centre, open.fencing) {
+            return intent::Reply::Stale;
+        }
+        self.intents.open(index, open)
+    }
+
+    fn settle(&mut self, settle: &intent::Settle) -> intent::Reply {
+        if !self.leases.allows(&settle.data_centre, settle.fencing) {
+            return intent::Reply::Stale;
+        }
+        self.intents.settle(settle)
+    }
+
+    fn dissolve(&mut self, index: u64, step: &Step) -> dissolution::Reply {
+        let next = self.next_phase(step);
+        let done = next.is_some();
+        if let Some(next) = next.filter(|next| *next != self.phase) {
+            self.enter(index, step, next);
+        }
+        let (phase, version) = (self.phase.clone(), self.ledger.version());
+        if done {
+            dissolution::Reply::Done { phase, version }
+        } else {
+            dissolution::Reply::Refused { phase, version }
+        }
+    }
+
+    /// The phase that a step leads to from here, which is the present one for a step that was done before.
+    fn next_phase(&self, step: &Step) -> Option<Phase> {
+        let plan = step.plan.clone();
+        let own = self.phase.plan() == Some(step.plan.as_str());
+        if !own && self.phase != Phase::Joint {
+            return None;
+        }
+        match (&step.action, &self.phase) {
+            (Action::Freeze { version }, Phase::Joint) => {
+                (*version == self.ledger.version()).then_some(Phase::Frozen { plan })
+            }
+            (Action::Freeze { .. }, phase) => Some(phase.clone()),
+            (Action::Thaw, Phase::Frozen { .. } | Phase::WrittenOut { .. } | Phase::Joint) => {
+                Some(Phase::Joint)
+            }
+            (Action::WriteOut, Phase::Frozen { .. }) => Some(Phase::WrittenOut { plan }),
+            (Action::WriteOut, phase @ (Phase::WrittenOut { .. } | Phase::Detached { .. })) => {
+                Some(phase.clone())
+            }
+            (Action::Detach { .. }, Phase::WrittenOut { .. } | Phase::Detached { .. }) => {
+                Some(Phase::Detached { plan })
+            }
+            (Action::Close, Phase::Frozen { .. } | Phase::Closed { .. }) => {
+                Some(Phase::Closed { plan })
+            }
+            _ => None,
+        }
+    }
+
+    fn enter(&mut self, index: u64, step: &Step, next: Phase) {
+        match &step.action {
+            Action::WriteOut => {
+                let after = ledger::written_out(self.ledger.content());
+                self.ledger.write_out(index, &step.author, &after);
+            }
+            Action::Detach { identity } => {
+                self.identity.name = identity.clone();
+                self.identity.fencing_base += FENCING_STRIDE;
+                self.leases.void();
+            }
+            Action::Close => self.leases.void(),
+            Action::Freeze { .. } | Action::Thaw => {}
+        }
+        self.phase = next;
+    }
+
+    fn summary(&self) -> query::Summary {
+        query::Summary {
+            branch: self.branch.clone(),
+            version: self.ledger.version(),
+            venture_version: self.ledger.venture_version(),
+            phase: self.phase.clone(),
+            identity: self.identity.clone(),
+            claims: self.claims.len(),
+            open_intents: self.intents.iter().filter(|(_, record)| record.open.is_some()).count(),
+        }
+    }
+
+    fn version(&self) -> query::Version {
+        query::Version {
+            version: self.ledger.version(),
+            venture_version: self.ledger.venture_version(),
+            content: self.ledger.content().clone(),
+        }
+    }
+
+    fn version_at(&self, version: u64) -> Answer {
+        match self.ledger.at(version) {
+            Some(content) => Answer::Content(Box::new(query::Version {
+                version,
+                venture_version: self.ledger.venture_version(),
+                content,
+            })),
+            None => Answer::NoVersion { oldest: self.ledger.oldest() },
+        }
+    }
+
+    fn changes(&self, since: u64) -> query::Changes {
+        if since == self.ledger.version() {
+            return query::Changes::None;
+        }
+        match self.ledger.since(since) {
+            Some(revisions) => query::Changes::Deltas(
+                revisions
+                    .into_iter()
+                    .map(|revision| query::Step {
+                        version: revision.record.version,
+                        delta: revision.forward.clone(),
+                    })
+                    .collect(),
+            ),
+            None => query::Changes::Snapshot(Box::new(self.version())),
+        }
+    }
+
+    fn leases(&self) -> Vec<query::Lease> {
+        self.leases
+            .iter()
+            .map(|(data_centre, lease)| query::Lease {
+                data_centre: data_centre.clone(),
+                lease: lease.clone(),
+            })
+            .collect()
+    }
+
+    fn intents(&self, data_centre: &name::DataCentre) -> Vec<query::Intent> {
+        self.intents
+            .iter()
+            .filter(|(_, record)| record.data_centre == *data_centre)
+            .map(|(target, record)| query::Intent {
+                target: target.clone(),
+                record: record.clone(),
+            })
+            .collect()
+    }
+
+    fn time(&self) -> query::Time {
+        let needed = self.leases.is_counting(self.clock) || !self.claims.is_empty();
+        query::Time {
+            now_ms: self.clock.now_ms,
+            needed: if needed { query::Needed::Yes } else { query::Needed::No },
+        }
+    }
+}
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -149,6 +149,13 @@
     }
 }
 
+/// Removes the loans of engines to other partners.
+pub fn end_loans(settings: &mut Map<String, Value>) {
+    if let Some(Value::Object(roles)) = settings.get_mut("roles") {
+        roles.shift_remove("lend_to");
+    }
+}
+
 struct Loader<'a> {
     folder: &'a Path,
     loaded: Loaded,
