One definition of pieces and of seeded random numbers

Cause: stand-in engines hashed pieces without the model's name and the router with it, so no cache event would ever have matched a prompt; both also had a random generator of their own. Change: common::piece and common::random serve both; wire::completion gives a request's pieces. Conclusion: two copies less; engine and router name a piece alike.

--- a/crates/common/src/piece.rs
+++ b/crates/common/src/piece.rs
@@ -15,8 +15,7 @@
 
 /// Hashes each whole piece of `text` chained to all before it (FNV-1a, 64 bits).
 ///
-/// The model's name starts the chain, since models don't share caches. For a chat, `text` is the content of
-/// its messages joined by newlines; for a completion it is the prompt.
+/// The model's name starts the chain, since models don't share caches.
 pub fn chain(model: &str, text: &str) -> Vec<u64> {
     let start = fold(FNV_OFFSET, model.as_bytes());
     text.as_bytes()
--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -2,11 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use common::cancel;
+use common::{cancel, random::Random};
 use tokio::time;
 use wire::target;
 
-use crate::{http, random::Random};
+use crate::http;
 
 /// Longest wait for an announcement's answer.
 const ANSWER_LIMIT: Duration = Duration::from_secs(2);
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -2,8 +2,8 @@
 
 use std::collections::VecDeque;
 
-use common::collections::Set;
-use wire::{completion, target};
+use common::{collections::Set, piece};
+use wire::target;
 
 /// Pieces by use, the least recently used first.
 #[derive(Debug)]
@@ -33,7 +33,7 @@
         for &piece in &pieces[..found] {
             self.touch(piece);
         }
-        u64::try_from(found * completion::TOKENS_PER_PIECE).unwrap_or(u64::MAX)
+        u64::try_from(found * piece::TOKENS).unwrap_or(u64::MAX)
     }
 
     /// Puts a computed prompt's pieces into the cache.
--- a/crates/standin/src/engine/call.rs
+++ b/crates/standin/src/engine/call.rs
@@ -3,6 +3,7 @@
 use std::{io, sync::Arc};
 
 use bytes::Bytes;
+use common::piece;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
@@ -41,12 +42,12 @@
         Err(error) => return Ok(http::text(StatusCode::BAD_REQUEST, error.to_string())),
     };
     let prompt = call.text();
-    let tokens = match admit(shared, &head.headers, &call, &prompt) {
+    let tokens = match admit(shared, &head.headers, &call) {
         Ok(tokens) => tokens,
         Err(word) => return Ok(refusal(word)),
     };
     let answer = Answer { shape, prompt: answer::hash(&prompt), model: call.model.clone() };
-    let usage = Usage { prompt: completion::tokens(&prompt), output: call.max_tokens() };
+    let usage = Usage { prompt: piece::tokens(&prompt), output: call.max_tokens() };
     if call.stream {
         return Ok(streamed(answer, tokens, call.max_tokens()));
     }
@@ -88,7 +89,6 @@
     shared: &Shared,
     headers: &HeaderMap,
     call: &completion::Request,
-    prompt: &str,
 ) -> Result<mpsc::UnboundedReceiver<u32>, &'static str> {
     let mut state = shared.lock();
     let refused = if let Some(word) = closed(state.phase) {
@@ -106,12 +106,12 @@
     }
     let next: u32 = header(headers, target::RESUME_HEADER).parse().unwrap_or_default();
     let imported = call.kv_handle.as_ref().is_some_and(|handle| state.exports.is_held(handle));
-    let prompt_tokens = completion::tokens(prompt);
+    let prompt_tokens = call.prompt_tokens();
     let (sender, receiver) = mpsc::unbounded_channel();
     let work = batch::Work {
         attempt: header(headers, target::ATTEMPT_HEADER).to_string(),
         priority: header(headers, target::PRIORITY_HEADER).parse().unwrap_or(DEFAULT_PRIORITY),
-        pieces: completion::pieces(prompt),
+        pieces: call.pieces(),
         to_compute: if imported { 0 } else { prompt_tokens + u64::from(next) },
         next,
         end: call.max_tokens().max(next),
--- a/crates/standin/src/engine/kv.rs
+++ b/crates/standin/src/engine/kv.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use common::collections::Map;
+use common::{collections::Map, piece};
 use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use serde::{Deserialize, Serialize};
@@ -51,8 +51,8 @@
     let body = request.into_body().collect().await?.to_bytes();
     let call: completion::Request = serde_json::from_slice(&body)?;
     let prompt = call.text();
-    let prompt_tokens = completion::tokens(&prompt);
-    let Some(mut done) = compute(shared, &prompt, prompt_tokens) else {
+    let prompt_tokens = piece::tokens(&prompt);
+    let Some(mut done) = compute(shared, call.pieces(), prompt_tokens) else {
         return Ok(call::refusal("full"));
     };
     if done.recv().await.is_none() {
@@ -103,7 +103,7 @@
 
 fn compute(
     shared: &Shared,
-    prompt: &str,
+    pieces: Vec<u64>,
     prompt_tokens: u64,
 ) -> Option<mpsc::UnboundedReceiver<u32>> {
     let (sender, receiver) = mpsc::unbounded_channel();
@@ -115,7 +115,7 @@
     state.batch.push(batch::Work {
         attempt: String::new(),
         priority: EXPORT_PRIORITY,
-        pieces: completion::pieces(prompt),
+        pieces,
         to_compute: prompt_tokens,
         next: 0,
         end: 1,
--- a/crates/standin/src/engine/report.rs
+++ b/crates/standin/src/engine/report.rs
@@ -2,11 +2,12 @@
 
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc};
 
+use common::random::Random;
 use tokio::time::Instant;
 use wire::target;
 
 use super::Shared;
-use crate::{announce, random::Random};
+use crate::announce;
 
 /// Announcements that are kept for late reports.
 const HISTORY: usize = 64;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,5 +5,4 @@
 pub mod engine;
 pub mod http;
 pub mod plain;
-pub mod random;
 pub mod weights;
--- a/crates/wire/src/completion.rs
+++ b/crates/wire/src/completion.rs
@@ -1,17 +1,11 @@
-//! The parts of a completion request that routing and engines need, and the pieces of its prompt.
+//! The parts of a completion request that routing and engines need.
 
+use common::piece;
 use serde::{Deserialize, Serialize};
 
-/// Bytes of a prompt that count as one token where no tokenizer is at hand.
-pub const BYTES_PER_TOKEN: usize = 4;
-/// Tokens in one piece of a prefix cache.
-pub const TOKENS_PER_PIECE: usize = 2_000;
 /// Output tokens of a request that names no limit.
 pub const DEFAULT_MAX_TOKENS: u32 = 16;
 
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0100_0000_01b3;
-
 /// A completion or chat completion; other fields are left to the engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
@@ -56,26 +50,18 @@
         text
     }
 
-    /// Output tokens at most.
-    pub fn max_tokens(&self) -> u32 {
-        self.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS)
+    /// Tokens that the prompt is taken to have.
+    pub fn prompt_tokens(&self) -> u64 {
+        piece::tokens(&self.text())
     }
-}
 
-/// Tokens of a prompt, by its length.
-pub fn tokens(prompt: &str) -> u64 {
-    u64::try_from(prompt.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u64::MAX)
-}
+    /// Chained hashes of the prompt's whole pieces, by which routers and engines name cached prefixes.
+    pub fn pieces(&self) -> Vec<u64> {
+        piece::chain(&self.model, &self.text())
+    }
 
-/// Chained hashes (FNV-1a) of the prompt's whole pieces: each covers the prompt from its start to the piece's end.
-pub fn pieces(prompt: &str) -> Vec<u64> {
-    let mut hash = FNV_OFFSET;
-    let mut pieces = Vec::new();
-    for piece in prompt.as_bytes().chunks_exact(TOKENS_PER_PIECE * BYTES_PER_TOKEN) {
-        for &byte in piece {
-            hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
-        }
-        pieces.push(hash);
+    /// Output tokens at most.
+    pub fn max_tokens(&self) -> u32 {
+        self.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS)
     }
-    pieces
 }
