Orders to engines under a lease, with intents, drain first and bounded loads

Cause: an engine must not get conflicting orders, and planned changes must cut no stream. Change: pure machine, assertion and token bucket; couriers that check the lease in the write; the duty's thread.

--- /dev/null
+++ b/crates/orders/src/bucket.rs
@@ -0,0 +1,65 @@
+//! Bounds loads by the weight store's rate: a token bucket and a number of loads at once.
+
+use std::time::Duration;
+
+use common::clock::Moment;
+
+const MINUTE_MS: u64 = 60_000;
+
+/// Limits of loads in a data centre.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Loads that run at once at most.
+    pub at_once: u32,
+    /// Loads that start in a minute at most; the bucket holds as many as may run at once.
+    pub per_minute: u32,
+}
+
+/// When the next load may start.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    limits: Limits,
+    /// Time for which the bucket has filled without a load, in milliseconds.
+    credit_ms: u64,
+    counted_to: Moment,
+}
+
+impl Bucket {
+    /// Makes a full bucket.
+    pub fn new(limits: Limits, now: Moment) -> Bucket {
+        let mut bucket = Bucket { limits, credit_ms: 0, counted_to: now };
+        bucket.credit_ms = bucket.most_credit_ms();
+        bucket
+    }
+
+    /// Sets new limits.
+    pub fn limit(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// Takes one token when fewer than the bound run and the rate allows another load.
+    pub fn take(&mut self, running: u32, now: Moment) -> bool {
+        self.fill(now);
+        let price = self.price_ms();
+        if running >= self.limits.at_once || self.credit_ms < price {
+            return false;
+        }
+        self.credit_ms -= price;
+        true
+    }
+
+    fn fill(&mut self, now: Moment) {
+        let passed = now.since(self.counted_to);
+        self.counted_to = self.counted_to.max(now);
+        let passed_ms = u64::try_from(Duration::as_millis(&passed)).unwrap_or(u64::MAX);
+        self.credit_ms = self.credit_ms.saturating_add(passed_ms).min(self.most_credit_ms());
+    }
+
+    fn price_ms(&self) -> u64 {
+        MINUTE_MS / u64::from(self.limits.per_minute.max(1))
+    }
+
+    fn most_credit_ms(&self) -> u64 {
+        self.price_ms() * u64::from(self.limits.at_once.max(1))
+    }
+}
--- /dev/null
+++ b/crates/orders/src/courier/guard.rs
@@ -0,0 +1,102 @@
+//! A connection that refuses to write once the lease has ended.
+//!
+//! The check stands in the call that writes to the socket, so that a process which was paused anywhere before it
+//! sees the time it missed.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll},
+};
+
+use common::clock::Moment;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::lease;
+
+/// What a connection may be written under.
+#[derive(Clone, Debug)]
+pub struct Guard {
+    permit: Option<Permit>,
+    refused: Arc<AtomicBool>,
+}
+
+#[derive(Clone, Debug)]
+struct Permit {
+    lease: lease::Cell,
+    fencing: u64,
+}
+
+/// A connection with its guard.
+#[derive(Debug)]
+pub struct Guarded {
+    guard: Guard,
+    stream: TokioIo<TcpStream>,
+}
+
+impl Guard {
+    /// Lets everything be written.
+    pub fn open() -> Guard {
+        Guard { permit: None, refused: Arc::default() }
+    }
+
+    /// Lets bytes be written while `lease` is valid under `fencing`.
+    pub fn under(lease: lease::Cell, fencing: u64) -> Guard {
+        Guard { permit: Some(Permit { lease, fencing }), refused: Arc::default() }
+    }
+
+    /// Puts the guard around a connection.
+    pub fn around(self, stream: TcpStream) -> Guarded {
+        Guarded { guard: self, stream: TokioIo::new(stream) }
+    }
+
+    /// Whether a write was refused; no complete order has been written then.
+    pub fn has_refused(&self) -> bool {
+        self.refused.load(Ordering::Acquire)
+    }
+
+    fn check(&self) -> io::Result<()> {
+        match &self.permit {
+            Some(permit) if !permit.lease.permits(permit.fencing, Moment::now()) => {
+                self.refused.store(true, Ordering::Release);
+                Err(io::Error::from(io::ErrorKind::PermissionDenied))
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+impl Read for Guarded {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl Write for Guarded {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.guard.check()?;
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/orders/src/duty.rs
@@ -0,0 +1,241 @@
+//! The thread that holds the lease of a data centre and carries intents out.
+
+mod board;
+mod tenure;
+
+use std::{
+    collections::VecDeque,
+    io,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use common::{
+    cancel,
+    clock::Moment,
+    name,
+    ring::{self, Receiver, Sender},
+};
+use slog::{Logger, info, warn};
+
+pub use self::board::{Board, Entry, Outcome, Report};
+use self::tenure::{Tenure, Waiting};
+use crate::{
+    authority::{Authority, Denial},
+    bucket::Bucket,
+    courier::{self, Desk},
+    intent::Wish,
+    lease::{self, Lease},
+    roster::Roster,
+};
+
+/// Wishes that wait for the duty or for another intent to end.
+const WISHES: usize = 4_096;
+const COURIERS: usize = 4;
+
+/// Where and how the duty works.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The data centre.
+    pub data_centre: name::DataCentre,
+    /// Term of the lease.
+    pub term: Duration,
+    /// Pause between two looks at an engine or at the log.
+    pub poll: Duration,
+    /// Time without announcements after which an engine is gone, and its open intent with it.
+    pub gone_after: Duration,
+}
+
+/// The running duty.
+#[derive(Debug)]
+pub struct Handle {
+    /// Takes wishes; a full ring means that the wish is not taken.
+    pub wishes: Sender<Wish>,
+    /// What the duty does now and did last.
+    pub board: Board,
+    /// Ends after the token is cancelled and the lease is given back.
+    pub thread: JoinHandle<()>,
+}
+
+/// Starts the duty.
+///
+/// # Errors
+///
+/// Returns the operating system's error when a thread can't be made.
+pub fn start<A, R>(
+    options: Options,
+    authority: A,
+    roster: R,
+    token: cancel::Token,
+    log: Logger,
+) -> io::Result<Handle>
+where
+    A: Authority + Send + 'static,
+    R: Roster + Send + 'static,
+{
+    let cell = lease::Cell::default();
+    let (wishes, inbox) = ring::bounded(WISHES);
+    let board = Board::default();
+    let duty = Duty {
+        desk: courier::start(COURIERS, &cell, &token)?,
+        bucket: Bucket::new(roster.loads(), Moment::now()),
+        options,
+        authority,
+        roster,
+        cell,
+        inbox,
+        waiting: VecDeque::new(),
+        tenure: None,
+        tenures: 0,
+        ask_at: Moment::now(),
+        board: board.clone(),
+        log,
+    };
+    let thread =
+        thread::Builder::new().name(String::from("orders")).spawn(move || duty.run(&token))?;
+    Ok(Handle { wishes, board, thread })
+}
+
+struct Duty<A, R> {
+    options: Options,
+    authority: A,
+    roster: R,
+    cell: lease::Cell,
+    desk: Desk,
+    inbox: Receiver<Wish>,
+    waiting: VecDeque<Waiting>,
+    bucket: Bucket,
+    tenure: Option<Tenure>,
+    /// Tenures so far.
+    tenures: u64,
+    ask_at: Moment,
+    board: Board,
+    log: Logger,
+}
+
+impl<A: Authority, R: Roster> Duty<A, R> {
+    fn run(mut self, token: &cancel::Token) {
+        while !token.is_cancelled() {
+            self.tick();
+            self.wait();
+        }
+        self.hand_over();
+    }
+
+    fn tick(&mut self) {
+        self.keep_lease();
+        let engines = self.roster.engines();
+        if let Some(mut tenure) = self.tenure.take() {
+            tenure.meet(engines, Moment::now());
+            let kept = self.work(&mut tenure);
+            match kept {
+                Ok(()) | Err(Denial::Unreachable) => self.tenure = Some(tenure),
+                Err(Denial::Lost | Denial::Held { .. }) => self.lose(tenure.fencing),
+            }
+        }
+        self.board.publish(self.tenure.as_ref(), self.waiting.len());
+    }
+
+    /// Waits for an account or a wish, at most for the pause between two looks.
+    fn wait(&mut self) {
+        if let Ok(account) = self.desk.accounts.recv_timeout(self.options.poll)
+            && let Some(tenure) = &mut self.tenure
+        {
+            tenure.hear(account, &self.log);
+        }
+        while let Ok(wish) = self.inbox.try_recv() {
+            if self.waiting.len() < WISHES {
+                self.waiting.push_back(Waiting::new(wish));
+            }
+        }
+    }
+
+    fn work(&mut self, tenure: &mut Tenure) -> Result<(), Denial> {
+        while let Ok(account) = self.desk.accounts.try_recv() {
+            tenure.hear(account, &self.log);
+        }
+        if tenure.is_outranked() {
+            return Err(Denial::Lost);
+        }
+        tenure.settle(&mut self.authority, &self.board, &self.log)?;
+        self.bucket.limit(self.roster.loads());
+        tenure.assert(&mut self.waiting);
+        tenure.admit(&mut self.waiting, &mut self.bucket, &mut self.authority, &self.log)?;
+        tenure.call(&self.desk.errands, self.options.poll, self.options.gone_after);
+        Ok(())
+    }
+
+    fn keep_lease(&mut self) {
+        let now = Moment::now();
+        match (&self.tenure, self.cell.valid(now)) {
+            (Some(_), Some(lease)) if now + self.options.term * 2 / 3 >= lease.until => {
+                self.renew(lease.fencing, now);
+            }
+            (Some(_), Some(_)) => {}
+            (Some(tenure), None) => {
+                let fencing = tenure.fencing;
+                self.lose(fencing);
+            }
+            (None, _) if now >= self.ask_at => self.ask(now),
+            (None, _) => {}
+        }
+    }
+
+    fn ask(&mut self, now: Moment) {
+        self.ask_at = now + self.options.term / 4;
+        match self.authority.grant(self.options.term) {
+            Ok(fencing) => {
+                self.cell.set(Lease { fencing, until: now + self.options.term });
+                self.take_over(fencing);
+            }
+            Err(Denial::Held { wait }) => self.ask_at = now + wait.min(self.options.term / 4),
+            Err(Denial::Lost | Denial::Unreachable) => {}
+        }
+    }
+
+    /// Reads what was open and what was last done, before any order is given.
+    fn take_over(&mut self, fencing: u64) {
+        let Ok(records) = self.authority.records() else {
+            self.cell.clear();
+            return;
+        };
+        self.tenures += 1;
+        let tenure = Tenure::new(self.options.data_centre.clone(), fencing, self.tenures, records);
+        info!(self.log, "lease taken"; "data_centre" => %self.options.data_centre, "fencing" => fencing,
+            "open_intents" => tenure.open_count());
+        self.tenure = Some(tenure);
+    }
+
+    fn renew(&mut self, fencing: u64, now: Moment) {
+        match self.authority.renew(fencing) {
+            Ok(()) => self.cell.set(Lease { fencing, until: now + self.options.term }),
+            Err(Denial::Unreachable) => {}
+            Err(Denial::Lost | Denial::Held { .. }) => self.lose(fencing),
+        }
+    }
+
+    fn lose(&mut self, fencing: u64) {
+        self.cell.clear();
+        self.tenure = None;
+        self.waiting.retain(Waiting::is_not_recorded);
+        self.ask_at = Moment::now() + self.options.poll;
+        warn!(self.log, "lease lost"; "data_centre" => %self.options.data_centre, "fencing" => fencing);
+    }
+
+    /// Writes no more, waits for calls under way and gives the lease back; open intents stay for the successor.
+    fn hand_over(mut self) {
+        self.cell.clear();
+        let Some(mut tenure) = self.tenure.take() else {
+            return;
+        };
+        while tenure.is_calling() {
+            let Ok(account) = self.desk.accounts.recv_timeout(courier::CALL_LIMIT * 2) else {
+                return;
+            };
+            tenure.hear(account, &self.log);
+        }
+        let released = self.authority.release(tenure.fencing).is_ok();
+        info!(self.log, "lease given back"; "data_centre" => %self.options.data_centre,
+            "fencing" => tenure.fencing, "recorded" => released);
+    }
+}
--- /dev/null
+++ b/crates/orders/src/duty/board.rs
@@ -0,0 +1,86 @@
+//! What the duty does now and did last, for operators.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use common::{clock, name};
+use serde::{Deserialize, Serialize};
+
+use super::tenure::Tenure;
+use crate::intent::{Ending, Intent};
+
+/// Outcomes kept.
+const MAX_OUTCOMES: usize = 50;
+
+/// A report that the duty writes and others read.
+#[derive(Clone, Debug, Default)]
+pub struct Board(Arc<Mutex<Report>>);
+
+/// What the duty does now and did last.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Fencing number of the lease, if it is held.
+    pub fencing: Option<u64>,
+    /// Intents under way.
+    pub open: Vec<Entry>,
+    /// Wishes that wait.
+    pub waiting: usize,
+    /// Last outcomes, newest first.
+    pub outcomes: VecDeque<Outcome>,
+}
+
+/// An intent under way.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The intent.
+    pub intent: Intent,
+    /// Why it was made.
+    pub reason: String,
+}
+
+/// An intent that has ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outcome {
+    /// The engine.
+    pub target: name::Target,
+    /// What it was told.
+    pub action: String,
+    /// Why.
+    pub reason: String,
+    /// How it ended.
+    pub ending: Ending,
+    /// When, in milliseconds since the Unix epoch.
+    pub at_unix_ms: u64,
+}
+
+impl Board {
+    /// The newest report.
+    pub fn report(&self) -> Report {
+        self.lock().clone()
+    }
+
+    pub(super) fn publish(&self, tenure: Option<&Tenure>, waiting: usize) {
+        let mut report = self.lock();
+        report.fencing = tenure.map(|tenure| tenure.fencing);
+        report.open = tenure.map(Tenure::entries).unwrap_or_default();
+        report.waiting = waiting;
+    }
+
+    pub(super) fn add(&self, entry: &Entry, ending: Ending) {
+        let mut report = self.lock();
+        report.outcomes.push_front(Outcome {
+            target: entry.intent.target.clone(),
+            action: entry.intent.action.to_string(),
+            reason: entry.reason.clone(),
+            ending,
+            at_unix_ms: clock::unix_ms(),
+        });
+        report.outcomes.truncate(MAX_OUTCOMES);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Report> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/orders/src/duty/tenure.rs
@@ -0,0 +1,376 @@
+//! The intents under one lease.
+
+use std::{collections::VecDeque, time::Duration};
+
+use common::{
+    clock::Moment,
+    collections::{Map, Set},
+    name,
+    ring::Sender,
+};
+use slog::{Logger, info, warn};
+use wire::target::{Action, Fencing, Phase, Reply, State};
+
+use super::board::{Board, Entry};
+use crate::{
+    assertion,
+    authority::{Authority, Denial, Opening},
+    bucket::Bucket,
+    courier::{Account, Answer, Call, Errand},
+    intent::{Ending, Intent, Record, Settled, Wish},
+    machine::{self, Job, Step},
+    roster::Engine,
+};
+
+/// A wish that has not become an intent yet.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    wish: Wish,
+    /// The id it was given when it was first sent to the log, which may have recorded it.
+    id: Option<String>,
+}
+
+/// What a holder knows under one fencing number.
+#[derive(Debug)]
+pub struct Tenure {
+    /// The fencing number.
+    pub fencing: u64,
+    /// Tells the tenures of this process apart.
+    number: u64,
+    data_centre: name::DataCentre,
+    engines: Map<name::Target, Engine>,
+    jobs: Map<name::Target, Active>,
+    last: Map<name::Target, Settled>,
+    /// Incarnation in which each engine was found or put in its intended state.
+    asserted: Map<name::Target, u64>,
+    probe_at: Map<name::Target, Moment>,
+    /// Engines with a call under way.
+    calls: Set<name::Target>,
+    wishes: Vec<Wish>,
+    opened: u64,
+    outranked: bool,
+}
+
+#[derive(Debug)]
+struct Active {
+    job: Job,
+    reason: String,
+    next: Next,
+    missing_since: Option<Moment>,
+}
+
+#[derive(Debug)]
+enum Next {
+    ReadAt(Moment),
+    Send(wire::target::Order),
+    Settle(Ending),
+}
+
+impl Waiting {
+    /// Makes a waiting wish.
+    pub fn new(wish: Wish) -> Waiting {
+        Waiting { wish, id: None }
+    }
+
+    /// Whether the log certainly hasn't recorded it.
+    pub fn is_not_recorded(&self) -> bool {
+        self.id.is_none()
+    }
+}
+
+impl Tenure {
+    /// Starts from what the log knows.
+    pub fn new(
+        data_centre: name::DataCentre,
+        fencing: u64,
+        number: u64,
+        records: Vec<Record>,
+    ) -> Tenure {
+        let mut tenure = Tenure {
+            fencing,
+            number,
+            data_centre,
+            engines: Map::default(),
+            jobs: Map::default(),
+            last: Map::default(),
+            asserted: Map::default(),
+            probe_at: Map::default(),
+            calls: Set::default(),
+            wishes: Vec::new(),
+            opened: 0,
+            outranked: false,
+        };
+        for record in records {
+            if let Some(last) = record.last {
+                tenure.last.insert(record.target.clone(), last);
+            }
+            if let Some(intent) = record.open {
+                tenure.begin(intent, String::from("open when the lease was taken"));
+            }
+        }
+        tenure
+    }
+
+    /// Intents under way.
+    pub fn open_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Intents under way, for operators.
+    pub fn entries(&self) -> Vec<Entry> {
+        let mut entries: Vec<Entry> = self.jobs.values().map(Active::entry).collect();
+        entries.sort_by(|a, b| a.intent.target.cmp(&b.intent.target));
+        entries
+    }
+
+    /// Whether an engine has seen a higher fencing number.
+    pub fn is_outranked(&self) -> bool {
+        self.outranked
+    }
+
+    /// Whether a call is under way.
+    pub fn is_calling(&self) -> bool {
+        !self.calls.is_empty()
+    }
+
+    /// Takes the announced engines in.
+    pub fn meet(&mut self, engines: Vec<Engine>, now: Moment) {
+        self.engines = engines.into_iter().map(|engine| (engine.name.clone(), engine)).collect();
+        for (target, active) in &mut self.jobs {
+            match self.engines.get(target) {
+                Some(engine) => {
+                    active.job.checks = engine.fencing;
+                    active.missing_since = None;
+                }
+                None => {
+                    active.missing_since.get_or_insert(now);
+                }
+            }
+        }
+    }
+
+    /// Takes in what came of a call.
+    pub fn hear(&mut self, account: Account, log: &Logger) {
+        if account.tenure != self.number {
+            return;
+        }
+        self.calls.remove(&account.target);
+        if let Err(fault) = &account.result {
+            warn!(log, "call to an engine failed"; "target" => %account.target, "fault" => %fault);
+        }
+        let now = Moment::now();
+        let drain_limit = self.engines.get(&account.target).map(|engine| engine.drain_limit);
+        match (self.jobs.get_mut(&account.target), account.result) {
+            (_, Ok(Answer::Reply(Reply::Stale { highest }))) => {
+                warn!(log, "an engine has seen a higher fencing number"; "target" => %account.target,
+                    "highest" => highest, "fencing" => self.fencing);
+                self.outranked = true;
+            }
+            (Some(active), Ok(answer)) => active.hear(answer, drain_limit.unwrap_or_default(), now),
+            (None, Ok(Answer::State(state))) => self.probed(&account.target, &state),
+            (None, Ok(Answer::Reply(_))) | (_, Err(_)) => {}
+        }
+    }
+
+    fn probed(&mut self, target: &name::Target, state: &State) {
+        if state.open_order.is_some() || state.phase == Phase::Changing {
+            return;
+        }
+        let checks = self.engines.get(target).map_or(Fencing::Unchecked, |engine| engine.fencing);
+        let last = self.last.get(target);
+        if let Some(action) = assertion::missing(last, state, checks, self.fencing) {
+            let reason = String::from("intended state asserted again");
+            self.wishes.push(Wish { target: target.clone(), action, reason });
+        }
+        self.asserted.insert(target.clone(), state.incarnation);
+    }
+
+    /// Puts what engines lack of their intended state before all other wishes.
+    pub fn assert(&mut self, waiting: &mut VecDeque<Waiting>) {
+        for wish in self.wishes.drain(..) {
+            waiting.push_front(Waiting::new(wish));
+        }
+    }
+
+    /// Records the outcomes of intents that have ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns the log's denial; what isn't recorded is tried again next time.
+    pub fn settle<A: Authority>(
+        &mut self,
+        authority: &mut A,
+        board: &Board,
+        log: &Logger,
+    ) -> Result<(), Denial> {
+        let ended: Vec<Settled> = self.jobs.values().filter_map(Active::ended).collect();
+        for settled in ended {
+            authority.settle(self.fencing, &settled.intent, settled.ending)?;
+            let target = settled.intent.target.clone();
+            if let Some(active) = self.jobs.remove(&target) {
+                info!(log, "intent ended"; "id" => &settled.intent.id, "target" => %target,
+                    "action" => %settled.intent.action, "ending" => %settled.ending);
+                board.add(&active.entry(), settled.ending);
+            }
+            self.last.insert(target, settled);
+        }
+        Ok(())
+    }
+
+    /// Makes intents of wishes whose engine has none and that the weight store can serve.
+    ///
+    /// # Errors
+    ///
+    /// Returns the log's denial; the wishes stay.
+    pub fn admit<A: Authority>(
+        &mut self,
+        waiting: &mut VecDeque<Waiting>,
+        bucket: &mut Bucket,
+        authority: &mut A,
+        log: &Logger,
+    ) -> Result<(), Denial> {
+        for _ in 0..waiting.len() {
+            let Some(mut next) = waiting.pop_front() else { break };
+            if !self.engines.contains_key(&next.wish.target) {
+                warn!(log, "wish for an unknown engine dropped"; "target" => %next.wish.target);
+                continue;
+            }
+            if !self.may_begin(&next, bucket) {
+                waiting.push_back(next);
+                continue;
+            }
+            let intent = self.name(&mut next);
+            match authority.open(self.fencing, &intent) {
+                Ok(Opening::Opened) => {
+                    info!(log, "intent opened"; "id" => &intent.id, "target" => %intent.target,
+                        "action" => %intent.action, "reason" => &next.wish.reason);
+                    self.begin(intent, next.wish.reason);
+                }
+                Ok(Opening::Ended(_)) => {}
+                Ok(Opening::Busy(open)) => {
+                    self.begin(open, String::from("found open in the log"));
+                    waiting.push_back(next);
+                }
+                Ok(Opening::Full) => waiting.push_back(next),
+                Err(denial) => {
+                    waiting.push_front(next);
+                    return Err(denial);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn may_begin(&self, next: &Waiting, bucket: &mut Bucket) -> bool {
+        if self.jobs.contains_key(&next.wish.target) {
+            return false;
+        }
+        let is_load = |action: &Action| matches!(action, Action::Load { .. });
+        if !is_load(&next.wish.action) || next.id.is_some() {
+            return true;
+        }
+        let loads = self.jobs.values().filter(|active| is_load(&active.job.intent.action)).count();
+        bucket.take(u32::try_from(loads).unwrap_or(u32::MAX), Moment::now())
+    }
+
+    fn name(&mut self, next: &mut Waiting) -> Intent {
+        self.opened += 1;
+        let fresh = || format!("{}-{}-{}", self.data_centre, self.fencing, self.opened);
+        let id = next.id.get_or_insert_with(fresh).clone();
+        Intent { id, target: next.wish.target.clone(), action: next.wish.action.clone() }
+    }
+
+    fn begin(&mut self, intent: Intent, reason: String) {
+        let now = Moment::now();
+        let job = Job {
+            fencing: self.fencing,
+            checks: Fencing::Checked,
+            since: now,
+            incarnation: None,
+            rejected: false,
+            intent,
+        };
+        let target = job.intent.target.clone();
+        let active = Active { job, reason, next: Next::ReadAt(now), missing_since: None };
+        self.jobs.insert(target, active);
+    }
+
+    /// Starts the calls that are due, one at a time for each engine.
+    pub fn call(&mut self, errands: &Sender<Errand>, poll: Duration, gone_after: Duration) {
+        let now = Moment::now();
+        for (target, engine) in &self.engines {
+            if self.calls.contains(target) {
+                continue;
+            }
+            let call = match self.jobs.get_mut(target) {
+                Some(active) => active.due(now, poll),
+                None => self.probe(engine, now),
+            };
+            let Some(call) = call else { continue };
+            let errand = Errand {
+                target: target.clone(),
+                address: engine.address,
+                call,
+                tenure: self.number,
+            };
+            if errands.send(errand).is_err() {
+                break;
+            }
+            self.calls.insert(target.clone());
+            self.probe_at.insert(target.clone(), now + poll);
+        }
+        for active in self.jobs.values_mut() {
+            if active.missing_since.is_some_and(|since| now.since(since) >= gone_after) {
+                active.next = Next::Settle(Ending::Gone);
+            }
+        }
+    }
+
+    fn probe(&self, engine: &Engine, now: Moment) -> Option<Call> {
+        let is_asserted = self.asserted.get(&engine.name) == Some(&engine.incarnation);
+        let is_due = self.probe_at.get(&engine.name).is_none_or(|at| *at <= now);
+        (!is_asserted && is_due).then_some(Call::Read)
+    }
+}
+
+impl Active {
+    fn entry(&self) -> Entry {
+        Entry { intent: self.job.intent.clone(), reason: self.reason.clone() }
+    }
+
+    fn ended(&self) -> Option<Settled> {
+        match self.next {
+            Next::Settle(ending) => Some(Settled { intent: self.job.intent.clone(), ending }),
+            Next::ReadAt(_) | Next::Send(_) => None,
+        }
+    }
+
+    fn hear(&mut self, answer: Answer, drain_limit: Duration, now: Moment) {
+        match answer {
+            Answer::State(state) => {
+                let step = machine::next(&self.job, &state, drain_limit, now);
+                self.job.incarnation.get_or_insert(state.incarnation);
+                match step {
+                    Step::Send(order) => self.next = Next::Send(order),
+                    Step::Settle(ending) => self.next = Next::Settle(ending),
+                    Step::Wait => {}
+                }
+            }
+            Answer::Reply(Reply::Invalid { .. }) => self.job.rejected = true,
+            Answer::Reply(_) => self.next = Next::ReadAt(now),
+        }
+    }
+
+    /// The call that is due; after each order the state is read before anything else is decided.
+    fn due(&mut self, now: Moment, poll: Duration) -> Option<Call> {
+        let next = std::mem::replace(&mut self.next, Next::ReadAt(now + poll));
+        match next {
+            Next::ReadAt(at) if at <= now => Some(Call::Read),
+            Next::Send(order) => Some(Call::Send(order)),
+            next => {
+                self.next = next;
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/orders/src/intent.rs
@@ -0,0 +1,60 @@
+//! Intents: orders recorded before they are sent.
+
+use common::name;
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use wire::target::Action;
+
+/// An order recorded before it is sent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Intent {
+    /// Identifies the order; a resend has the same id.
+    pub id: String,
+    /// The target.
+    pub target: name::Target,
+    /// What to do.
+    pub action: Action,
+}
+
+/// How an intent ended.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[display(rename_all = "lowercase")]
+pub enum Ending {
+    /// Carried out.
+    Done,
+    /// Not carried out; the engine is as before.
+    Failed,
+    /// The target is gone, and the order with it.
+    Gone,
+}
+
+/// What the log knows of one target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The target.
+    pub target: name::Target,
+    /// The open intent.
+    pub open: Option<Intent>,
+    /// The last intent that ended.
+    pub last: Option<Settled>,
+}
+
+/// An intent that has ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settled {
+    /// The intent.
+    pub intent: Intent,
+    /// How it ended.
+    pub ending: Ending,
+}
+
+/// Something that an engine should do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wish {
+    /// The engine.
+    pub target: name::Target,
+    /// What to do.
+    pub action: Action,
+    /// Why, with figures.
+    pub reason: String,
+}
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -1,1 +1,15 @@
 //! Carries intents out to targets.
+//!
+//! [`machine`] decides on the next step of one intent, [`assertion`] on what a restarted engine or a new holder
+//! needs, [`bucket`] on when a load may start; all three are pure. [`courier`] sends orders under the lease, and
+//! [`duty`] is the thread that holds the lease and drives them.
+
+pub mod assertion;
+pub mod authority;
+pub mod bucket;
+pub mod courier;
+pub mod duty;
+pub mod intent;
+pub mod lease;
+pub mod machine;
+pub mod roster;
--- /dev/null
+++ b/crates/orders/src/machine.rs
@@ -0,0 +1,133 @@
+//! The next step of one intent, from the engine's own account of itself.
+//!
+//! Nothing but the intent and the account is needed, so a successor goes on where its predecessor stopped. An
+//! order that ends streams (a role change, an unload) waits until the engine is drained; past the drain limit
+//! the drain is undone and the intent fails.
+
+use std::time::Duration;
+
+use common::clock::Moment;
+use wire::target::{Action, Ending as Ended, Fencing, Order, Phase, State};
+
+use crate::intent::{Ending, Intent};
+
+/// An intent under way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// The intent.
+    pub intent: Intent,
+    /// The holder's fencing number.
+    pub fencing: u64,
+    /// Whether the engine checks it.
+    pub checks: Fencing,
+    /// When the holder took the intent up.
+    pub since: Moment,
+    /// The engine's incarnation when it was first reached.
+    pub incarnation: Option<u64>,
+    /// Whether the engine found the order invalid.
+    pub rejected: bool,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Send an order, then read the engine's state.
+    Send(Order),
+    /// Read the engine's state again after a pause.
+    Wait,
+    /// Record the outcome.
+    Settle(Ending),
+}
+
+/// Decides on the next step of `job` when the engine is as in `state`.
+pub fn next(job: &Job, state: &State, drain_limit: Duration, now: Moment) -> Step {
+    if state.open_order.is_some() || state.phase == Phase::Changing {
+        return Step::Wait;
+    }
+    if let Some(last) = state.last_order.as_ref().filter(|last| last.id == job.intent.id) {
+        return match last.result {
+            Ended::Done => Step::Settle(Ending::Done),
+            Ended::Failed => job.give_up(state),
+        };
+    }
+    if job.rejected {
+        return job.give_up(state);
+    }
+    if job.is_in_force(state) {
+        return job.conclude(state);
+    }
+    let restarted = job.incarnation.is_some_and(|first| first != state.incarnation);
+    let leaves = state.phase == Phase::Leaving && job.intent.action != Action::Withdraw;
+    if leaves || (restarted && job.needs_drain()) {
+        return job.give_up(state);
+    }
+    if job.needs_drain() {
+        return job.drain_first(state, drain_limit, now);
+    }
+    Step::Send(job.order())
+}
+
+impl Job {
+    /// Whether the order ends streams that run.
+    fn needs_drain(&self) -> bool {
+        matches!(self.intent.action, Action::Role { .. } | Action::Unload { .. })
+    }
+
+    /// Whether nothing is left to do.
+    fn is_in_force(&self, state: &State) -> bool {
+        let number_known = self.checks == Fencing::Unchecked || state.fencing >= self.fencing;
+        match &self.intent.action {
+            Action::Role { role } => state.role == *role,
+            Action::Load { model } => state.models.contains(model),
+            Action::Unload { model } => !state.models.contains(model),
+            Action::Drain => state.phase == Phase::Draining && number_known,
+            Action::Undrain => state.phase == Phase::Ready && number_known,
+            Action::Withdraw => state.phase == Phase::Leaving && number_known,
+        }
+    }
+
+    fn drain_first(&self, state: &State, limit: Duration, now: Moment) -> Step {
+        let late = now.since(self.since) >= limit;
+        match state.phase {
+            Phase::Draining if state.running == 0 => Step::Send(self.order()),
+            Phase::Draining if late => Step::Send(self.undrain()),
+            Phase::Ready if late => Step::Settle(Ending::Failed),
+            Phase::Ready => Step::Send(self.part("drain", Action::Drain)),
+            Phase::Draining | Phase::Changing | Phase::Leaving => Step::Wait,
+        }
+    }
+
+    /// Ends an intent that is in force, after undoing a drain that was made for it.
+    fn conclude(&self, state: &State) -> Step {
+        if self.needs_drain() && state.phase == Phase::Draining {
+            return Step::Send(self.undrain());
+        }
+        Step::Settle(Ending::Done)
+    }
+
+    /// Ends an intent that failed, after undoing a drain that was made for it.
+    fn give_up(&self, state: &State) -> Step {
+        if self.needs_drain() && state.phase == Phase::Draining {
+            return Step::Send(self.undrain());
+        }
+        Step::Settle(Ending::Failed)
+    }
+
+    fn order(&self) -> Order {
+        Order {
+            id: self.intent.id.clone(),
+            fencing: self.fencing,
+            action: self.intent.action.clone(),
+        }
+    }
+
+    fn undrain(&self) -> Order {
+        self.part("undrain", Action::Undrain)
+    }
+
+    /// An order that prepares or undoes the intent's own.
+    fn part(&self, name: &str, action: Action) -> Order {
+        let id = format!("{}/{name}", self.intent.id);
+        Order { id, fencing: self.fencing, action }
+    }
+}
--- /dev/null
+++ b/crates/orders/tests/bucket.rs
@@ -0,0 +1,28 @@
+//! The bound on loads.
+
+use std::time::Duration;
+
+use common::clock::Moment;
+use expect_test::expect;
+use orders::bucket::{Bucket, Limits};
+
+#[test]
+fn starts_no_more_loads_than_the_rate_allows() {
+    let start = Moment(1_000_000);
+    let mut bucket = Bucket::new(Limits { at_once: 2, per_minute: 6 }, start);
+    let mut started = Vec::new();
+    for second in 0..60 {
+        if bucket.take(0, start + Duration::from_secs(second)) {
+            started.push(second);
+        }
+    }
+    expect![[r#"[0, 1, 10, 20, 30, 40, 50]"#]].assert_eq(&format!("{started:?}"));
+}
+
+#[test]
+fn starts_none_while_as_many_run_as_may() {
+    let start = Moment(1_000_000);
+    let mut bucket = Bucket::new(Limits { at_once: 2, per_minute: 600 }, start);
+    assert!(bucket.take(1, start));
+    assert!(!bucket.take(2, start + Duration::from_secs(30)));
+}
--- /dev/null
+++ b/crates/orders/tests/drain.rs
@@ -0,0 +1,83 @@
+//! Planned changes cut no stream.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+#[path = "support/site.rs"]
+mod support;
+
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use common::role::Role;
+use orders::intent::Ending;
+use standin::engine::Engine;
+use support::{Site, role, until, wish};
+use wire::target::{Action, Fencing, Phase};
+use yare::parameterized;
+
+const TOKENS: usize = 60;
+
+/// Starts a stream at an engine; the thread gives the events that came.
+fn stream(engine: &Engine) -> JoinHandle<usize> {
+    let address = engine.address();
+    let body = format!(r#"{{"model":"small","prompt":"p","stream":true,"max_tokens":{TOKENS}}}"#);
+    let reader = thread::spawn(move || {
+        let mut socket = TcpStream::connect(address).unwrap();
+        let head = format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: engine\r\ncontent-type: application/json\r\n\
+             connection: close\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        socket.write_all(head.as_bytes()).unwrap();
+        socket.write_all(body.as_bytes()).unwrap();
+        let mut answer = String::new();
+        socket.read_to_string(&mut answer).unwrap();
+        assert!(answer.contains("data: [DONE]"), "{answer}");
+        answer.matches("data: {").count()
+    });
+    until("the stream runs", || engine.load().running == 1);
+    reader
+}
+
+#[parameterized(checked = { Fencing::Checked }, unchecked = { Fencing::Unchecked })]
+fn a_role_change_waits_for_the_streams_to_end(fencing: Fencing) {
+    let site = Site::new();
+    let engine = site.engine("engine", |options| {
+        options.fencing = fencing;
+        options.speed.scale = 1.0;
+        options.speed.change = Duration::from_millis(100);
+    });
+    let (handle, _token) = site.duty(&site.log.client(1));
+    let reader = stream(&engine);
+    handle.wishes.send(wish("engine", role(Role::Decode))).unwrap();
+    until("the engine drains", || engine.state().phase == Phase::Draining);
+    assert_eq!(engine.state().role, Role::Mixed);
+    let events = reader.join().unwrap();
+    until("the role is taken", || site.log.endings().contains(&(role(Role::Decode), Ending::Done)));
+    assert!(events >= TOKENS, "{events} events");
+    assert_eq!(engine.state().role, Role::Decode);
+    assert_eq!(engine.state().phase, Phase::Ready);
+    assert_eq!(engine.totals().cut, 0);
+}
+
+#[parameterized(
+    role = { Action::Role { role: Role::Decode } },
+    unload = { Action::Unload { model: String::from("small") } },
+)]
+fn past_the_drain_limit_the_change_is_put_off_and_undone(action: Action) {
+    let mut site = Site::new();
+    site.drain_limit = Duration::from_millis(100);
+    let engine = site.engine("engine", |options| options.speed.scale = 2.0);
+    let (handle, _token) = site.duty(&site.log.client(1));
+    let reader = stream(&engine);
+    handle.wishes.send(wish("engine", action.clone())).unwrap();
+    until("it is put off", || site.log.endings().contains(&(action.clone(), Ending::Failed)));
+    assert_eq!(engine.state().phase, Phase::Ready);
+    assert_eq!(engine.state().role, Role::Mixed);
+    assert!(reader.join().unwrap() >= TOKENS);
+    assert_eq!(engine.totals().cut, 0);
+}
--- /dev/null
+++ b/crates/orders/tests/support/site.rs
@@ -0,0 +1,287 @@
+//! A log in memory, stand-in engines on loopback sockets and duties over them.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+    thread,
+    time::Duration,
+};
+
+use common::{cancel, clock::Moment, name, role::Role};
+use orders::{
+    authority::{Authority, Denial, Opening},
+    bucket::Limits,
+    duty::{self, Handle, Options},
+    intent::{Ending, Intent, Record, Settled, Wish},
+    roster::{self, Roster},
+};
+use slog::{Discard, Logger, o};
+use standin::engine::{self, Engine};
+use tokio::runtime::Runtime;
+use wire::target::{Action, Fencing};
+
+const TERM: Duration = Duration::from_millis(900);
+const MARGIN: Duration = Duration::from_millis(300);
+const POLL: Duration = Duration::from_millis(20);
+const GONE_AFTER: Duration = Duration::from_millis(400);
+const PATIENCE: Duration = Duration::from_secs(60);
+const LOOK: Duration = Duration::from_millis(10);
+
+/// What happened in the log, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    Granted(u64),
+    Opened(Intent),
+    Settled(Intent, Ending),
+}
+
+/// The log that all clients share.
+#[derive(Clone, Debug, Default)]
+pub struct Log(Arc<Mutex<State>>);
+
+#[derive(Debug, Default)]
+struct State {
+    index: u64,
+    holder: Option<Holder>,
+    records: BTreeMap<name::Target, Record>,
+    events: Vec<Event>,
+}
+
+#[derive(Debug)]
+struct Holder {
+    session: u64,
+    fencing: u64,
+    free_at: Moment,
+}
+
+/// One instance's way to the log, which can be cut.
+#[derive(Clone, Debug)]
+pub struct Client {
+    log: Log,
+    session: u64,
+    cut: cancel::Token,
+}
+
+impl Log {
+    pub fn client(&self, session: u64) -> Client {
+        Client { log: self.clone(), session, cut: cancel::Token::new() }
+    }
+
+    pub fn events(&self) -> Vec<Event> {
+        self.lock().events.clone()
+    }
+
+    pub fn endings(&self) -> Vec<(Action, Ending)> {
+        let of = |event| match event {
+            Event::Settled(intent, ending) => Some((intent.action, ending)),
+            _ => None,
+        };
+        self.events().into_iter().filter_map(of).collect()
+    }
+
+    pub fn is_free(&self) -> bool {
+        self.lock().holder.is_none()
+    }
+
+    /// Fails when an intent was opened for a target that had an open one.
+    pub fn check_one_open(&self) {
+        let mut open: BTreeMap<name::Target, String> = BTreeMap::new();
+        for event in self.events() {
+            match event {
+                Event::Granted(_) => {}
+                Event::Opened(intent) => {
+                    assert_eq!(open.insert(intent.target, intent.id), None);
+                }
+                Event::Settled(intent, _) => {
+                    assert_eq!(open.remove(&intent.target), Some(intent.id));
+                }
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap()
+    }
+}
+
+impl Client {
+    pub fn cut(&self) {
+        self.cut.cancel();
+    }
+
+    fn held(&self, fencing: u64) -> Result<MutexGuard<'_, State>, Denial> {
+        let state = self.reach()?;
+        let held = state
+            .holder
+            .as_ref()
+            .is_some_and(|holder| holder.session == self.session && holder.fencing == fencing);
+        if held { Ok(state) } else { Err(Denial::Lost) }
+    }
+
+    fn reach(&self) -> Result<MutexGuard<'_, State>, Denial> {
+        if self.cut.is_cancelled() { Err(Denial::Unreachable) } else { Ok(self.log.lock()) }
+    }
+}
+
+impl Authority for Client {
+    fn grant(&mut self, term: Duration) -> Result<u64, Denial> {
+        let mut state = self.reach()?;
+        let now = Moment::now();
+        if let Some(holder) = &state.holder
+            && holder.session != self.session
+            && now < holder.free_at
+        {
+            return Err(Denial::Held { wait: holder.free_at.since(now) });
+        }
+        state.index += 1;
+        let fencing = state.index;
+        let free_at = now + term + MARGIN;
+        state.holder = Some(Holder { session: self.session, fencing, free_at });
+        state.events.push(Event::Granted(fencing));
+        Ok(fencing)
+    }
+
+    fn renew(&mut self, fencing: u64) -> Result<(), Denial> {
+        let mut state = self.held(fencing)?;
+        if let Some(holder) = &mut state.holder {
+            holder.free_at = Moment::now() + TERM + MARGIN;
+        }
+        Ok(())
+    }
+
+    fn release(&mut self, fencing: u64) -> Result<(), Denial> {
+        self.held(fencing)?.holder = None;
+        Ok(())
+    }
+
+    fn records(&mut self) -> Result<Vec<Record>, Denial> {
+        Ok(self.reach()?.records.values().cloned().collect())
+    }
+
+    fn open(&mut self, fencing: u64, intent: &Intent) -> Result<Opening, Denial> {
+        let mut state = self.held(fencing)?;
+        state.index += 1;
+        let target = intent.target.clone();
+        let record = state.records.entry(target.clone()).or_insert(Record {
+            target,
+            open: None,
+            last: None,
+        });
+        if let Some(open) = record.open.clone() {
+            return Ok(if open.id == intent.id { Opening::Opened } else { Opening::Busy(open) });
+        }
+        record.open = Some(intent.clone());
+        state.events.push(Event::Opened(intent.clone()));
+        Ok(Opening::Opened)
+    }
+
+    fn settle(&mut self, fencing: u64, intent: &Intent, ending: Ending) -> Result<(), Denial> {
+        let mut state = self.held(fencing)?;
+        let record = state.records.get_mut(&intent.target).unwrap();
+        if record.open.take_if(|open| open.id == intent.id).is_some() {
+            record.last = Some(Settled { intent: intent.clone(), ending });
+            state.events.push(Event::Settled(intent.clone(), ending));
+        }
+        Ok(())
+    }
+}
+
+/// Engines that are announced, and the weight store's limits.
+#[derive(Clone, Debug)]
+pub struct List {
+    engines: Arc<Mutex<Vec<roster::Engine>>>,
+    loads: Limits,
+}
+
+impl Roster for List {
+    fn engines(&self) -> Vec<roster::Engine> {
+        self.engines.lock().unwrap().clone()
+    }
+
+    fn loads(&self) -> Limits {
+        self.loads
+    }
+}
+
+/// A data centre with its log and engines.
+pub struct Site {
+    pub runtime: Runtime,
+    pub log: Log,
+    pub list: List,
+    pub drain_limit: Duration,
+}
+
+impl Site {
+    pub fn new() -> Site {
+        let loads = Limits { at_once: 2, per_minute: 60_000 };
+        Site {
+            runtime: Runtime::new().unwrap(),
+            log: Log::default(),
+            list: List { engines: Arc::default(), loads },
+            drain_limit: Duration::from_secs(30),
+        }
+    }
+
+    /// Starts an engine ten times as fast as usual; `set` changes its options.
+    pub fn engine(&self, name: &str, set: impl FnOnce(&mut engine::Options)) -> Engine {
+        let mut options = engine::Options::new(name, "partner", "model", Vec::new());
+        options.speed.scale = 0.1;
+        set(&mut options);
+        let fencing = options.fencing;
+        let engine = self.runtime.block_on(Engine::start(options, cancel::Token::new())).unwrap();
+        self.announce(&engine, fencing);
+        engine
+    }
+
+    pub fn announce(&self, engine: &Engine, fencing: Fencing) {
+        let state = engine.state();
+        let mut engines = self.list.engines.lock().unwrap();
+        engines.retain(|other| other.name != state.target);
+        engines.push(roster::Engine {
+            name: state.target,
+            address: engine.address(),
+            incarnation: state.incarnation,
+            fencing,
+            drain_limit: self.drain_limit,
+        });
+    }
+
+    pub fn withdraw(&self, name: &str) {
+        self.list.engines.lock().unwrap().retain(|engine| engine.name.0 != name);
+    }
+
+    /// Starts the duty of one instance.
+    pub fn duty(&self, client: &Client) -> (Handle, cancel::Token) {
+        let options = Options {
+            data_centre: name::DataCentre::from("local"),
+            term: TERM,
+            poll: POLL,
+            gone_after: GONE_AFTER,
+        };
+        let token = cancel::Token::new();
+        let log = Logger::root(Discard, o!());
+        let handle =
+            duty::start(options, client.clone(), self.list.clone(), token.clone(), log).unwrap();
+        (handle, token)
+    }
+}
+
+pub fn wish(target: &str, action: Action) -> Wish {
+    Wish { target: name::Target::from(target), action, reason: String::from("test") }
+}
+
+pub fn role(role: Role) -> Action {
+    Action::Role { role }
+}
+
+/// Waits until `condition` holds.
+pub fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Moment::now() + PATIENCE;
+    while !condition() {
+        assert!(Moment::now() < end, "waited in vain: {what}");
+        thread::sleep(LOOK);
+    }
+}
--- a/crates/roles/tests/baseline.rs
+++ b/crates/roles/tests/baseline.rs
@@ -1,5 +1,6 @@
 //! The evaluation itself: traces repeat, and nothing beats the clairvoyant bound.
 
+#[path = "support/cases.rs"]
 mod support;
 
 use std::time::Duration;
--- a/crates/roles/tests/plan.rs
+++ b/crates/roles/tests/plan.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+#[path = "support/cases.rs"]
 mod support;
 
 use common::{clock::Moment, name, role::Role};
