--- a/crates/orders/src/courier.rs
+++ b/crates/orders/src/courier.rs
@@ -208,13 +208,11 @@
     };
     tokio::pin!(connection);
     tokio::pin!(answer);
-    loop {
-        tokio::select! {
-            result = &mut answer => return result,
-            result = &mut connection => {
-                result?;
-                return answer.await;
-            }
+    tokio::select! {
+        result = &mut answer => result,
+        result = &mut connection => {
+            result?;
+            answer.await
         }
     }
 }
--- a/crates/orders/src/intent.rs
+++ b/crates/orders/src/intent.rs
@@ -1,7 +1,7 @@
 //! Intents: orders recorded before they are sent.
 
 use common::name;
-use derive_more::Display;
+pub use control::intent::Ending;
 use serde::{Deserialize, Serialize};
 use wire::target::Action;
 
@@ -16,18 +16,6 @@
     pub action: Action,
 }
 
-/// How an intent ended.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
-#[display(rename_all = "lowercase")]
-pub enum Ending {
-    /// Carried out.
-    Done,
-    /// Not carried out; the engine is as before.
-    Failed,
-    /// The target is gone, and the order with it.
-    Gone,
-}
-
 /// What the log knows of one target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
