Fault proxy and harness for real daemons; one view of prompt pieces

Cause: failures have to be brought about between real processes. Conclusion: the five faults of the proxy are each shown by a test.

--- /dev/null
+++ b/crates/standin/src/harness.rs
@@ -0,0 +1,8 @@
+//! Starts real daemons for tests, sends them signals and waits for conditions.
+//!
+//! Panics are failed steps of a test.
+
+pub mod address;
+pub mod daemon;
+pub mod folder;
+pub mod wait;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod announce;
 pub mod answer;
 pub mod engine;
+pub mod harness;
 pub mod http;
 pub mod plain;
+pub mod proxy;
 pub mod weights;
--- /dev/null
+++ b/crates/standin/src/proxy.rs
@@ -0,0 +1,280 @@
+//! A TCP proxy that brings about faults of the network between two processes of a test.
+//!
+//! Bytes held by a cut longer than [`socket::USER_TIMEOUT`] are never delivered: their connection is reset when
+//! the cut heals, as the kernel does with data that stays unacknowledged.
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use common::cancel;
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::{mpsc, watch},
+    time::{self, Instant},
+};
+use wire::socket;
+
+const BUFFER_BYTES: usize = 16 * 1_024;
+/// Chunks under way in one direction of a connection at most.
+const CHUNKS: usize = 1_024;
+/// Time that a chunk may wait for the proxy's own turn.
+const HOLD_MARGIN: Duration = Duration::from_secs(1);
+
+/// Whether bytes of one direction are delivered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Flow {
+    /// They are.
+    #[default]
+    Pass,
+    /// They are held, and nobody is told.
+    Cut,
+}
+
+/// What the network does now.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Conditions {
+    /// One-way delay.
+    pub latency: Duration,
+    /// Bytes towards the upstream address.
+    pub upstream: Flow,
+    /// Bytes back to the side that connected.
+    pub downstream: Flow,
+    /// Whether new connections are reset at once.
+    pub refuses: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Control {
+    conditions: Conditions,
+    /// Connections with a lower number are silent for good.
+    silent_below: u64,
+    /// Connections with a lower number are reset.
+    reset_below: u64,
+}
+
+/// A proxy before one upstream address.
+#[derive(Debug)]
+pub struct Proxy {
+    address: SocketAddr,
+    control: Arc<watch::Sender<Control>>,
+    opened: watch::Receiver<u64>,
+    token: cancel::Token,
+}
+
+impl Proxy {
+    /// Starts a proxy on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error when it can't listen.
+    pub async fn start(upstream: SocketAddr) -> io::Result<Proxy> {
+        Proxy::start_on(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), upstream).await
+    }
+
+    /// Starts a proxy that listens on `listen`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error when it can't listen.
+    pub async fn start_on(listen: SocketAddr, upstream: SocketAddr) -> io::Result<Proxy> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let (control, conditions) = watch::channel(Control::default());
+        let (count, opened) = watch::channel(0);
+        let token = cancel::Token::new();
+        let accept = accept(listener, upstream, conditions, count);
+        let stop = token.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = accept => {}
+            }
+        });
+        Ok(Proxy { address, control: Arc::new(control), opened, token })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Connections accepted so far.
+    pub fn opened(&self) -> u64 {
+        *self.opened.borrow()
+    }
+
+    /// Puts conditions in force for open and new connections.
+    pub fn set(&self, conditions: Conditions) {
+        self.control.send_modify(|control| control.conditions = conditions);
+    }
+
+    /// Makes the open connections silent for good, without a reset; new ones work.
+    pub fn silence_open(&self) {
+        let opened = self.opened();
+        self.control.send_modify(|control| control.silent_below = opened);
+    }
+
+    /// Resets the open connections; new ones work.
+    pub fn reset_open(&self) {
+        let opened = self.opened();
+        self.control.send_modify(|control| control.reset_below = opened);
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.token.cancel();
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    upstream: SocketAddr,
+    control: watch::Receiver<Control>,
+    count: watch::Sender<u64>,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let number = *count.borrow();
+        count.send_replace(number + 1);
+        if control.borrow().conditions.refuses {
+            reset(&stream);
+            continue;
+        }
+        tokio::spawn(carry(stream, upstream, control.clone(), number));
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+/// Carries one connection to its end.
+async fn carry(
+    stream: TcpStream,
+    upstream: SocketAddr,
+    mut control: watch::Receiver<Control>,
+    number: u64,
+) {
+    let Ok(other) = TcpStream::connect(upstream).await else {
+        reset(&stream);
+        return;
+    };
+    let _ = (stream.set_nodelay(true), other.set_nodelay(true));
+    let (near_read, near_write) = stream.into_split();
+    let (far_read, far_write) = other.into_split();
+    let connection = Connection { control: control.clone(), number, broken: cancel::Token::new() };
+    let there = pump(near_read, far_write, connection.clone(), |now| now.upstream);
+    let back = pump(far_read, near_write, connection.clone(), |now| now.downstream);
+    let watch_reset = async {
+        if control.wait_for(|now| now.reset_below > number).await.is_ok() {
+            connection.broken.cancel();
+        }
+    };
+    // Both write halves live until here, so that a reset reaches both sides.
+    let both = async { tokio::join!(there, back) };
+    tokio::pin!(both);
+    tokio::select! {
+        _ = &mut both => return,
+        () = watch_reset => {}
+    }
+    both.await;
+}
+
+/// What both directions of a connection share.
+#[derive(Clone)]
+struct Connection {
+    control: watch::Receiver<Control>,
+    number: u64,
+    broken: cancel::Token,
+}
+
+/// Carries one direction and returns the socket's halves, to be dropped together with the other direction's.
+async fn pump(
+    mut read: OwnedReadHalf,
+    mut write: OwnedWriteHalf,
+    connection: Connection,
+    flow: impl Fn(&Conditions) -> Flow,
+) -> Halves {
+    let (sender, receiver) = mpsc::channel(CHUNKS);
+    let latencies = connection.control.clone();
+    let carry = async {
+        tokio::join!(
+            receive(&mut read, sender, latencies),
+            deliver(&mut write, receiver, &connection, flow)
+        )
+    };
+    tokio::select! {
+        _ = carry => Halves { _read: read, _write: Some(write) },
+        () = connection.broken.cancelled() => {
+            let _ = SockRef::from(write.as_ref()).set_linger(Some(Duration::ZERO));
+            // A dropped write half would end the connection in order, before the reset.
+            write.forget();
+            Halves { _read: read, _write: None }
+        }
+    }
+}
+
+struct Halves {
+    _read: OwnedReadHalf,
+    _write: Option<OwnedWriteHalf>,
+}
+
+struct Chunk {
+    due: Instant,
+    bytes: Vec<u8>,
+}
+
+async fn receive(
+    read: &mut OwnedReadHalf,
+    sender: mpsc::Sender<Chunk>,
+    control: watch::Receiver<Control>,
+) {
+    loop {
+        let mut bytes = vec![0; BUFFER_BYTES];
+        let length = read.read(&mut bytes).await.unwrap_or(0);
+        bytes.truncate(length);
+        let latency = control.borrow().conditions.latency;
+        let chunk = Chunk { due: Instant::now() + latency, bytes };
+        if sender.send(chunk).await.is_err() || length == 0 {
+            return;
+        }
+    }
+}
+
+async fn deliver(
+    write: &mut OwnedWriteHalf,
+    mut receiver: mpsc::Receiver<Chunk>,
+    connection: &Connection,
+    flow: impl Fn(&Conditions) -> Flow,
+) {
+    let mut control = connection.control.clone();
+    let passes = |now: &Control| {
+        flow(&now.conditions) == Flow::Pass && now.silent_below <= connection.number
+    };
+    while let Some(chunk) = receiver.recv().await {
+        time::sleep_until(chunk.due).await;
+        if control.wait_for(passes).await.is_err() {
+            return;
+        }
+        if chunk.due.elapsed() > socket::USER_TIMEOUT + HOLD_MARGIN {
+            connection.broken.cancel();
+            return;
+        }
+        if chunk.bytes.is_empty() || write.write_all(&chunk.bytes).await.is_err() {
+            let _ = write.shutdown().await;
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/proxy.rs
@@ -0,0 +1,102 @@
+//! The faults that the proxy brings about.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::{net::SocketAddr, time::Duration};
+
+use standin::proxy::{Conditions, Flow, Proxy};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time,
+};
+
+/// How long a connection is watched for bytes that must not come.
+const SILENCE: Duration = Duration::from_millis(300);
+const LIMIT: Duration = Duration::from_secs(20);
+
+#[tokio::test]
+async fn silences_open_connections_while_new_ones_work() {
+    let proxy = Proxy::start(echo().await).await.unwrap();
+    let mut old = TcpStream::connect(proxy.address()).await.unwrap();
+    assert!(echoes(&mut old).await);
+    proxy.silence_open();
+    assert!(is_silent(&mut old).await);
+    let mut new = TcpStream::connect(proxy.address()).await.unwrap();
+    assert!(echoes(&mut new).await);
+}
+
+#[tokio::test]
+async fn cuts_one_way_and_heals() {
+    let proxy = Proxy::start(echo().await).await.unwrap();
+    let mut stream = TcpStream::connect(proxy.address()).await.unwrap();
+    proxy.set(Conditions { downstream: Flow::Cut, ..Conditions::default() });
+    assert!(is_silent(&mut stream).await);
+    proxy.set(Conditions::default());
+    assert!(receives(&mut stream).await);
+}
+
+#[tokio::test]
+async fn never_delivers_bytes_that_a_cut_held_too_long() {
+    let proxy = Proxy::start(echo().await).await.unwrap();
+    let mut stream = TcpStream::connect(proxy.address()).await.unwrap();
+    proxy.set(Conditions { upstream: Flow::Cut, ..Conditions::default() });
+    stream.write_all(b"order").await.unwrap();
+    time::sleep(Duration::from_millis(3_300)).await;
+    proxy.set(Conditions::default());
+    let read = time::timeout(LIMIT, stream.read(&mut [0; 8])).await.unwrap();
+    assert!(read.is_err(), "{read:?}");
+}
+
+#[tokio::test]
+async fn resets_open_connections() {
+    let proxy = Proxy::start(echo().await).await.unwrap();
+    let mut stream = TcpStream::connect(proxy.address()).await.unwrap();
+    assert!(echoes(&mut stream).await);
+    proxy.reset_open();
+    let read = time::timeout(LIMIT, stream.read(&mut [0; 8])).await.unwrap();
+    assert!(read.is_err(), "{read:?}");
+}
+
+#[tokio::test]
+async fn delays_both_ways() {
+    let proxy = Proxy::start(echo().await).await.unwrap();
+    let latency = Duration::from_millis(40);
+    proxy.set(Conditions { latency, ..Conditions::default() });
+    let mut stream = TcpStream::connect(proxy.address()).await.unwrap();
+    let start = time::Instant::now();
+    assert!(echoes(&mut stream).await);
+    assert!(start.elapsed() >= latency * 2);
+}
+
+async fn echo() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(async move {
+                let mut buffer = [0; 64];
+                while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+                    stream.write_all(&buffer[..length]).await.unwrap();
+                }
+            });
+        }
+    });
+    address
+}
+
+async fn echoes(stream: &mut TcpStream) -> bool {
+    stream.write_all(b"x").await.unwrap();
+    receives(stream).await
+}
+
+async fn receives(stream: &mut TcpStream) -> bool {
+    let mut buffer = [0; 1];
+    matches!(time::timeout(LIMIT, stream.read(&mut buffer)).await, Ok(Ok(1)))
+}
+
+async fn is_silent(stream: &mut TcpStream) -> bool {
+    stream.write_all(b"x").await.unwrap();
+    time::timeout(SILENCE, stream.read(&mut [0; 1])).await.is_err()
+}
--- a/crates/wire/src/completion.rs
+++ b/crates/wire/src/completion.rs
@@ -38,16 +38,14 @@
 }
 
 impl Request {
-    /// The prompt as one text; messages are joined as `role: content` lines.
+    /// The prompt as one text, as `common::piece::chain` takes it.
     pub fn text(&self) -> String {
-        let mut text = self.prompt.clone().unwrap_or_default();
-        for message in &self.messages {
-            text.push_str(&message.role);
-            text.push_str(": ");
-            text.push_str(&message.content);
-            text.push('\n');
+        if let Some(prompt) = &self.prompt {
+            return prompt.clone();
         }
-        text
+        let contents: Vec<&str> =
+            self.messages.iter().map(|message| message.content.as_str()).collect();
+        contents.join("\n")
     }
 
     /// Tokens that the prompt is taken to have.
