--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{claim, declaration, dissolution, intent, lease, time};
+use crate::{claim, declaration, dissolution, drain, intent, lease, time};
 
 /// A command of a branch's log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -29,6 +29,8 @@
     Abandon(claim::Abandon),
     /// Records that the outcome of a claimed call can't be known.
     Lose(claim::Lose),
+    /// Marks a target as wanted drained.
+    Drain(drain::Set),
     /// A step of a dissolution.
     Dissolve(dissolution::Step),
 }
--- a/crates/control/src/declaration/ledger.rs
+++ b/crates/control/src/declaration/ledger.rs
@@ -23,6 +23,8 @@
 pub struct Revision {
     /// The version it made.
     pub record: Record,
+    /// The venture's version whose defaults are part of it.
+    pub venture_version: u64,
     /// The change.
     #[serde(with = "settings::text")]
     pub forward: Delta,
@@ -98,6 +100,11 @@
         reply
     }
 
+    /// The answer that a request got, if it is kept.
+    pub fn answer(&self, request: &str) -> Option<&Reply> {
+        self.requests.answer(request)
+    }
+
     /// Replaces the declarations by ones with the venture's defaults written out.
     pub fn write_out(&mut self, index: u64, author: &Author, after: &Content) -> Reply {
         let delta = delta::between(&self.content, after);
@@ -147,9 +154,10 @@
             return Reply::Refused(Refusal::OldVenture { version: self.venture_version });
         }
         let delta = Delta { venture: Some(venture.clone()), ..Delta::default() };
+        let earlier = std::mem::replace(&mut self.venture_version, venture_version);
         let reply = self.change(index, author, base, Cause::Adopt { venture_version }, &delta);
-        if matches!(reply, Reply::Accepted { .. } | Reply::Unchanged { .. }) {
-            self.venture_version = venture_version;
+        if !matches!(reply, Reply::Accepted { .. } | Reply::Unchanged { .. }) {
+            self.venture_version = earlier;
         }
         reply
     }
@@ -177,7 +185,8 @@
         self.content = after;
         let record = Record { version: self.version, cause, author: author.clone(), index };
         let bytes = postcard_text(forward).len() + postcard_text(&backward).len();
-        self.push(Revision { record, forward: forward.clone(), backward, bytes });
+        let (venture_version, forward) = (self.venture_version, forward.clone());
+        self.push(Revision { record, venture_version, forward, backward, bytes });
         Reply::Accepted { version: self.version }
     }
 
--- a/crates/control/src/declaration/request.rs
+++ b/crates/control/src/declaration/request.rs
@@ -50,6 +50,11 @@
         Some(answer.reply.clone())
     }
 
+    /// The answer that a request got, whatever it asked for.
+    pub fn answer(&self, request: &str) -> Option<&Reply> {
+        self.answers.get(request).map(|answer| &answer.reply)
+    }
+
     /// Keeps an answer.
     pub fn keep(&mut self, request: &str, content: Content, reply: &Reply) {
         if self.order.len() >= MAX_KEPT
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod command;
 pub mod declaration;
 pub mod dissolution;
+pub mod drain;
 pub mod intent;
 pub mod lease;
 pub mod query;
--- a/crates/control/src/query.rs
+++ b/crates/control/src/query.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use settings::delta::{Content, Delta};
 
-use crate::{claim, declaration, dissolution, intent, lease};
+use crate::{claim, declaration, dissolution, drain, intent, lease};
 
 /// A question to a branch's state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +35,16 @@
         /// The data centre.
         data_centre: name::DataCentre,
     },
+    /// Targets of a data centre that operators want drained.
+    Drains {
+        /// The data centre.
+        data_centre: name::DataCentre,
+    },
+    /// The answer that an operator's request got.
+    Request {
+        /// The request's id.
+        id: String,
+    },
     /// What a resend of a call is told.
     Claim {
         /// The call.
@@ -64,6 +74,10 @@
     Leases(Vec<Lease>),
     /// Orders.
     Intents(Vec<Intent>),
+    /// Targets that operators want drained.
+    Drains(Vec<Drain>),
+    /// The answer that the request got, if it is kept.
+    Request(Option<declaration::Reply>),
     /// What a resend is told, if the call is claimed.
     Claim(Option<claim::Reply>),
     /// The log's time.
@@ -117,6 +131,8 @@
 pub struct Step {
     /// The version that it leads to.
     pub version: u64,
+    /// The venture's version whose defaults are part of it.
+    pub venture_version: u64,
     /// The change.
     #[serde(with = "settings::text")]
     pub delta: Delta,
@@ -140,6 +156,15 @@
     pub record: intent::Record,
 }
 
+/// A target that operators want drained.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drain {
+    /// The target.
+    pub target: name::Target,
+    /// Its mark.
+    pub mark: drain::Mark,
+}
+
 /// The log's time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Time {
--- a/crates/control/src/reply.rs
+++ b/crates/control/src/reply.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{claim, declaration, dissolution, intent, lease, time};
+use crate::{claim, declaration, dissolution, drain, intent, lease, time};
 
 /// The answer to a [`crate::command::Command`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -17,6 +17,8 @@
     Intent(intent::Reply),
     /// To a command on claims.
     Claim(claim::Reply),
+    /// To a mark of a target.
+    Drain(drain::Reply),
     /// To a step of a dissolution.
     Dissolution(dissolution::Reply),
 }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -12,7 +12,7 @@
         ledger::{self, KeepVenture, Ledger},
     },
     dissolution::{self, Action, FENCING_STRIDE, Identity, Phase, Step},
-    intent, lease,
+    drain, intent, lease,
     query::{self, Answer, Query},
     reply::Reply,
     snapshot, time,
@@ -27,6 +27,7 @@
     leases: lease::Table,
     intents: intent::Table,
     claims: claim::Table,
+    drains: drain::Table,
     phase: Phase,
     identity: Identity,
 }
@@ -65,6 +66,7 @@
             Command::Finish(finish) => Reply::Claim(self.claims.finish(finish)),
             Command::Abandon(abandon) => Reply::Claim(self.claims.abandon(abandon)),
             Command::Lose(lose) => Reply::Claim(self.claims.lose(lose)),
+            Command::Drain(set) => Reply::Drain(self.drains.set(set)),
             Command::Dissolve(step) => Reply::Dissolution(self.dissolve(index, step)),
         }
     }
@@ -82,6 +84,8 @@
             }
             Query::Leases => Answer::Leases(self.leases()),
             Query::Intents { data_centre } => Answer::Intents(self.intents(data_centre)),
+            Query::Drains { data_centre } => Answer::Drains(self.drains(data_centre)),
+            Query::Request { id } => Answer::Request(self.ledger.answer(id).cloned()),
             Query::Claim { key } => Answer::Claim(self.claims.find(self.clock, key)),
             Query::Time => Answer::Time(self.time()),
         }
@@ -236,6 +240,7 @@
                     .into_iter()
                     .map(|revision| query::Step {
                         version: revision.record.version,
+                        venture_version: revision.venture_version,
                         delta: revision.forward.clone(),
                     })
                     .collect(),
@@ -265,6 +270,14 @@
             .collect()
     }
 
+    fn drains(&self, data_centre: &name::DataCentre) -> Vec<query::Drain> {
+        self.drains
+            .iter()
+            .filter(|(_, mark)| mark.data_centre == *data_centre)
+            .map(|(target, mark)| query::Drain { target: target.clone(), mark: mark.clone() })
+            .collect()
+    }
+
     fn time(&self) -> query::Time {
         let needed = self.leases.is_counting(self.clock) || !self.claims.is_empty();
         query::Time {
--- /dev/null
+++ b/crates/daisydrum/src/http.rs
@@ -0,0 +1,62 @@
+//! Requests and answers of the control listener.
+
+use std::io::Read;
+
+use oxhttp::model::{Body, Request, Response, StatusCode, Uri, header};
+use serde::{Serialize, de::DeserializeOwned};
+use wire::operator;
+
+/// Largest body that the control listener reads, in bytes.
+pub const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Reads a body of JSON.
+///
+/// # Errors
+///
+/// Returns what is wrong with the body, for the one who sent it.
+pub fn read_json<T: DeserializeOwned>(request: &mut Request<Body>) -> Result<T, String> {
+    let mut bytes = Vec::new();
+    let mut body = request.body_mut().take(MAX_BODY_BYTES + 1);
+    body.read_to_end(&mut bytes).map_err(|error| format!("the body can't be read: {error}"))?;
+    if bytes.len() as u64 > MAX_BODY_BYTES {
+        return Err(format!("the body is larger than {MAX_BODY_BYTES} bytes"));
+    }
+    serde_json::from_slice(&bytes)
+        .map_err(|error| format!("the body doesn't have the expected form: {error}"))
+}
+
+/// The value of a parameter of the query string; names of the system need no escapes.
+pub fn parameter<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
+    let pairs = uri.query()?.split('&');
+    pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+/// An answer of JSON.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
+    let text = serde_json::to_string(value).expect("invariant: answers have text keys");
+    build(status, "application/json", text)
+}
+
+/// A refusal with its reason.
+pub fn refuse(status: StatusCode, error: String) -> Response<Body> {
+    json(status, &operator::Refusal { error })
+}
+
+/// An answer of plain text.
+pub fn text(status: StatusCode, text: &str) -> Response<Body> {
+    build(status, "text/plain; version=0.0.4", String::from(text))
+}
+
+/// An answer without a body.
+pub fn empty(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+fn build(status: StatusCode, kind: &'static str, text: String) -> Response<Body> {
+    let mut response = Response::new(Body::from(text));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, header::HeaderValue::from_static(kind));
+    response
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -3,13 +3,15 @@
 use std::path::Path;
 
 use common::{collections::Map, name};
+use schemars::JsonSchema;
+use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
     document::{self, Document},
     error::Fault,
     instance::Instance,
     service::{Kind, Service},
-    tree::{self, Branch, Documents, Tree},
+    tree::{self, Branch, Documents, Partner, Tree, Venture},
 };
 
 /// Name of the branch that is the root of the tree.
@@ -71,6 +73,23 @@
     checker.faults
 }
 
+/// Checks a tree that did not come from files: the form of each part, then the whole.
+pub fn declared(tree: &Tree) -> Vec<Fault> {
+    let mut faults = form::<Venture>(tree::VENTURE_FILE, &tree.venture);
+    for (partner, branch) in &tree.partners {
+        faults.extend(form::<Partner>(&tree::partner_file(partner), &branch.partner));
+        for (service, settings) in &branch.services {
+            faults.extend(form::<Service>(&tree::service_file(partner, service), settings));
+        }
+    }
+    if faults.is_empty() { self::tree(tree, &Documents::new()) } else { faults }
+}
+
+fn form<T: DeserializeOwned + JsonSchema>(file: &str, value: &impl Serialize) -> Vec<Fault> {
+    let value = serde_json::to_value(value).unwrap_or_default();
+    document::typed::<T>(&Document::of_value(file, value)).err().unwrap_or_default()
+}
+
 fn instance_faults(instance: &Instance, document: &Document) -> Vec<Fault> {
     let mut faults = Vec::new();
     if !instance.replicas.is_empty() && instance.data_folder.is_none() {
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -90,6 +90,16 @@
         Ok(document)
     }
 
+    /// A document without a text, whose faults have no lines.
+    pub fn of_value(file: &str, value: Value) -> Document {
+        Document {
+            file: String::from(file),
+            value,
+            repeated: Vec::new(),
+            places: Map::default(),
+        }
+    }
+
     /// Whether the file sets `key`, such as `limits.deadline_ms`.
     pub fn sets(&self, key: &str) -> bool {
         self.places.contains_key(key)
--- /dev/null
+++ b/crates/spread/src/authority.rs
@@ -0,0 +1,98 @@
+//! What the replicated logs offer to the rest of the daemon.
+
+use std::{
+    future::{self, Future},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use common::{collections::Map, name};
+use control::{
+    command::Command,
+    query::{Answer, Query},
+    reply::Reply,
+    state::State,
+};
+use derive_more::{Display, Error};
+
+/// Why a command or question got no answer.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum Failure {
+    /// The command is certainly not in the log, and the question was not answered.
+    #[display("not accepted: {reason}")]
+    NotAccepted {
+        /// Why.
+        reason: String,
+    },
+    /// The command may be in the log; ask again with the same request id.
+    #[display("outcome unknown: {reason}")]
+    Unknown {
+        /// Why.
+        reason: String,
+    },
+}
+
+/// The replicated logs, as an instance reaches them.
+pub trait Authority: Clone + Send + Sync + 'static {
+    /// Puts a command into a branch's log and waits for its reply.
+    fn submit(
+        &self,
+        branch: &name::Branch,
+        command: Command,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Reply, Failure>> + Send;
+
+    /// Reads from a branch's state everything that was accepted before the call.
+    fn query(
+        &self,
+        branch: &name::Branch,
+        query: Query,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Answer, Failure>> + Send;
+}
+
+/// States in memory without replicas, for tests and measurements in one process.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    branches: Arc<Mutex<Map<name::Branch, Log>>>,
+}
+
+#[derive(Debug, Default)]
+struct Log {
+    index: u64,
+    state: State,
+}
+
+impl Memory {
+    fn with<T>(&self, branch: &name::Branch, work: impl FnOnce(&mut Log) -> T) -> T {
+        let mut branches = self.branches.lock().unwrap_or_else(PoisonError::into_inner);
+        let log = branches
+            .entry(branch.clone())
+            .or_insert_with(|| Log { index: 0, state: State::new(branch.clone()) });
+        work(log)
+    }
+}
+
+impl Authority for Memory {
+    fn submit(
+        &self,
+        branch: &name::Branch,
+        command: Command,
+        _limit: Duration,
+    ) -> impl Future<Output = Result<Reply, Failure>> + Send {
+        let reply = self.with(branch, |log| {
+            log.index += 1;
+            log.state.apply(log.index, &command)
+        });
+        future::ready(Ok(reply))
+    }
+
+    fn query(
+        &self,
+        branch: &name::Branch,
+        query: Query,
+        _limit: Duration,
+    ) -> impl Future<Output = Result<Answer, Failure>> + Send {
+        future::ready(Ok(self.with(branch, |log| log.state.query(&query))))
+    }
+}
--- /dev/null
+++ b/crates/spread/src/lib.rs
@@ -0,0 +1,12 @@
+//! Brings accepted declarations from the replicas to every instance.
+//!
+//! Replicas feed their own instance from the log; one relay in each data centre pulls from the replicas, and the
+//! other instances of the data centre pull from it. A pull says what the asker has and waits until there is more,
+//! one second at most, so that it is also the exchange that mends whatever was missed.
+
+pub mod authority;
+pub mod disk;
+pub mod gate;
+pub mod node;
+pub mod upstream;
+pub mod view;
--- /dev/null
+++ b/crates/spread/src/node.rs
@@ -0,0 +1,271 @@
+//! Runs the spread on an instance: one task for each branch, and the answers to those that pull from it.
+
+use std::{
+    path::Path,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use common::{cancel, clock::Moment, collections::Map, name};
+use control::query::{Answer, Changes, Query};
+use derive_more::{Display, Error, From};
+use futures::future;
+use settings::instance::Instance;
+use slog::{Logger, debug, info, warn};
+use tokio::{runtime::Handle, sync::watch, task, time};
+use wire::{
+    link::{self, Link},
+    spread::{Have, Update},
+};
+
+use crate::{
+    authority::{Authority, Failure},
+    disk::{self, Disk},
+    gate::Gate,
+    upstream::{self, Table, Upstream},
+    view::{Taken, View},
+};
+
+/// Longest wait of a pull for news.
+pub const PULL_WAIT: Duration = Duration::from_secs(1);
+/// Pause between two looks at an own replica.
+const LOCAL_INTERVAL: Duration = Duration::from_millis(250);
+/// What a call may take beyond its wait before its connection is given up.
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Folder of the declarations under the data folder.
+const FOLDER: &str = "declarations";
+
+/// What the spread of an instance needs.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The instance's settings.
+    pub instance: Arc<Instance>,
+    /// Connections to the other instances.
+    pub links: Map<name::Instance, Arc<Link>>,
+    /// Takes log lines.
+    pub log: Logger,
+    /// Ends the tasks.
+    pub stop: cancel::Token,
+}
+
+/// The spread of an instance; clones share it.
+#[derive(Clone, Debug)]
+pub struct Node {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    options: Options,
+    view: watch::Sender<Arc<View>>,
+    gate: Mutex<Gate>,
+    disk: Option<Disk>,
+}
+
+/// Why a branch could not be brought forward.
+#[derive(Debug, Display, Error, From)]
+enum Fault {
+    #[display("{_0}")]
+    Link(link::Fault),
+    #[display("{_0}")]
+    Authority(Failure),
+    #[display("{_0}")]
+    Disk(disk::Fault),
+    #[display("the replica gave another answer")]
+    Answer,
+}
+
+impl Node {
+    /// Reads what the disk holds and starts the tasks on `runtime`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`disk::Fault`] when the data folder can't be used.
+    pub fn start<A: Authority>(
+        options: Options,
+        authority: &A,
+        runtime: &Handle,
+    ) -> Result<Node, disk::Fault> {
+        let branches = upstream::branches(&options.instance);
+        let disk = match &options.instance.data_folder {
+            Some(folder) => Some(Disk::open(&Path::new(folder).join(FOLDER))?),
+            None => None,
+        };
+        let now = Moment::now();
+        let mut view = View::default();
+        for branch in &branches {
+            if let Some(version) = disk.as_ref().map(|disk| disk.read(branch)).transpose()?.flatten() {
+                view.restore(branch, version);
+            }
+        }
+        let gate = Mutex::new(Gate::new(branches.clone(), &view.have(), now));
+        let (view, _) = watch::channel(Arc::new(view));
+        let node = Node { shared: Arc::new(Shared { options, view, gate, disk }) };
+        for branch in branches {
+            runtime.spawn(node.clone().follow(branch, authority.clone()));
+        }
+        runtime.spawn(node.clone().ask_around());
+        Ok(node)
+    }
+
+    /// The view, and each that follows it.
+    pub fn watch(&self) -> watch::Receiver<Arc<View>> {
+        self.shared.view.subscribe()
+    }
+
+    /// The versions in force.
+    pub fn in_force(&self) -> Vec<Have> {
+        self.shared.view.borrow().have()
+    }
+
+    /// Whether the instance has what was in force when it was last known.
+    pub fn is_ready(&self) -> bool {
+        let view = self.shared.view.borrow().clone();
+        let gate = self.shared.gate.lock().unwrap_or_else(PoisonError::into_inner);
+        gate.is_open(&view, Moment::now())
+    }
+
+    /// Answers a pull: at once if there is anything new, else after `wait_ms`.
+    pub async fn answer(&self, have: Have, wait_ms: u64) -> Update {
+        let wait = Duration::from_millis(wait_ms).min(PULL_WAIT);
+        let mut news = self.watch();
+        let ahead = news.wait_for(|view| view.is_ahead(&have));
+        let _ = time::timeout(wait, ahead).await;
+        let view = self.shared.view.borrow().clone();
+        view.answer(&have, Moment::now())
+    }
+
+    /// Keeps one branch up to date until the end.
+    async fn follow<A: Authority>(self, branch: name::Branch, authority: A) {
+        let stop = self.shared.options.stop.clone();
+        let mut table = Table::new(&self.shared.options.instance, &branch);
+        let run = async {
+            let mut last = Taken::Same;
+            loop {
+                // After a mismatch the whole is asked for, as by one that has nothing.
+                let mismatch = matches!(last, Taken::Mismatch(_));
+                let version = if mismatch { 0 } else { self.version(&branch) };
+                let have = Have { branch: branch.clone(), version };
+                match self.advance(have, &mut table, &authority).await {
+                    Ok(taken) => last = taken,
+                    Err(fault) => {
+                        debug!(self.shared.options.log, "declarations not brought forward";
+                            "branch" => %branch, "cause" => %fault);
+                        time::sleep(RETRY_PAUSE).await;
+                    }
+                }
+            }
+        };
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = run => {}
+        }
+    }
+
+    async fn advance<A: Authority>(
+        &self,
+        have: Have,
+        table: &mut Table,
+        authority: &A,
+    ) -> Result<Taken, Fault> {
+        let peer = match table.choose(Moment::now()) {
+            Upstream::Peer(peer) => peer,
+            Upstream::Local => {
+                time::sleep(LOCAL_INTERVAL).await;
+                return self.take(&have.branch, read(authority, &have).await?).await;
+            }
+            Upstream::None => {
+                time::sleep(PULL_WAIT).await;
+                return Ok(Taken::Same);
+            }
+        };
+        match self.pull(&peer, have.clone()).await {
+            Ok(update) => {
+                table.answered(&peer, update.age_ms.map(Duration::from_millis), Moment::now());
+                self.take(&have.branch, update).await
+            }
+            Err(fault) => {
+                table.failed(&peer, Moment::now());
+                Err(fault)
+            }
+        }
+    }
+
+    fn version(&self, branch: &name::Branch) -> u64 {
+        self.shared.view.borrow().version(branch)
+    }
+
+    async fn pull(&self, peer: &name::Instance, have: Have) -> Result<Update, Fault> {
+        let link = &self.shared.options.links[peer];
+        let wait_ms = u64::try_from(PULL_WAIT.as_millis()).unwrap_or(u64::MAX);
+        let limit = PULL_WAIT + CALL_LIMIT;
+        Ok(link.call(limit, async |client, context| client.pull(context, have, wait_ms).await).await?)
+    }
+
+    /// Takes an update: it is on the disk before it is in force.
+    async fn take(&self, branch: &name::Branch, update: Update) -> Result<Taken, Fault> {
+        let mut next = View::clone(&self.shared.view.borrow());
+        let taken = next.take(update, Moment::now());
+        if let Taken::Mismatch(problem) = &taken {
+            warn!(self.shared.options.log, "declarations don't follow, asking for the whole";
+                "branch" => %branch, "problem" => problem);
+        }
+        let Some(held) = next.branches().get(branch).cloned() else {
+            return Ok(taken);
+        };
+        if taken != Taken::Newer {
+            // No version changes, so none of those who wait for news is woken.
+            self.shared.view.send_if_modified(|view| {
+                Arc::make_mut(view).put(branch, held);
+                false
+            });
+            return Ok(taken);
+        }
+        if let Some(disk) = self.shared.disk.clone() {
+            let (branch, version) = (branch.clone(), Arc::clone(&held.version));
+            let write = task::spawn_blocking(move || disk.write(&branch, &version));
+            write.await.expect("invariant: writing declarations does not panic")?;
+        }
+        let version = held.version.version;
+        self.shared.view.send_modify(|view| Arc::make_mut(view).put(branch, held));
+        info!(self.shared.options.log, "declarations in force"; "branch" => %branch,
+            "version" => version);
+        Ok(taken)
+    }
+
+    /// Asks the instances of the data centre and the replicas once what they have.
+    async fn ask_around(self) {
+        let options = &self.shared.options;
+        let own = &options.instance.data_centre;
+        let peers = options.instance.peers.iter();
+        let near = peers.filter(|peer| peer.data_centre == *own || !peer.replicas.is_empty());
+        let asks = near.map(|peer| async {
+            let link = &options.links[&name::Instance::from(peer.name.as_str())];
+            let call = async |client: &wire::peer::PeerClient, context| client.in_force(context).await;
+            if let Ok(have) = link.call(CALL_LIMIT, call).await {
+                let mut gate =
+                    self.shared.gate.lock().unwrap_or_else(PoisonError::into_inner);
+                gate.hear(&have);
+            }
+        });
+        tokio::select! {
+            () = options.stop.cancelled() => {}
+            _ = future::join_all(asks) => {}
+        }
+    }
+}
+
+/// Reads what changed from the instance's own replica.
+async fn read<A: Authority>(authority: &A, have: &Have) -> Result<Update, Fault> {
+    let query = Query::Changes { since: have.version };
+    let Answer::Changes(changes) = authority.query(&have.branch, query, CALL_LIMIT).await? else {
+        return Err(Fault::Answer);
+    };
+    let version = match &changes {
+        Changes::None => have.version,
+        Changes::Deltas(steps) => steps.last().map_or(have.version, |step| step.version),
+        Changes::Snapshot(version) => version.version,
+    };
+    Ok(Update { branch: have.branch.clone(), version, age_ms: Some(0), changes })
+}
--- /dev/null
+++ b/crates/spread/src/view.rs
@@ -0,0 +1,186 @@
+//! The declarations that an instance holds, which never go back to a lower version.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use common::{clock::Moment, name};
+use control::query::{Changes, Step, Version};
+use derive_more::Display;
+use settings::{check, delta, tree::Tree};
+use wire::spread::{Have, Update};
+
+/// Changes that an instance keeps to pass on; whoever lags more gets the whole.
+const MAX_STEPS: usize = 64;
+
+/// What became of an update.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Taken {
+    /// The view has a higher version now.
+    Newer,
+    /// The view had it already.
+    Same,
+    /// It is older than the view and was left alone.
+    Older,
+    /// It does not follow the view; the whole has to be asked for.
+    #[display("mismatch: {_0}")]
+    Mismatch(String),
+}
+
+/// One branch as an instance holds it.
+#[derive(Clone, Debug, Default)]
+pub struct Branch {
+    /// The declarations.
+    pub version: Arc<Version>,
+    /// When the log was last known to have no higher version.
+    pub confirmed: Option<Moment>,
+    steps: Arc<VecDeque<Step>>,
+}
+
+/// All branches as an instance holds them.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    branches: BTreeMap<name::Branch, Branch>,
+}
+
+impl View {
+    /// The branches.
+    pub fn branches(&self) -> &BTreeMap<name::Branch, Branch> {
+        &self.branches
+    }
+
+    /// The version held of a branch; 0 where there is none.
+    pub fn version(&self, branch: &name::Branch) -> u64 {
+        self.branches.get(branch).map_or(0, |branch| branch.version.version)
+    }
+
+    /// What the view holds.
+    pub fn have(&self) -> Vec<Have> {
+        self.branches
+            .iter()
+            .map(|(branch, held)| Have { branch: branch.clone(), version: held.version.version })
+            .collect()
+    }
+
+    /// Whether the view has a higher version than `have` of the same branch.
+    pub fn is_ahead(&self, have: &Have) -> bool {
+        self.version(&have.branch) > have.version
+    }
+
+    /// Answers a pull for one branch.
+    pub fn answer(&self, have: &Have, now: Moment) -> Update {
+        let held = self.branches.get(&have.branch).cloned().unwrap_or_default();
+        let age = held.confirmed.map(|confirmed| now.since(confirmed));
+        Update {
+            branch: have.branch.clone(),
+            version: held.version.version,
+            age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            changes: held.changes(have.version),
+        }
+    }
+
+    /// Takes an update that arrived at `now`.
+    pub fn take(&mut self, update: Update, now: Moment) -> Taken {
+        let held = self.branches.entry(update.branch).or_default();
+        let own = held.version.version;
+        let taken = match update.changes {
+            _ if update.version < own => return Taken::Older,
+            Changes::None => Taken::Same,
+            Changes::Deltas(steps) => held.follow(steps),
+            Changes::Snapshot(version) if version.version > own => {
+                held.version = Arc::from(version);
+                held.steps = Arc::default();
+                Taken::Newer
+            }
+            Changes::Snapshot(_) => Taken::Same,
+        };
+        let confirmed = update.age_ms.map(|age_ms| now - Duration::from_millis(age_ms));
+        if held.version.version == update.version {
+            held.confirmed = held.confirmed.max(confirmed);
+        }
+        taken
+    }
+
+    /// Puts a branch of a view that took an update in place, unless this one has a higher version already.
+    pub fn put(&mut self, branch: &name::Branch, held: Branch) {
+        if held.version.version >= self.version(branch) {
+            self.branches.insert(branch.clone(), held);
+        }
+    }
+
+    /// Starts from what the disk held.
+    pub fn restore(&mut self, branch: &name::Branch, version: Version) {
+        let held = Branch { version: Arc::new(version), ..Branch::default() };
+        self.put(branch, held);
+    }
+
+    /// The tree in force.
+    ///
+    /// Partners whose adopted defaults of the venture differ get them written out, so that each has its own.
+    pub fn tree(&self) -> Tree {
+        let mut tree = Tree::default();
+        let partners = || self.branches.iter().filter(|(branch, _)| branch.0 != check::VENTURE);
+        let mut ventures = partners().map(|(_, held)| &held.version.content.venture);
+        let first = ventures.next();
+        let equal = ventures.all(|venture| Some(venture) == first);
+        let root = self.branches.get(&name::Branch::from(check::VENTURE));
+        let own = root.map(|root| &root.version.content.venture);
+        let shared = if equal { first.or(own) } else { None };
+        tree.venture = shared.cloned().unwrap_or_default();
+        for (branch, held) in partners() {
+            let content = &held.version.content;
+            let mut declared = content.branch.clone();
+            if shared.is_none() {
+                let mut defaults = content.venture.defaults.clone();
+                settings::tree::merge(&mut defaults, &declared.partner.defaults);
+                declared.partner.defaults = defaults;
+            }
+            if held.version.version > 0 {
+                tree.partners.insert(name::Partner(branch.0.clone()), declared);
+            }
+        }
+        tree
+    }
+}
+
+impl Branch {
+    fn changes(&self, since: u64) -> Changes {
+        let own = self.version.version;
+        if since >= own {
+            return Changes::None;
+        }
+        let kept = self.steps.iter().filter(|step| step.version > since).count() as u64;
+        // Who has nothing, or asks anew after a mismatch, gets the whole.
+        if since > 0 && kept == own - since {
+            let steps = self.steps.iter().filter(|step| step.version > since);
+            return Changes::Deltas(steps.cloned().collect());
+        }
+        Changes::Snapshot(Box::new(Version::clone(&self.version)))
+    }
+
+    fn follow(&mut self, steps: Vec<Step>) -> Taken {
+        let mut version = Version::clone(&self.version);
+        let mut kept = VecDeque::clone(&self.steps);
+        for step in steps.into_iter().filter(|step| step.version > self.version.version) {
+            if step.version != version.version + 1 {
+                return Taken::Mismatch(format!("change {} after {}", step.version, version.version));
+            }
+            if let Err(mismatch) = delta::apply(&mut version.content, &step.delta) {
+                return Taken::Mismatch(mismatch.to_string());
+            }
+            version.version = step.version;
+            version.venture_version = step.venture_version;
+            kept.push_back(step);
+        }
+        if version.version == self.version.version {
+            return Taken::Same;
+        }
+        let surplus = kept.len().saturating_sub(MAX_STEPS);
+        kept.drain(..surplus);
+        self.version = Arc::new(version);
+        self.steps = Arc::new(kept);
+        Taken::Newer
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod outcome;
 pub mod peer;
 pub mod socket;
+pub mod spread;
 pub mod target;
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -1,5 +1,7 @@
 //! The operators' interface, as JSON over HTTP on a daemon's control listener.
 
+pub mod branch;
+
 use common::{name, role::Role};
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/crates/wire/src/operator/branch.rs
@@ -0,0 +1,79 @@
+//! Operators' calls on the branches: declarations, history, drains and dissolution.
+
+use common::name;
+use control::{declaration, dissolution, drain, query};
+use serde::{Deserialize, Serialize};
+use settings::error;
+
+use crate::spread::Have;
+
+/// Path of a branch's declarations (`GET` with `branch`, `POST` of a [`Change`]).
+pub const DECLARATIONS_PATH: &str = "/v1/declarations";
+/// Path of the summaries of all branches (`GET`).
+pub const BRANCHES_PATH: &str = "/v1/branches";
+/// Path of a branch's versions, newest first (`GET` with `branch` and `limit`).
+pub const HISTORY_PATH: &str = "/v1/history";
+/// Path of the answer that a request got (`GET` with `branch` and `id`).
+pub const REQUESTS_PATH: &str = "/v1/requests";
+/// Path of the versions in force on all instances (`GET`).
+pub const INSTANCES_PATH: &str = "/v1/instances";
+/// Path that marks targets as wanted drained (`POST` of a [`Drain`]).
+pub const DRAINS_PATH: &str = "/v1/drains";
+/// Path that takes a step of a dissolution (`POST` of a [`Step`]).
+pub const DISSOLUTION_PATH: &str = "/v1/dissolution";
+
+/// A change of a branch's declarations, answered with a [`declaration::Reply`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// The branch.
+    pub branch: name::Branch,
+    /// The change.
+    pub request: declaration::Request,
+}
+
+/// A mark of a target, answered with a [`drain::Reply`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drain {
+    /// The branch that owns the target.
+    pub branch: name::Branch,
+    /// The mark.
+    pub set: drain::Set,
+}
+
+/// A step of a dissolution, answered with a [`dissolution::Reply`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// The branch.
+    pub branch: name::Branch,
+    /// The step.
+    pub step: dissolution::Step,
+}
+
+/// The state of a branch, or why it can't be read now.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Branch {
+    /// The branch.
+    pub branch: name::Branch,
+    /// Its summary.
+    pub summary: Option<query::Summary>,
+    /// Why there is none.
+    pub problem: Option<String>,
+}
+
+/// The versions in force on an instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// The instance.
+    pub instance: name::Instance,
+    /// Its data centre.
+    pub data_centre: name::DataCentre,
+    /// What it has of each branch; left out where it does not answer.
+    pub in_force: Option<Vec<Have>>,
+}
+
+/// Body of a refusal of declarations.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Faults {
+    /// All faults that were found.
+    pub faults: Vec<error::Fault>,
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -3,6 +3,8 @@
 use common::name;
 use serde::{Deserialize, Serialize};
 
+use crate::spread;
+
 /// Version of this protocol; daemons that differ in it refuse each other.
 pub const VERSION: u32 = 1;
 
@@ -22,4 +24,10 @@
 pub trait Peer {
     /// Returns who the callee is.
     async fn identify() -> Identity;
+
+    /// Returns what the asker lacks of a branch, at once if there is anything, else after `wait_ms`.
+    async fn pull(have: spread::Have, wait_ms: u64) -> spread::Update;
+
+    /// Returns the versions in force.
+    async fn in_force() -> Vec<spread::Have>;
 }
