--- a/crates/daisyctl/src/arguments.rs
+++ b/crates/daisyctl/src/arguments.rs
@@ -16,6 +16,141 @@
             /// `table` or `json`.
             optional --output output: Format
         }
+        /// Checks a folder of declarations.
+        cmd check {
+            /// Folder of the tree, for example `examples/venture`.
+            required folder: String
+            /// `table` or `json`.
+            optional --output output: Format
+        }
+        /// Shows what a folder of declarations would change in the settings in force, by service.
+        cmd diff {
+            /// Folder of the tree.
+            required folder: String
+            /// Control address of any instance, for example 127.0.0.1:7001.
+            required --instance instance: SocketAddr
+            /// `table` or `json`.
+            optional --output output: Format
+        }
+        /// Makes a folder of declarations the settings in force.
+        cmd apply {
+            /// Folder of the tree.
+            required folder: String
+            /// Control address of any instance, for example 127.0.0.1:7001.
+            required --instance instance: SocketAddr
+            /// Only this branch: `venture` or a partner's name.
+            optional --branch branch: String
+            /// Version that the change was worked out against; the one in force where it is left out.
+            optional --base base: u64
+            /// Who asks; the user's name where it is left out.
+            optional --operator operator: String
+            /// Id of the request; a resend of an id gets the answer of the first time.
+            optional --request-id request_id: String
+            /// Waits until all live instances have it in force, and names those that have not.
+            optional --wait
+            /// Longest wait in seconds; 30 where it is left out.
+            optional --timeout-s timeout_s: u64
+            /// `table` or `json`.
+            optional --output output: Format
+        }
+        /// Shows the declarations in force.
+        cmd get {
+            /// Control address of any instance, for example 127.0.0.1:7001.
+            required --instance instance: SocketAddr
+            /// Shows every value of each service with the level and file that set it.
+            optional --effective
+            /// Only this partner.
+            optional --partner partner: String
+            /// Only this service.
+            optional --service service: String
+            /// `table` or `json`.
+            optional --output output: Format
+        }
+        /// Shows the versions of a branch, newest first.
+        cmd history {
+            /// The branch: `venture` or a partner's name.
+            required branch: String
+            /// Control address of any instance, for example 127.0.0.1:7001.
+            required --instance instance: SocketAddr
+            /// At most this many; 20 where it is left out.
+            optional --limit limit: usize
+            /// `table` or `json`.
+            optional --output output: Format
+        }
+        /// Returns a branch to the declarations of an earlier version, under a new version.
+        cmd rollback {
+            /// The branch: `venture` or a partner's name.
+            required branch: String
+            /// Control address of any instance, for example 127.0.0.1:7001.
+            required --instance instance: SocketAddr
+            /// The version whose declarations come back.
+            required --to to: u64
+            /// Version that must still be in force; the one in force where it is left out.
+            optional --base base: u64
+            /// Who asks; the user's name where it is left out.
+            optional --operator operator: String
+            /// Id of the request; a resend of an id gets the answer of the first time.
+            optional --request-id request_id: String
+            /// Waits until all live instances have it in force, and names those that have not.
+            optional --wait
+            /// Longest wait in seconds; 30 where it is left out.
+            optional --timeout-s timeout_s: u64
+            /// `table` or `json`.
+            optional --output output: Format
+        }
+        /// Writes the declarations in force to a new folder, with the history of each branch.
+        cmd export {
+            /// The folder, which must not exist.
+            required folder: String
+            /// Control address of any instance, for example 127.0.0.1:7001.
+            required --instance instance: SocketAddr
+            /// Only this branch, with the venture's defaults that it has.
+            optional --branch branch: String
+        }
+        /// Shows what a dissolution of the venture would do, and carries it out.
+        cmd dissolve {
+            /// Control address of any instance, for example 127.0.0.1:7001.
+            required --instance instance: SocketAddr
+            /// Name of the dissolution; a resend of the same name goes on where it stopped.
+            required --plan plan: String
+            /// Carries the steps out; without it they are only shown.
+            optional --execute
+            /// Gives the dissolution up, as long as no branch is detached.
+            optional --undo
+            /// Who asks; the user's name where it is left out.
+            optional --operator operator: String
+            /// `table` or `json`.
+            optional --output output: Format
+        }
+        /// Lets a target finish its work and take no more.
+        cmd drain {
+            /// The target.
+            required target: String
+            /// Control address of any instance, for example 127.0.0.1:7001.
+            required --instance instance: SocketAddr
+            /// Who asks; the user's name where it is left out.
+            optional --operator operator: String
+            /// Id of the request; a resend of an id gets the answer of the first time.
+            optional --request-id request_id: String
+            /// `table` or `json`.
+            optional --output output: Format
+        }
+        /// Lets a drained target take work again.
+        cmd undrain {
+            /// The target.
+            required target: String
+            /// Control address of any instance, for example 127.0.0.1:7001.
+            required --instance instance: SocketAddr
+            /// Who asks; the user's name where it is left out.
+            optional --operator operator: String
+            /// Id of the request; a resend of an id gets the answer of the first time.
+            optional --request-id request_id: String
+            /// `table` or `json`.
+            optional --output output: Format
+        }
+        /// Prints the hash of a caller's key, which is read from standard input.
+        cmd hash-key {
+        }
         /// Shows the spans of one request as a tree.
         cmd trace {
             /// File of spans, as `spans.file` names it; may be given for each instance.
--- a/crates/daisyctl/src/client.rs
+++ b/crates/daisyctl/src/client.rs
@@ -4,10 +4,11 @@
 
 use oxhttp::{
     Client,
-    model::{Body, Method, Request, Response},
+    model::{Body, Method, Request, Response, StatusCode},
 };
-use serde::de::DeserializeOwned;
-use wire::operator;
+use serde::{Serialize, de::DeserializeOwned};
+use settings::error::Faults;
+use wire::operator::{self, branch};
 
 use crate::error::Fault;
 
@@ -40,16 +41,40 @@
         self.read(response)
     }
 
+    /// Posts JSON and reads an answer of JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] when the daemon refuses, and [`Fault::Unknown`] when the call was sent and no answer
+    /// came.
+    pub fn post<T: DeserializeOwned>(self, path: &str, body: &impl Serialize) -> Result<T, Fault> {
+        let text = serde_json::to_string(body).expect("invariant: messages have text keys");
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}{path}", self.address))
+            .body(Body::from(text))
+            .map_err(|error| Fault::Usage { problem: error.to_string() })?;
+        let sent = Client::new().with_global_timeout(LIMIT).request(request);
+        let response = sent.map_err(|cause| match cause.kind() {
+            io::ErrorKind::ConnectionRefused => Fault::Unreachable { address: self.address, cause },
+            _ => Fault::Unknown { reason: format!("{}: {cause}", self.address) },
+        })?;
+        match self.read(response) {
+            Err(Fault::Unreachable { cause, .. }) => {
+                Err(Fault::Unknown { reason: format!("{}: {cause}", self.address) })
+            }
+            result => result,
+        }
+    }
+
     fn read<T: DeserializeOwned>(self, response: Response<Body>) -> Result<T, Fault> {
-        let refused = !response.status().is_success();
+        let status = response.status();
         let text = response
             .into_body()
             .to_string()
             .map_err(|cause| Fault::Unreachable { address: self.address, cause })?;
-        if refused {
-            let reason = serde_json::from_str(&text)
-                .map_or(text, |refusal: operator::Refusal| refusal.error);
-            return Err(Fault::Refused { reason });
+        if !status.is_success() {
+            return Err(refusal(status, text));
         }
         serde_json::from_str(&text).map_err(|error| {
             let cause = io::Error::new(io::ErrorKind::InvalidData, error);
@@ -57,3 +82,15 @@
         })
     }
 }
+
+fn refusal(status: StatusCode, text: String) -> Fault {
+    if let Ok(branch::Faults { faults }) = serde_json::from_str(&text) {
+        return Fault::Settings(Faults { faults });
+    }
+    let reason =
+        serde_json::from_str(&text).map_or(text, |refusal: operator::Refusal| refusal.error);
+    match status {
+        StatusCode::GATEWAY_TIMEOUT => Fault::Unknown { reason },
+        _ => Fault::Refused { reason },
+    }
+}
--- a/crates/daisyctl/src/command.rs
+++ b/crates/daisyctl/src/command.rs
@@ -1,7 +1,22 @@
 //! The commands of `daisyctl`.
 
+pub mod apply;
+pub mod branches;
+pub mod check;
+pub mod diff;
+pub mod dissolve;
+pub mod drain;
+pub mod export;
+pub mod get;
+pub mod hash_key;
+pub mod history;
+pub mod request;
+pub mod rollback;
 pub mod status;
 pub mod trace;
+pub mod wait;
+
+use control::drain::Wish;
 
 use crate::{
     arguments::{Daisyctl, DaisyctlCmd},
@@ -16,6 +31,19 @@
 pub fn run(arguments: Daisyctl) -> Result<(), Fault> {
     match arguments.subcommand {
         DaisyctlCmd::Status(arguments) => status::run(&arguments),
+        DaisyctlCmd::Check(arguments) => check::run(&arguments),
+        DaisyctlCmd::Diff(arguments) => diff::run(&arguments),
+        DaisyctlCmd::Apply(arguments) => apply::run(&arguments),
+        DaisyctlCmd::Get(arguments) => get::run(&arguments),
+        DaisyctlCmd::History(arguments) => history::run(&arguments),
+        DaisyctlCmd::Rollback(arguments) => rollback::run(&arguments),
+        DaisyctlCmd::Export(arguments) => export::run(&arguments),
+        DaisyctlCmd::Dissolve(arguments) => dissolve::run(&arguments),
+        DaisyctlCmd::Drain(arguments) => drain::run(&drain::Options::from(arguments), Wish::Drain),
+        DaisyctlCmd::Undrain(arguments) => {
+            drain::run(&drain::Options::from(arguments), Wish::Undrain)
+        }
+        DaisyctlCmd::HashKey(_) => hash_key::run(),
         DaisyctlCmd::Trace(arguments) => trace::run(&arguments),
     }
 }
--- /dev/null
+++ b/crates/daisyctl/src/command/branches.rs
@@ -0,0 +1,86 @@
+//! What a daemon says of the branches, as trees.
+
+use std::path::Path;
+
+use common::name;
+use control::query::Version;
+use settings::{
+    check,
+    error::Faults,
+    tree::{self, Tree},
+};
+use wire::operator::branch;
+
+use crate::{client::Daemon, error::Fault};
+
+/// The declarations of one branch in force.
+#[derive(Clone, Debug)]
+pub struct Branch {
+    /// The branch.
+    pub name: name::Branch,
+    /// Its declarations.
+    pub version: Version,
+}
+
+/// Reads and checks a folder of declarations.
+///
+/// # Errors
+///
+/// Returns all faults of the files.
+pub fn load(folder: &str) -> Result<Tree, Fault> {
+    let loaded = tree::load(Path::new(folder));
+    if loaded.faults.is_empty() {
+        return Ok(loaded.tree);
+    }
+    Err(Fault::Settings(Faults::from(loaded.faults)))
+}
+
+/// Reads the names of the branches, the venture first.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] when the daemon can't be reached or keeps no branch.
+pub fn summaries(daemon: Daemon) -> Result<Vec<branch::Branch>, Fault> {
+    let mut branches: Vec<branch::Branch> = daemon.get(branch::BRANCHES_PATH)?;
+    if branches.is_empty() {
+        let reason =
+            String::from("no instance keeps a replicated log; the tree is read from its folder");
+        return Err(Fault::Refused { reason });
+    }
+    branches.sort_by_key(|branch| (!is_venture(&branch.branch), branch.branch.clone()));
+    Ok(branches)
+}
+
+/// Reads the declarations of a branch in force.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] when the daemon can't be reached or refuses.
+pub fn fetch(daemon: Daemon, name: &name::Branch) -> Result<Branch, Fault> {
+    let version = daemon.get(&format!("{}?branch={name}", branch::DECLARATIONS_PATH))?;
+    Ok(Branch { name: name.clone(), version })
+}
+
+/// Reads the declarations of all branches in force, the venture first.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] when the daemon can't be reached or refuses.
+pub fn fetch_all(daemon: Daemon) -> Result<Vec<Branch>, Fault> {
+    summaries(daemon)?.iter().map(|branch| fetch(daemon, &branch.branch)).collect()
+}
+
+/// Whether a branch is the root.
+pub fn is_venture(branch: &name::Branch) -> bool {
+    branch.0 == check::VENTURE
+}
+
+/// The tree of one partner with the venture's defaults that it has; nothing for the venture itself.
+pub fn partner_tree(branch: &Branch) -> Tree {
+    let content = &branch.version.content;
+    let mut tree = Tree { venture: content.venture.clone(), ..Tree::default() };
+    if !is_venture(&branch.name) && branch.version.version > 0 {
+        tree.partners.insert(name::Partner(branch.name.0.clone()), content.branch.clone());
+    }
+    tree
+}
--- /dev/null
+++ b/crates/daisyctl/src/command/dissolve.rs
@@ -0,0 +1,220 @@
+//! `daisyctl dissolve`: shows what each branch takes with it, and carries the dissolution out in steps.
+
+pub mod plan;
+
+use std::{thread, time::Duration};
+
+use common::name;
+use control::{
+    dissolution::{Action, Reply, Step},
+    query::Summary,
+};
+use serde::Serialize;
+use serde_json::Value;
+use settings::tree;
+use wire::operator::branch;
+
+use crate::{
+    arguments,
+    client::Daemon,
+    command::{
+        branches::{self, Branch},
+        dissolve::plan::Next,
+        request::{self, Identity},
+    },
+    error::Fault,
+    output,
+};
+
+/// Looks at a branch that has to take over the venture's defaults before the command gives up.
+const MAX_WAITS: u32 = 100;
+const INTERVAL: Duration = Duration::from_millis(200);
+
+/// What a branch takes with it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Share {
+    /// The branch.
+    pub branch: name::Branch,
+    /// How far its dissolution has come.
+    pub phase: String,
+    /// The version in force.
+    pub version: u64,
+    /// Services.
+    pub services: usize,
+    /// Keys of callers.
+    pub keys: usize,
+    /// Claims that are kept, with their answers.
+    pub claims: usize,
+    /// Orders that are open.
+    pub open_orders: usize,
+    /// Settings of the venture's defaults that are written out into the branch.
+    pub written_out: Vec<String>,
+    /// Loans of engines to other partners, which end.
+    pub ended_loans: usize,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] when a branch can't be read or refuses a step.
+pub fn run(arguments: &arguments::Dissolve) -> Result<(), Fault> {
+    let daemon = Daemon { address: arguments.instance };
+    let shares = shares(daemon)?;
+    match arguments.output.unwrap_or_default() {
+        output::Format::Json => output::json(&shares),
+        output::Format::Table => output::text(&render(&shares)),
+    }
+    let run = Run {
+        daemon,
+        plan: arguments.plan.clone(),
+        identity: Identity::new(arguments.operator.as_ref(), Some(&arguments.plan)),
+    };
+    match (arguments.execute, arguments.undo) {
+        (true, true) => Err(Fault::Usage {
+            problem: String::from("--execute and --undo contradict each other"),
+        }),
+        (true, false) => run.execute(),
+        (false, true) => run.undo(),
+        (false, false) => Ok(()),
+    }
+}
+
+struct Run {
+    daemon: Daemon,
+    plan: String,
+    identity: Identity,
+}
+
+impl Run {
+    /// Takes steps until none is left; each follows from what the branches say, so it can start anywhere.
+    fn execute(&self) -> Result<(), Fault> {
+        let mut waits = 0;
+        loop {
+            let next = plan::next(&self.plan, &summaries(self.daemon)?)
+                .map_err(|obstacle| Fault::Refused { reason: obstacle.to_string() })?;
+            match next {
+                Next::Done => return Ok(()),
+                Next::Step(branch, action) => self.step(&branch, action)?,
+                Next::Wait(branch) if waits < MAX_WAITS => {
+                    request::progress(&format!(
+                        "branch {branch} takes over the venture's defaults"
+                    ));
+                    waits += 1;
+                    thread::sleep(INTERVAL);
+                }
+                Next::Wait(branch) => {
+                    let reason =
+                        format!("branch `{branch}` did not take over the venture's defaults");
+                    return Err(Fault::Refused { reason });
+                }
+            }
+        }
+    }
+
+    fn undo(&self) -> Result<(), Fault> {
+        for summary in summaries(self.daemon)? {
+            self.step(&summary.branch, Action::Thaw)?;
+        }
+        Ok(())
+    }
+
+    fn step(&self, branch: &name::Branch, action: Action) -> Result<(), Fault> {
+        request::progress(&format!("branch {branch}: {action:?}"));
+        let step = Step { author: self.identity.author(branch), plan: self.plan.clone(), action };
+        let step = branch::Step { branch: branch.clone(), step };
+        match self.daemon.post(branch::DISSOLUTION_PATH, &step) {
+            Ok(Reply::Done { phase, .. }) => {
+                output::text(&format!("{branch}: {phase}\n"));
+                Ok(())
+            }
+            Ok(Reply::Refused { phase, version }) => {
+                let reason = format!("branch `{branch}` is {phase} at version {version}");
+                Err(Fault::Refused { reason })
+            }
+            Err(Fault::Unknown { reason }) => {
+                Err(Fault::Unknown { reason: format!("{reason}; run the same command again") })
+            }
+            Err(fault) => Err(fault),
+        }
+    }
+}
+
+fn summaries(daemon: Daemon) -> Result<Vec<Summary>, Fault> {
+    let branches = branches::summaries(daemon)?;
+    let read = |branch: branch::Branch| {
+        let problem = branch.problem.unwrap_or_default();
+        let reason = format!("branch `{}` can't be read: {problem}", branch.branch);
+        branch.summary.ok_or(Fault::Refused { reason })
+    };
+    branches.into_iter().map(read).collect()
+}
+
+fn shares(daemon: Daemon) -> Result<Vec<Share>, Fault> {
+    let share = |summary: Summary| {
+        let branch = branches::fetch(daemon, &summary.branch)?;
+        Ok(Share::of(&summary, &branch))
+    };
+    summaries(daemon)?.into_iter().map(share).collect()
+}
+
+impl Share {
+    fn of(summary: &Summary, branch: &Branch) -> Share {
+        let content = &branch.version.content;
+        let declared = &content.branch;
+        let lists = |group: &'static str| {
+            let services = declared.services.values().filter_map(move |service| service.get(group));
+            services.filter_map(Value::as_array).map(Vec::len).sum()
+        };
+        let mut defaults = content.venture.defaults.clone();
+        tree::merge(&mut defaults, &declared.partner.defaults);
+        let venture = branches::is_venture(&branch.name);
+        let inherited = defaults.iter().filter(|(group, value)| {
+            !venture && declared.partner.defaults.get(*group) != Some(*value)
+        });
+        let loans = declared.services.values().chain([&declared.partner.defaults]);
+        Share {
+            branch: branch.name.clone(),
+            phase: summary.phase.to_string(),
+            version: summary.version,
+            services: declared.services.len(),
+            keys: lists("keys"),
+            claims: summary.claims,
+            open_orders: summary.open_intents,
+            written_out: inherited.map(|(group, _)| group.clone()).collect(),
+            ended_loans: loans.filter(|settings| lends(settings)).count(),
+        }
+    }
+}
+
+fn lends(settings: &serde_json::Map<String, Value>) -> bool {
+    settings.get("roles").and_then(|roles| roles.get("lend_to")).is_some()
+}
+
+fn render(shares: &[Share]) -> String {
+    let mut table = output::Table::new(&[
+        "BRANCH",
+        "PHASE",
+        "VERSION",
+        "SERVICES",
+        "KEYS",
+        "CLAIMS",
+        "OPEN ORDERS",
+        "ENDED LOANS",
+        "WRITTEN OUT",
+    ]);
+    for share in shares {
+        table.row(vec![
+            share.branch.to_string(),
+            share.phase.clone(),
+            share.version.to_string(),
+            share.services.to_string(),
+            share.keys.to_string(),
+            share.claims.to_string(),
+            share.open_orders.to_string(),
+            share.ended_loans.to_string(),
+            share.written_out.join(","),
+        ]);
+    }
+    table.render()
+}
--- /dev/null
+++ b/crates/daisyctl/src/command/wait.rs
@@ -0,0 +1,95 @@
+//! Waits until all live instances have a version in force.
+
+use std::{
+    fmt::Write,
+    thread,
+    time::{Duration, Instant},
+};
+
+use common::name;
+use wire::{
+    operator::branch::{self, Instance},
+    spread::Have,
+};
+
+use crate::{client::Daemon, command::request, error::Fault};
+
+/// Longest wait where the command line names none, in seconds.
+pub const DEFAULT_TIMEOUT_S: u64 = 30;
+const INTERVAL: Duration = Duration::from_millis(200);
+
+/// Waits until all live instances have `wanted` in force.
+///
+/// # Errors
+///
+/// Returns [`Fault::Unknown`] that names the instances which have not, once the wait is over.
+pub fn until_in_force(
+    daemon: Daemon,
+    wanted: &[Have],
+    timeout_s: Option<u64>,
+) -> Result<(), Fault> {
+    let limit = Duration::from_secs(timeout_s.unwrap_or(DEFAULT_TIMEOUT_S));
+    let started = Instant::now();
+    loop {
+        let instances: Vec<Instance> = daemon.get(branch::INSTANCES_PATH)?;
+        let report = Report::of(&instances, wanted);
+        request::progress(&report.line());
+        if report.behind.is_empty() {
+            eprint!("{}", report.summary());
+            return Ok(());
+        }
+        if started.elapsed() >= limit {
+            return Err(Fault::Unknown { reason: report.summary() });
+        }
+        thread::sleep(INTERVAL);
+    }
+}
+
+/// Which instances have what is wanted.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Have it in force.
+    pub current: Vec<name::Instance>,
+    /// Answer, and don't have it.
+    pub behind: Vec<name::Instance>,
+    /// Don't answer.
+    pub silent: Vec<name::Instance>,
+}
+
+impl Report {
+    /// Sorts instances by what they have in force.
+    pub fn of(instances: &[Instance], wanted: &[Have]) -> Report {
+        let mut report = Report::default();
+        for instance in instances {
+            let list = match &instance.in_force {
+                None => &mut report.silent,
+                Some(have) if wanted.iter().all(|wanted| covers(have, wanted)) => {
+                    &mut report.current
+                }
+                Some(_) => &mut report.behind,
+            };
+            list.push(instance.instance.clone());
+        }
+        report
+    }
+
+    fn line(&self) -> String {
+        let (current, behind, silent) = (self.current.len(), self.behind.len(), self.silent.len());
+        format!("in force on {current} instances, not on {behind}, {silent} don't answer")
+    }
+
+    /// The report as text.
+    pub fn summary(&self) -> String {
+        let mut text = format!("{}\n", self.line());
+        for (word, list) in [("behind", &self.behind), ("no answer", &self.silent)] {
+            for instance in list {
+                let _ = writeln!(text, "{word}: {instance}");
+            }
+        }
+        text
+    }
+}
+
+fn covers(have: &[Have], wanted: &Have) -> bool {
+    have.iter().any(|have| have.branch == wanted.branch && have.version >= wanted.version)
+}
--- a/crates/daisyctl/src/error.rs
+++ b/crates/daisyctl/src/error.rs
@@ -39,9 +39,9 @@
         /// What was wrong.
         problem: String,
     },
-    /// A file of settings is wrong.
-    #[display("{_0}")]
-    Settings(settings::error::Fault),
+    /// Files of settings are wrong.
+    #[display("settings are refused:\n{_0}")]
+    Settings(settings::error::Faults),
     /// A file can't be read or written.
     #[display("{path}: {cause}")]
     #[from(ignore)]
--- a/crates/daisydrum/src/daemon.rs
+++ b/crates/daisydrum/src/daemon.rs
@@ -9,9 +9,11 @@
     thread::JoinHandle,
 };
 
+use common::name;
 use entry::{directory::Directory, router, server};
 use settings::{check, error::Faults, instance, tree};
 use slog::{Level, info};
+use spread::node;
 use telemetry::{log, metric, span};
 use tokio::{
     runtime::{self, Runtime},
@@ -20,9 +22,10 @@
 
 use crate::{
     context::Context,
-    duty::{callers, control, peers},
+    duty::{callers, control, declarations, operators, peers},
     error::Fault,
-    signal,
+    links::Links,
+    logs, signal,
 };
 
 const PEER_WORKERS: usize = 2;
@@ -80,15 +83,25 @@
         let mut others = vec![router_thread];
         let (spans, spans_thread) = start_spans(&context.settings)?;
         others.extend(spans_thread);
-        let (_directory_in_force, directory) = watch::channel(Arc::new(directory));
+        let (directory_in_force, directory) = watch::channel(Arc::new(directory));
+        let logs = logs::Logs::Absent;
+        let spread = start_spread(context, &logs, directory_in_force)?;
         let control = control::Control {
             identity: context.identity.clone(),
             ready: Arc::clone(&ready),
             router: router.clone(),
             metrics,
+            operators: operators::Operators {
+                context: context.clone(),
+                authority: logs,
+                spread: spread.clone(),
+            },
         };
         let _listener = control::start(context.settings.control, control)?;
-        others.push(peers::start(context, peers::Server { identity: context.identity.clone() })?);
+        others.push(peers::start(
+            context,
+            peers::Server { identity: context.identity.clone(), spread },
+        )?);
         let server = server::Server { directory, router, spans, log: context.log.clone() };
         let callers = callers::start(context.settings.callers, server, context.stop.clone())?;
         ready.store(true, Ordering::Release);
@@ -106,6 +119,32 @@
     }
 }
 
+/// Starts what brings declarations to this instance; without replicated logs the directory stays as it is.
+fn start_spread(
+    context: &Context,
+    logs: &logs::Logs,
+    directory: watch::Sender<Arc<Directory>>,
+) -> Result<node::Node, Fault> {
+    let options = node::Options {
+        instance: Arc::clone(&context.settings),
+        log: context.log.clone(),
+        stop: context.end.clone(),
+    };
+    let node = node::Node::start(options, logs, &Links::new(context), &context.runtime)?;
+    let follow = declarations::follow(node.clone(), directory, context.clone());
+    context.runtime.spawn(follow);
+    for replica in &context.settings.replicas {
+        let branch = name::Branch::from(replica.branch.as_str());
+        let (node, logs) = (node.clone(), logs.clone());
+        if branch.0 != check::VENTURE {
+            let adopt = declarations::adopt(node, logs.clone(), branch.clone(), context.clone());
+            context.runtime.spawn(adopt);
+        }
+        context.runtime.spawn(declarations::count_time(logs, branch, context.clone()));
+    }
+    Ok(node)
+}
+
 fn join(duty: JoinHandle<()>) {
     duty.join().expect("invariant: duties end without a panic");
 }
--- a/crates/daisydrum/src/duty.rs
+++ b/crates/daisydrum/src/duty.rs
@@ -2,4 +2,6 @@
 
 pub mod callers;
 pub mod control;
+pub mod declarations;
+pub mod operators;
 pub mod peers;
--- a/crates/daisydrum/src/duty/declarations.rs
+++ b/crates/daisydrum/src/duty/declarations.rs
@@ -12,7 +12,7 @@
 use entry::directory::Directory;
 use settings::check;
 use slog::{info, warn};
-use spread::{authority::Authority, node::Node, view::View};
+use spread::{authority::Authority, node::Node, upstream, view::View};
 use tokio::{sync::watch, time};
 
 use crate::{context::Context, duty::operators};
@@ -21,11 +21,24 @@
 const LIMIT: Duration = Duration::from_secs(2);
 /// Pause between two looks at what has to be adopted or counted.
 const INTERVAL: Duration = Duration::from_secs(1);
+/// Pause between two looks at whether the declarations may be put into force.
+const READY_INTERVAL: Duration = Duration::from_millis(50);
 /// Name of the system where it is the author of a version.
 const SYSTEM: &str = "system";
 
 /// Follows the declarations in force and indexes them for the request path.
 pub async fn follow(node: Node, directory: watch::Sender<Arc<Directory>>, context: Context) {
+    // Without replicated logs the tree of the settings' folder stays in force.
+    if upstream::branches(&context.settings).is_empty() {
+        context.end.cancelled().await;
+        return;
+    }
+    while !node.is_ready() {
+        tokio::select! {
+            () = context.end.cancelled() => return,
+            () = time::sleep(READY_INTERVAL) => {}
+        }
+    }
     let mut views = node.watch();
     loop {
         let view = Arc::clone(&views.borrow_and_update());
@@ -45,12 +58,7 @@
 }
 
 /// Adopts the venture's defaults on a partner's branch that this instance keeps a replica of.
-pub async fn adopt<A: Authority>(
-    node: Node,
-    authority: A,
-    branch: name::Branch,
-    context: Context,
-) {
+pub async fn adopt<A: Authority>(node: Node, authority: A, branch: name::Branch, context: Context) {
     loop {
         tokio::select! {
             () = context.end.cancelled() => return,
--- a/crates/daisydrum/src/duty/operators.rs
+++ b/crates/daisydrum/src/duty/operators.rs
@@ -5,7 +5,7 @@
 use common::{clock, name};
 use control::{
     command::Command,
-    declaration::{self, Change},
+    declaration::Change,
     query::{Answer, Query, Version},
     reply::Reply,
 };
@@ -58,7 +58,7 @@
             (&Method::POST, branch::DISSOLUTION_PATH) => self.dissolve(request),
             _ => return None,
         };
-        Some(result.unwrap_or_else(|refusal| refusal))
+        Some(result.unwrap_or_else(Response::from))
     }
 
     fn branches(&self) -> Response<Body> {
@@ -96,7 +96,7 @@
         http::json(StatusCode::OK, &instances)
     }
 
-    fn declarations(&self, request: &Request<Body>) -> Result<Response<Body>, Response<Body>> {
+    fn declarations(&self, request: &Request<Body>) -> Result<Response<Body>, Refusal> {
         let branch = branch_of(request)?;
         let version = match http::parameter(request.uri(), "version").map(str::parse) {
             None => None,
@@ -108,13 +108,13 @@
             Answer::Content(version) => Ok(http::json(StatusCode::OK, &version)),
             Answer::NoVersion { oldest } => {
                 let error = format!("the version is not kept; the oldest is {oldest}");
-                Err(http::refuse(StatusCode::NOT_FOUND, error))
+                Err(Refusal::Problem(StatusCode::NOT_FOUND, error))
             }
             _ => Err(unexpected()),
         }
     }
 
-    fn history(&self, request: &Request<Body>) -> Result<Response<Body>, Response<Body>> {
+    fn history(&self, request: &Request<Body>) -> Result<Response<Body>, Refusal> {
         let branch = branch_of(request)?;
         let limit = http::parameter(request.uri(), "limit").and_then(|limit| limit.parse().ok());
         let query = Query::History { limit: limit.unwrap_or(DEFAULT_HISTORY) };
@@ -124,7 +124,7 @@
         }
     }
 
-    fn request(&self, request: &Request<Body>) -> Result<Response<Body>, Response<Body>> {
+    fn request(&self, request: &Request<Body>) -> Result<Response<Body>, Refusal> {
         let branch = branch_of(request)?;
         let id = http::parameter(request.uri(), "id").ok_or_else(|| bad("`id` is missing"))?;
         match self.query(&branch, Query::Request { id: String::from(id) })? {
@@ -133,7 +133,7 @@
         }
     }
 
-    fn change(&self, request: &mut Request<Body>) -> Result<Response<Body>, Response<Body>> {
+    fn change(&self, request: &mut Request<Body>) -> Result<Response<Body>, Refusal> {
         let mut change: branch::Change = http::read_json(request).map_err(|error| bad(&error))?;
         change.request.author.wall_ms = clock::unix_ms();
         self.check(&change)?;
@@ -143,7 +143,7 @@
         }
     }
 
-    fn drain(&self, request: &mut Request<Body>) -> Result<Response<Body>, Response<Body>> {
+    fn drain(&self, request: &mut Request<Body>) -> Result<Response<Body>, Refusal> {
         let mut drain: branch::Drain = http::read_json(request).map_err(|error| bad(&error))?;
         drain.set.author.wall_ms = clock::unix_ms();
         match self.submit(&drain.branch, Command::Drain(drain.set))? {
@@ -152,7 +152,7 @@
         }
     }
 
-    fn dissolve(&self, request: &mut Request<Body>) -> Result<Response<Body>, Response<Body>> {
+    fn dissolve(&self, request: &mut Request<Body>) -> Result<Response<Body>, Refusal> {
         let mut step: branch::Step = http::read_json(request).map_err(|error| bad(&error))?;
         step.step.author.wall_ms = clock::unix_ms();
         match self.submit(&step.branch, Command::Dissolve(step.step))? {
@@ -163,7 +163,7 @@
 
     /// Checks the tree that a change leads to. A change of another base is left to the log, which knows the
     /// winner and the answers of earlier requests.
-    fn check(&self, change: &branch::Change) -> Result<(), Response<Body>> {
+    fn check(&self, change: &branch::Change) -> Result<(), Refusal> {
         let Answer::Content(version) = self.query(&change.branch, Query::Content)? else {
             return Err(unexpected());
         };
@@ -191,29 +191,30 @@
         if faults.is_empty() {
             return Ok(());
         }
-        Err(http::json(StatusCode::UNPROCESSABLE_ENTITY, &branch::Faults { faults }))
+        Err(Refusal::Faults(faults))
     }
 
-    fn query(&self, branch: &name::Branch, query: Query) -> Result<Answer, Response<Body>> {
+    fn query(&self, branch: &name::Branch, query: Query) -> Result<Answer, Refusal> {
         self.known(branch)?;
         let answer = self.context.runtime.block_on(self.authority.query(branch, query, LIMIT));
         answer.map_err(|failure| failed(&failure))
     }
 
-    fn submit(&self, branch: &name::Branch, command: Command) -> Result<Reply, Response<Body>> {
+    fn submit(&self, branch: &name::Branch, command: Command) -> Result<Reply, Refusal> {
         self.known(branch)?;
         let reply = self.context.runtime.block_on(self.authority.submit(branch, command, LIMIT));
         reply.map_err(|failure| failed(&failure))
     }
 
-    fn known(&self, branch: &name::Branch) -> Result<(), Response<Body>> {
+    fn known(&self, branch: &name::Branch) -> Result<(), Refusal> {
         let known = upstream::branches(&self.context.settings);
         if known.contains(branch) {
             return Ok(());
         }
         let names: Vec<String> = known.into_iter().map(|branch| branch.0).collect();
-        let error = format!("no replicated log of branch `{branch}`; there are: {}", names.join(", "));
-        Err(http::refuse(StatusCode::NOT_FOUND, error))
+        let error =
+            format!("no replicated log of branch `{branch}`; there are: {}", names.join(", "));
+        Err(Refusal::Problem(StatusCode::NOT_FOUND, error))
     }
 }
 
@@ -233,25 +234,45 @@
     faults
 }
 
-fn branch_of(request: &Request<Body>) -> Result<name::Branch, Response<Body>> {
+fn branch_of(request: &Request<Body>) -> Result<name::Branch, Refusal> {
     http::parameter(request.uri(), "branch")
         .map(name::Branch::from)
         .ok_or_else(|| bad("`branch` is missing"))
 }
 
-fn bad(problem: &str) -> Response<Body> {
-    http::refuse(StatusCode::BAD_REQUEST, String::from(problem))
+/// Why a call is refused.
+#[derive(Clone, Debug)]
+enum Refusal {
+    /// One problem, with the status that tells of it.
+    Problem(StatusCode, String),
+    /// The declarations have faults.
+    Faults(Vec<Fault>),
+}
+
+impl From<Refusal> for Response<Body> {
+    fn from(refusal: Refusal) -> Response<Body> {
+        match refusal {
+            Refusal::Problem(status, error) => http::refuse(status, error),
+            Refusal::Faults(faults) => {
+                http::json(StatusCode::UNPROCESSABLE_ENTITY, &branch::Faults { faults })
+            }
+        }
+    }
+}
+
+fn bad(problem: &str) -> Refusal {
+    Refusal::Problem(StatusCode::BAD_REQUEST, String::from(problem))
 }
 
-fn unexpected() -> Response<Body> {
-    http::refuse(StatusCode::BAD_GATEWAY, String::from("the replica gave another answer"))
+fn unexpected() -> Refusal {
+    Refusal::Problem(StatusCode::BAD_GATEWAY, String::from("the replica gave another answer"))
 }
 
 /// 503 when nothing was accepted, 504 when the outcome is not known.
-fn failed(failure: &Failure) -> Response<Body> {
+fn failed(failure: &Failure) -> Refusal {
     let status = match failure {
         Failure::NotAccepted { .. } => StatusCode::SERVICE_UNAVAILABLE,
         Failure::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
     };
-    http::refuse(status, failure.to_string())
+    Refusal::Problem(status, failure.to_string())
 }
--- a/crates/daisydrum/src/duty/peers.rs
+++ b/crates/daisydrum/src/duty/peers.rs
@@ -7,6 +7,7 @@
 
 use common::cancel;
 use futures::{Stream, StreamExt};
+use spread::node::Node;
 use tarpc::{
     context, serde_transport,
     server::{self, Channel},
@@ -21,6 +22,7 @@
     link,
     peer::{self, Peer},
     socket,
+    spread::{Have, Update},
 };
 
 use crate::{context::Context, error::Fault};
@@ -32,12 +34,22 @@
 pub struct Server {
     /// Who this daemon is.
     pub identity: peer::Identity,
+    /// The declarations in force here.
+    pub spread: Node,
 }
 
 impl Peer for Server {
     async fn identify(self, _context: context::Context) -> peer::Identity {
         self.identity
     }
+
+    async fn pull(self, _context: context::Context, have: Have, wait_ms: u64) -> Update {
+        self.spread.answer(have, wait_ms).await
+    }
+
+    async fn in_force(self, _context: context::Context) -> Vec<Have> {
+        self.spread.in_force()
+    }
 }
 
 /// Starts to serve peers; the thread ends once `context.end` is cancelled.
--- a/crates/daisydrum/src/error.rs
+++ b/crates/daisydrum/src/error.rs
@@ -35,6 +35,9 @@
         /// The operating system's error.
         cause: std::io::Error,
     },
+    /// The declarations kept in the data folder can't be used.
+    #[display("{_0}; check `data_folder`")]
+    Declarations(spread::disk::Fault),
     /// The process lacks a thread or another resource.
     #[display("can't start a thread: {_0}")]
     Thread(std::io::Error),
--- a/crates/daisydrum/src/http.rs
+++ b/crates/daisydrum/src/http.rs
@@ -28,7 +28,10 @@
 /// The value of a parameter of the query string; names of the system need no escapes.
 pub fn parameter<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
     let pairs = uri.query()?.split('&');
-    pairs.filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, value)| value)
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
 }
 
 /// An answer of JSON.
--- a/crates/daisydrum/src/lib.rs
+++ b/crates/daisydrum/src/lib.rs
@@ -7,6 +7,9 @@
 pub mod daemon;
 pub mod duty;
 pub mod error;
+pub mod http;
+pub mod links;
+pub mod logs;
 mod signal;
 
 const EXIT_REFUSED: u8 = 1;
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -92,12 +92,7 @@
 
     /// A document without a text, whose faults have no lines.
     pub fn of_value(file: &str, value: Value) -> Document {
-        Document {
-            file: String::from(file),
-            value,
-            repeated: Vec::new(),
-            places: Map::default(),
-        }
+        Document { file: String::from(file), value, repeated: Vec::new(), places: Map::default() }
     }
 
     /// Whether the file sets `key`, such as `limits.deadline_ms`.
--- a/crates/spread/src/disk.rs
+++ b/crates/spread/src/disk.rs
@@ -58,9 +58,9 @@
             Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
             Err(error) => return Err(Fault::Io(error)),
         };
-        let sound = bytes.split_at_checked(SUM_BYTES).filter(|(sum, content)| {
-            *sum == crc32fast::hash(content).to_le_bytes()
-        });
+        let sound = bytes
+            .split_at_checked(SUM_BYTES)
+            .filter(|(sum, content)| *sum == crc32fast::hash(content).to_le_bytes());
         let version = sound.and_then(|(_, content)| postcard::from_bytes(content).ok());
         version.map(Some).ok_or(Fault::Damaged { path })
     }
--- a/crates/spread/src/gate.rs
+++ b/crates/spread/src/gate.rs
@@ -39,9 +39,10 @@
             let least = self.least.get(branch).copied().unwrap_or(0);
             view.version(branch) >= least.max(1)
         });
-        let confirmed = self.branches.iter().all(|branch| {
-            view.branches().get(branch).is_some_and(|held| held.confirmed.is_some())
-        });
+        let confirmed = self
+            .branches
+            .iter()
+            .all(|branch| view.branches().get(branch).is_some_and(|held| held.confirmed.is_some()));
         complete && (confirmed || self.heard || now.since(self.started) >= ALONE_AFTER)
     }
 
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod authority;
 pub mod disk;
+pub mod exchange;
 pub mod gate;
 pub mod node;
 pub mod upstream;
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -6,21 +6,19 @@
     time::Duration,
 };
 
-use common::{cancel, clock::Moment, collections::Map, name};
+use common::{cancel, clock::Moment, name};
 use control::query::{Answer, Changes, Query};
 use derive_more::{Display, Error, From};
 use futures::future;
 use settings::instance::Instance;
 use slog::{Logger, debug, info, warn};
 use tokio::{runtime::Handle, sync::watch, task, time};
-use wire::{
-    link::{self, Link},
-    spread::{Have, Update},
-};
+use wire::spread::{Have, Update};
 
 use crate::{
     authority::{Authority, Failure},
     disk::{self, Disk},
+    exchange::{Exchange, Silence},
     gate::Gate,
     upstream::{self, Table, Upstream},
     view::{Taken, View},
@@ -30,8 +28,8 @@
 pub const PULL_WAIT: Duration = Duration::from_secs(1);
 /// Pause between two looks at an own replica.
 const LOCAL_INTERVAL: Duration = Duration::from_millis(250);
-/// What a call may take beyond its wait before its connection is given up.
-const CALL_LIMIT: Duration = Duration::from_secs(2);
+/// Longest wait for the log.
+const LOCAL_LIMIT: Duration = Duration::from_secs(2);
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Folder of the declarations under the data folder.
 const FOLDER: &str = "declarations";
@@ -41,8 +39,6 @@
 pub struct Options {
     /// The instance's settings.
     pub instance: Arc<Instance>,
-    /// Connections to the other instances.
-    pub links: Map<name::Instance, Arc<Link>>,
     /// Takes log lines.
     pub log: Logger,
     /// Ends the tasks.
@@ -67,7 +63,7 @@
 #[derive(Debug, Display, Error, From)]
 enum Fault {
     #[display("{_0}")]
-    Link(link::Fault),
+    Silence(Silence),
     #[display("{_0}")]
     Authority(Failure),
     #[display("{_0}")]
@@ -82,9 +78,10 @@
     /// # Errors
     ///
     /// Returns a [`disk::Fault`] when the data folder can't be used.
-    pub fn start<A: Authority>(
+    pub fn start<A: Authority, E: Exchange>(
         options: Options,
         authority: &A,
+        exchange: &E,
         runtime: &Handle,
     ) -> Result<Node, disk::Fault> {
         let branches = upstream::branches(&options.instance);
@@ -95,7 +92,9 @@
         let now = Moment::now();
         let mut view = View::default();
         for branch in &branches {
-            if let Some(version) = disk.as_ref().map(|disk| disk.read(branch)).transpose()?.flatten() {
+            if let Some(version) =
+                disk.as_ref().map(|disk| disk.read(branch)).transpose()?.flatten()
+            {
                 view.restore(branch, version);
             }
         }
@@ -103,9 +102,16 @@
         let (view, _) = watch::channel(Arc::new(view));
         let node = Node { shared: Arc::new(Shared { options, view, gate, disk }) };
         for branch in branches {
-            runtime.spawn(node.clone().follow(branch, authority.clone()));
+            let follower = Follower {
+                node: node.clone(),
+                table: Table::new(&node.shared.options.instance, &branch),
+                branch,
+                authority: authority.clone(),
+                exchange: exchange.clone(),
+            };
+            runtime.spawn(follower.run());
         }
-        runtime.spawn(node.clone().ask_around());
+        runtime.spawn(node.clone().ask_around(exchange.clone()));
         Ok(node)
     }
 
@@ -136,73 +142,10 @@
         view.answer(&have, Moment::now())
     }
 
-    /// Keeps one branch up to date until the end.
-    async fn follow<A: Authority>(self, branch: name::Branch, authority: A) {
-        let stop = self.shared.options.stop.clone();
-        let mut table = Table::new(&self.shared.options.instance, &branch);
-        let run = async {
-            let mut last = Taken::Same;
-            loop {
-                // After a mismatch the whole is asked for, as by one that has nothing.
-                let mismatch = matches!(last, Taken::Mismatch(_));
-                let version = if mismatch { 0 } else { self.version(&branch) };
-                let have = Have { branch: branch.clone(), version };
-                match self.advance(have, &mut table, &authority).await {
-                    Ok(taken) => last = taken,
-                    Err(fault) => {
-                        debug!(self.shared.options.log, "declarations not brought forward";
-                            "branch" => %branch, "cause" => %fault);
-                        time::sleep(RETRY_PAUSE).await;
-                    }
-                }
-            }
-        };
-        tokio::select! {
-            () = stop.cancelled() => {}
-            () = run => {}
-        }
-    }
-
-    async fn advance<A: Authority>(
-        &self,
-        have: Have,
-        table: &mut Table,
-        authority: &A,
-    ) -> Result<Taken, Fault> {
-        let peer = match table.choose(Moment::now()) {
-            Upstream::Peer(peer) => peer,
-            Upstream::Local => {
-                time::sleep(LOCAL_INTERVAL).await;
-                return self.take(&have.branch, read(authority, &have).await?).await;
-            }
-            Upstream::None => {
-                time::sleep(PULL_WAIT).await;
-                return Ok(Taken::Same);
-            }
-        };
-        match self.pull(&peer, have.clone()).await {
-            Ok(update) => {
-                table.answered(&peer, update.age_ms.map(Duration::from_millis), Moment::now());
-                self.take(&have.branch, update).await
-            }
-            Err(fault) => {
-                table.failed(&peer, Moment::now());
-                Err(fault)
-            }
-        }
-    }
-
     fn version(&self, branch: &name::Branch) -> u64 {
         self.shared.view.borrow().version(branch)
     }
 
-    async fn pull(&self, peer: &name::Instance, have: Have) -> Result<Update, Fault> {
-        let link = &self.shared.options.links[peer];
-        let wait_ms = u64::try_from(PULL_WAIT.as_millis()).unwrap_or(u64::MAX);
-        let limit = PULL_WAIT + CALL_LIMIT;
-        Ok(link.call(limit, async |client, context| client.pull(context, have, wait_ms).await).await?)
-    }
-
     /// Takes an update: it is on the disk before it is in force.
     async fn take(&self, branch: &name::Branch, update: Update) -> Result<Taken, Fault> {
         let mut next = View::clone(&self.shared.view.borrow());
@@ -235,17 +178,14 @@
     }
 
     /// Asks the instances of the data centre and the replicas once what they have.
-    async fn ask_around(self) {
+    async fn ask_around<E: Exchange>(self, exchange: E) {
         let options = &self.shared.options;
         let own = &options.instance.data_centre;
         let peers = options.instance.peers.iter();
         let near = peers.filter(|peer| peer.data_centre == *own || !peer.replicas.is_empty());
         let asks = near.map(|peer| async {
-            let link = &options.links[&name::Instance::from(peer.name.as_str())];
-            let call = async |client: &wire::peer::PeerClient, context| client.in_force(context).await;
-            if let Ok(have) = link.call(CALL_LIMIT, call).await {
-                let mut gate =
-                    self.shared.gate.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Ok(have) = exchange.in_force(&name::Instance::from(peer.name.as_str())).await {
+                let mut gate = self.shared.gate.lock().unwrap_or_else(PoisonError::into_inner);
                 gate.hear(&have);
             }
         });
@@ -256,10 +196,73 @@
     }
 }
 
+/// Keeps one branch up to date.
+struct Follower<A, E> {
+    node: Node,
+    branch: name::Branch,
+    table: Table,
+    authority: A,
+    exchange: E,
+}
+
+impl<A: Authority, E: Exchange> Follower<A, E> {
+    /// Runs until the end.
+    async fn run(mut self) {
+        let stop = self.node.shared.options.stop.clone();
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = self.follow() => {}
+        }
+    }
+
+    async fn follow(&mut self) {
+        let mut last = Taken::Same;
+        loop {
+            // After a mismatch the whole is asked for, as by one that has nothing.
+            let mismatch = matches!(last, Taken::Mismatch(_));
+            let version = if mismatch { 0 } else { self.node.version(&self.branch) };
+            let have = Have { branch: self.branch.clone(), version };
+            match self.advance(have).await {
+                Ok(taken) => last = taken,
+                Err(fault) => {
+                    debug!(self.node.shared.options.log, "declarations not brought forward";
+                        "branch" => %self.branch, "cause" => %fault);
+                    time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn advance(&mut self, have: Have) -> Result<Taken, Fault> {
+        let peer = match self.table.choose(Moment::now()) {
+            Upstream::Peer(peer) => peer,
+            Upstream::Local => {
+                time::sleep(LOCAL_INTERVAL).await;
+                return self.node.take(&self.branch, read(&self.authority, &have).await?).await;
+            }
+            Upstream::None => {
+                time::sleep(PULL_WAIT).await;
+                return Ok(Taken::Same);
+            }
+        };
+        match self.exchange.pull(&peer, have, PULL_WAIT).await {
+            Ok(update) => {
+                let age = update.age_ms.map(Duration::from_millis);
+                self.table.answered(&peer, age, Moment::now());
+                self.node.take(&self.branch, update).await
+            }
+            Err(silence) => {
+                self.table.failed(&peer, Moment::now());
+                Err(Fault::Silence(silence))
+            }
+        }
+    }
+}
+
 /// Reads what changed from the instance's own replica.
 async fn read<A: Authority>(authority: &A, have: &Have) -> Result<Update, Fault> {
     let query = Query::Changes { since: have.version };
-    let Answer::Changes(changes) = authority.query(&have.branch, query, CALL_LIMIT).await? else {
+    let Answer::Changes(changes) = authority.query(&have.branch, query, LOCAL_LIMIT).await? else {
         return Err(Fault::Answer);
     };
     let version = match &changes {
--- a/crates/spread/src/upstream.rs
+++ b/crates/spread/src/upstream.rs
@@ -63,15 +63,24 @@
         Table { local, candidates, passed_over: Map::default() }
     }
 
+    /// Number of instances to choose from.
+    pub fn len(&self) -> usize {
+        self.candidates.len()
+    }
+
+    /// Whether there is no other instance to ask.
+    pub fn is_empty(&self) -> bool {
+        self.candidates.is_empty()
+    }
+
     /// Whom to ask now.
     pub fn choose(&self, now: Moment) -> Upstream {
         if self.local {
             return Upstream::Local;
         }
         let usable = self.candidates.iter().find(|peer| !self.is_passed_over(peer, now));
-        let least_recent = || {
-            self.candidates.iter().min_by_key(|peer| self.passed_over.get(*peer).copied())
-        };
+        let least_recent =
+            || self.candidates.iter().min_by_key(|peer| self.passed_over.get(*peer).copied());
         usable.or_else(least_recent).map_or(Upstream::None, |peer| Upstream::Peer(peer.clone()))
     }
 
--- a/crates/spread/src/view.rs
+++ b/crates/spread/src/view.rs
@@ -165,7 +165,10 @@
         let mut kept = VecDeque::clone(&self.steps);
         for step in steps.into_iter().filter(|step| step.version > self.version.version) {
             if step.version != version.version + 1 {
-                return Taken::Mismatch(format!("change {} after {}", step.version, version.version));
+                return Taken::Mismatch(format!(
+                    "change {} after {}",
+                    step.version, version.version
+                ));
             }
             if let Err(mismatch) = delta::apply(&mut version.content, &step.delta) {
                 return Taken::Mismatch(mismatch.to_string());
--- /dev/null
+++ b/crates/spread/tests/choice.rs
@@ -0,0 +1,134 @@
+//! From whom an instance pulls, and when it may serve.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::time::Duration;
+
+use common::{clock::Moment, name};
+use control::query::Version;
+use settings::instance::Instance;
+use spread::{
+    disk::{Disk, Fault},
+    gate::{ALONE_AFTER, Gate},
+    upstream::{self, PASS_OVER, Table, Upstream},
+    view::View,
+};
+use wire::spread::Have;
+
+const BRANCH: &str = "association";
+
+/// An instance of `data_centre`, with four instances in each of two data centres, the first of which keep replicas.
+fn instance(name: &str, data_centre: &str) -> Instance {
+    let mut peers = Vec::new();
+    for place in ["suva", "nadi"] {
+        for number in 0..4 {
+            let peer = format!("{place}-{number}");
+            let replicas = if number == 0 { vec![BRANCH] } else { vec![] };
+            if peer != name {
+                peers.push(serde_json::json!({ "name": peer, "data_centre": place,
+                    "address": "127.0.0.1:1", "replicas": replicas }));
+            }
+        }
+    }
+    serde_json::from_value(serde_json::json!({ "name": name, "data_centre": data_centre,
+        "callers": "127.0.0.1:1", "control": "127.0.0.1:2", "peers_listen": "127.0.0.1:3",
+        "peers": peers }))
+    .unwrap()
+}
+
+fn chosen(name: &str) -> Upstream {
+    Table::new(&instance(name, name.split('-').next().unwrap()), &BRANCH.into()).choose(Moment(0))
+}
+
+#[test]
+fn a_data_centre_has_one_relay_and_the_others_ask_it() {
+    for place in ["suva", "nadi"] {
+        let mut relays = Vec::new();
+        for number in 0..4 {
+            match chosen(&format!("{place}-{number}")) {
+                Upstream::Peer(peer) if peer.0.starts_with(place) => relays.push(peer),
+                Upstream::Peer(peer) => assert!(peer.0.ends_with("-0"), "{peer} keeps no replica"),
+                other => panic!("{other:?}"),
+            }
+        }
+        relays.dedup();
+        assert!(relays.len() <= 1 || relays.iter().all(|relay| *relay == relays[0]), "{relays:?}");
+        assert!(!relays.is_empty());
+    }
+}
+
+#[test]
+fn an_upstream_that_is_silent_or_cut_off_is_passed_over_for_a_while() {
+    let mut table = (0..4)
+        .map(|number| Table::new(&instance(&format!("suva-{number}"), "suva"), &BRANCH.into()))
+        .max_by_key(Table::len)
+        .unwrap();
+    assert_eq!(table.len(), 4, "three before it and the other data centre's replica");
+    let Upstream::Peer(first) = table.choose(Moment(0)) else { panic!() };
+    table.failed(&first, Moment(0));
+    let Upstream::Peer(second) = table.choose(Moment(1)) else { panic!() };
+    assert_ne!(first, second);
+    table.answered(&second, Some(Duration::from_secs(60)), Moment(1));
+    let Upstream::Peer(third) = table.choose(Moment(2)) else { panic!() };
+    assert!(third != first && third != second);
+    table.answered(&third, Some(Duration::ZERO), Moment(2));
+    assert_eq!(table.choose(Moment(3)), Upstream::Peer(third));
+    assert_eq!(table.choose(Moment(0) + PASS_OVER), Upstream::Peer(first));
+}
+
+#[test]
+fn a_lone_instance_asks_nobody() {
+    let mut alone = instance("suva-1", "suva");
+    alone.peers.clear();
+    assert_eq!(Table::new(&alone, &BRANCH.into()).choose(Moment(0)), Upstream::None);
+    assert_eq!(upstream::branches(&alone), []);
+    assert!(Gate::new(Vec::new(), &[], Moment(0)).is_open(&View::default(), Moment(0)));
+}
+
+fn have(version: u64) -> Have {
+    Have { branch: BRANCH.into(), version }
+}
+
+fn view(version: u64) -> View {
+    let mut view = View::default();
+    view.restore(&BRANCH.into(), Version { version, ..Version::default() });
+    view
+}
+
+#[test]
+fn an_instance_serves_once_it_has_the_highest_version_known() {
+    let branches = vec![name::Branch::from(BRANCH)];
+    let mut gate = Gate::new(branches.clone(), &[], Moment(0));
+    assert!(!gate.is_open(&View::default(), Moment(100_000)));
+    gate.hear(&[have(7)]);
+    gate.hear(&[have(5)]);
+    assert!(!gate.is_open(&view(6), Moment(100_000)));
+    assert!(gate.is_open(&view(7), Moment(1)));
+
+    let kept = Gate::new(branches, &[have(4)], Moment(0));
+    assert!(!kept.is_open(&view(3), Moment(100_000)));
+    assert!(!kept.is_open(&view(4), Moment(1)), "others may have more");
+    assert!(kept.is_open(&view(4), Moment(0) + ALONE_AFTER), "cut off, serves what it had");
+}
+
+#[test]
+fn the_disk_gives_back_what_was_kept_or_refuses() {
+    let folder = std::env::temp_dir().join(format!("spread-disk-{}", std::process::id()));
+    let branch = name::Branch::from(BRANCH);
+    let disk = Disk::open(&folder).unwrap();
+    assert!(disk.read(&branch).unwrap().is_none());
+    let version = Version { version: 9, ..Version::default() };
+    disk.write(&branch, &version).unwrap();
+    assert_eq!(disk.read(&branch).unwrap(), Some(version));
+    let path = folder.join(format!("{BRANCH}.declarations"));
+    let sound = std::fs::read(&path).unwrap();
+    for position in 0..sound.len() {
+        let mut flipped = sound.clone();
+        flipped[position] ^= 1;
+        std::fs::write(&path, &flipped).unwrap();
+        assert!(matches!(disk.read(&branch), Err(Fault::Damaged { .. })), "byte {position}");
+        std::fs::write(&path, &sound[..position]).unwrap();
+        assert!(matches!(disk.read(&branch), Err(Fault::Damaged { .. })), "cut at {position}");
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- /dev/null
+++ b/crates/spread/tests/view.rs
@@ -0,0 +1,147 @@
+//! A view never goes back, whatever arrives in whatever order.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::{sync::LazyLock, time::Duration};
+
+use common::{clock::Moment, name};
+use control::{
+    command::Command,
+    declaration::{Author, Change, Request},
+    query::{Answer, Query},
+    state::State,
+};
+use proptest::prelude::*;
+use serde_json::json;
+use settings::{
+    delta::{self, Content},
+    tree::{self, Venture},
+};
+use spread::view::{Taken, View};
+use wire::spread::{Have, Update};
+
+const BRANCH: &str = "association";
+
+/// Declarations of each version, made by the log.
+fn history(versions: u64) -> (State, Vec<Content>) {
+    let mut state = State::new(BRANCH.into());
+    let mut contents = vec![Content::default()];
+    for version in 0..versions {
+        let mut after = state.ledger().content().clone();
+        after.branch.partner.title = version.to_string();
+        let service = after.branch.services.entry(format!("s{}", version % 3).into()).or_default();
+        service.insert(String::from("limits"), json!({ "deadline_ms": version }));
+        let delta = delta::between(state.ledger().content(), &after);
+        let author = Author { request: version.to_string(), ..Author::default() };
+        let request = Request { author, base: version, change: Change::Apply(delta) };
+        state.apply(version + 1, &Command::Declare(request));
+        contents.push(state.ledger().content().clone());
+    }
+    (state, contents)
+}
+
+/// The log at each of its versions, and the declarations of all versions.
+static STAGES: LazyLock<(Vec<State>, Vec<Content>)> =
+    LazyLock::new(|| ((0..30).map(|versions| history(versions).0).collect(), history(30).1));
+
+/// What the log's replica tells one that has `since`.
+fn update(state: &State, since: u64, age_ms: Option<u64>) -> Update {
+    match state.query(&Query::Changes { since }) {
+        Answer::Changes(changes) => {
+            Update { branch: BRANCH.into(), version: state.ledger().version(), age_ms, changes }
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+fn have(version: u64) -> Have {
+    Have { branch: BRANCH.into(), version }
+}
+
+fn content(view: &View) -> Content {
+    let branch = view.branches().get(&name::Branch::from(BRANCH));
+    branch.map(|held| held.version.content.clone()).unwrap_or_default()
+}
+
+proptest! {
+    /// Instances pull from each other and from the log at any stage, in any order, with lost and repeated
+    /// answers: each always holds exactly some version of the log, and never a lower one than before.
+    #[test]
+    fn views_only_go_forward(
+        pulls in prop::collection::vec((0..4usize, 0..5usize, 0..30u64, any::<bool>()), 1..80),
+    ) {
+        let (stages, contents) = &*STAGES;
+        let mut views: Vec<View> = vec![View::default(); 4];
+        let mut held: Option<Update> = None;
+        for (to, from, stage, delayed) in pulls {
+            let before = views[to].version(&BRANCH.into());
+            let answer = match from {
+                4 => update(&stages[stage as usize], before, Some(0)),
+                from => views[from].answer(&have(before), Moment(1_000)),
+            };
+            let answer = if delayed { held.replace(answer) } else { Some(answer) };
+            if let Some(answer) = answer {
+                views[to].take(answer, Moment(1_000));
+            }
+            let after = views[to].version(&BRANCH.into());
+            prop_assert!(after >= before);
+            prop_assert_eq!(&content(&views[to]), &contents[after as usize]);
+        }
+    }
+}
+
+#[test]
+fn a_laggard_gets_the_whole_and_a_follower_the_changes() {
+    let (state, contents) = history(200);
+    let mut relay = View::default();
+    relay.take(update(&history(100).0, 0, Some(0)), Moment(0));
+    assert_eq!(relay.take(update(&state, 100, Some(0)), Moment(0)), Taken::Newer);
+    for since in [0, 50, 190, 200, 250] {
+        let answer = relay.answer(&have(since), Moment(0));
+        let kind = format!("{:?}", answer.changes).chars().take(4).collect::<String>();
+        let expected = match since {
+            0 | 50 => "Snap",
+            190 => "Delt",
+            _ => "None",
+        };
+        assert_eq!(kind, expected, "since {since}");
+    }
+    assert_eq!(content(&relay), contents[200]);
+}
+
+#[test]
+fn news_from_a_relay_without_the_log_confirm_nothing() {
+    let (state, _) = history(3);
+    let (mut relay, mut view) = (View::default(), View::default());
+    relay.take(update(&state, 0, None), Moment(0));
+    view.take(relay.answer(&have(0), Moment(9_000)), Moment(9_000));
+    let branch = name::Branch::from(BRANCH);
+    assert_eq!(view.branches()[&branch].confirmed, None);
+    relay.take(update(&state, 3, Some(0)), Moment(10_000));
+    view.take(relay.answer(&have(3), Moment(12_000)), Moment(12_500));
+    let expected = Moment(12_500) - Duration::from_millis(2_000);
+    assert_eq!(view.branches()[&branch].confirmed, Some(expected));
+}
+
+#[test]
+fn partners_with_different_defaults_each_keep_their_own() {
+    let mut view = View::default();
+    for (branch, deadline) in [("association", 1_000), ("inkleaf", 2_000)] {
+        let mut state = State::new(branch.into());
+        let defaults = json!({ "limits": { "deadline_ms": deadline } });
+        let venture = Venture { name: "v".into(), defaults: defaults.as_object().unwrap().clone() };
+        let mut after = Content { venture, ..Content::default() };
+        after.branch.services.insert("s".into(), serde_json::Map::new());
+        let delta = delta::between(&Content::default(), &after);
+        let request = Request { author: Author::default(), base: 0, change: Change::Apply(delta) };
+        state.apply(1, &Command::Declare(request));
+        let Answer::Changes(changes) = state.query(&Query::Changes { since: 0 }) else { panic!() };
+        view.take(Update { branch: branch.into(), version: 1, age_ms: None, changes }, Moment(0));
+    }
+    let tree = view.tree();
+    for (partner, deadline) in [("association", 1_000), ("inkleaf", 2_000)] {
+        let branch = &tree.partners[&name::Partner::from(partner)];
+        let service = tree::effective(&tree.venture, branch, &"s".into()).unwrap();
+        assert_eq!(service.limits.deadline_ms, deadline);
+    }
+}
