Membership: targets and instances reconciled by versions, pure

Cause: announcements reach a random instance, so all must learn them, within the bound for control traffic. Change: membership::table with Scuttlebutt exchanges; descriptions only on change, short pulses else. Conclusion: within the bound; changes that stop new work need the push at once.

--- /dev/null
+++ b/crates/membership/src/table/exchange.rs
@@ -0,0 +1,185 @@
+//! Exchanges between instances.
+
+use std::time::Duration;
+
+use common::{clock::Moment, collections::Map, name};
+
+use super::{Item, News, Source, Stamp, State, Table};
+use crate::{
+    event::Event,
+    message::{self, Message, Part, Update, Value, Version},
+};
+
+impl Table {
+    /// Instances to exchange with in this period: one of the data centre, and now and then one that is suspect
+    /// or gone, so that two sides of a healed partition find each other.
+    pub fn partners(&mut self) -> Vec<name::Instance> {
+        const LOST_ONE_IN: usize = 4;
+        let own = self.sources[&self.own].origin.data_centre.clone();
+        let near = |state: fn(State) -> bool| {
+            let instances = self.instances.iter();
+            instances
+                .filter(|(_, instance)| instance.data_centre == own && state(instance.state))
+                .map(|(name, _)| name.clone())
+                .collect::<Vec<_>>()
+        };
+        let mut alive = near(|state| state == State::Alive);
+        let mut lost = near(|state| state != State::Alive);
+        let mut partners = Vec::new();
+        if !alive.is_empty() {
+            partners.push(alive.swap_remove(self.random.below(alive.len())));
+        }
+        if !lost.is_empty() && (partners.is_empty() || self.random.below(LOST_ONE_IN) == 0) {
+            partners.push(lost.swap_remove(self.random.below(lost.len())));
+        }
+        partners
+    }
+
+    /// The data centre's other instances, for news that can't wait.
+    pub fn neighbours(&self) -> impl Iterator<Item = &name::Instance> {
+        let own = &self.sources[&self.own].origin.data_centre;
+        let instances = self.instances.iter();
+        instances
+            .filter(move |(_, instance)| {
+                instance.data_centre == *own && instance.state != State::Gone
+            })
+            .map(|(name, _)| name)
+    }
+
+    /// The first message of an exchange.
+    pub fn open(&self) -> Message {
+        Message { digest: self.digest(), delta: Vec::new() }
+    }
+
+    /// Own updates after `version`, to be sent without being asked for, and the version that they reach.
+    pub fn push(&self, version: u64, now: Moment) -> Message {
+        let source = &self.sources[&self.own];
+        let delta = vec![self.part(source, version, now)];
+        Message { digest: Vec::new(), delta }
+    }
+
+    /// Highest version of the own updates.
+    pub fn own_version(&self) -> u64 {
+        self.sources[&self.own].version
+    }
+
+    /// Takes in a message and makes the answer to it, which is empty at the end of an exchange.
+    pub fn answer(&mut self, message: Message, now: Moment) -> Message {
+        let Message { digest, delta } = message;
+        let opens = delta.is_empty() && !digest.is_empty();
+        for part in delta {
+            self.merge(part, now);
+        }
+        if digest.is_empty() {
+            return Message::default();
+        }
+        let delta = self.delta(&digest, now);
+        Message { digest: if opens { self.digest() } else { Vec::new() }, delta }
+    }
+
+    fn digest(&self) -> Vec<Version> {
+        let sources = self.sources.iter();
+        sources.map(|(key, source)| Version { origin: *key, version: source.version }).collect()
+    }
+
+    fn delta(&self, digest: &[Version], now: Moment) -> Vec<Part> {
+        let known: Map<u32, u64> =
+            digest.iter().map(|version| (version.origin, version.version)).collect();
+        let after = |key: &u32| known.get(key).copied().unwrap_or_default();
+        let lacking = self.sources.iter().filter(|(key, source)| source.version > after(key));
+        lacking.map(|(key, source)| self.part(source, after(key), now)).collect()
+    }
+
+    fn part(&self, source: &Source, after: u64, now: Moment) -> Part {
+        let updates = source.items.range(after + 1..).filter_map(|(version, item)| {
+            let value = self.value(source, *item, now)?;
+            Some(Update { version: *version, value })
+        });
+        Part { origin: source.origin.clone(), version: source.version, updates: updates.collect() }
+    }
+
+    fn merge(&mut self, part: Part, now: Moment) {
+        let key = message::origin_key(&part.origin.instance, part.origin.incarnation);
+        if key == self.own || !self.hear(key, &part.origin, now) {
+            return;
+        }
+        let source = self.sources.entry(key).or_insert_with(|| Source {
+            origin: part.origin,
+            version: 0,
+            items: std::collections::BTreeMap::new(),
+            outstanding: Vec::new(),
+            heard: now,
+        });
+        let before = source.version;
+        if part.version <= before {
+            return;
+        }
+        source.version = part.version;
+        source.heard = now;
+        for update in part.updates.into_iter().filter(|update| update.version > before) {
+            self.take(Stamp { origin: key, version: update.version }, update.value, now);
+        }
+    }
+
+    fn take(&mut self, stamp: Stamp, value: Value, now: Moment) {
+        let aged = |age_ms: u32| now - Duration::from_millis(u64::from(age_ms));
+        match value {
+            Value::Described { announcement, age_ms } => {
+                let key = message::target_key(&announcement.target, announcement.incarnation);
+                let news = self.judge(&announcement);
+                if news == News::Stale {
+                    return;
+                }
+                self.insert(stamp, Item::Described(key));
+                self.put(key, &announcement, News::Urgent, stamp, aged(age_ms));
+                self.tell(key, age_ms);
+            }
+            Value::Pulse(pulse) => {
+                let Some(target) = self.targets.get(&pulse.target) else {
+                    return;
+                };
+                if pulse.sequence < target.announcement.sequence {
+                    return;
+                }
+                if pulse.sequence == target.announcement.sequence {
+                    self.adopt(pulse.target, stamp);
+                    return;
+                }
+                let mut announcement = target.announcement.clone();
+                pulse.apply(&mut announcement);
+                self.insert(stamp, Item::Pulse(pulse.target));
+                self.put(pulse.target, &announcement, News::Usual, stamp, aged(pulse.age_ms));
+                self.tell(pulse.target, pulse.age_ms);
+            }
+            Value::Outstanding(counts) => {
+                self.drop_items(stamp.origin, |item| *item == Item::Outstanding);
+                self.insert(stamp, Item::Outstanding);
+                self.source(stamp.origin).outstanding = counts;
+            }
+            Value::Summary(summary) => self.put_summary(summary, stamp, now),
+        }
+    }
+
+    /// Takes over the stamp of an update that is known already, so that it is told on to others.
+    fn adopt(&mut self, key: u32, stamp: Stamp) {
+        let Some(target) = self.targets.get_mut(&key) else {
+            return;
+        };
+        let old = std::mem::replace(&mut target.pulse, stamp);
+        if old != target.described {
+            self.drop_item(old);
+        }
+        self.insert(stamp, Item::Pulse(key));
+    }
+
+    /// Passes on what was heard of a target; the age of its load report grows by that of the message.
+    fn tell(&mut self, key: u32, age_ms: u32) {
+        let mut announcement = self.targets[&key].announcement.clone();
+        announcement.load.age_ms += u64::from(age_ms);
+        self.events.push_back(Event::Announced(Box::new(announcement)));
+    }
+
+    pub(super) fn insert(&mut self, stamp: Stamp, item: Item) {
+        self.source(stamp.origin).items.insert(stamp.version, item);
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/table/targets.rs
@@ -0,0 +1,141 @@
+//! Targets: newest record, leases, leaving, requests of neighbours, summaries.
+
+use std::time::Duration;
+
+use membership::{
+    event::{Event, Sum},
+    table::News,
+};
+use wire::target::{Announcement, Load, Phase};
+
+use crate::cluster::{Cluster, announcement};
+
+const FOUR: [&str; 4] = ["suva"; 4];
+
+#[test]
+fn all_instances_learn_a_target_that_told_one_of_them() {
+    let mut cluster = Cluster::new(&FOUR);
+    cluster.tables[2].announce(announcement("e", 1), cluster.now);
+    cluster.run(Duration::from_secs(2));
+    assert_eq!(cluster.phases("e"), [Some(Phase::Ready); 4]);
+}
+
+#[test]
+fn the_newest_record_wins_wherever_it_arrives() {
+    let mut cluster = Cluster::new(&FOUR);
+    let leaving = Announcement { phase: Phase::Leaving, ..announcement("e", 8) };
+    cluster.tables[0].announce(leaving, cluster.now);
+    cluster.run(Duration::from_secs(2));
+    assert_eq!(cluster.tables[3].announce(announcement("e", 7), cluster.now), News::Stale);
+    cluster.run(Duration::from_secs(2));
+    assert_eq!(cluster.phases("e"), [Some(Phase::Leaving); 4]);
+    let restarted = Announcement { incarnation: 2, ..announcement("e", 1) };
+    assert_eq!(cluster.tables[3].announce(restarted, cluster.now), News::Urgent);
+    cluster.run(Duration::from_secs(2));
+    assert_eq!(cluster.phases("e"), [Some(Phase::Ready); 4]);
+}
+
+#[test]
+fn a_push_tells_of_a_leaving_target_at_once() {
+    let mut cluster = Cluster::new(&FOUR);
+    cluster.tables[0].announce(announcement("e", 1), cluster.now);
+    cluster.run(Duration::from_secs(3));
+    let before = cluster.tables[1].own_version();
+    let leaving = Announcement { phase: Phase::Leaving, ..announcement("e", 2) };
+    assert_eq!(cluster.tables[1].announce(leaving, cluster.now), News::Urgent);
+    for to in [0, 2, 3] {
+        let push = cluster.tables[1].push(before, cluster.now);
+        cluster.send(1, to, &push);
+    }
+    assert_eq!(cluster.phases("e"), [Some(Phase::Leaving); 4]);
+}
+
+#[test]
+fn telling_on_does_not_lengthen_a_lease() {
+    let mut cluster = Cluster::new(&FOUR);
+    cluster.tables[0].announce(announcement("e", 1), cluster.now);
+    cluster.run(Duration::from_secs(4));
+    assert_eq!(cluster.phases("e"), [Some(Phase::Ready); 4]);
+    cluster.run(Duration::from_secs(2));
+    assert_eq!(cluster.phases("e"), [None; 4]);
+}
+
+#[test]
+fn many_targets_lost_at_once_are_one_event() {
+    let mut cluster = Cluster::new(&FOUR);
+    for target in 0..20 {
+        cluster.tables[0].announce(announcement(&format!("e{target}"), 1), cluster.now);
+    }
+    cluster.run(Duration::from_secs(8));
+    for events in &cluster.events {
+        let lost: Vec<usize> = events
+            .iter()
+            .filter_map(|event| match event {
+                Event::TargetsLost(names) => Some(names.len()),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(lost, [20]);
+    }
+}
+
+#[test]
+fn a_report_that_was_told_on_is_older() {
+    let mut cluster = Cluster::new(&["suva"; 2]);
+    cluster.tables[0].announce(announcement("e", 1), cluster.now);
+    cluster.run(Duration::from_secs(1));
+    let loaded = Announcement {
+        load: Load { age_ms: 100, running: 5, ..Load::default() },
+        ..announcement("e", 2)
+    };
+    cluster.tables[0].announce(loaded, cluster.now);
+    cluster.events[1].clear();
+    cluster.run(Duration::from_secs(1));
+    let load = cluster.events[1].iter().find_map(|event| match event {
+        Event::Announced(announcement) => Some(announcement.load),
+        _ => None,
+    });
+    let load = load.unwrap();
+    assert!(load.running == 5 && load.age_ms > 100, "{load:?}");
+}
+
+#[test]
+fn neighbours_requests_are_summed_and_end_with_their_instance() {
+    let mut cluster = Cluster::new(&FOUR);
+    cluster.tables[0].announce(announcement("e", 1), cluster.now);
+    cluster.run(Duration::from_secs(1));
+    for at in 1..4 {
+        let own = Sum { target: "e".into(), requests: 3 };
+        cluster.tables[at].set_outstanding([own]);
+    }
+    cluster.run(Duration::from_secs(2));
+    assert_eq!(last_sum(&cluster, 0), 9);
+    cluster.dead.insert(3);
+    for sequence in 2..8 {
+        cluster.tables[0].announce(announcement("e", sequence), cluster.now);
+        cluster.run(Duration::from_secs(3));
+    }
+    assert_eq!(last_sum(&cluster, 0), 6);
+}
+
+fn last_sum(cluster: &Cluster, at: usize) -> u32 {
+    let sums = cluster.events[at].iter().rev().find_map(|event| match event {
+        Event::Neighbours(sums) => Some(sums[0].requests),
+        _ => None,
+    });
+    sums.unwrap()
+}
+
+#[test]
+fn a_summary_reaches_all_instances_of_another_data_centre() {
+    let mut cluster = Cluster::new(&["suva", "suva", "nadi", "nadi", "nadi"]);
+    cluster.tables[0].announce(announcement("e", 1), cluster.now);
+    cluster.run(Duration::from_secs(1));
+    assert!(cluster.tables[0].is_envoy() && !cluster.tables[1].is_envoy());
+    let summary = cluster.tables[0].summary(1);
+    assert_eq!((summary.services[0].slots, summary.callers.len()), (16, 2));
+    cluster.tables[3].hear_summary(summary, cluster.now);
+    cluster.run(Duration::from_secs(2));
+    let heard = [2, 3, 4].map(|at| cluster.tables[at].summary_heard(&"suva".into()).is_some());
+    assert_eq!(heard, [true; 3]);
+}
