Open-loop load with checked answers, reports and daisyctl load

Cause: goodput, lost and doubled answers have to be measured against any daemon. Change: crate load draws arrivals from a seed, sends them, judges each answer, and reports as text, JSON and a page with plots; daisyctl load runs a scenario file. Conclusion: tests show that cut answers and keys that ran twice are found.

--- a/crates/daisyctl/src/arguments.rs
+++ b/crates/daisyctl/src/arguments.rs
@@ -151,6 +151,21 @@
         /// Prints the hash of a caller's key, which is read from standard input.
         cmd hash-key {
         }
+        /// Sends load to daemons, checks each answer and reports; fails when any answer was wrong, cut or missing.
+        cmd load {
+            /// File of the scenario, for example `examples/load.jsonc`.
+            required --scenario scenario: String
+            /// A daemon's address for callers, in place of the scenario's; may be given for each daemon.
+            repeated --callers callers: SocketAddr
+            /// A daemon's control address, in place of the scenario's; may be given for each daemon.
+            repeated --control control: SocketAddr
+            /// Seed, in place of the scenario's.
+            optional --seed seed: u64
+            /// File for the report as JSON.
+            optional --json json: String
+            /// File for the report as a page with plots.
+            optional --page page: String
+        }
         /// Shows the spans of one request as a tree.
         cmd trace {
             /// File of spans, as `spans.file` names it; may be given for each instance.
--- a/crates/daisyctl/src/command.rs
+++ b/crates/daisyctl/src/command.rs
@@ -10,6 +10,7 @@
 pub mod get;
 pub mod hash_key;
 pub mod history;
+pub mod load;
 pub mod request;
 pub mod rollback;
 pub mod status;
@@ -36,6 +37,7 @@
         DaisyctlCmd::Apply(arguments) => apply::run(&arguments),
         DaisyctlCmd::Get(arguments) => get::run(&arguments),
         DaisyctlCmd::History(arguments) => history::run(&arguments),
+        DaisyctlCmd::Load(arguments) => load::run(&arguments),
         DaisyctlCmd::Rollback(arguments) => rollback::run(&arguments),
         DaisyctlCmd::Export(arguments) => export::run(&arguments),
         DaisyctlCmd::Dissolve(arguments) => dissolve::run(&arguments),
--- /dev/null
+++ b/crates/daisyctl/src/command/load.rs
@@ -0,0 +1,63 @@
+//! `daisyctl load`: runs a scenario of load and reports what became of each request.
+
+use std::{fs, path::Path};
+
+use load::{report::Report, run, scenario::Scenario};
+use settings::document::Document;
+use tokio::runtime;
+
+use crate::{arguments::Load, error::Fault, output};
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] when the scenario can't be read, a report can't be written or a request went wrong.
+pub fn run(arguments: &Load) -> Result<(), Fault> {
+    let mut scenario = read(Path::new(&arguments.scenario))?;
+    if !arguments.callers.is_empty() {
+        scenario.callers.clone_from(&arguments.callers);
+    }
+    if !arguments.control.is_empty() {
+        scenario.control.clone_from(&arguments.control);
+    }
+    if scenario.callers.is_empty() {
+        return Err(Fault::Usage {
+            problem: String::from(
+                "no address for callers: name one in the scenario or by --callers",
+            ),
+        });
+    }
+    scenario.seed = arguments.seed.unwrap_or(scenario.seed);
+    let runtime = runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = runtime.map_err(|cause| Fault::File { path: String::from("runtime"), cause })?;
+    let report = runtime.block_on(run::run(scenario));
+    write(arguments, &report)?;
+    output::text(&report.text());
+    if report.is_clean() {
+        return Ok(());
+    }
+    Err(Fault::Refused { reason: String::from("requests went wrong, see the report") })
+}
+
+fn read(path: &Path) -> Result<Scenario, Fault> {
+    let document = Document::read(path)?;
+    serde_json::from_value(document.value.clone())
+        .map_err(|error| Fault::Settings(document.fault("", error.to_string())))
+}
+
+fn write(arguments: &Load, report: &Report) -> Result<(), Fault> {
+    if let Some(path) = &arguments.json {
+        let json = serde_json::to_string_pretty(report)
+            .expect("invariant: a report has only keys that are text");
+        save(path, &json)?;
+    }
+    if let Some(path) = &arguments.page {
+        save(path, &report.page())?;
+    }
+    Ok(())
+}
+
+fn save(path: &str, text: &str) -> Result<(), Fault> {
+    fs::write(path, text).map_err(|cause| Fault::File { path: path.to_owned(), cause })
+}
--- /dev/null
+++ b/crates/load/src/call.rs
@@ -0,0 +1,211 @@
+//! Sends one request as a caller does and judges the answer.
+
+use std::{net::SocketAddr, time::Duration};
+
+use common::random::Random;
+use derive_more::{Display, IsVariant};
+use http_body_util::BodyExt;
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use serde::{Deserialize, Serialize};
+use standin::{answer, http, plain};
+use tokio::time::{self, Instant};
+use wire::{completion, outcome};
+
+use crate::{
+    arrival::{Arrival, Content},
+    scenario::{Scenario, Shape, Stream},
+    stream,
+};
+
+type Payload = http_body_util::Full<hyper::body::Bytes>;
+
+/// What became of a request.
+#[derive(Clone, Debug, Display, IsVariant, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// The whole answer came, and is the request's own.
+    Whole,
+    /// Refused; it did not run.
+    NotRun,
+    /// The system says that it may have run.
+    MayHaveRun,
+    /// The answer is not the request's own, or has a token twice or out of order.
+    #[display("wrong: {_0}")]
+    Wrong(String),
+    /// The answer ended early.
+    #[display("cut: {_0}")]
+    Cut(String),
+    /// The connection broke before an answer began.
+    #[display("broken: {_0}")]
+    Broken(String),
+    /// Nothing but silence until the deadline.
+    Late,
+    /// An answer without a truthful word, or a judgement of the request itself.
+    #[display("other: {_0}")]
+    Other(String),
+}
+
+/// A request's result.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outcome {
+    /// Position of its stream in the scenario.
+    pub stream: usize,
+    /// When it was due, in milliseconds from the start of the run.
+    pub at_ms: u64,
+    /// What became of it.
+    pub verdict: Verdict,
+    /// From when it was due to the first token, in milliseconds.
+    pub first_ms: Option<u64>,
+    /// From when it was due to the end, in milliseconds.
+    pub total_ms: u64,
+    /// 95 in 100 gaps between its tokens are at most this long, in milliseconds.
+    pub gap_ms: u64,
+    /// Times that it was sent again after a broken connection.
+    pub resends: u32,
+}
+
+impl Outcome {
+    /// Whether the answer is whole and met the goals of its stream.
+    pub fn is_in_time(&self, stream: &Stream) -> bool {
+        self.verdict.is_whole()
+            && self.first_ms.is_none_or(|first| first <= stream.first_token_ms)
+            && self.gap_ms <= stream.token_gap_ms
+            && self.total_ms <= stream.deadline_ms
+    }
+}
+
+/// Sends `arrival`, again after broken connections as often as the scenario says.
+pub async fn send(scenario: &Scenario, arrival: &Arrival, seed: u64, due: Instant) -> Outcome {
+    let stream = &scenario.streams[arrival.stream];
+    let deadline = due + Duration::from_millis(stream.deadline_ms);
+    let mut random = Random::new(seed);
+    let mut resends = 0;
+    let mut exchange;
+    loop {
+        let address = scenario.callers[random.below(scenario.callers.len())];
+        exchange = Exchange::default();
+        let verdict = time::timeout_at(deadline, exchange.run(address, stream, &arrival.content));
+        exchange.verdict = verdict.await.unwrap_or(Verdict::Late);
+        let is_broken = matches!(exchange.verdict, Verdict::Broken(_) | Verdict::Cut(_));
+        if !is_broken || resends == scenario.resends || Instant::now() >= deadline {
+            break;
+        }
+        resends += 1;
+    }
+    let reading = &exchange.reading;
+    Outcome {
+        stream: arrival.stream,
+        at_ms: milliseconds(arrival.at),
+        verdict: exchange.verdict,
+        first_ms: reading.times.first().map(|first| milliseconds(*first - due)),
+        total_ms: milliseconds(due.elapsed()),
+        gap_ms: milliseconds(reading.gap()),
+        resends,
+    }
+}
+
+struct Exchange {
+    verdict: Verdict,
+    reading: stream::Reading,
+}
+
+impl Default for Exchange {
+    fn default() -> Exchange {
+        Exchange { verdict: Verdict::Late, reading: stream::Reading::default() }
+    }
+}
+
+impl Exchange {
+    async fn run(&mut self, address: SocketAddr, stream: &Stream, content: &Content) -> Verdict {
+        let request = match request(stream, content) {
+            Ok(request) => request,
+            Err(error) => return Verdict::Other(error.to_string()),
+        };
+        let response = match http::open(address, request).await {
+            Ok(response) => response,
+            Err(fault) => return Verdict::Broken(fault.to_string()),
+        };
+        if response.status() != StatusCode::OK {
+            return refusal(response).await;
+        }
+        match content {
+            Content::Completion { prompt, output_tokens } => {
+                self.read_stream(response, prompt, *output_tokens).await
+            }
+            Content::Plain { body, .. } => read_plain(response, body).await,
+        }
+    }
+
+    async fn read_stream(
+        &mut self,
+        response: Response<Incoming>,
+        prompt: &str,
+        output_tokens: u32,
+    ) -> Verdict {
+        let end = stream::read(response.into_body(), &mut self.reading).await;
+        let tokens = usize::try_from(output_tokens).unwrap_or(usize::MAX);
+        match answer::check(prompt, tokens, &self.reading.text) {
+            Ok(()) if self.reading.is_done => Verdict::Whole,
+            Ok(()) => Verdict::Cut(String::from("the closing event is missing")),
+            Err(answer::Fault::Length { found, expected }) if found < expected => {
+                let cause = self.reading.error.take().or(end.err().map(|error| error.to_string()));
+                Verdict::Cut(format!("{found} of {expected} tokens, {}", cause.unwrap_or_default()))
+            }
+            Err(fault) => Verdict::Wrong(fault.to_string()),
+        }
+    }
+}
+
+fn request(stream: &Stream, content: &Content) -> Result<Request<Payload>, http::Fault> {
+    let mut request = match (&stream.shape, content) {
+        (Shape::Completion { model, .. }, Content::Completion { prompt, output_tokens }) => {
+            let body = completion::Request {
+                model: model.clone(),
+                prompt: Some(prompt.clone()),
+                stream: true,
+                max_tokens: Some(*output_tokens),
+                ..completion::Request::default()
+            };
+            http::post("/v1/completions", &body)?
+        }
+        (Shape::Plain { path, .. }, Content::Plain { key, body }) => Request::post(path)
+            .header(hyper::header::HOST, "localhost")
+            .header(plain::KEY_HEADER, key)
+            .body(Payload::from(body.clone()))?,
+        _ => unreachable!("invariant: contents are drawn from the stream's own shape"),
+    };
+    let bearer = format!("Bearer {}", stream.key);
+    let value = hyper::header::HeaderValue::from_str(&bearer).map_err(hyper::http::Error::from)?;
+    request.headers_mut().insert(hyper::header::AUTHORIZATION, value);
+    Ok(request)
+}
+
+async fn read_plain(response: Response<Incoming>, expected: &str) -> Verdict {
+    match response.into_body().collect().await {
+        Ok(body) => {
+            if body.to_bytes() == expected.as_bytes() {
+                Verdict::Whole
+            } else {
+                Verdict::Wrong(String::from("the body is not the request's own"))
+            }
+        }
+        Err(error) => Verdict::Cut(error.to_string()),
+    }
+}
+
+async fn refusal(response: Response<Incoming>) -> Verdict {
+    let word = response.headers().get(outcome::HEADER).and_then(|value| value.to_str().ok());
+    let word: Option<outcome::Word> = word.and_then(|word| word.parse().ok());
+    match word {
+        Some(outcome::Word::NotRun) => return Verdict::NotRun,
+        Some(outcome::Word::MayHaveRun) => return Verdict::MayHaveRun,
+        Some(outcome::Word::Ran) | None => {}
+    }
+    let status = response.status();
+    let body = response.into_body().collect().await.map(http_body_util::Collected::to_bytes);
+    Verdict::Other(format!("{status} {}", String::from_utf8_lossy(&body.unwrap_or_default())))
+}
+
+fn milliseconds(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/load/src/report.rs
@@ -0,0 +1,241 @@
+//! What a run found, as text for people, JSON for programs and a page with plots.
+
+mod page;
+mod text;
+
+use std::collections::BTreeMap;
+
+use common::{name, role::Role};
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    call::{Outcome, Verdict},
+    scenario::{Scenario, Stream},
+};
+
+const MS_PER_SECOND: u64 = 1_000;
+/// Significant digits of latencies.
+const DIGITS: u8 = 3;
+/// Faults that a report shows in words at most.
+const SHOWN_FAULTS: usize = 20;
+
+/// What a run found.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Length of the run, in seconds.
+    pub duration_s: f64,
+    /// By stream.
+    pub streams: Vec<Summary>,
+    /// By second in which requests were due.
+    pub seconds: Vec<Second>,
+    /// Changes of engines' roles.
+    pub changes: Vec<Change>,
+    /// Idempotency keys that ran more than once.
+    pub doubled: Vec<String>,
+    /// The first faults in words.
+    pub faults: Vec<String>,
+}
+
+/// What became of a stream's requests.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// Name of the stream.
+    pub name: String,
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Whole answers that met the goals.
+    pub in_time: u64,
+    /// Refused, not run.
+    pub not_run: u64,
+    /// May have run.
+    pub may_have_run: u64,
+    /// Wrong answers.
+    pub wrong: u64,
+    /// Answers that ended early.
+    pub cut: u64,
+    /// Broken connections before an answer.
+    pub broken: u64,
+    /// Silent until the deadline.
+    pub late: u64,
+    /// Other answers.
+    pub other: u64,
+    /// Requests that were sent again after a broken connection.
+    pub resent: u64,
+    /// Time to the first token, in milliseconds.
+    pub first_ms: Quantiles,
+    /// Time to the end, in milliseconds.
+    pub total_ms: Quantiles,
+}
+
+/// Quantiles of a latency, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quantiles {
+    /// 50 in 100 are at most this long.
+    pub p50: u64,
+    /// 95 in 100.
+    pub p95: u64,
+    /// 99 in 100.
+    pub p99: u64,
+    /// The longest.
+    pub max: u64,
+}
+
+/// One second of a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Second {
+    /// Requests due.
+    pub sent: u64,
+    /// Of these, answered in time.
+    pub in_time: u64,
+    /// Of these, refused.
+    pub refused: u64,
+    /// 95 in 100 first tokens took at most this long, in milliseconds.
+    pub first_p95_ms: u64,
+}
+
+/// A change of an engine's role.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Second of the run in which it was seen.
+    pub at_s: u64,
+    /// The engine.
+    pub target: name::Target,
+    /// Its new role.
+    pub role: Role,
+}
+
+impl Report {
+    /// Sums a run up; `runs` are the runs by idempotency key that plain services counted.
+    pub fn new(
+        scenario: &Scenario,
+        outcomes: &[Outcome],
+        changes: Vec<Change>,
+        runs: &BTreeMap<String, u64>,
+    ) -> Report {
+        let streams = scenario.streams.iter().enumerate();
+        let streams = streams.map(|(index, stream)| {
+            Summary::new(stream, outcomes.iter().filter(|outcome| outcome.stream == index))
+        });
+        let doubled = runs.iter().filter(|(_, count)| **count > 1).map(|(key, _)| key.clone());
+        Report {
+            seed: scenario.seed,
+            duration_s: scenario.duration_s,
+            streams: streams.collect(),
+            seconds: seconds(scenario, outcomes),
+            changes,
+            doubled: doubled.collect(),
+            faults: faults(scenario, outcomes),
+        }
+    }
+
+    /// Whether no answer was wrong, cut or without a word, and nothing ran twice.
+    pub fn is_clean(&self) -> bool {
+        let is_clean = |stream: &Summary| {
+            stream.wrong + stream.cut + stream.broken + stream.late + stream.other == 0
+        };
+        self.doubled.is_empty() && self.streams.iter().all(is_clean)
+    }
+
+    /// The report as text for people.
+    pub fn text(&self) -> String {
+        text::render(self)
+    }
+
+    /// The report as a page that needs no network.
+    pub fn page(&self) -> String {
+        page::render(self)
+    }
+}
+
+impl Summary {
+    fn new<'a>(stream: &Stream, outcomes: impl Iterator<Item = &'a Outcome>) -> Summary {
+        let mut summary = Summary { name: stream.name.clone(), ..Summary::default() };
+        let (mut first, mut total) = (Latency::new(), Latency::new());
+        for outcome in outcomes {
+            summary.count(stream, outcome);
+            if outcome.verdict.is_whole() {
+                total.record(outcome.total_ms);
+                first.record(outcome.first_ms.unwrap_or(outcome.total_ms));
+            }
+        }
+        Summary { first_ms: first.quantiles(), total_ms: total.quantiles(), ..summary }
+    }
+
+    fn count(&mut self, stream: &Stream, outcome: &Outcome) {
+        self.sent += 1;
+        self.resent += u64::from(outcome.resends > 0);
+        self.in_time += u64::from(outcome.is_in_time(stream));
+        let counter = match outcome.verdict {
+            Verdict::Whole => &mut self.whole,
+            Verdict::NotRun => &mut self.not_run,
+            Verdict::MayHaveRun => &mut self.may_have_run,
+            Verdict::Wrong(_) => &mut self.wrong,
+            Verdict::Cut(_) => &mut self.cut,
+            Verdict::Broken(_) => &mut self.broken,
+            Verdict::Late => &mut self.late,
+            Verdict::Other(_) => &mut self.other,
+        };
+        *counter += 1;
+    }
+}
+
+struct Latency(Histogram<u64>);
+
+impl Latency {
+    fn new() -> Latency {
+        Latency(Histogram::new(DIGITS).expect("invariant: the digits are in the allowed range"))
+    }
+
+    fn record(&mut self, milliseconds: u64) {
+        self.0.saturating_record(milliseconds);
+    }
+
+    fn quantiles(&self) -> Quantiles {
+        Quantiles {
+            p50: self.0.value_at_quantile(0.5),
+            p95: self.0.value_at_quantile(0.95),
+            p99: self.0.value_at_quantile(0.99),
+            max: self.0.max(),
+        }
+    }
+}
+
+fn seconds(scenario: &Scenario, outcomes: &[Outcome]) -> Vec<Second> {
+    let mut by_second: BTreeMap<u64, Vec<&Outcome>> = BTreeMap::new();
+    for outcome in outcomes {
+        by_second.entry(outcome.at_ms / MS_PER_SECOND).or_default().push(outcome);
+    }
+    let last = by_second.keys().last().copied().unwrap_or_default();
+    (0..=last).map(|at| second(scenario, by_second.get(&at).map_or(&[], Vec::as_slice))).collect()
+}
+
+fn second(scenario: &Scenario, outcomes: &[&Outcome]) -> Second {
+    let mut second = Second::default();
+    let mut first = Latency::new();
+    for outcome in outcomes {
+        second.sent += 1;
+        second.in_time += u64::from(outcome.is_in_time(&scenario.streams[outcome.stream]));
+        second.refused += u64::from(outcome.verdict.is_not_run());
+        if let Some(first_ms) = outcome.first_ms {
+            first.record(first_ms);
+        }
+    }
+    Second { first_p95_ms: first.quantiles().p95, ..second }
+}
+
+fn faults(scenario: &Scenario, outcomes: &[Outcome]) -> Vec<String> {
+    let is_fault = |outcome: &&Outcome| {
+        !matches!(outcome.verdict, Verdict::Whole | Verdict::NotRun | Verdict::MayHaveRun)
+    };
+    let faults = outcomes.iter().filter(is_fault).take(SHOWN_FAULTS);
+    let words = faults.map(|outcome| {
+        let name = &scenario.streams[outcome.stream].name;
+        format!("{name} at {} ms after {} ms: {}", outcome.at_ms, outcome.total_ms, outcome.verdict)
+    });
+    words.collect()
+}
--- /dev/null
+++ b/crates/load/src/stream.rs
@@ -0,0 +1,69 @@
+//! Reads a stream of server-sent events and notes when each token came.
+
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::Value;
+use tokio::time::Instant;
+
+/// A stream that was read to its end.
+#[derive(Debug, Default)]
+pub(crate) struct Reading {
+    /// The tokens put together.
+    pub text: String,
+    /// When each token came.
+    pub times: Vec<Instant>,
+    /// Whether the closing event came.
+    pub is_done: bool,
+    /// Error that was sent in place of further tokens.
+    pub error: Option<String>,
+}
+
+impl Reading {
+    /// 95 in 100 gaps between tokens are at most this long.
+    pub fn gap(&self) -> Duration {
+        const HUNDREDTHS: usize = 95;
+        let mut gaps: Vec<Duration> = self.times.windows(2).map(|pair| pair[1] - pair[0]).collect();
+        gaps.sort();
+        let position = (gaps.len() * HUNDREDTHS).div_ceil(100).saturating_sub(1);
+        gaps.get(position).copied().unwrap_or_default()
+    }
+
+    fn take(&mut self, line: &str) {
+        let Some(data) = line.strip_prefix("data: ") else {
+            return;
+        };
+        if data == "[DONE]" {
+            self.is_done = true;
+            return;
+        }
+        let event: Value = serde_json::from_str(data).unwrap_or_default();
+        if let Some(error) = event.get("error") {
+            self.error = Some(error.to_string());
+            return;
+        }
+        let choice = &event["choices"][0];
+        let token = choice["text"].as_str().or_else(|| choice["delta"]["content"].as_str());
+        if let Some(token) = token {
+            self.text.push_str(token);
+            self.times.push(Instant::now());
+        }
+    }
+}
+
+/// Reads `body` to its end or its break into `reading`.
+pub(crate) async fn read(mut body: Incoming, reading: &mut Reading) -> Result<(), hyper::Error> {
+    let mut pending = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        pending.extend_from_slice(&data);
+        while let Some(end) = pending.iter().position(|&byte| byte == b'\n') {
+            let line: Vec<u8> = pending.drain(..=end).collect();
+            reading.take(String::from_utf8_lossy(&line).trim_end());
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/load/tests/run.rs
@@ -0,0 +1,127 @@
+//! Runs of load against stand-ins, and what reports say of them.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::{net::SocketAddr, time::Duration};
+
+use common::{cancel, name};
+use expect_test::expect;
+use load::{
+    arrival, run,
+    scenario::{Range, Rate, Scenario, Shape, Stream},
+};
+use standin::{announce, engine, plain};
+
+#[test]
+fn draws_the_same_requests_from_the_same_seed() {
+    let scenario = scenario(vec![completions()]);
+    let arrivals = arrival::draw(&scenario);
+    assert_eq!(arrivals, arrival::draw(&scenario));
+    expect!["19 requests, the first after 22.411872ms"].assert_eq(&format!(
+        "{} requests, the first after {:?}",
+        arrivals.len(),
+        arrivals[0].at
+    ));
+    assert_ne!(arrivals, arrival::draw(&Scenario { seed: 2, ..scenario }));
+}
+
+#[tokio::test]
+async fn finds_whole_answers_whole() {
+    let engine = engine::Engine::start(options(), cancel::Token::new()).await.unwrap();
+    let mut scenario = scenario(vec![completions()]);
+    scenario.callers = vec![engine.address()];
+    let report = run::run(scenario).await;
+    assert!(report.is_clean(), "{:?}", report.faults);
+    let stream = &report.streams[0];
+    assert_eq!(stream.whole, stream.sent);
+    let page = report.page();
+    assert!(page.contains("<polyline") && !page.contains("//"), "{page}");
+}
+
+#[tokio::test]
+async fn finds_cut_answers_cut() {
+    let options = engine::Options { crash_after_tokens: Some(20), ..options() };
+    let engine = engine::Engine::start(options, cancel::Token::new()).await.unwrap();
+    let mut scenario = scenario(vec![completions()]);
+    scenario.callers = vec![engine.address()];
+    let report = run::run(scenario).await;
+    let stream = &report.streams[0];
+    assert!(!report.is_clean());
+    assert!(stream.cut > 0 && stream.broken > 0, "{}", report.text());
+    assert_eq!(stream.whole + stream.cut + stream.broken, stream.sent);
+}
+
+#[tokio::test]
+async fn finds_keys_that_ran_twice() {
+    let plain = plain::Plain::start(plain_options(), cancel::Token::new()).await.unwrap();
+    let mut scenario = scenario(vec![lodgements()]);
+    scenario.callers = vec![plain.address()];
+    scenario.plain = vec![plain.address()];
+    scenario.resends = 1;
+    let report = run::run(scenario).await;
+    assert!(!report.doubled.is_empty());
+    assert!(!report.is_clean());
+}
+
+fn scenario(streams: Vec<Stream>) -> Scenario {
+    Scenario {
+        seed: 1,
+        duration_s: 0.5,
+        max_requests: 100,
+        callers: Vec::new(),
+        control: Vec::new(),
+        plain: Vec::new(),
+        resends: 0,
+        streams,
+    }
+}
+
+fn completions() -> Stream {
+    Stream {
+        name: String::from("drafts"),
+        key: String::from("vent-example-key"),
+        shape: Shape::Completion {
+            model: String::from("small"),
+            prompt_tokens: Range { from: 10, to: 200 },
+            output_tokens: Range { from: 5, to: 20 },
+            prefixes: 2,
+            prefix_tokens: 2_000,
+        },
+        rates: vec![Rate { at_s: 0.0, per_s: 40.0 }],
+        deadline_ms: 20_000,
+        first_token_ms: 820,
+        token_gap_ms: 43,
+    }
+}
+
+fn lodgements() -> Stream {
+    Stream {
+        name: String::from("certificates"),
+        shape: Shape::Plain {
+            path: String::from("/certificates"),
+            body_bytes: Range { from: 10, to: 50 },
+        },
+        ..completions()
+    }
+}
+
+fn options() -> engine::Options {
+    let mut options = engine::Options::new("engine-1", "association", "vent-llm", Vec::new());
+    options.speed.scale = 0.05;
+    options.queue = 200;
+    options
+}
+
+fn plain_options() -> plain::Options {
+    plain::Options {
+        name: name::Target::from("plain-1"),
+        partner: name::Partner::from("association"),
+        service: name::Service::from("member-portal"),
+        data_centre: name::DataCentre::from("suva"),
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        announced: None,
+        route: announce::Route { control: Vec::new(), interval: Duration::from_secs(1), seed: 1 },
+        delay: Duration::ZERO,
+        fate: plain::Fate::Drop,
+    }
+}
