--- a/crates/daisyctl/src/command/load.rs
+++ b/crates/daisyctl/src/command/load.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::Path};
 
 use load::{report::Report, run, scenario::Scenario};
-use settings::document::Document;
+use settings::{document::Document, error::Faults};
 use tokio::runtime;
 
 use crate::{arguments::Load, error::Fault, output};
@@ -41,9 +41,10 @@
 }
 
 fn read(path: &Path) -> Result<Scenario, Fault> {
-    let document = Document::read(path)?;
+    let document =
+        Document::read(path).map_err(|fault| Fault::Settings(Faults::from(vec![fault])))?;
     serde_json::from_value(document.value.clone())
-        .map_err(|error| Fault::Settings(document.fault("", error.to_string())))
+        .map_err(|error| Fault::Settings(Faults::from(vec![document.fault("", error.to_string())])))
 }
 
 fn write(arguments: &Load, report: &Report) -> Result<(), Fault> {
