Request path: router's thread, attempts, resumed streams, claims, silence and a graceful stop

Cause: the thin path sent each call once, knew no admission and cut nothing only by luck. Change: the router's decisions run in a thread of their own; each request has a driver that carries out attempts, resumes streams from the delivered token, cancels when the caller leaves, ends at its deadline and cuts silent attempts after a probe; whole answers are held until they are whole; calls that may not be repeated are claimed before they are sent; KV caches move between engines where the router pairs them; a second signal stops at once.

--- a/crates/daisydrum/src/context.rs
+++ b/crates/daisydrum/src/context.rs
@@ -23,6 +23,10 @@
     pub log: Logger,
     /// Cancelled when the instance is told to stop: it takes no new callers and lets answers end.
     pub stop: cancel::Token,
+    /// Cancelled when callers who still hold a connection are cut.
+    pub cut: cancel::Token,
+    /// Cancelled when all callers are answered or cut.
+    pub answered: cancel::Token,
     /// Cancelled when all answers are given: the other duties end.
     pub end: cancel::Token,
 }
@@ -56,6 +60,8 @@
             runtime,
             log,
             stop: cancel::Token::new(),
+            cut: cancel::Token::new(),
+            answered: cancel::Token::new(),
             end: cancel::Token::new(),
         }
     }
--- a/crates/daisydrum/src/daemon.rs
+++ b/crates/daisydrum/src/daemon.rs
@@ -7,22 +7,24 @@
         atomic::{AtomicBool, Ordering},
     },
     thread::JoinHandle,
+    time::Duration,
 };
 
-use common::name;
-use entry::{directory::Directory, router, server};
+use common::{clock, name};
+use entry::{claim, directory::Directory, protocol, router, server};
 use settings::{check, error::Faults, instance, tree};
-use slog::{Level, info};
+use slog::{Level, info, warn};
 use spread::node;
 use telemetry::{log, metric, span};
 use tokio::{
     runtime::{self, Runtime},
     sync::watch,
+    time,
 };
 
 use crate::{
     context::Context,
-    duty::{callers, control, declarations, operators, peers},
+    duty::{callers, control, declarations, operators, peers, services},
     error::Fault,
     links::Links,
     logs, signal,
@@ -61,11 +63,24 @@
 
     runtime.block_on(signals.wait());
     info!(context.log, "stopping"; "instance" => %instance);
+    duties.refuse_callers(&context);
+    runtime.block_on(wait_for_answers(&context, &mut signals));
     duties.stop(&context);
     info!(context.log, "stopped"; "instance" => %instance);
     Ok(())
 }
 
+/// Waits until all answers are given; a second signal or the limit of the settings cuts those that are left.
+async fn wait_for_answers(context: &Context, signals: &mut signal::Stop) {
+    let limit = Duration::from_secs(context.settings.stop_s);
+    tokio::select! {
+        () = context.answered.cancelled() => return,
+        () = signals.wait() => warn!(context.log, "stopping_at_once"; "reason" => "second signal"),
+        () = time::sleep(limit) => warn!(context.log, "stopping_at_once"; "reason" => "limit of stop_s"),
+    }
+    context.cut.cancel();
+}
+
 /// The running duties, in the groups in which they are stopped.
 struct Duties {
     ready: Arc<AtomicBool>,
@@ -79,11 +94,13 @@
     fn start(context: &Context, directory: Directory) -> Result<Duties, Fault> {
         let metrics = metric::install();
         let ready = Arc::new(AtomicBool::new(false));
-        let (router, router_thread) = router::start(context.end.clone())?;
+        let (router, router_thread) = router::start(router_setup(), context.end.clone())?;
         let mut others = vec![router_thread];
         let (spans, spans_thread) = start_spans(&context.settings)?;
         others.extend(spans_thread);
         let (directory_in_force, directory) = watch::channel(Arc::new(directory));
+        let follow = services::follow(directory.clone(), router.clone(), context.end.clone());
+        context.runtime.spawn(follow);
         let logs = logs::Logs::Absent;
         let spread = start_spread(context, &logs, directory_in_force)?;
         let control = control::Control {
@@ -102,15 +119,28 @@
             context,
             peers::Server { identity: context.identity.clone(), spread },
         )?);
-        let server = server::Server { directory, router, spans, log: context.log.clone() };
-        let callers = callers::start(context.settings.callers, server, context.stop.clone())?;
+        let server = server::Server {
+            instance: context.identity.instance.clone(),
+            directory,
+            router,
+            protocol: protocol::Native { instance: context.identity.instance.clone() },
+            register: claim::Absent,
+            spans,
+            log: context.log.clone(),
+        };
+        let callers = callers::start(context, server)?;
         ready.store(true, Ordering::Release);
         Ok(Duties { ready, callers, others })
     }
 
-    fn stop(self, context: &Context) {
+    /// Takes no new callers; those that are being answered go on.
+    fn refuse_callers(&self, context: &Context) {
         self.ready.store(false, Ordering::Release);
         context.stop.cancel();
+    }
+
+    /// Ends all duties once the callers are answered or cut.
+    fn stop(self, context: &Context) {
         join(self.callers);
         context.end.cancel();
         for duty in self.others {
@@ -145,6 +175,10 @@
     Ok(node)
 }
 
+fn router_setup() -> route::router::Setup {
+    route::router::Setup { seed: clock::unix_ns(), ..Default::default() }
+}
+
 fn join(duty: JoinHandle<()>) {
     duty.join().expect("invariant: duties end without a panic");
 }
--- a/crates/daisydrum/src/duty.rs
+++ b/crates/daisydrum/src/duty.rs
@@ -5,3 +5,4 @@
 pub mod declarations;
 pub mod operators;
 pub mod peers;
+pub mod services;
--- a/crates/daisydrum/src/duty/callers.rs
+++ b/crates/daisydrum/src/duty/callers.rs
@@ -1,27 +1,23 @@
 //! The callers' listener and its runtime.
 
-use std::{
-    io,
-    net::SocketAddr,
-    thread::{self, JoinHandle},
-};
+use std::thread::{self, JoinHandle};
 
-use common::cancel;
-use entry::{listener, server};
+use entry::{claim::Register, listener, protocol::Protocol, server};
+use slog::warn;
 use tokio::{net::TcpListener, runtime};
 
-use crate::error::Fault;
+use crate::{context::Context, error::Fault};
 
-/// Starts to serve callers; the thread ends once `stop` is cancelled and all answers are given.
+/// Starts to serve callers; the thread ends once `context.stop` is cancelled and all answers are given.
 ///
 /// # Errors
 ///
 /// Returns a [`Fault`] when the address can't be listened on.
-pub fn start(
-    address: SocketAddr,
-    server: server::Server,
-    stop: cancel::Token,
+pub fn start<P: Protocol, R: Register>(
+    context: &Context,
+    server: server::Server<P, R>,
 ) -> Result<JoinHandle<()>, Fault> {
+    let address = context.settings.callers;
     let runtime =
         runtime::Builder::new_multi_thread().thread_name("callers").enable_all().build()?;
     let listener = runtime.block_on(TcpListener::bind(address)).map_err(|cause| Fault::Listen {
@@ -29,9 +25,14 @@
         purpose: "callers",
         cause,
     })?;
+    let limits = listener::Limits { stop: context.stop.clone(), cut: context.cut.clone() };
+    let (log, answered) = (context.log.clone(), context.answered.clone());
     let thread = thread::Builder::new().name(String::from("callers")).spawn(move || {
-        let result: io::Result<()> = runtime.block_on(listener::run(listener, server, stop));
-        result.expect("invariant: the listener is open while it is served");
+        let cut = runtime.block_on(listener::run(listener, server, limits));
+        if cut > 0 {
+            warn!(log, "connections_cut"; "count" => cut);
+        }
+        answered.cancel();
     })?;
     Ok(thread)
 }
--- a/crates/daisydrum/src/duty/control.rs
+++ b/crates/daisydrum/src/duty/control.rs
@@ -105,7 +105,7 @@
             Ok(announcement) => announcement,
             Err(problem) => return http::refuse(StatusCode::BAD_REQUEST, problem),
         };
-        match self.router.send(router::Command::Announce(Box::new(announcement))) {
+        match self.router.send(router::Command::Observe(Box::new(announcement))) {
             Ok(()) => http::empty(StatusCode::NO_CONTENT),
             Err(refusal) => {
                 http::refuse(StatusCode::SERVICE_UNAVAILABLE, format!("{refusal}; announce again"))
--- a/crates/entry/examples/first_byte.rs
+++ b/crates/entry/examples/first_byte.rs
@@ -97,7 +97,7 @@
             }
         }
     });
-    Ok(Response::new(Body::Stream(receiver)))
+    Ok(Response::new(Body::stream(receiver)))
 }
 
 fn read_with_socket(address: SocketAddr) -> io::Result<Times> {
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -8,11 +8,15 @@
     Response, StatusCode,
     header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
+use route::request::{Reason, Refusal};
 use serde::Serialize;
 use wire::outcome;
 
 use crate::body::Body;
 
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+const MS_PER_SECOND: u128 = 1_000;
+
 /// Why the system refused or failed a request.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum Fault {
@@ -34,7 +38,7 @@
         /// The limit for the whole body.
         limit_ms: u64,
     },
-    /// The body is not what the path takes.
+    /// The request is not what the path takes.
     #[display("{problem}")]
     Invalid {
         /// What is wrong with it.
@@ -46,21 +50,48 @@
         /// The model that was asked for.
         model: String,
     },
-    /// There is no target that could take the request now.
-    #[display("no target can take the request now")]
-    Unavailable {
-        /// When to come back.
-        retry_after: Duration,
+    /// The router refused the request.
+    #[display("{}", refusal.reason)]
+    Refused {
+        /// Why, and when to come back.
+        #[error(not(source))]
+        refusal: Refusal,
     },
+    /// The log that calls which may not be repeated are claimed in can't be reached.
+    #[display(
+        "calls that may not be repeated can't be taken now: the partner's log can't be reached"
+    )]
+    NoLog,
+    /// The idempotency key was used for another call.
+    #[display("the idempotency key was used for another call; use a new key")]
+    KeyReused,
+    /// The call runs already.
+    #[display("a call with this idempotency key is in progress; ask again for its answer")]
+    InProgress,
+    /// Nobody can know whether the call ran.
+    #[display(
+        "whether the call with this idempotency key ran is unknown; look it up at the service before using a new key"
+    )]
+    Unknown,
+    /// The call ran, but its answer was too large to be kept.
+    #[display("the call with this idempotency key ran; its answer was too large to be kept")]
+    NotKept,
+    /// The target's answer is larger than the system holds.
+    #[display("the call ran, but its answer is larger than the system holds")]
+    Oversized,
     /// A target failed after the request was sent to it.
     #[display("the target failed: {problem}")]
     Target {
         /// What was seen.
         problem: String,
     },
-    /// The deadline passed after the request was sent to a target.
+    /// The deadline passed.
     #[display("the deadline passed")]
-    Deadline,
+    Deadline {
+        /// Whether the request was sent before.
+        #[error(not(source))]
+        word: outcome::Word,
+    },
 }
 
 #[derive(Serialize)]
@@ -77,10 +108,18 @@
 }
 
 impl Fault {
+    /// The router's thread is overloaded or ends.
+    pub fn unavailable() -> Fault {
+        let refusal = Refusal { reason: Reason::QueueFull, retry_after: DEFAULT_RETRY_AFTER };
+        Fault::Refused { refusal }
+    }
+
     /// Whether the request ran, as far as the system knows.
     pub fn word(&self) -> outcome::Word {
         match self {
-            Fault::Target { .. } | Fault::Deadline => outcome::Word::MayHaveRun,
+            Fault::NotKept | Fault::Oversized => outcome::Word::Ran,
+            Fault::Target { .. } | Fault::InProgress | Fault::Unknown => outcome::Word::MayHaveRun,
+            Fault::Deadline { word } => *word,
             _ => outcome::Word::NotRun,
         }
     }
@@ -93,9 +132,23 @@
             Fault::Large { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Fault::Slow { .. } => StatusCode::REQUEST_TIMEOUT,
             Fault::Invalid { .. } => StatusCode::BAD_REQUEST,
-            Fault::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
-            Fault::Target { .. } => StatusCode::BAD_GATEWAY,
-            Fault::Deadline => StatusCode::GATEWAY_TIMEOUT,
+            Fault::Refused { refusal } => {
+                StatusCode::from_u16(refusal.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE)
+            }
+            Fault::NoLog => StatusCode::SERVICE_UNAVAILABLE,
+            Fault::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Fault::InProgress | Fault::Unknown | Fault::NotKept => StatusCode::CONFLICT,
+            Fault::Target { .. } | Fault::Oversized => StatusCode::BAD_GATEWAY,
+            Fault::Deadline { .. } => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// When it is worth asking again, if at all.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Fault::Refused { refusal } => Some(refusal.retry_after),
+            Fault::NoLog | Fault::InProgress => Some(DEFAULT_RETRY_AFTER),
+            _ => None,
         }
     }
 
@@ -109,8 +162,8 @@
     fn kind(&self) -> &'static str {
         match self {
             Fault::Key => "authentication_error",
-            Fault::Unavailable { .. } => "overloaded_error",
-            Fault::Target { .. } | Fault::Deadline => "api_error",
+            Fault::Refused { .. } | Fault::NoLog => "overloaded_error",
+            Fault::Target { .. } | Fault::Deadline { .. } | Fault::Oversized => "api_error",
             _ => "invalid_request_error",
         }
     }
@@ -123,9 +176,15 @@
             Fault::Slow { .. } => "body_too_slow",
             Fault::Invalid { .. } => "invalid_request",
             Fault::Model { .. } => "model_not_found",
-            Fault::Unavailable { .. } => "unavailable",
+            Fault::Refused { .. } => "refused",
+            Fault::NoLog => "log_unreachable",
+            Fault::KeyReused => "idempotency_key_reused",
+            Fault::InProgress => "in_progress",
+            Fault::Unknown => "outcome_unknown",
+            Fault::NotKept => "answer_not_kept",
+            Fault::Oversized => "answer_too_large",
             Fault::Target { .. } => "target_failed",
-            Fault::Deadline => "deadline_exceeded",
+            Fault::Deadline { .. } => "deadline_exceeded",
         }
     }
 }
@@ -134,8 +193,9 @@
 pub fn fault(fault: &Fault) -> Response<Body> {
     let mut response = json(fault.status(), fault.json());
     mark(&mut response, fault.word());
-    if let Fault::Unavailable { retry_after } = fault {
-        let seconds = retry_after.as_secs().max(1);
+    if let Some(retry_after) = fault.retry_after() {
+        let seconds = retry_after.as_millis().div_ceil(MS_PER_SECOND).max(1);
+        let seconds = u64::try_from(seconds).unwrap_or(u64::MAX);
         response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
     response
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -9,6 +9,7 @@
 use derive_more::{Display, Error};
 use hyper::body::{Frame, SizeHint};
 use tokio::sync::mpsc;
+use tokio_util::sync::DropGuard;
 
 /// The answer broke off; the connection is closed so that the caller sees it.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
@@ -21,7 +22,12 @@
     /// All bytes; `None` once they are taken.
     Whole(Option<Bytes>),
     /// Parts as they arrive; the body ends when the sender is dropped.
-    Stream(mpsc::Receiver<Result<Bytes, Cut>>),
+    Stream {
+        /// The parts.
+        parts: mpsc::Receiver<Result<Bytes, Cut>>,
+        /// Cancelled when the caller has gone.
+        _gone: Option<DropGuard>,
+    },
 }
 
 impl Body {
@@ -29,6 +35,22 @@
     pub fn whole(bytes: Bytes) -> Body {
         Body::Whole(Some(bytes))
     }
+
+    /// A body that arrives in parts.
+    pub fn stream(parts: mpsc::Receiver<Result<Bytes, Cut>>) -> Body {
+        Body::Stream { parts, _gone: None }
+    }
+
+    /// Cancels the guard's token when the body is dropped.
+    pub fn guarded(self, guard: DropGuard) -> Body {
+        match self {
+            Body::Whole(_) => {
+                guard.disarm();
+                self
+            }
+            Body::Stream { parts, .. } => Body::Stream { parts, _gone: Some(guard) },
+        }
+    }
 }
 
 impl hyper::body::Body for Body {
@@ -41,7 +63,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         match self.get_mut() {
             Body::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Body::Stream(parts) => {
+            Body::Stream { parts, .. } => {
                 parts.poll_recv(context).map(|part| part.map(|part| part.map(Frame::data)))
             }
         }
@@ -52,7 +74,7 @@
             Body::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Body::Stream(_) => SizeHint::default(),
+            Body::Stream { .. } => SizeHint::default(),
         }
     }
 }
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -3,29 +3,36 @@
 use std::sync::Arc;
 
 use common::{collections, name};
+use route::router::Owner;
 use settings::{key, service, tree};
 
 /// Whom a key stands for.
 #[derive(Clone, Debug)]
 pub struct Binding {
-    /// The partner.
-    pub partner: name::Partner,
-    /// The service.
-    pub service: name::Service,
+    /// The service and its settings.
+    pub service: Arc<Service>,
     /// The organisation that the key was given to.
     pub organisation: name::Organisation,
-    /// The service's effective settings.
+}
+
+/// A service in force.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// The partner and the service.
+    pub owner: Owner,
+    /// Its effective settings.
     pub settings: Arc<service::Service>,
 }
 
-/// The keys of a tree.
+/// The services and keys of a tree.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
+    services: Vec<Arc<Service>>,
     bindings: collections::Map<key::Hash, Binding>,
 }
 
 impl Directory {
-    /// Indexes the keys of a tree.
+    /// Indexes the services and keys of a tree.
     ///
     /// # Errors
     ///
@@ -33,9 +40,10 @@
     pub fn new(tree: &tree::Tree) -> Result<Directory, serde_json::Error> {
         let mut directory = Directory::default();
         for (partner, branch) in &tree.partners {
-            for service in branch.services.keys() {
-                let settings = Arc::new(tree::effective(&tree.venture, branch, service)?);
-                directory.insert(partner, service, &settings);
+            for name in branch.services.keys() {
+                let settings = Arc::new(tree::effective(&tree.venture, branch, name)?);
+                let owner = Owner { partner: partner.clone(), service: name.clone() };
+                directory.insert(Arc::new(Service { owner, settings }));
             }
         }
         Ok(directory)
@@ -46,20 +54,17 @@
         self.bindings.get(&key::Hash::of(key))
     }
 
-    fn insert(
-        &mut self,
-        partner: &name::Partner,
-        service: &name::Service,
-        settings: &Arc<service::Service>,
-    ) {
-        for key in &settings.keys {
-            let binding = Binding {
-                partner: partner.clone(),
-                service: service.clone(),
-                organisation: name::Organisation(key.organisation.clone()),
-                settings: Arc::clone(settings),
-            };
+    /// The services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.iter().map(AsRef::as_ref)
+    }
+
+    fn insert(&mut self, service: Arc<Service>) {
+        for key in &service.settings.keys {
+            let organisation = name::Organisation(key.organisation.clone());
+            let binding = Binding { service: Arc::clone(&service), organisation };
             self.bindings.insert(key.sha256.clone(), binding);
         }
+        self.services.push(service);
     }
 }
--- /dev/null
+++ b/crates/entry/src/driver.rs
@@ -0,0 +1,178 @@
+//! Drives one request from its admission to its last word.
+
+use std::{sync::Arc, time::Duration};
+
+use common::{cancel, clock::Moment};
+use route::request::{Dispatch, Event, Run};
+use slog::{Logger, info};
+use telemetry::span;
+use tokio::{sync::mpsc, time};
+use wire::outcome;
+
+use crate::{
+    answer,
+    call::Call,
+    exchange::{Ending, Exchange},
+    output::Output,
+    protocol::{self, Protocol},
+    router::{self, Update},
+};
+
+/// Time after which a caller who holds a part of a stream is told that the rest is still to come.
+const HEARTBEAT: Duration = Duration::from_secs(5);
+
+/// Whether a request goes on after an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Flow {
+    GoesOn,
+    Over,
+}
+
+/// What a request needs until its last word.
+pub(crate) struct Driver<P> {
+    pub(crate) protocol: P,
+    pub(crate) router: router::Handle,
+    pub(crate) spans: span::Exporter,
+    pub(crate) log: Logger,
+    pub(crate) call: Arc<Call>,
+    pub(crate) admission: router::Admission,
+    /// Cancelled when the caller has gone.
+    pub(crate) gone: cancel::Token,
+    pub(crate) output: Output,
+    pub(crate) delivered: u32,
+    pub(crate) attempts: u32,
+}
+
+impl<P: Protocol> Driver<P> {
+    /// Runs the request to its last word.
+    pub(crate) async fn run(mut self, span: span::Span) {
+        let arrived = Moment::now();
+        while self.step().await == Flow::GoesOn {}
+        let owner = &self.call.binding.service.owner;
+        info!(self.log, "request"; "partner" => %owner.partner, "service" => %owner.service,
+            "attempts" => self.attempts, "tokens" => self.delivered,
+            "ms" => u64::try_from(Moment::now().since(arrived).as_millis()).unwrap_or(u64::MAX),
+            "trace" => format!("{:032x}", self.call.span.trace));
+        self.spans.end(span);
+    }
+
+    async fn step(&mut self) -> Flow {
+        let update = tokio::select! {
+            biased;
+            () = self.gone.cancelled() => return self.abandon().await,
+            () = time::sleep(self.remaining()) => return self.expire().await,
+            () = time::sleep(HEARTBEAT), if self.output.has_begun() => {
+                self.output.heartbeat();
+                return Flow::GoesOn;
+            }
+            update = self.admission.updates.recv() => update,
+        };
+        match update {
+            Some(Update::Dispatch(dispatch)) => self.attempt(&dispatch).await,
+            Some(Update::Preempt(_)) => Flow::GoesOn,
+            Some(Update::Refuse(refusal)) => self.fail(answer::Fault::Refused { refusal }).await,
+            Some(Update::Fail(Run::Maybe)) => {
+                let problem = String::from("every attempt failed");
+                self.fail(answer::Fault::Target { problem }).await
+            }
+            Some(Update::Fail(Run::Not)) | None => self.fail(answer::Fault::unavailable()).await,
+        }
+    }
+
+    async fn attempt(&mut self, dispatch: &Dispatch) -> Flow {
+        self.attempts += 1;
+        let mut span = span::Span::start("attempt", Some(self.call.span));
+        span.set("target", &dispatch.target);
+        span.set("attempt", &dispatch.attempt);
+        let ending = self.exchange(dispatch, span.context).await;
+        span.set("ending", &format!("{ending:?}"));
+        self.spans.end(span);
+        match ending {
+            Some(Ending::Event(event)) => self.report(dispatch, event).await,
+            Some(Ending::Gone) => self.abandon().await,
+            Some(Ending::Cut) => self.report(dispatch, Event::Finished).await,
+            None if self.gone.is_cancelled() => self.abandon().await,
+            None if self.remaining().is_zero() => self.expire().await,
+            None => Flow::GoesOn,
+        }
+    }
+
+    /// Runs an attempt; `None` when the caller has gone, the time is over or the router took the target back.
+    async fn exchange(&mut self, dispatch: &Dispatch, context: span::Context) -> Option<Ending> {
+        let remaining = self.remaining();
+        let attempt = protocol::Attempt {
+            span: context,
+            model: dispatch.model.clone(),
+            delivered: self.delivered,
+            kv_handle: None,
+            relay: dispatch.relay,
+        };
+        let exchange = Exchange {
+            protocol: &self.protocol,
+            router: &self.router,
+            call: &self.call,
+            dispatch,
+            attempt,
+            output: &mut self.output,
+            delivered: &mut self.delivered,
+        };
+        tokio::select! {
+            biased;
+            ending = exchange.run() => Some(ending),
+            () = self.gone.cancelled() => None,
+            () = time::sleep(remaining) => None,
+            () = preempted(&mut self.admission.updates, dispatch.attempt) => None,
+        }
+    }
+
+    async fn report(&mut self, dispatch: &Dispatch, event: Event) -> Flow {
+        metrics::counter!("daisydrum_attempts_total", "event" => label(event)).increment(1);
+        let report = router::Report { ticket: dispatch.ticket, attempt: dispatch.attempt, event };
+        self.router.report(report).await;
+        if event == Event::Finished { Flow::Over } else { Flow::GoesOn }
+    }
+
+    async fn fail(&mut self, fault: answer::Fault) -> Flow {
+        self.output.fail(fault).await;
+        Flow::Over
+    }
+
+    async fn abandon(&mut self) -> Flow {
+        metrics::counter!("daisydrum_callers_gone_total").increment(1);
+        self.router.cancel(self.admission.ticket).await;
+        Flow::Over
+    }
+
+    async fn expire(&mut self) -> Flow {
+        self.router.cancel(self.admission.ticket).await;
+        let word =
+            if self.attempts == 0 { outcome::Word::NotRun } else { outcome::Word::MayHaveRun };
+        self.fail(answer::Fault::Deadline { word }).await
+    }
+
+    fn remaining(&self) -> Duration {
+        self.call.deadline.since(Moment::now())
+    }
+}
+
+/// Waits until the router takes the target of an attempt back.
+async fn preempted(updates: &mut mpsc::Receiver<Update>, attempt: u32) {
+    loop {
+        match updates.recv().await {
+            Some(Update::Preempt(number)) if number == attempt => return,
+            Some(_) => {}
+            None => std::future::pending().await,
+        }
+    }
+}
+
+fn label(event: Event) -> &'static str {
+    match event {
+        Event::Started => "started",
+        Event::Finished => "finished",
+        Event::Full => "full",
+        Event::Unavailable => "unavailable",
+        Event::Unsent => "unsent",
+        Event::Broken => "broken",
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,8 +3,17 @@
 pub mod answer;
 pub mod attempt;
 pub mod body;
+pub mod call;
+pub mod claim;
 pub mod directory;
+mod driver;
+mod event;
+mod exchange;
+mod fleet;
 pub mod listener;
+mod output;
+pub mod protocol;
 pub mod request;
 pub mod router;
 pub mod server;
+mod transfer;
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -1,6 +1,6 @@
 //! The callers' listener: accepts connections until it is told to stop, then lets them end.
 
-use std::{io, time::Duration};
+use std::time::Duration;
 
 use common::cancel;
 use hyper::{server::conn::http1, service::service_fn};
@@ -13,28 +13,39 @@
 use tokio_util::task::TaskTracker;
 use wire::socket;
 
-use crate::server::Server;
+use crate::{claim::Register, protocol::Protocol, server::Server};
 
 /// Longest time for the head of a request to arrive.
 const HEAD_LIMIT: Duration = Duration::from_secs(10);
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Serves callers until `stop` is cancelled, then waits until all connections have ended.
-///
-/// # Errors
+/// When a listener ends.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Cancelled when no new connection is taken and open ones end with their answers.
+    pub stop: cancel::Token,
+    /// Cancelled when open connections are cut.
+    pub cut: cancel::Token,
+}
+
+/// Serves callers until `limits.stop` is cancelled, then waits until all connections have ended.
 ///
-/// Returns the operating system's error when the listener's address can't be read.
-pub async fn run(listener: TcpListener, server: Server, stop: cancel::Token) -> io::Result<()> {
+/// Returns the number of connections that were cut.
+pub async fn run<P: Protocol, R: Register>(
+    listener: TcpListener,
+    server: Server<P, R>,
+    limits: Limits,
+) -> usize {
     let connections = TaskTracker::new();
     loop {
         let accepted = tokio::select! {
-            () = stop.cancelled() => break,
+            () = limits.stop.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
             Ok((stream, _address)) => {
-                connections.spawn(serve(stream, server.clone(), stop.clone()));
+                connections.spawn(serve(stream, server.clone(), limits.stop.clone()));
             }
             Err(error) => {
                 warn!(server.log, "accept_failed"; "error" => %error);
@@ -42,12 +53,19 @@
             }
         }
     }
+    drop(listener);
     connections.close();
-    connections.wait().await;
-    Ok(())
+    tokio::select! {
+        () = connections.wait() => 0,
+        () = limits.cut.cancelled() => connections.len(),
+    }
 }
 
-async fn serve(stream: TcpStream, server: Server, stop: cancel::Token) {
+async fn serve<P: Protocol, R: Register>(
+    stream: TcpStream,
+    server: Server<P, R>,
+    stop: cancel::Token,
+) {
     if socket::configure(&stream).is_err() {
         return;
     }
--- /dev/null
+++ b/crates/entry/src/protocol.rs
@@ -0,0 +1,151 @@
+//! How calls are put to targets, behind a small trait, since other fleets speak other protocols.
+
+use bytes::Bytes;
+use common::name;
+use http_body_util::Full;
+use hyper::{
+    HeaderMap, Method, Request,
+    header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue},
+    http::response,
+};
+use route::request::Event;
+use serde_json::Value;
+use settings::service::Priority;
+use telemetry::span;
+use wire::{outcome, target};
+
+use crate::call::{self, Call};
+
+/// Headers that hold for one connection only (RFC 9110, section 7.6.1).
+const HOP_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+const FULL: &str = "full";
+
+/// What differs between the attempts of a call.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// The hop; its span id tells the attempt apart at the target.
+    pub span: span::Context,
+    /// Version of the model to ask for.
+    pub model: Option<String>,
+    /// Tokens that the caller holds already.
+    pub delivered: u32,
+    /// Handle of an imported KV cache that holds the prompt.
+    pub kv_handle: Option<String>,
+    /// Whether the call goes to another instance, which routes it itself.
+    pub relay: bool,
+}
+
+/// How calls are put to targets.
+pub trait Protocol: Clone + Send + Sync + 'static {
+    /// The request for an attempt.
+    fn request(&self, call: &Call, attempt: &Attempt) -> Request<Full<Bytes>>;
+
+    /// Whether an answer says that the target refused the call before it ran any of it.
+    fn refusal(&self, head: &response::Parts) -> Option<Event>;
+
+    /// A request that any live engine answers at once.
+    fn probe(&self) -> Request<Full<Bytes>>;
+}
+
+/// The protocol of `docs/design/target-protocol.md`.
+#[derive(Clone, Debug)]
+pub struct Native {
+    /// The instance, by which calls handed over to other instances are marked.
+    pub instance: name::Instance,
+}
+
+impl Protocol for Native {
+    fn request(&self, call: &Call, attempt: &Attempt) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(body(call, attempt)));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() =
+            call.path.parse().expect("invariant: the path came from a parsed request");
+        let headers = request.headers_mut();
+        for (name, value) in &call.headers {
+            headers.append(name.clone(), value.clone());
+        }
+        strip_hop_headers(headers);
+        headers.remove(CONTENT_LENGTH);
+        headers.insert(HOST, HeaderValue::from_static("target"));
+        set(headers, span::HEADER, &attempt.span.header());
+        if attempt.relay {
+            set(headers, call::ORIGIN_HEADER, self.instance.as_ref());
+            return request;
+        }
+        headers.remove(AUTHORIZATION);
+        headers.remove(call::ORIGIN_HEADER);
+        set(headers, target::ATTEMPT_HEADER, &format!("{:016x}", attempt.span.span));
+        let priority = priority(call.binding.service.settings.admission.priority);
+        set(headers, target::PRIORITY_HEADER, &priority.to_string());
+        if attempt.delivered > 0 {
+            set(headers, target::RESUME_HEADER, &attempt.delivered.to_string());
+        }
+        request
+    }
+
+    fn refusal(&self, head: &response::Parts) -> Option<Event> {
+        if let Some(word) = head.headers.get(target::REFUSED_HEADER) {
+            return Some(if word == FULL { Event::Full } else { Event::Unavailable });
+        }
+        let word = head.headers.get(outcome::HEADER)?;
+        (word == "not-run" && !head.status.is_client_error()).then_some(Event::Full)
+    }
+
+    fn probe(&self) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::default());
+        *request.method_mut() = Method::GET;
+        *request.uri_mut() =
+            target::STATE_PATH.parse().expect("invariant: the path is well formed");
+        request.headers_mut().insert(HOST, HeaderValue::from_static("target"));
+        request
+    }
+}
+
+/// Removes the headers that hold for one connection only.
+pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
+    for name in HOP_HEADERS {
+        headers.remove(name);
+    }
+}
+
+/// The call's body, changed only where the attempt asks for another version or brings a KV cache.
+fn body(call: &Call, attempt: &Attempt) -> Bytes {
+    let asked = call.completion.as_ref().map(|completion| &completion.model);
+    let same_model = attempt.relay || attempt.model.is_none() || attempt.model.as_ref() == asked;
+    if same_model && attempt.kv_handle.is_none() {
+        return call.body.clone();
+    }
+    let Ok(Value::Object(mut body)) = serde_json::from_slice(&call.body) else {
+        return call.body.clone();
+    };
+    if let Some(model) = attempt.model.clone().filter(|_| !same_model) {
+        body.insert(String::from("model"), Value::from(model));
+    }
+    if let Some(handle) = attempt.kv_handle.clone() {
+        body.insert(String::from("kv_handle"), Value::from(handle));
+    }
+    Bytes::from(Value::Object(body).to_string())
+}
+
+fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
+fn priority(priority: Priority) -> u8 {
+    match priority {
+        Priority::Interactive => 0,
+        Priority::Standard => 4,
+        Priority::Batch => 9,
+    }
+}
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -3,38 +3,30 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use common::clock::Moment;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     HeaderMap,
     body::Incoming,
     header::{AUTHORIZATION, CONTENT_LENGTH},
 };
-use serde::Deserialize;
+use route::request::Repeat;
+use settings::service;
 use tokio::time;
+use wire::completion;
 
 use crate::{
     answer,
     directory::{Binding, Directory},
 };
 
+/// Header with the time that the caller gives the answer, in milliseconds.
+pub const DEADLINE_HEADER: &str = "x-daisydrum-deadline-ms";
 /// Longest time for a request's body to arrive.
 pub const BODY_LIMIT: Duration = Duration::from_secs(10);
 const BYTES_PER_KB: u64 = 1_024;
 const BEARER: &str = "Bearer ";
 
-/// The part of a completion's body that the system looks at.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Completion {
-    /// The model that the caller names.
-    pub model: String,
-    /// Whether the answer is streamed.
-    #[serde(default)]
-    pub stream: bool,
-    /// Output tokens at most.
-    #[serde(default)]
-    pub max_tokens: Option<u32>,
-}
-
 /// Finds whom a request belongs to by its key.
 ///
 /// # Errors
@@ -83,12 +75,41 @@
 /// # Errors
 ///
 /// Returns a fault that says what is wrong with the body.
-pub fn parse_completion(body: &Bytes) -> Result<Completion, answer::Fault> {
+pub fn parse_completion(body: &Bytes) -> Result<completion::Request, answer::Fault> {
     serde_json::from_slice(body).map_err(|error| answer::Fault::Invalid {
         problem: format!("the body is no completion request: {error}"),
     })
 }
 
+/// When the answer must have ended: the caller's wish, at most the service's limit.
+///
+/// # Errors
+///
+/// Returns a fault when the caller's wish is no number of milliseconds.
+pub fn deadline(
+    headers: &HeaderMap,
+    limits: &service::Limits,
+    now: Moment,
+) -> Result<Moment, answer::Fault> {
+    let limit = Duration::from_millis(limits.deadline_ms);
+    let Some(header) = headers.get(DEADLINE_HEADER) else {
+        return Ok(now + limit);
+    };
+    let wish = header.to_str().ok().and_then(|text| text.parse().ok()).map(Duration::from_millis);
+    let problem = format!("the header {DEADLINE_HEADER} is no number of milliseconds");
+    let wish = wish.ok_or(answer::Fault::Invalid { problem })?;
+    Ok(now + wish.min(limit))
+}
+
+/// Whether a path belongs to calls that may not be repeated.
+pub fn repeat(path: &str, claims: &service::Claims) -> Repeat {
+    let claimed = |prefix: &String| {
+        path.strip_prefix(prefix.as_str())
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with(['/', '?']))
+    };
+    if claims.paths.iter().any(claimed) { Repeat::Never } else { Repeat::Allowed }
+}
+
 fn declared_length(headers: &HeaderMap) -> Option<u64> {
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -1,166 +1,305 @@
-//! The thread that knows the targets and chooses among them.
+//! The thread that owns the router's decisions.
+//!
+//! Requests and reports reach it over one bounded ring. A request that finds the ring full is refused, *not run*.
 
 use std::{
     io,
-    net::SocketAddr,
+    sync::Arc,
     thread::{self, JoinHandle},
     time::Duration,
 };
 
 use common::{cancel, clock::Moment, collections, name, ring};
-use tokio::sync::oneshot;
+use route::{
+    request::{Action, Dispatch, Event, Reason, Refusal, Request, Run, Ticket},
+    router::{Outstanding, Router, Setup},
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
 use wire::{operator, target};
 
-const RING_COMMANDS: usize = 16_384;
-const TICK: Duration = Duration::from_millis(100);
-
-/// What a request asks the router for.
-#[derive(Clone, Debug)]
-pub struct Ask {
-    /// The partner whose request it is.
-    pub partner: name::Partner,
-    /// The service.
-    pub service: name::Service,
-    /// The model, adapter or version; `None` for plain services.
-    pub model: Option<String>,
-}
+use crate::{directory::Directory, fleet::Fleet};
 
-/// The target for an attempt.
-#[derive(Clone, Debug)]
-pub struct Choice {
-    /// The target.
-    pub target: name::Target,
-    /// Where it takes calls.
-    pub address: SocketAddr,
-}
+const RING_COMMANDS: usize = 65_536;
+/// Commands that the ring holds at most before requests are refused, so that reports always find room.
+const RING_REQUESTS: usize = 32_768;
+const TICK: Duration = Duration::from_millis(50);
+const MAX_BATCH: usize = 256;
+/// Most updates that wait for one request: a dispatch and its preemption, or a last word.
+const UPDATES: usize = 8;
+const REPORT_PAUSE: Duration = Duration::from_millis(1);
+const REPORT_TRIES: u32 = 5_000;
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Messages to the router's thread.
 #[derive(Debug)]
 pub enum Command {
+    /// A request asks to be admitted.
+    Submit(Box<Submission>),
+    /// Something became of an attempt.
+    Report(Report),
+    /// The caller of a request has gone, or its time is over.
+    Cancel(Ticket),
     /// A target announced itself.
-    Announce(Box<target::Announcement>),
-    /// A request needs a target.
-    Choose(Ask, oneshot::Sender<Option<Choice>>),
-    /// An attempt has ended.
-    Finish(name::Target),
+    Observe(Box<target::Announcement>),
+    /// A target is gone.
+    Depart(name::Target),
+    /// Another instance's requests on a target.
+    Neighbours(Outstanding),
+    /// How many instances of the data centre share its targets.
+    Instances(u32),
+    /// Services as the tree in force declares them.
+    Configure(Arc<Directory>),
     /// Asks for the targets.
     List(oneshot::Sender<Vec<operator::Target>>),
+    /// Asks for the instance's own requests by target.
+    Outstanding(oneshot::Sender<Vec<Outstanding>>),
 }
 
-/// Sends commands to the router's thread.
-pub type Handle = ring::Sender<Command>;
+/// A request that asks to be admitted.
+#[derive(Debug)]
+pub struct Submission {
+    request: Request,
+    updates: mpsc::Sender<Update>,
+    reply: oneshot::Sender<Result<Ticket, Refusal>>,
+}
+
+/// What became of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Report {
+    /// The request.
+    pub ticket: Ticket,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// What became of it.
+    pub event: Event,
+}
+
+/// What a request is told.
+#[derive(Debug)]
+pub enum Update {
+    /// Send an attempt.
+    Dispatch(Box<Dispatch>),
+    /// Cancel the attempt of this number; another follows.
+    Preempt(u32),
+    /// The request did not run and will not.
+    Refuse(Refusal),
+    /// The request failed after it had been sent.
+    Fail(Run),
+}
 
+/// A request that was admitted.
 #[derive(Debug)]
-struct Record {
-    announcement: target::Announcement,
-    expires: Moment,
-    outstanding: u32,
+pub struct Admission {
+    /// The request.
+    pub ticket: Ticket,
+    /// What it is told.
+    pub updates: mpsc::Receiver<Update>,
+}
+
+/// Sends commands to the router's thread.
+#[derive(Clone, Debug)]
+pub struct Handle(ring::Sender<Command>);
+
+impl Handle {
+    /// Sends a command without waiting.
+    ///
+    /// # Errors
+    ///
+    /// Returns the ring's refusal when it is full or the thread has ended.
+    pub fn send(&self, command: Command) -> Result<(), ring::Refusal> {
+        self.0.send(command)
+    }
+
+    /// Asks for a request to be admitted.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal; the request did not run.
+    pub async fn submit(&self, request: Request) -> Result<Admission, Refusal> {
+        let full = Refusal { reason: Reason::QueueFull, retry_after: FULL_RETRY_AFTER };
+        if self.0.depth() > RING_REQUESTS {
+            return Err(full);
+        }
+        let (updates, received) = mpsc::channel(UPDATES);
+        let (reply, ticket) = oneshot::channel();
+        let submission = Submission { request, updates, reply };
+        self.send(Command::Submit(Box::new(submission))).map_err(|_refusal| full)?;
+        let ticket = ticket.await.map_err(|_ended| full)??;
+        Ok(Admission { ticket, updates: received })
+    }
+
+    /// Reports on an attempt. It is tried again while the ring is full, since a lost report would hold a slot.
+    pub async fn report(&self, report: Report) {
+        self.insist(|| Command::Report(report)).await;
+    }
+
+    /// Forgets a request.
+    pub async fn cancel(&self, ticket: Ticket) {
+        self.insist(|| Command::Cancel(ticket)).await;
+    }
+
+    async fn insist(&self, command: impl Fn() -> Command) {
+        for _ in 0..REPORT_TRIES {
+            match self.send(command()) {
+                Ok(()) | Err(ring::Refusal::Closed) => return,
+                Err(ring::Refusal::Full) => time::sleep(REPORT_PAUSE).await,
+            }
+        }
+        metrics::counter!("daisydrum_reports_lost_total").increment(1);
+    }
 }
 
-/// Starts the router's thread.
+/// Starts the router's thread; it ends once `end` is cancelled.
 ///
 /// # Errors
 ///
 /// Returns the operating system's error when the thread can't be started.
-pub fn start(cancel: cancel::Token) -> io::Result<(Handle, JoinHandle<()>)> {
+pub fn start(setup: Setup, end: cancel::Token) -> io::Result<(Handle, JoinHandle<()>)> {
     let (sender, receiver) = ring::bounded(RING_COMMANDS);
+    let state = State {
+        router: Router::new(setup),
+        fleet: Fleet::default(),
+        updates: collections::Map::default(),
+    };
     let thread = thread::Builder::new()
         .name(String::from("router"))
-        .spawn(move || run(&receiver, &cancel))?;
-    Ok((sender, thread))
+        .spawn(move || state.run(&receiver, &end))?;
+    Ok((Handle(sender), thread))
+}
+
+struct State {
+    router: Router,
+    fleet: Fleet,
+    updates: collections::Map<Ticket, mpsc::Sender<Update>>,
 }
 
-fn run(commands: &ring::Receiver<Command>, cancel: &cancel::Token) {
-    let mut table = Table::default();
-    while !cancel.is_cancelled() {
-        let command = commands.recv_timeout(TICK);
-        table.expire(Moment::now());
-        if let Ok(command) = command {
-            table.handle(command);
+impl State {
+    fn run(mut self, commands: &ring::Receiver<Command>, end: &cancel::Token) {
+        while !end.is_cancelled() {
+            let first = commands.recv_timeout(self.pause(Moment::now()));
+            let now = Moment::now();
+            for command in first.into_iter().chain(commands.try_iter().take(MAX_BATCH)) {
+                self.handle(command, now);
+                self.carry_out(now);
+            }
+            self.expire(now);
+            self.router.tick(now);
+            self.carry_out(now);
+            self.publish();
         }
     }
-}
 
-#[derive(Debug, Default)]
-struct Table {
-    records: collections::Map<name::Target, Record>,
-}
+    /// Time until something is due without a command.
+    fn pause(&self, now: Moment) -> Duration {
+        self.router.next_timer().map_or(TICK, |due| due.since(now).min(TICK))
+    }
 
-impl Table {
-    fn handle(&mut self, command: Command) {
+    fn handle(&mut self, command: Command, now: Moment) {
         match command {
-            Command::Announce(announcement) => self.announce(*announcement),
-            Command::Choose(ask, reply) => {
-                let choice = self.choose(&ask);
-                let target = choice.as_ref().map(|choice| choice.target.clone());
-                if let (Err(_), Some(target)) = (reply.send(choice), target) {
-                    self.finish(&target);
-                }
+            Command::Submit(submission) => self.submit(*submission, now),
+            Command::Report(report) => self.report(report, now),
+            Command::Cancel(ticket) => {
+                self.updates.remove(&ticket);
+                self.router.cancel(ticket, now);
+            }
+            Command::Observe(announcement) => {
+                self.router.observe(&announcement, now);
+                self.fleet.observe(*announcement, now);
             }
-            Command::Finish(target) => self.finish(&target),
+            Command::Depart(target) => self.depart(&target),
+            Command::Neighbours(other) => {
+                self.router.hear_neighbours(&other.target, other.requests, now);
+            }
+            Command::Instances(count) => self.router.set_instances(count),
+            Command::Configure(directory) => self.configure(&directory),
             Command::List(reply) => {
                 // The asker may have given up; then nobody needs the list.
-                let _unsent = reply.send(self.list());
+                let _unsent = reply.send(self.fleet.list(&self.router));
+            }
+            Command::Outstanding(reply) => {
+                let _unsent = reply.send(self.router.outstanding().collect());
             }
         }
     }
 
-    fn announce(&mut self, announcement: target::Announcement) {
-        let expires = Moment::now() + Duration::from_millis(announcement.lease_ms);
-        let outstanding =
-            self.records.get(&announcement.target).map_or(0, |record| record.outstanding);
-        let target = announcement.target.clone();
-        self.records.insert(target, Record { announcement, expires, outstanding });
+    fn submit(&mut self, submission: Submission, now: Moment) {
+        let admitted = self.router.submit(submission.request, now);
+        if let Ok(ticket) = admitted {
+            self.updates.insert(ticket, submission.updates);
+        }
+        let unheard = submission.reply.send(admitted);
+        if let Err(Ok(ticket)) = unheard {
+            self.updates.remove(&ticket);
+            self.router.cancel(ticket, now);
+        }
     }
 
-    fn choose(&mut self, ask: &Ask) -> Option<Choice> {
-        let record = self
-            .records
-            .values_mut()
-            .filter(|record| serves(record, ask))
-            .min_by_key(|record| record.outstanding)?;
-        record.outstanding += 1;
-        Some(Choice {
-            target: record.announcement.target.clone(),
-            address: record.announcement.address,
-        })
+    fn report(&mut self, report: Report, now: Moment) {
+        self.router.report(report.ticket, report.attempt, report.event, now);
+        if report.event == Event::Finished {
+            self.updates.remove(&report.ticket);
+        }
     }
 
-    fn finish(&mut self, target: &name::Target) {
-        if let Some(record) = self.records.get_mut(target) {
-            record.outstanding = record.outstanding.saturating_sub(1);
+    fn configure(&mut self, directory: &Directory) {
+        for service in directory.services() {
+            self.router.configure(&service.owner, (*service.settings).clone());
         }
     }
 
     fn expire(&mut self, now: Moment) {
-        self.records.retain(|_, record| record.expires > now);
+        for target in self.fleet.expired(now) {
+            self.depart(&target);
+        }
     }
 
-    fn list(&self) -> Vec<operator::Target> {
-        let mut targets: Vec<_> = self.records.values().map(describe).collect();
-        targets.sort_by(|left, right| left.name.cmp(&right.name));
-        targets
+    fn depart(&mut self, target: &name::Target) {
+        self.fleet.depart(target);
+        self.router.depart(target);
     }
-}
 
-fn serves(record: &Record, ask: &Ask) -> bool {
-    let announcement = &record.announcement;
-    let model = ask.model.as_ref().is_none_or(|model| announcement.models.contains(model));
-    let place = announcement.partner == ask.partner && announcement.service == ask.service;
-    place && model && announcement.phase == target::Phase::Ready
-}
+    /// Tells requests what the router decided.
+    fn carry_out(&mut self, now: Moment) {
+        while let Some(action) = self.router.next_action() {
+            match action {
+                Action::Dispatch(dispatch) => {
+                    self.tell(dispatch.ticket, Update::Dispatch(Box::new(dispatch)), now);
+                }
+                Action::Preempt { ticket, attempt } => {
+                    self.tell(ticket, Update::Preempt(attempt), now);
+                }
+                Action::Refuse { ticket, refusal } => {
+                    self.tell_last(ticket, Update::Refuse(refusal));
+                }
+                Action::Fail { ticket, run } => self.tell_last(ticket, Update::Fail(run)),
+            }
+        }
+    }
+
+    /// A request that can't be told has gone; what it held is given back.
+    fn tell(&mut self, ticket: Ticket, update: Update, now: Moment) {
+        let told =
+            self.updates.get(&ticket).is_some_and(|updates| updates.try_send(update).is_ok());
+        if !told {
+            self.updates.remove(&ticket);
+            self.router.cancel(ticket, now);
+        }
+    }
+
+    fn tell_last(&mut self, ticket: Ticket, update: Update) {
+        if let Some(updates) = self.updates.remove(&ticket) {
+            // A request that has gone needs no last word.
+            let _untold = updates.try_send(update);
+        }
+    }
 
-fn describe(record: &Record) -> operator::Target {
-    let announcement = &record.announcement;
-    operator::Target {
-        name: announcement.target.clone(),
-        partner: announcement.partner.clone(),
-        service: announcement.service.clone(),
-        data_centre: announcement.data_centre.clone(),
-        kind: announcement.kind,
-        role: announcement.role,
-        phase: announcement.phase,
-        models: announcement.models.clone(),
-        outstanding: record.outstanding,
+    fn publish(&self) {
+        let totals = self.router.totals();
+        metrics::gauge!("daisydrum_requests_waiting").set(totals.waiting as f64);
+        metrics::gauge!("daisydrum_attempts_running").set(totals.running as f64);
+        metrics::gauge!("daisydrum_targets").set(totals.targets as f64);
     }
 }
