--- a/crates/daisyctl/src/arguments.rs
+++ b/crates/daisyctl/src/arguments.rs
@@ -166,6 +166,17 @@
             /// File for the report as a page with plots.
             optional --page page: String
         }
+        /// Shows which role changes the policy would make on a recorded trace.
+        cmd roles {
+            /// File of the trace: JSON, as `roles::trace::Trace` has it.
+            required --trace trace: String
+            /// Folder of the tree whose settings count; the program's defaults where it is left out.
+            optional --tree tree: String
+            /// The service whose settings count, as PARTNER/SERVICE.
+            optional --service service: String
+            /// `table` or `json`.
+            optional --output output: Format
+        }
         /// Shows the spans of one request as a tree.
         cmd trace {
             /// File of spans, as `spans.file` names it; may be given for each instance.
--- a/crates/daisyctl/src/command.rs
+++ b/crates/daisyctl/src/command.rs
@@ -13,6 +13,7 @@
 pub mod load;
 pub mod request;
 pub mod rollback;
+pub mod roles;
 pub mod status;
 pub mod trace;
 pub mod wait;
@@ -31,6 +32,7 @@
 /// Returns the [`Fault`] that the command failed with.
 pub fn run(arguments: Daisyctl) -> Result<(), Fault> {
     match arguments.subcommand {
+        DaisyctlCmd::Roles(arguments) => roles::run(&arguments),
         DaisyctlCmd::Status(arguments) => status::run(&arguments),
         DaisyctlCmd::Check(arguments) => check::run(&arguments),
         DaisyctlCmd::Diff(arguments) => diff::run(&arguments),
--- a/crates/daisyctl/src/command/status.rs
+++ b/crates/daisyctl/src/command/status.rs
@@ -36,7 +36,58 @@
     for target in &status.targets {
         table.row(row(target));
     }
-    format!("instance {} in {}: {ready}\n\n{}", status.instance, status.data_centre, table.render())
+    let orders = status.orders.as_ref().map(render_orders).unwrap_or_default();
+    format!(
+        "instance {} in {}: {ready}\n\n{}{orders}",
+        status.instance,
+        status.data_centre,
+        table.render()
+    )
+}
+
+fn render_orders(orders: &operator::Orders) -> String {
+    let mut pools = output::Table::new(&[
+        "PARTNER",
+        "SERVICE",
+        "ROLES NOW",
+        "INTENDED",
+        "REQUESTS/S",
+        "PREFILL/S",
+        "DECODE/S",
+        "WHY",
+    ]);
+    for pool in &orders.pools {
+        pools.row(vec![
+            pool.partner.to_string(),
+            pool.service.to_string(),
+            pool.current.to_string(),
+            pool.intended.to_string(),
+            rate(pool.requests),
+            rate(pool.prefill_tokens),
+            rate(pool.decode_tokens),
+            pool.reason.clone(),
+        ]);
+    }
+    let mut table = output::Table::new(&["ENGINE", "ORDER", "STATE", "WHY"]);
+    for order in orders.open.iter().chain(&orders.ended) {
+        table.row(vec![
+            order.target.to_string(),
+            order.action.clone(),
+            order.state.clone(),
+            order.reason.clone(),
+        ]);
+    }
+    format!(
+        "\nlease held with fencing number {}, {} orders waiting; roles are prefill/decode/mixed\n\n{}\n{}",
+        orders.fencing,
+        orders.waiting,
+        pools.render(),
+        table.render()
+    )
+}
+
+fn rate(value: Option<f64>) -> String {
+    value.map_or_else(|| String::from("unknown"), |value| format!("{value:.1}"))
 }
 
 fn row(target: &operator::Target) -> Vec<String> {
--- a/crates/daisydrum/src/duty/control.rs
+++ b/crates/daisydrum/src/duty/control.rs
@@ -96,6 +96,7 @@
             data_centre: self.identity.data_centre.clone(),
             ready,
             targets,
+            orders: None,
         };
         http::json(StatusCode::OK, &status)
     }
--- /dev/null
+++ b/crates/orders/src/advisor.rs
@@ -0,0 +1,152 @@
+//! The thread that plans for the data centre while its instance holds the lease.
+
+use std::{
+    io,
+    sync::{Arc, Mutex, PoisonError},
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use common::{cancel, clock::Moment, name, ring::Sender};
+use slog::{Logger, warn};
+use wire::operator;
+
+use crate::{
+    duty::{Board, Report},
+    intent::Wish,
+    planner::{Planner, View},
+    site::Site,
+};
+
+const PAUSE: Duration = Duration::from_millis(100);
+/// Time between two readings of the instances' counters.
+const OBSERVE_EVERY: Duration = Duration::from_secs(5);
+/// Readings between two plans.
+const OBSERVATIONS_A_PLAN: u32 = 2;
+
+/// What the last plan found, for operators.
+#[derive(Clone, Debug, Default)]
+pub struct Findings(Arc<Mutex<Vec<operator::Pool>>>);
+
+/// The running thread.
+#[derive(Debug)]
+pub struct Handle {
+    /// What the last plan found.
+    pub findings: Findings,
+    /// Ends after the token is cancelled.
+    pub thread: JoinHandle<()>,
+}
+
+impl Findings {
+    /// The pools as the last plan found them.
+    pub fn pools(&self) -> Vec<operator::Pool> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn set(&self, pools: Vec<operator::Pool>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = pools;
+    }
+}
+
+/// Starts the thread; wishes go to the orders' duty.
+///
+/// # Errors
+///
+/// Returns the operating system's error when the thread can't be made.
+pub fn start<S: Site + Send + 'static>(
+    data_centre: name::DataCentre,
+    site: S,
+    board: Board,
+    wishes: Sender<Wish>,
+    token: cancel::Token,
+    log: Logger,
+) -> io::Result<Handle> {
+    let findings = Findings::default();
+    let planner = Planner::default();
+    let mut advisor =
+        Advisor { data_centre, site, board, wishes, planner, findings: findings.clone(), log };
+    let thread =
+        thread::Builder::new().name(String::from("roles")).spawn(move || advisor.run(&token))?;
+    Ok(Handle { findings, thread })
+}
+
+struct Advisor<S> {
+    data_centre: name::DataCentre,
+    site: S,
+    board: Board,
+    wishes: Sender<Wish>,
+    planner: Planner,
+    findings: Findings,
+    log: Logger,
+}
+
+impl<S: Site> Advisor<S> {
+    fn run(&mut self, token: &cancel::Token) {
+        let mut observations = 0;
+        let mut next = Moment::now();
+        while !token.is_cancelled() {
+            let now = Moment::now();
+            if now < next {
+                thread::sleep(PAUSE);
+                continue;
+            }
+            next = now + OBSERVE_EVERY;
+            let report = self.board.report();
+            if report.fencing.is_none() {
+                self.findings.set(Vec::new());
+                continue;
+            }
+            self.observe();
+            observations += 1;
+            if observations % OBSERVATIONS_A_PLAN == 0 {
+                self.plan(&report);
+            }
+        }
+    }
+
+    fn observe(&mut self) {
+        for counts in self.site.offered() {
+            let now = Moment::now();
+            self.planner.observe(&self.data_centre, &counts.source, &counts.offered, now);
+        }
+    }
+
+    fn plan(&mut self, report: &Report) {
+        let deployments = self.site.deployments();
+        let targets = self.site.targets();
+        let view = View { deployments: &deployments, targets: &targets, open: &report.open };
+        let advice = self.planner.advise(view, Moment::now());
+        self.findings.set(advice.pools);
+        for wish in advice.wishes {
+            let target = wish.target.clone();
+            if let Err(refusal) = self.wishes.send(wish) {
+                warn!(self.log, "wish not taken"; "target" => %target, "refusal" => %refusal);
+            }
+        }
+    }
+}
+
+/// Orders and roles for operators, where the lease is held.
+pub fn summary(board: &Board, findings: &Findings) -> Option<operator::Orders> {
+    let report = board.report();
+    let fencing = report.fencing?;
+    let open = report.open.iter().map(|entry| operator::Order {
+        target: entry.intent.target.clone(),
+        action: entry.intent.action.to_string(),
+        reason: entry.reason.clone(),
+        state: String::from("open"),
+    });
+    let ended = report.outcomes.iter().map(|outcome| operator::Order {
+        target: outcome.target.clone(),
+        action: outcome.action.clone(),
+        reason: outcome.reason.clone(),
+        state: outcome.ending.to_string(),
+    });
+    Some(operator::Orders {
+        fencing,
+        pools: findings.pools(),
+        open: open.collect(),
+        waiting: report.waiting,
+        ended: ended.collect(),
+    })
+}
--- a/crates/orders/src/duty.rs
+++ b/crates/orders/src/duty.rs
@@ -144,7 +144,8 @@
             tenure.hear(account, &self.log);
         }
         while let Ok(wish) = self.inbox.try_recv() {
-            if self.waiting.len() < WISHES {
+            let is_known = self.waiting.iter().any(|other| other.is_for(&wish));
+            if self.waiting.len() < WISHES && !is_known {
                 self.waiting.push_back(Waiting::new(wish));
             }
         }
--- a/crates/orders/src/duty/tenure.rs
+++ b/crates/orders/src/duty/tenure.rs
@@ -72,6 +72,11 @@
         Waiting { wish, id: None }
     }
 
+    /// Whether it asks the same of the same engine.
+    pub fn is_for(&self, wish: &Wish) -> bool {
+        self.wish.target == wish.target && self.wish.action == wish.action
+    }
+
     /// Whether the log certainly hasn't recorded it.
     pub fn is_not_recorded(&self) -> bool {
         self.id.is_none()
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -1,9 +1,10 @@
 //! Carries intents out to targets.
 //!
 //! [`machine`] decides on the next step of one intent, [`assertion`] on what a restarted engine or a new holder
-//! needs, [`bucket`] on when a load may start; all three are pure. [`courier`] sends orders under the lease, and
-//! [`duty`] is the thread that holds the lease and drives them.
+//! needs, [`bucket`] on when a load may start, [`planner`] on what engines should do; all are pure. [`courier`] sends orders under the lease, and
+//! [`duty`] is the thread that holds the lease and drives them, [`advisor`] the one that plans.
 
+pub mod advisor;
 pub mod assertion;
 pub mod authority;
 pub mod bucket;
@@ -12,4 +13,6 @@
 pub mod intent;
 pub mod lease;
 pub mod machine;
+pub mod planner;
 pub mod roster;
+pub mod site;
--- /dev/null
+++ b/crates/orders/src/planner.rs
@@ -0,0 +1,205 @@
+//! Turns announcements and offered demand into wishes: role changes that pay, and models to load.
+
+mod demand;
+mod models;
+
+use common::{clock::Moment, collections::Map, name, role::Role};
+use roles::{
+    demand::{Demand, Load},
+    fleet::{Engine, Fleet, State},
+    plan::{self, Plan},
+    policy::{Policy, Rule},
+    pool,
+};
+use settings::service::Service;
+use wire::{
+    operator,
+    peer::Offered,
+    target::{Action, Announcement, Kind, Phase},
+};
+
+use self::demand::Meter;
+pub use self::demand::Source;
+use crate::{duty::Entry, intent::Wish};
+
+/// A service and the pool of its engines in the data centre.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Deployment {
+    /// The pool.
+    pub pool: pool::Pool,
+    /// The service's effective settings.
+    pub service: Service,
+}
+
+/// What the planner is given each time.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// The services of the data centre.
+    pub deployments: &'a [Deployment],
+    /// The targets whose announcements count.
+    pub targets: &'a [Announcement],
+    /// Intents under way.
+    pub open: &'a [Entry],
+}
+
+/// What the planner wants done, and why.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Advice {
+    /// What engines should do.
+    pub wishes: Vec<Wish>,
+    /// The state of each pool, for operators.
+    pub pools: Vec<operator::Pool>,
+}
+
+/// Remembers demand and role changes between plans.
+#[derive(Debug, Default)]
+pub struct Planner {
+    meters: Map<pool::Pool, Meter>,
+    engines: Map<name::Target, Seen>,
+    models: models::Memory,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    role: Role,
+    changed_at: Option<Moment>,
+}
+
+impl Planner {
+    /// Takes in what an instance of the data centre counted since its start.
+    pub fn observe(
+        &mut self,
+        data_centre: &name::DataCentre,
+        source: &Source,
+        offered: &[Offered],
+        now: Moment,
+    ) {
+        for count in offered {
+            let pool = pool::Pool {
+                partner: count.partner.clone(),
+                service: count.service.clone(),
+                data_centre: data_centre.clone(),
+            };
+            self.meters.entry(pool).or_default().count(source, count, now);
+        }
+    }
+
+    /// Works out what should be done now.
+    pub fn advise(&mut self, view: View<'_>, now: Moment) -> Advice {
+        self.learn(view, now);
+        let policy = Policy { rules: view.deployments.iter().map(Deployment::rule).collect() };
+        let fleet = self.fleet(view);
+        let demand = Demand {
+            loads: view.deployments.iter().map(|item| self.load(&item.pool, now)).collect(),
+        };
+        let plan = plan::plan(&demand, &fleet, &policy, now);
+        let mut wishes = self.models.wishes(view, now);
+        wishes.extend(plan.decisions.iter().map(|decision| Wish {
+            target: fleet.engines[decision.engine.index()].name.clone(),
+            action: Action::Role { role: decision.to },
+            reason: decision.to_string(),
+        }));
+        let pools = pools(view, &demand, &fleet, &plan);
+        Advice { wishes, pools }
+    }
+
+    fn learn(&mut self, view: View<'_>, now: Moment) {
+        for target in engines(view.targets) {
+            let seen = self
+                .engines
+                .entry(target.target.clone())
+                .or_insert(Seen { role: target.role, changed_at: None });
+            if seen.role != target.role {
+                *seen = Seen { role: target.role, changed_at: Some(now) };
+            }
+            if let Some(meter) = self.meters.get_mut(&pool_of(target)) {
+                meter.load(target);
+            }
+        }
+        let known = &view.targets;
+        self.engines.retain(|name, _| known.iter().any(|target| target.target == *name));
+    }
+
+    fn load(&self, pool: &pool::Pool, now: Moment) -> Option<Load> {
+        self.meters.get(pool)?.estimate(now)
+    }
+
+    fn fleet(&self, view: View<'_>) -> Fleet {
+        let keys: Map<&pool::Pool, pool::Key> =
+            view.deployments.iter().map(|item| &item.pool).zip((0..).map(pool::Key)).collect();
+        let open: Map<&name::Target, &Action> =
+            view.open.iter().map(|entry| (&entry.intent.target, &entry.intent.action)).collect();
+        let engine = |target: &Announcement| {
+            Some(Engine {
+                name: target.target.clone(),
+                pool: *keys.get(&pool_of(target))?,
+                role: target.role,
+                state: state(target.phase, open.get(&target.target).copied()),
+                changed_at: self.engines.get(&target.target)?.changed_at,
+                running: target.load.running,
+            })
+        };
+        Fleet { engines: engines(view.targets).filter_map(engine).collect() }
+    }
+}
+
+impl Deployment {
+    fn rule(&self) -> Rule {
+        Rule { pool: self.pool.clone(), roles: self.service.roles.clone() }
+    }
+}
+
+fn engines(targets: &[Announcement]) -> impl Iterator<Item = &Announcement> {
+    targets.iter().filter(|target| target.kind == Kind::Engine)
+}
+
+/// The pool that a target belongs to.
+pub fn pool_of(target: &Announcement) -> pool::Pool {
+    pool::Pool {
+        partner: target.partner.clone(),
+        service: target.service.clone(),
+        data_centre: target.data_centre.clone(),
+    }
+}
+
+fn state(phase: Phase, open: Option<&Action>) -> State {
+    match (phase, open) {
+        (Phase::Leaving, _) => State::Gone,
+        (_, Some(Action::Role { role })) => State::Changing(*role),
+        (_, Some(_)) | (Phase::Draining | Phase::Changing, None) => State::Held,
+        (Phase::Ready, None) => State::Ready,
+    }
+}
+
+fn pools(view: View<'_>, demand: &Demand, fleet: &Fleet, plan: &Plan) -> Vec<operator::Pool> {
+    let mut current = vec![operator::Mix::default(); view.deployments.len()];
+    for engine in fleet.engines.iter().filter(|engine| engine.state != State::Gone) {
+        let mix = &mut current[engine.pool.index()];
+        match engine.role {
+            Role::Prefill => mix.prefill += 1,
+            Role::Decode => mix.decode += 1,
+            Role::Mixed => mix.mixed += 1,
+        }
+    }
+    plan.holds
+        .iter()
+        .map(|hold| {
+            let load = demand.load(hold.pool);
+            let of = |rate: fn(&Load) -> f64| load.map(rate);
+            operator::Pool {
+                partner: view.deployments[hold.pool.index()].pool.partner.clone(),
+                service: view.deployments[hold.pool.index()].pool.service.clone(),
+                current: current[hold.pool.index()],
+                intended: operator::Mix {
+                    prefill: hold.mix.prefill,
+                    decode: hold.mix.decode,
+                    mixed: hold.mix.mixed,
+                },
+                requests: of(|load| load.requests),
+                prefill_tokens: of(|load| load.prefill.mean),
+                decode_tokens: of(|load| load.decode.mean),
+                reason: hold.reason.to_string(),
+            }
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/orders/src/planner/demand.rs
@@ -0,0 +1,151 @@
+//! Demand of one pool from the counters of the data centre's instances.
+
+use std::time::Duration;
+
+use common::{clock::Moment, collections::Map, name};
+use roles::demand::{
+    Load,
+    estimator::{Estimator, Report},
+};
+use wire::{peer::Offered, target::Announcement};
+
+const INTERVAL: Duration = Duration::from_secs(10);
+/// Delay of the counters.
+const LAG: Duration = Duration::from_secs(5);
+/// Counts are spread evenly over parts of this length, so that they fall into the right intervals.
+const PART: Duration = Duration::from_secs(1);
+/// Weight of older token counts each time newer ones come.
+const KEPT: f64 = 0.95;
+
+/// A process that counts.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Source {
+    /// The instance.
+    pub instance: name::Instance,
+    /// Differs for each start of its process.
+    pub incarnation: u64,
+}
+
+/// Counts of one pool.
+#[derive(Debug)]
+pub struct Meter {
+    estimator: Estimator,
+    counts: Map<Source, Counted>,
+    engines: Map<name::Target, Tokens>,
+    output: Ratio,
+    cached: Ratio,
+}
+
+#[derive(Debug)]
+struct Counted {
+    offered: Offered,
+    at: Moment,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Tokens {
+    incarnation: u64,
+    prompt: u64,
+    cached: u64,
+}
+
+/// A ratio of sums in which older parts fade.
+#[derive(Clone, Copy, Debug, Default)]
+struct Ratio {
+    part: f64,
+    whole: f64,
+}
+
+impl Default for Meter {
+    fn default() -> Meter {
+        Meter {
+            estimator: Estimator::new(INTERVAL, LAG),
+            counts: Map::default(),
+            engines: Map::default(),
+            output: Ratio::default(),
+            cached: Ratio::default(),
+        }
+    }
+}
+
+impl Meter {
+    /// Takes in an instance's counters; the first ones of a process are only remembered.
+    pub fn count(&mut self, source: &Source, offered: &Offered, now: Moment) {
+        let counted = Counted { offered: offered.clone(), at: now };
+        self.counts.retain(|other, _| other.instance != source.instance || other == source);
+        let Some(before) = self.counts.insert(source.clone(), counted) else {
+            return;
+        };
+        let grown = |now: u64, before: u64| number(now.saturating_sub(before));
+        let last = &before.offered;
+        self.output.add(
+            grown(offered.output_tokens, last.output_tokens),
+            grown(offered.answered, last.answered),
+        );
+        let requests = grown(offered.requests, last.requests);
+        let prompt_tokens = grown(offered.prompt_tokens, last.prompt_tokens);
+        let total = Report {
+            at: before.at,
+            requests,
+            prompt_tokens,
+            cached_tokens: prompt_tokens * self.cached.value(),
+            output_tokens: requests * self.output.value(),
+        };
+        self.spread(&total, now);
+    }
+
+    /// Takes in an engine's token counters.
+    pub fn load(&mut self, target: &Announcement) {
+        let tokens = Tokens {
+            incarnation: target.incarnation,
+            prompt: target.load.prompt_tokens,
+            cached: target.load.cached_tokens,
+        };
+        let before = self.engines.insert(target.target.clone(), tokens);
+        let Some(before) = before.filter(|before| before.incarnation == tokens.incarnation) else {
+            return;
+        };
+        let cached = number(tokens.cached.saturating_sub(before.cached));
+        let computed = number(tokens.prompt.saturating_sub(before.prompt));
+        if cached + computed > 0.0 {
+            self.cached.add(cached, cached + computed);
+        }
+    }
+
+    /// The demand at `now`.
+    pub fn estimate(&self, now: Moment) -> Option<Load> {
+        self.estimator.estimate(now)
+    }
+
+    fn spread(&mut self, total: &Report, now: Moment) {
+        let span = now.since(total.at);
+        let parts = (span.as_millis() / PART.as_millis()).max(1);
+        let parts = u32::try_from(parts).unwrap_or(u32::MAX);
+        let share = f64::from(parts);
+        for part in 0..parts {
+            self.estimator.observe(&Report {
+                at: total.at + span * (2 * part + 1) / (2 * parts),
+                requests: total.requests / share,
+                prompt_tokens: total.prompt_tokens / share,
+                cached_tokens: total.cached_tokens / share,
+                output_tokens: total.output_tokens / share,
+            });
+        }
+    }
+}
+
+impl Ratio {
+    fn add(&mut self, part: f64, whole: f64) {
+        self.part = self.part * KEPT + part;
+        self.whole = self.whole * KEPT + whole;
+    }
+
+    fn value(&self) -> f64 {
+        if self.whole > 0.0 { self.part / self.whole } else { 0.0 }
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts of tokens between two reports are small")]
+fn number(count: u64) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/crates/orders/src/planner/models.rs
@@ -0,0 +1,82 @@
+//! Models, adapters and versions that engines should have loaded.
+//!
+//! Every engine of a service loads all versions that the service names, so that requests can be shifted between
+//! them by weight and back. A version that is no longer named is unloaded only after a while.
+
+use std::time::Duration;
+
+use common::{clock::Moment, collections::Map, name};
+use settings::service::Service;
+use wire::target::{Action, Announcement, Phase};
+
+use super::View;
+use crate::intent::Wish;
+
+/// Time for which a version that is no longer named stays loaded, so that a shift can be taken back.
+const UNLOAD_AFTER: Duration = Duration::from_secs(600);
+
+/// When versions that are loaded but not named were first seen so.
+#[derive(Debug, Default)]
+pub struct Memory {
+    unnamed: Map<Loaded, Moment>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Loaded {
+    target: name::Target,
+    model: String,
+}
+
+impl Memory {
+    /// Loads and unloads that are needed, one for each engine at most.
+    pub fn wishes(&mut self, view: View<'_>, now: Moment) -> Vec<Wish> {
+        let mut wishes = Vec::new();
+        let mut unnamed = Map::default();
+        for target in super::engines(view.targets) {
+            let Some(service) = service_of(view, target) else { continue };
+            let named = versions(service);
+            if named.is_empty() {
+                continue;
+            }
+            for model in target.models.iter().filter(|model| !named.contains(&model.as_str())) {
+                let loaded = Loaded { target: target.target.clone(), model: model.clone() };
+                let since = self.unnamed.get(&loaded).copied().unwrap_or(now);
+                unnamed.insert(loaded, since);
+            }
+            let is_busy = view.open.iter().any(|entry| entry.intent.target == target.target);
+            if target.phase != Phase::Ready || is_busy {
+                continue;
+            }
+            let due = |model: &&String| {
+                let loaded = Loaded { target: target.target.clone(), model: (*model).clone() };
+                unnamed.get(&loaded).is_some_and(|since| now.since(*since) >= UNLOAD_AFTER)
+            };
+            let missing = named.iter().find(|model| !target.models.iter().any(|own| own == *model));
+            let surplus = target.models.iter().find(due);
+            let action = match (missing, surplus) {
+                (Some(model), _) => Action::Load { model: (*model).to_owned() },
+                (None, Some(model)) => Action::Unload { model: model.clone() },
+                (None, None) => continue,
+            };
+            let reason = String::from("versions that the service names");
+            wishes.push(Wish { target: target.target.clone(), action, reason });
+        }
+        self.unnamed = unnamed;
+        wishes
+    }
+}
+
+fn service_of<'a>(view: View<'a>, target: &Announcement) -> Option<&'a Service> {
+    let pool = super::pool_of(target);
+    view.deployments.iter().find(|item| item.pool == pool).map(|item| &item.service)
+}
+
+fn versions(service: &Service) -> Vec<&str> {
+    let mut versions: Vec<&str> = service
+        .models
+        .iter()
+        .map(|model| model.version.as_deref().unwrap_or(&model.name))
+        .collect();
+    versions.dedup();
+    versions
+}
--- /dev/null
+++ b/crates/orders/src/site.rs
@@ -0,0 +1,81 @@
+//! The data centre as the daemon sees it.
+
+use std::time::Duration;
+
+use common::collections::Map;
+use roles::pool::Pool;
+use wire::{
+    peer::Offered,
+    target::{Announcement, Kind},
+};
+
+use crate::{
+    bucket::Limits,
+    planner::{self, Deployment, Source},
+    roster::{Engine, Roster},
+};
+
+/// Drain limit of an engine whose service isn't declared.
+const DEFAULT_DRAIN: Duration = Duration::from_secs(60);
+const DEFAULT_LOADS: Limits = Limits { at_once: 1, per_minute: 1 };
+
+/// Where the data centre's state comes from.
+pub trait Site {
+    /// The data centre's targets whose announcements count now.
+    fn targets(&self) -> Vec<Announcement>;
+
+    /// The services of the partner that owns the data centre, by the tree in force.
+    fn deployments(&self) -> Vec<Deployment>;
+
+    /// What each instance of the data centre that can be reached has counted since its start.
+    fn offered(&self) -> Vec<Counts>;
+}
+
+/// What one instance counted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Counts {
+    /// The instance's process.
+    pub source: Source,
+    /// Its counters.
+    pub offered: Vec<Offered>,
+}
+
+/// The engines of a site that belong to its services.
+#[derive(Clone, Debug)]
+pub struct Announced<S>(pub S);
+
+impl<S: Site> Roster for Announced<S> {
+    fn engines(&self) -> Vec<Engine> {
+        let drains: Map<Pool, Duration> = self
+            .0
+            .deployments()
+            .into_iter()
+            .map(|item| (item.pool, Duration::from_secs(item.service.roles.drain_s)))
+            .collect();
+        let engine = |target: Announcement| {
+            let pool = planner::pool_of(&target);
+            Engine {
+                drain_limit: drains.get(&pool).copied().unwrap_or(DEFAULT_DRAIN),
+                name: target.target,
+                address: target.address,
+                incarnation: target.incarnation,
+                fencing: target.fencing,
+            }
+        };
+        let targets = self.0.targets().into_iter();
+        targets.filter(|target| target.kind == Kind::Engine).map(engine).collect()
+    }
+
+    /// The tightest limits of the data centre's services, since they share one weight store.
+    fn loads(&self) -> Limits {
+        let of = |item: &Deployment| Limits {
+            at_once: item.service.roles.loads_at_once,
+            per_minute: item.service.roles.loads_per_minute,
+        };
+        let tighter = |a: Limits, b: Limits| Limits {
+            at_once: a.at_once.min(b.at_once),
+            per_minute: a.per_minute.min(b.per_minute),
+        };
+        self.0.deployments().iter().map(of).reduce(tighter).unwrap_or(DEFAULT_LOADS)
+    }
+}
--- /dev/null
+++ b/crates/orders/tests/planner.rs
@@ -0,0 +1,171 @@
+//! Wishes from announcements, counters and settings.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::{net::SocketAddr, time::Duration};
+
+use common::{clock::Moment, name, role::Role};
+use expect_test::expect;
+use orders::{
+    duty::Entry,
+    intent::{Intent, Wish},
+    planner::{Advice, Deployment, Planner, Source, View},
+};
+use roles::pool::Pool;
+use settings::service::{Model, Roles, Service};
+use wire::{
+    peer::Offered,
+    target::{Action, Announcement, Fencing, Kind, Load, Phase},
+};
+
+const START: Moment = Moment(1_000_000);
+const READING: Duration = Duration::from_secs(5);
+const READINGS: u64 = 24;
+
+fn engine(number: u32, role: Role) -> Announcement {
+    Announcement {
+        target: name::Target(format!("engine-{number}")),
+        incarnation: 1,
+        sequence: 1,
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        kind: Kind::Engine,
+        partner: name::Partner::from("association"),
+        service: name::Service::from("vent-llm"),
+        data_centre: name::DataCentre::from("suva"),
+        models: vec![String::from("small")],
+        role,
+        fencing: Fencing::Checked,
+        cache_pieces: 0,
+        slots: 16,
+        lease_ms: 3_000,
+        phase: Phase::Ready,
+        load: Load::default(),
+        cache_events: Vec::new(),
+    }
+}
+
+fn engines() -> Vec<Announcement> {
+    (0..6)
+        .map(|number| engine(number, if number < 2 { Role::Prefill } else { Role::Decode }))
+        .collect()
+}
+
+fn deployment(models: &[&str]) -> Deployment {
+    let target = engine(0, Role::Mixed);
+    let model = |name: &&str| Model { name: (*name).to_owned(), version: None, weight: 100 };
+    Deployment {
+        pool: Pool {
+            partner: target.partner,
+            service: target.service,
+            data_centre: target.data_centre,
+        },
+        service: Service {
+            models: models.iter().map(model).collect(),
+            roles: Roles::default(),
+            ..Service::default()
+        },
+    }
+}
+
+/// Counters that grow by so many requests of so many tokens a second; two instances count half each.
+fn observe(planner: &mut Planner, prompt: u64, output: u64) -> Moment {
+    let mut now = START;
+    for reading in 0..READINGS {
+        now = START + READING * u32::try_from(reading).unwrap();
+        for instance in ["entry-1", "entry-2"] {
+            let requests = reading * 20;
+            let offered = Offered {
+                partner: name::Partner::from("association"),
+                service: name::Service::from("vent-llm"),
+                requests,
+                prompt_tokens: requests * prompt,
+                answered: requests,
+                output_tokens: requests * output,
+            };
+            let source = Source { instance: name::Instance::from(instance), incarnation: 1 };
+            planner.observe(&name::DataCentre::from("suva"), &source, &[offered], now);
+        }
+    }
+    now
+}
+
+fn render(advice: &Advice) -> String {
+    let mut lines: Vec<String> = advice.wishes.iter().map(|wish| line(wish)).collect();
+    for pool in &advice.pools {
+        lines.push(format!(
+            "{} now {} intended {}, {:.1} requests, {:.0} prefill, {:.0} decode\n",
+            pool.service,
+            pool.current,
+            pool.intended,
+            pool.requests.unwrap_or_default(),
+            pool.prefill_tokens.unwrap_or_default(),
+            pool.decode_tokens.unwrap_or_default(),
+        ));
+    }
+    lines.concat()
+}
+
+fn line(wish: &Wish) -> String {
+    format!("{}: {}\n", wish.target, wish.action)
+}
+
+#[test]
+fn follows_the_demand_that_instances_counted() {
+    let mut planner = Planner::default();
+    let now = observe(&mut planner, 5_000, 200);
+    let deployments = [deployment(&["small"])];
+    let view = View { deployments: &deployments, targets: &engines(), open: &[] };
+    let advice = planner.advise(view, now);
+    expect![[r#"
+        engine-2: role prefill
+        vent-llm now 2/4/0 intended 3/3/0, 8.0 requests, 40000 prefill, 1600 decode
+    "#]]
+    .assert_eq(&render(&advice));
+}
+
+#[test]
+fn leaves_an_engine_with_an_open_order_alone() {
+    let mut planner = Planner::default();
+    let now = observe(&mut planner, 5_000, 200);
+    let deployments = [deployment(&["small", "large"])];
+    let intent = Intent {
+        id: String::from("1"),
+        target: name::Target::from("engine-2"),
+        action: Action::Role { role: Role::Prefill },
+    };
+    let open = [Entry { intent, reason: String::new() }];
+    let view = View { deployments: &deployments, targets: &engines(), open: &open };
+    let wishes = planner.advise(view, now).wishes;
+    assert!(wishes.iter().all(|wish| wish.target.0 != "engine-2"), "{wishes:?}");
+    assert!(wishes.iter().all(|wish| matches!(wish.action, Action::Load { .. })), "{wishes:?}");
+}
+
+#[test]
+fn holds_while_nobody_counts() {
+    let mut planner = Planner::default();
+    let deployments = [deployment(&["small"])];
+    let view = View { deployments: &deployments, targets: &engines(), open: &[] };
+    let advice = planner.advise(view, START);
+    assert_eq!(advice.wishes, []);
+    assert_eq!(advice.pools[0].reason, "demand is unknown");
+}
+
+#[test]
+fn keeps_a_version_for_a_while_after_it_is_no_longer_named() {
+    let mut planner = Planner::default();
+    let deployments = [deployment(&["next"])];
+    let mut targets = engines();
+    let load = |model: &str| Action::Load { model: model.to_owned() };
+    let mut actions = |targets: &[Announcement], now| {
+        let view = View { deployments: &deployments, targets, open: &[] };
+        let wishes = planner.advise(view, now).wishes;
+        wishes.into_iter().map(|wish| wish.action).collect::<Vec<Action>>()
+    };
+    assert_eq!(actions(&targets, START), vec![load("next"); 6]);
+    for target in &mut targets {
+        target.models.push(String::from("next"));
+    }
+    assert_eq!(actions(&targets, START + Duration::from_secs(300)), []);
+    let unload = Action::Unload { model: String::from("small") };
+    assert_eq!(actions(&targets, START + Duration::from_secs(601)), vec![unload; 6]);
+}
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -3,6 +3,7 @@
 pub mod branch;
 
 use common::{name, role::Role};
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::target;
@@ -27,6 +28,70 @@
     pub ready: bool,
     /// The targets it knows, by name.
     pub targets: Vec<Target>,
+    /// Orders and roles, where the instance holds the lease of its data centre.
+    #[serde(default)]
+    pub orders: Option<Orders>,
+}
+
+/// Orders and roles of a data centre, as the holder of its lease sees them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Orders {
+    /// Fencing number of the lease.
+    pub fencing: u64,
+    /// Pools with their roles, demand and the reason of the last plan.
+    pub pools: Vec<Pool>,
+    /// Orders under way.
+    pub open: Vec<Order>,
+    /// What waits to become an order.
+    pub waiting: usize,
+    /// Orders that ended, newest first.
+    pub ended: Vec<Order>,
+}
+
+/// The engines of one service in the data centre.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Pool {
+    /// The partner.
+    pub partner: name::Partner,
+    /// The service.
+    pub service: name::Service,
+    /// Engines by current role.
+    pub current: Mix,
+    /// Engines by role once all decided changes have ended.
+    pub intended: Mix,
+    /// Requests a second, if the demand is known.
+    pub requests: Option<f64>,
+    /// Prompt tokens a second that are not cached.
+    pub prefill_tokens: Option<f64>,
+    /// Output tokens a second.
+    pub decode_tokens: Option<f64>,
+    /// Why no further change is made, with figures.
+    pub reason: String,
+}
+
+/// Engines by role.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[display("{prefill}/{decode}/{mixed}")]
+pub struct Mix {
+    /// Engines that prefill only.
+    pub prefill: u32,
+    /// Engines that decode only.
+    pub decode: u32,
+    /// Engines that do both.
+    pub mixed: u32,
+}
+
+/// An order to an engine.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// The engine.
+    pub target: name::Target,
+    /// What it is told.
+    pub action: String,
+    /// Why, with figures.
+    pub reason: String,
+    /// `open`, or how it ended.
+    pub state: String,
 }
 
 /// A target as a daemon sees it.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -19,6 +19,23 @@
     pub data_centre: name::DataCentre,
 }
 
+/// What callers offered to one service at one instance since the instance's start.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Offered {
+    /// The partner.
+    pub partner: name::Partner,
+    /// The service.
+    pub service: name::Service,
+    /// Requests that arrived, the refused ones included.
+    pub requests: u64,
+    /// Their prompt tokens.
+    pub prompt_tokens: u64,
+    /// Requests that were answered to the end.
+    pub answered: u64,
+    /// Output tokens of those.
+    pub output_tokens: u64,
+}
+
 /// Calls between daemons.
 #[tarpc::service]
 pub trait Peer {
