--- a/crates/orders/tests/planner.rs
+++ b/crates/orders/tests/planner.rs
@@ -90,7 +90,7 @@
 }
 
 fn render(advice: &Advice) -> String {
-    let mut lines: Vec<String> = advice.wishes.iter().map(|wish| line(wish)).collect();
+    let mut lines: Vec<String> = advice.wishes.iter().map(line).collect();
     for pool in &advice.pools {
         lines.push(format!(
             "{} now {} intended {}, {:.1} requests, {:.0} prefill, {:.0} decode\n",
