--- a/crates/daisyctl/src/command/roles.rs
+++ b/crates/daisyctl/src/command/roles.rs
@@ -16,7 +16,7 @@
     trace::Trace,
 };
 use serde::Serialize;
-use settings::{service::Roles, tree};
+use settings::{error::Faults, service::Roles, tree};
 
 use crate::{arguments, error::Fault, output};
 
@@ -150,7 +150,8 @@
     let (partner, service) = service
         .split_once('/')
         .ok_or_else(|| usage(format!("{service} is not of the form PARTNER/SERVICE")))?;
-    let tree = tree::read(Path::new(folder))?;
+    let tree = tree::read(Path::new(folder))
+        .map_err(|fault| Fault::Settings(Faults::from(vec![fault])))?;
     let branch = tree
         .partners
         .get(&name::Partner::from(partner))
