--- /dev/null
+++ b/crates/spread/examples/fleet/fleet.rs
@@ -0,0 +1,215 @@
+//! Instances in one process that talk over TCP.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use common::{cancel, collections::Map, name};
+use entry::directory::Directory;
+use futures::{StreamExt, future};
+use serde_json::json;
+use slog::{Discard, Logger, o};
+use spread::{
+    authority::Memory,
+    exchange::{Exchange, Silence},
+    node::{Node, Options},
+};
+use tarpc::{
+    client, context, serde_transport,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    runtime::Handle,
+    sync::{OnceCell, watch},
+};
+use tokio_util::codec::LengthDelimitedCodec;
+use wire::{
+    link,
+    spread::{Have, Update},
+};
+
+use crate::{BRANCH, count::Counted};
+
+const PER_DATA_CENTRE: usize = 10;
+const REPLICAS: usize = 3;
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+
+macro_rules! transport {
+    ($stream:expr) => {{
+        $stream.set_nodelay(true).unwrap();
+        let mut codec = LengthDelimitedCodec::builder();
+        codec.max_frame_length(link::MAX_FRAME_BYTES);
+        serde_transport::new(codec.new_framed(Counted($stream)), Bincode::default())
+    }};
+}
+/// The calls of `wire::peer::Peer` that the spread uses.
+#[tarpc::service]
+trait Calls {
+    async fn pull(have: Have, wait_ms: u64) -> Update;
+    async fn in_force() -> Vec<Have>;
+}
+
+#[derive(Clone)]
+struct Server(Node);
+
+impl Calls for Server {
+    async fn pull(self, _context: context::Context, have: Have, wait_ms: u64) -> Update {
+        self.0.answer(have, wait_ms).await
+    }
+
+    async fn in_force(self, _context: context::Context) -> Vec<Have> {
+        self.0.in_force()
+    }
+}
+
+/// Connections to the other instances, made on first use.
+#[derive(Clone)]
+struct Links(Arc<Map<name::Instance, (SocketAddr, OnceCell<CallsClient>)>>);
+
+impl Links {
+    async fn client(&self, peer: &name::Instance) -> &CallsClient {
+        let (address, cell) = &self.0[peer];
+        cell.get_or_init(|| async {
+            let stream = TcpStream::connect(address).await.unwrap();
+            CallsClient::new(client::Config::default(), transport!(stream)).spawn()
+        })
+        .await
+    }
+}
+
+fn deadline() -> context::Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + CALL_LIMIT;
+    context
+}
+
+impl Exchange for Links {
+    async fn pull(
+        &self,
+        peer: &name::Instance,
+        have: Have,
+        wait: Duration,
+    ) -> Result<Update, Silence> {
+        let wait_ms = wait.as_millis() as u64;
+        let answer = self.client(peer).await.pull(deadline(), have, wait_ms).await;
+        answer.map_err(|error| Silence { peer: peer.clone(), cause: error.to_string() })
+    }
+
+    async fn in_force(&self, peer: &name::Instance) -> Result<Vec<Have>, Silence> {
+        let answer = self.client(peer).await.in_force(deadline()).await;
+        answer.map_err(|error| Silence { peer: peer.clone(), cause: error.to_string() })
+    }
+}
+
+/// The instances.
+pub struct Fleet {
+    /// The log that all replicas share.
+    pub authority: Memory,
+    indexed: Vec<watch::Receiver<u64>>,
+}
+
+impl Fleet {
+    /// Starts so many instances.
+    pub async fn start(instances: usize) -> Fleet {
+        let authority = Memory::default();
+        let mut listeners = Vec::new();
+        for _ in 0..instances {
+            listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+        }
+        let addresses: Vec<SocketAddr> =
+            listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
+        let indexed = listeners
+            .into_iter()
+            .enumerate()
+            .map(|(own, listener)| start(own, listener, &addresses, &authority))
+            .collect();
+        Fleet { authority, indexed }
+    }
+
+    /// Waits until all instances have indexed a version.
+    pub async fn wait_for(&self, version: u64) {
+        let waits = self.indexed.iter().cloned().map(|mut indexed| async move {
+            indexed.wait_for(|&indexed| indexed >= version).await.unwrap();
+        });
+        future::join_all(waits).await;
+    }
+}
+
+fn name(number: usize) -> String {
+    format!("instance-{number}")
+}
+
+fn data_centre(number: usize) -> String {
+    format!("dc-{}", number / PER_DATA_CENTRE)
+}
+
+/// One replica in each of the first data centres, or as many as there are.
+fn keeps_replica(number: usize, instances: usize) -> bool {
+    let spacing = PER_DATA_CENTRE.min(instances / REPLICAS);
+    number.is_multiple_of(spacing) && number / spacing < REPLICAS
+}
+
+fn start(
+    own: usize,
+    listener: TcpListener,
+    addresses: &[SocketAddr],
+    authority: &Memory,
+) -> watch::Receiver<u64> {
+    let branches =
+        |number| if keeps_replica(number, addresses.len()) { vec![BRANCH] } else { vec![] };
+    let others = || addresses.iter().enumerate().filter(|&(number, _)| number != own);
+    let peers: Vec<_> = others()
+        .map(|(number, address)| {
+            json!({ "name": name(number), "data_centre": data_centre(number),
+                "address": address, "replicas": branches(number) })
+        })
+        .collect();
+    let replicas: Vec<_> = branches(own).iter().map(|branch| json!({ "branch": branch })).collect();
+    let instance = serde_json::from_value(json!({ "name": name(own),
+        "data_centre": data_centre(own), "callers": "127.0.0.1:1", "control": "127.0.0.1:2",
+        "peers_listen": "127.0.0.1:3", "peers": peers, "replicas": replicas }))
+    .unwrap();
+    let links = others()
+        .map(|(number, &address)| (name(number).into(), (address, OnceCell::new())))
+        .collect();
+    let options = Options {
+        instance: Arc::new(instance),
+        log: Logger::root(Discard, o!()),
+        stop: cancel::Token::new(),
+    };
+    let node =
+        Node::start(options, authority, &Links(Arc::new(links)), &Handle::current()).unwrap();
+    tokio::spawn(accept(listener, node.clone()));
+    let (sender, indexed) = watch::channel(0);
+    tokio::spawn(index(node, sender));
+    indexed
+}
+
+async fn accept(listener: TcpListener, node: Node) {
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        let channel = BaseChannel::with_defaults(transport!(stream));
+        let responses = channel.execute(Server(node.clone()).serve());
+        tokio::spawn(responses.for_each(|response| async {
+            tokio::spawn(response);
+        }));
+    }
+}
+
+/// Indexes the keys as the daemon does.
+async fn index(node: Node, sender: watch::Sender<u64>) {
+    let mut views = node.watch();
+    let mut _in_force = Directory::default();
+    loop {
+        let view = Arc::clone(&views.borrow_and_update());
+        _in_force = Directory::new(&view.tree()).unwrap();
+        sender.send_replace(view.version(&BRANCH.into()));
+        if views.changed().await.is_err() {
+            return;
+        }
+    }
+}
