--- a/crates/control/src/declaration/ledger.rs
+++ b/crates/control/src/declaration/ledger.rs
@@ -1,6 +1,6 @@
 //! The declarations in force and the changes that led to them.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 use settings::{
@@ -228,7 +228,7 @@
     partner.defaults = defaults;
     settings::tree::end_loans(&mut partner.defaults);
     for service in after.branch.services.values_mut() {
-        settings::tree::end_loans(service);
+        settings::tree::end_loans(Arc::make_mut(service));
     }
     after.venture = Venture { name: content.venture.name.clone(), ..Venture::default() };
     after
--- a/crates/control/tests/declarations.rs
+++ b/crates/control/tests/declarations.rs
@@ -141,7 +141,7 @@
             after.branch.partner.title = title.to_string();
             let keys: Vec<_> = (0..*keys).map(|key| json!({ "sha256": key.to_string() })).collect();
             let service = Map::from_iter([(String::from("keys"), json!(keys))]);
-            after.branch.services.insert("s".into(), service);
+            after.branch.services.insert("s".into(), service.into());
             let delta = delta::between(state.ledger().content(), &after);
             Some((base(*lag), Change::Apply(delta)))
         }
--- a/crates/control/tests/dissolution.rs
+++ b/crates/control/tests/dissolution.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
-use std::path::Path;
+use std::{path::Path, sync::Arc};
 
 use common::name;
 use control::{
@@ -35,7 +35,7 @@
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/venture");
     let tree = tree::read(&folder).unwrap();
     let mut branch = tree.partners[&name::Partner::from(BRANCH)].clone();
-    let service = branch.services.values_mut().next().unwrap();
+    let service = Arc::make_mut(branch.services.values_mut().next().unwrap());
     service.insert("roles".into(), json!({ "lend_to": ["inkleaf"], "dwell_s": 7 }));
     Content { venture: tree.venture, branch }
 }
--- a/crates/daisyctl/src/command/dissolve.rs
+++ b/crates/daisyctl/src/command/dissolve.rs
@@ -172,7 +172,8 @@
         let inherited = defaults.iter().filter(|(group, value)| {
             !venture && declared.partner.defaults.get(*group) != Some(*value)
         });
-        let loans = declared.services.values().chain([&declared.partner.defaults]);
+        let loans =
+            declared.services.values().map(AsRef::as_ref).chain([&declared.partner.defaults]);
         Share {
             branch: branch.name.clone(),
             phase: summary.phase.to_string(),
--- a/crates/daisydrum/src/duty/declarations.rs
+++ b/crates/daisydrum/src/duty/declarations.rs
@@ -42,7 +42,8 @@
     let mut views = node.watch();
     loop {
         let view = Arc::clone(&views.borrow_and_update());
-        match Directory::new(&view.tree()) {
+        let next = directory.borrow().next(&view.tree());
+        match next {
             Ok(next) => {
                 directory.send_replace(Arc::new(next));
             }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -79,7 +79,8 @@
     for (partner, branch) in &tree.partners {
         faults.extend(form::<Partner>(&tree::partner_file(partner), &branch.partner));
         for (service, settings) in &branch.services {
-            faults.extend(form::<Service>(&tree::service_file(partner, service), settings));
+            faults
+                .extend(form::<Service>(&tree::service_file(partner, service), settings.as_ref()));
         }
     }
     if faults.is_empty() { self::tree(tree, &Documents::new()) } else { faults }
--- a/crates/settings/src/delta.rs
+++ b/crates/settings/src/delta.rs
@@ -3,7 +3,7 @@
 //! Groups of settings are replaced whole. Callers' keys, of which there are many, are added and removed one by
 //! one.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use common::{collections::Set, name};
 use derive_more::{Display, Error};
@@ -40,7 +40,7 @@
 #[serde(rename_all = "snake_case")]
 pub enum Service {
     /// The service is declared anew.
-    Declared(Map<String, Value>),
+    Declared(Arc<Map<String, Value>>),
     /// The service is gone.
     Removed,
     /// Some of its settings change.
@@ -85,9 +85,10 @@
     for (service, settings) in &new.services {
         match old.services.get(service) {
             None => {
-                services.insert(service.clone(), Service::Declared(settings.clone()));
+                services.insert(service.clone(), Service::Declared(Arc::clone(settings)));
             }
-            Some(earlier) if earlier != settings => {
+            // Most services are shared with the earlier content.
+            Some(earlier) if !Arc::ptr_eq(earlier, settings) && earlier != settings => {
                 services.insert(service.clone(), edited(earlier, settings));
             }
             Some(_) => {}
@@ -122,13 +123,13 @@
     for (service, change) in &delta.services {
         match change {
             Service::Declared(settings) => {
-                services.insert(service.clone(), settings.clone());
+                services.insert(service.clone(), Arc::clone(settings));
             }
             Service::Removed => {
                 services.remove(service);
             }
             Service::Edited(edit) => {
-                edit_service(services.entry(service.clone()).or_default(), edit);
+                edit_service(Arc::make_mut(services.entry(service.clone()).or_default()), edit);
             }
         }
     }
@@ -136,11 +137,11 @@
 }
 
 /// Describes a change by edits, or whole where edits would not give the same order of keys.
-fn edited(before: &Map<String, Value>, after: &Map<String, Value>) -> Service {
+fn edited(before: &Map<String, Value>, after: &Arc<Map<String, Value>>) -> Service {
     let edit = edit(before, after);
     let mut result = before.clone();
     edit_service(&mut result, &edit);
-    if result == *after { Service::Edited(edit) } else { Service::Declared(after.clone()) }
+    if result == **after { Service::Edited(edit) } else { Service::Declared(Arc::clone(after)) }
 }
 
 fn edit(before: &Map<String, Value>, after: &Map<String, Value>) -> Edit {
--- a/crates/settings/src/effective.rs
+++ b/crates/settings/src/effective.rs
@@ -59,7 +59,7 @@
         (
             Origin::Service,
             tree::service_file(partner, service),
-            branch.services.get(service).unwrap_or(&empty),
+            branch.services.get(service).map_or(&empty, AsRef::as_ref),
         ),
     ];
     for (origin, file, values) in levels {
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -3,7 +3,7 @@
 use derive_more::Display;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
+use sha2::{Digest as _, Sha256};
 
 /// SHA-256 of a caller's key in lower-case hexadecimal.
 #[derive(
@@ -23,14 +23,36 @@
 #[serde(transparent)]
 pub struct Hash(#[schemars(length(equal = 64))] pub String);
 
+/// Bytes of a hash.
+const DIGEST_BYTES: usize = 32;
 /// Hexadecimal digits of a hash.
 const HASH_DIGITS: usize = 64;
 
+/// SHA-256 of a caller's key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Digest([u8; DIGEST_BYTES]);
+
+impl Digest {
+    /// Hashes a key as a caller presents it.
+    pub fn of(key: &str) -> Digest {
+        Digest(Sha256::digest(key.as_bytes()).into())
+    }
+}
+
 impl Hash {
     /// Hashes a key as a caller presents it.
     pub fn of(key: &str) -> Hash {
-        let digest = Sha256::digest(key.as_bytes());
-        Hash(digest.iter().map(|byte| format!("{byte:02x}")).collect())
+        Hash(Digest::of(key).0.iter().map(|byte| format!("{byte:02x}")).collect())
+    }
+
+    /// The hash as bytes, if it has the form of a hash.
+    pub fn digest(&self) -> Option<Digest> {
+        let mut bytes = [0; DIGEST_BYTES];
+        for (position, byte) in bytes.iter_mut().enumerate() {
+            let digits = self.0.get(2 * position..2 * position + 2)?;
+            *byte = u8::from_str_radix(digits, 16).ok()?;
+        }
+        Some(Digest(bytes))
     }
 
     /// Whether it has the form of a hash.
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -7,6 +7,7 @@
     collections::BTreeMap,
     fs, io,
     path::{Path, PathBuf},
+    sync::Arc,
 };
 
 use common::name;
@@ -54,8 +55,8 @@
 pub struct Branch {
     /// The partner.
     pub partner: Partner,
-    /// Settings of its services by name, without what they inherit.
-    pub services: BTreeMap<name::Service, Map<String, Value>>,
+    /// Settings of its services by name, without what they inherit; shared, since callers' keys make them large.
+    pub services: BTreeMap<name::Service, Arc<Map<String, Value>>>,
 }
 
 /// A partner's own file.
@@ -192,7 +193,7 @@
             let relative = service_file(&name, &service);
             if self.file::<Service>(&relative).is_some() {
                 let own = self.loaded.documents[&relative].value.as_object().cloned();
-                branch.services.insert(service, own.unwrap_or_default());
+                branch.services.insert(service, Arc::new(own.unwrap_or_default()));
             }
         }
         self.loaded.tree.partners.insert(name, branch);
--- a/crates/settings/tests/inheritance.rs
+++ b/crates/settings/tests/inheritance.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
-use std::path::Path;
+use std::{path::Path, sync::Arc};
 
 use common::name;
 use expect_test::expect;
@@ -20,7 +20,7 @@
 
 fn service(tree: &mut Tree) -> &mut Map<String, Value> {
     let branch = tree.partners.get_mut(&name::Partner::from("association")).unwrap();
-    branch.services.get_mut(&name::Service::from("member-portal")).unwrap()
+    Arc::make_mut(branch.services.get_mut(&name::Service::from("member-portal")).unwrap())
 }
 
 #[test]
@@ -118,8 +118,9 @@
     let mut before = content(&sample());
     let mut after = before.clone();
     after.venture.name = String::from("other");
-    after.branch.services.values_mut().next().unwrap().insert("kind".into(), json!("plain"));
-    after.branch.services.values_mut().next().unwrap().shift_remove("claims");
+    let service = Arc::make_mut(after.branch.services.values_mut().next().unwrap());
+    service.insert("kind".into(), json!("plain"));
+    service.shift_remove("claims");
     let delta = delta::between(&before, &after);
     before.branch.services.clear();
     let untouched = before.clone();
@@ -162,7 +163,7 @@
         content.venture.name = name.to_string();
         content.branch.partner.title = title.to_string();
         content.branch.services =
-            services.into_iter().map(|(name, service)| (name.into(), service)).collect();
+            services.into_iter().map(|(name, service)| (name.into(), Arc::new(service))).collect();
         content
     })
 }
--- a/crates/spread/examples/fleet/fleet.rs
+++ b/crates/spread/examples/fleet/fleet.rs
@@ -203,10 +203,10 @@
 /// Indexes the keys as the daemon does.
 async fn index(node: Node, sender: watch::Sender<u64>) {
     let mut views = node.watch();
-    let mut _in_force = Directory::default();
+    let mut in_force = Directory::default();
     loop {
         let view = Arc::clone(&views.borrow_and_update());
-        _in_force = Directory::new(&view.tree()).unwrap();
+        in_force = in_force.next(&view.tree()).unwrap();
         sender.send_replace(view.version(&BRANCH.into()));
         if views.changed().await.is_err() {
             return;
--- a/crates/spread/examples/fleet/main.rs
+++ b/crates/spread/examples/fleet/main.rs
@@ -15,6 +15,7 @@
 
 use std::{
     env,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -93,7 +94,7 @@
         let settings = json!({ "models": [{ "name": format!("m{service}") }], "keys": keys });
         let name = name::Service(format!("s{service}"));
         let settings: Map<String, Value> = settings.as_object().unwrap().clone();
-        content.branch.services.insert(name, settings);
+        content.branch.services.insert(name, Arc::new(settings));
     }
     content
 }
@@ -102,6 +103,7 @@
     let before = content.clone();
     let services = content.branch.services.len() as u64;
     let service = content.branch.services.values_mut().nth((version % services) as usize).unwrap();
+    let service = Arc::make_mut(service);
     let keys = service["keys"].as_array_mut().unwrap();
     keys.remove(0);
     keys.push(key(&format!("changed {version}")));
--- a/crates/spread/tests/view.rs
+++ b/crates/spread/tests/view.rs
@@ -2,7 +2,10 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
-use std::{sync::LazyLock, time::Duration};
+use std::{
+    sync::{Arc, LazyLock},
+    time::Duration,
+};
 
 use common::{clock::Moment, name};
 use control::{
@@ -30,7 +33,7 @@
         let mut after = state.ledger().content().clone();
         after.branch.partner.title = version.to_string();
         let service = after.branch.services.entry(format!("s{}", version % 3).into()).or_default();
-        service.insert(String::from("limits"), json!({ "deadline_ms": version }));
+        Arc::make_mut(service).insert(String::from("limits"), json!({ "deadline_ms": version }));
         let delta = delta::between(state.ledger().content(), &after);
         let author = Author { request: version.to_string(), ..Author::default() };
         let request = Request { author, base: version, change: Change::Apply(delta) };
@@ -131,7 +134,7 @@
         let defaults = json!({ "limits": { "deadline_ms": deadline } });
         let venture = Venture { name: "v".into(), defaults: defaults.as_object().unwrap().clone() };
         let mut after = Content { venture, ..Content::default() };
-        after.branch.services.insert("s".into(), serde_json::Map::new());
+        after.branch.services.insert("s".into(), Arc::default());
         let delta = delta::between(&Content::default(), &after);
         let request = Request { author: Author::default(), base: 0, change: Change::Apply(delta) };
         state.apply(1, &Command::Declare(request));
