--- a/crates/daisydrum/examples/cost.rs
+++ b/crates/daisydrum/examples/cost.rs
@@ -111,7 +111,7 @@
         while open.len() < count {
             let response =
                 http::open(daemon.callers, completion(SHORT_PROMPT, true, 100_000)?).await?;
-            open.push(response.into_body());
+            open.push(tokio::spawn(response.into_body().collect()));
         }
         time::sleep(Duration::from_secs(2)).await;
         let grown = daemon.resident_kb()?.saturating_sub(before);
@@ -120,6 +120,9 @@
             grown as f64 / count as f64
         );
     }
+    for stream in open {
+        stream.abort();
+    }
     Ok(())
 }
 
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -13,6 +13,8 @@
 use wire::socket;
 
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Bytes of an answer that are read ahead of the caller at most.
+const MAX_BUFFER_BYTES: usize = 32 * 1024;
 const PROBE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Why an exchange gave no answer.
@@ -52,7 +54,10 @@
             .map_err(|_elapsed| Fault::Connect(std::io::ErrorKind::TimedOut.into()))?
             .map_err(Fault::Connect)?;
         socket::configure(&stream).map_err(Fault::Connect)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await?;
         let driver = tokio::spawn(async move {
             // The exchange sees the same fault.
             let _ended = connection.await;
--- /dev/null
+++ b/crates/entry/tests/answers.rs
@@ -0,0 +1,74 @@
+//! What callers are told for each fault.
+
+use std::time::Duration;
+
+use entry::answer::{self, Fault};
+use expect_test::expect;
+use route::request::{Reason, Refusal};
+use wire::outcome;
+
+#[test]
+fn each_fault_has_its_status_word_and_time_to_come_back() {
+    let refusal = |reason| Refusal { reason, retry_after: Duration::from_millis(1_200) };
+    let faults = [
+        Fault::Key,
+        Fault::Path,
+        Fault::Large { limit_kb: 64 },
+        Fault::Slow { limit_ms: 10_000 },
+        Fault::Invalid { problem: String::from("no number") },
+        Fault::Model { model: String::from("small") },
+        Fault::Refused { refusal: refusal(Reason::QueueFull) },
+        Fault::Refused { refusal: refusal(Reason::TooLate) },
+        Fault::Refused { refusal: refusal(Reason::NoTarget) },
+        Fault::Refused { refusal: refusal(Reason::TargetsFull) },
+        Fault::NoLog,
+        Fault::KeyReused,
+        Fault::InProgress,
+        Fault::Unknown,
+        Fault::NotKept,
+        Fault::Oversized,
+        Fault::Target { problem: String::from("closed") },
+        Fault::Deadline { word: outcome::Word::NotRun },
+        Fault::Deadline { word: outcome::Word::MayHaveRun },
+    ];
+    let lines: Vec<String> = faults.iter().map(line).collect();
+    expect![[r#"
+        401 not-run - the key is missing or unknown; send it as `authorization: Bearer KEY`
+        404 not-run - no such path
+        413 not-run - the body is larger than 64 kilobytes
+        408 not-run - the body did not arrive within 10000 ms
+        400 not-run - no number
+        404 not-run - the service has no model `small`
+        429 not-run 2 the queue of the service is full
+        429 not-run 2 it can't be answered in time
+        503 not-run 2 no target serves it
+        503 not-run 2 its targets are full
+        503 not-run 1 calls that may not be repeated can't be taken now: the partner's log can't be reached
+        422 not-run - the idempotency key was used for another call; use a new key
+        409 may-have-run 1 a call with this idempotency key is in progress; ask again for its answer
+        409 may-have-run - whether the call with this idempotency key ran is unknown; look it up at the service before using a new key
+        409 ran - the call with this idempotency key ran; its answer was too large to be kept
+        502 ran - the call ran, but its answer is larger than the system holds
+        502 may-have-run - the target failed: closed
+        504 not-run - the deadline passed
+        504 may-have-run - the deadline passed"#]]
+    .assert_eq(&lines.join("\n"));
+}
+
+#[test]
+fn a_fault_has_the_shape_that_clients_expect() {
+    expect![[
+        r#"{"error":{"message":"the service has no model `small`","type":"invalid_request_error","code":"model_not_found"}}"#
+    ]]
+    .assert_eq(&Fault::Model { model: String::from("small") }.json());
+}
+
+fn line(fault: &Fault) -> String {
+    let response = answer::fault(fault);
+    let header = |name: &str| {
+        response.headers().get(name).map(|value| String::from_utf8_lossy(value.as_bytes()))
+    };
+    let word = header(outcome::HEADER).unwrap_or_default();
+    let retry_after = header("retry-after").unwrap_or("-".into());
+    format!("{} {word} {retry_after} {fault}", response.status().as_u16())
+}
--- /dev/null
+++ b/crates/entry/tests/requests.rs
@@ -0,0 +1,58 @@
+//! What the system reads from the head of a request.
+
+use common::clock::Moment;
+use entry::{
+    answer::Fault,
+    request::{self, DEADLINE_HEADER},
+};
+use hyper::{HeaderMap, header::HeaderValue};
+use route::request::Repeat;
+use settings::service;
+
+const NOW: Moment = Moment(1_000);
+
+#[yare::parameterized(
+    same = { "/certificates", Repeat::Never },
+    below = { "/certificates/7", Repeat::Never },
+    query = { "/certificates?draft=1", Repeat::Never },
+    longer_name = { "/certificates-archive", Repeat::Allowed },
+    other = { "/records", Repeat::Allowed },
+)]
+fn paths_of_claims_may_not_be_repeated(path: &str, expected: Repeat) {
+    let claims =
+        service::Claims { paths: vec![String::from("/certificates")], ..Default::default() };
+    assert_eq!(request::repeat(path, &claims), expected);
+}
+
+#[yare::parameterized(
+    shorter = { "250", Some(1_250) },
+    at_most_the_limit = { "9999999", Some(6_000) },
+    none = { "0", Some(1_000) },
+    words = { "soon", None },
+    negative = { "-5", None },
+)]
+fn a_deadline_is_the_callers_wish_within_the_limit(wish: &'static str, expected_ms: Option<u64>) {
+    let mut headers = HeaderMap::new();
+    headers.insert(DEADLINE_HEADER, HeaderValue::from_static(wish));
+    let deadline = request::deadline(&headers, &limits(), NOW);
+    assert_eq!(deadline.ok(), expected_ms.map(Moment));
+}
+
+#[test]
+fn without_a_wish_the_limit_holds() {
+    assert_eq!(request::deadline(&HeaderMap::new(), &limits(), NOW), Ok(Moment(6_000)));
+}
+
+#[yare::parameterized(
+    no_json = { "{\"model\"" },
+    no_model = { "{\"prompt\": \"hello\"}" },
+    wrong_type = { "{\"model\": 7}" },
+)]
+fn a_malformed_completion_is_refused(body: &str) {
+    let parsed = request::parse_completion(&body.to_owned().into());
+    assert!(matches!(parsed, Err(Fault::Invalid { .. })), "{parsed:?}");
+}
+
+fn limits() -> service::Limits {
+    service::Limits { deadline_ms: 5_000, ..Default::default() }
+}
