--- /dev/null
+++ b/crates/store/src/mark.rs
@@ -0,0 +1,53 @@
+//! The mark: how far the newest segment has been synced.
+//!
+//! It is written after each sync and not synced itself, so it may be older than the truth but never newer. With
+//! it, recovery tells a torn write from the loss of synced records at the end of a segment.
+
+use std::io;
+
+use crate::folder::{File, Folder};
+
+/// Name of the mark's file.
+pub(crate) const FILE: &str = "synced";
+const BYTES: usize = 20;
+
+/// A synced length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Mark {
+    /// Number of the segment.
+    pub segment: u64,
+    /// Bytes of it that are durable.
+    pub length: u64,
+}
+
+impl Mark {
+    /// Reads the mark; nothing if there is none or it is torn.
+    pub(crate) fn read(folder: &impl Folder) -> io::Result<Option<Mark>> {
+        match folder.read(FILE) {
+            Ok(bytes) => Ok(Mark::decode(&bytes)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Writes the mark over the one before.
+    pub(crate) fn write(self, file: &mut impl File) -> io::Result<()> {
+        let mut bytes = [0; BYTES];
+        bytes[..8].copy_from_slice(&self.segment.to_le_bytes());
+        bytes[8..16].copy_from_slice(&self.length.to_le_bytes());
+        let sum = crc32fast::hash(&bytes[..16]);
+        bytes[16..].copy_from_slice(&sum.to_le_bytes());
+        file.write_at(0, &bytes)
+    }
+
+    fn decode(bytes: &[u8]) -> Option<Mark> {
+        let bytes: &[u8; BYTES] = bytes.try_into().ok()?;
+        let sum = u32::from_le_bytes(bytes[16..].try_into().ok()?);
+        if crc32fast::hash(&bytes[..16]) != sum {
+            return None;
+        }
+        let segment = u64::from_le_bytes(bytes[..8].try_into().ok()?);
+        let length = u64::from_le_bytes(bytes[8..16].try_into().ok()?);
+        Some(Mark { segment, length })
+    }
+}
--- /dev/null
+++ b/crates/store/src/record.rs
@@ -0,0 +1,100 @@
+//! Records of a segment: length, CRC32, kind, index, term and payload.
+//!
+//! The checksum covers the number of the segment and the record's offset as well, so that bytes which stand at
+//! the wrong place are never taken for a record.
+
+use crate::entry::Position;
+
+/// Largest payload, in bytes.
+pub(crate) const MAX_PAYLOAD_BYTES: usize = 256 * 1024 * 1024;
+const PREFIX_BYTES: usize = 8;
+const FIELD_BYTES: usize = 17;
+
+/// What a record is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// An entry; it replaces all entries from its index on.
+    Entry,
+    /// Hard state; it replaces the one before.
+    State,
+    /// All entries so far are void, and the next one follows the position.
+    Reset,
+    /// A snapshot up to this position exists.
+    Base,
+}
+
+impl Kind {
+    fn byte(self) -> u8 {
+        match self {
+            Kind::Entry => 1,
+            Kind::State => 2,
+            Kind::Reset => 3,
+            Kind::Base => 4,
+        }
+    }
+
+    fn from_byte(byte: u8) -> Option<Kind> {
+        let kinds = [Kind::Entry, Kind::State, Kind::Reset, Kind::Base];
+        kinds.into_iter().find(|kind| kind.byte() == byte)
+    }
+}
+
+/// A record, borrowed from the bytes of its segment.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Record<'a> {
+    pub kind: Kind,
+    pub position: Position,
+    pub payload: &'a [u8],
+}
+
+/// Where a record stands.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Place {
+    pub segment: u64,
+    pub offset: u64,
+}
+
+impl Record<'_> {
+    /// Appends the record's bytes to `buffer`.
+    pub(crate) fn encode(&self, place: Place, buffer: &mut Vec<u8>) {
+        let length = u32::try_from(FIELD_BYTES + self.payload.len())
+            .expect("invariant: a payload is shorter than MAX_PAYLOAD_BYTES");
+        let start = buffer.len();
+        buffer.extend_from_slice(&length.to_le_bytes());
+        buffer.extend_from_slice(&[0; 4]);
+        buffer.push(self.kind.byte());
+        buffer.extend_from_slice(&self.position.index.to_le_bytes());
+        buffer.extend_from_slice(&self.position.term.to_le_bytes());
+        buffer.extend_from_slice(self.payload);
+        let sum = checksum(place, length, &buffer[start + PREFIX_BYTES..]);
+        buffer[start + 4..start + PREFIX_BYTES].copy_from_slice(&sum.to_le_bytes());
+    }
+}
+
+/// Reads the record at the head of `bytes`; returns it with its length, or nothing if it is not whole.
+pub(crate) fn decode(place: Place, bytes: &[u8]) -> Option<(Record<'_>, usize)> {
+    let length = u32::from_le_bytes(bytes.get(..4)?.try_into().ok()?);
+    let sum = u32::from_le_bytes(bytes.get(4..PREFIX_BYTES)?.try_into().ok()?);
+    let size = usize::try_from(length).ok()?;
+    if !(FIELD_BYTES..=FIELD_BYTES + MAX_PAYLOAD_BYTES).contains(&size) {
+        return None;
+    }
+    let body = bytes.get(PREFIX_BYTES..PREFIX_BYTES + size)?;
+    if checksum(place, length, body) != sum {
+        return None;
+    }
+    let index = u64::from_le_bytes(body[1..9].try_into().ok()?);
+    let term = u64::from_le_bytes(body[9..FIELD_BYTES].try_into().ok()?);
+    let kind = Kind::from_byte(body[0])?;
+    let record = Record { kind, position: Position { index, term }, payload: &body[FIELD_BYTES..] };
+    Some((record, PREFIX_BYTES + size))
+}
+
+fn checksum(place: Place, length: u32, body: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&place.segment.to_le_bytes());
+    hasher.update(&place.offset.to_le_bytes());
+    hasher.update(&length.to_le_bytes());
+    hasher.update(body);
+    hasher.finalize()
+}
--- /dev/null
+++ b/crates/store/src/replay.rs
@@ -0,0 +1,157 @@
+//! Replays the segments of a folder onto its newest snapshot.
+
+use std::collections::VecDeque;
+
+use crate::{
+    entry::{Entry, Position, Recovery},
+    error::{Error, Fault},
+    folder::Folder,
+    mark::Mark,
+    record::{Kind, Record},
+    segment::{self, Tail},
+    snapshot,
+};
+
+/// A segment that was read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Segment {
+    pub number: u64,
+    /// Bytes that hold good records.
+    pub length: u64,
+    /// Highest index in it.
+    pub max_index: u64,
+}
+
+/// Everything found in a folder.
+#[derive(Debug, Default)]
+pub(crate) struct Replay {
+    pub recovery: Recovery,
+    pub segments: VecDeque<Segment>,
+    /// Highest index that a snapshot is known to include.
+    base: u64,
+    /// Whether entries were dropped because the snapshot doesn't continue them.
+    pub stale: bool,
+}
+
+/// Reads a folder.
+pub(crate) fn read(folder: &impl Folder) -> Result<Replay, Error> {
+    let snapshot = snapshot::load(folder)?;
+    let numbers = segment::numbers(&folder.list()?);
+    let mark = Mark::read(folder)?;
+    check_sequence(&numbers, mark)?;
+    let mut replay = Replay::default();
+    for number in &numbers {
+        let tail = tail(*number, &numbers, mark);
+        replay.read_segment(folder, *number, tail)?;
+    }
+    replay.recovery.snapshot = snapshot;
+    replay.join_snapshot(numbers.first().copied().unwrap_or_default())?;
+    Ok(replay)
+}
+
+fn check_sequence(numbers: &[u64], mark: Option<Mark>) -> Result<(), Error> {
+    let missing = |number| Error::Damaged {
+        file: segment::file_name(number),
+        offset: 0,
+        fault: Fault::Missing,
+    };
+    if let Some(pair) = numbers.windows(2).find(|pair| pair[0] + 1 != pair[1]) {
+        return Err(missing(pair[0] + 1));
+    }
+    match mark {
+        Some(mark) if numbers.last().is_none_or(|last| *last < mark.segment) => {
+            Err(missing(mark.segment))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn synced(number: u64, mark: Option<Mark>) -> u64 {
+    mark.filter(|mark| mark.segment == number).map_or(0, |mark| mark.length)
+}
+
+fn tail(number: u64, numbers: &[u64], mark: Option<Mark>) -> Tail {
+    if numbers.last() != Some(&number) {
+        return Tail::Closed { synced: synced(number, mark) };
+    }
+    let synced = synced(number, mark);
+    Tail::Open { synced }
+}
+
+impl Replay {
+    fn read_segment(&mut self, folder: &impl Folder, number: u64, tail: Tail) -> Result<(), Error> {
+        let bytes = folder.read(&segment::file_name(number))?;
+        if let Some(previous) = self.segments.back()
+            && segment::previous_length(number, &bytes)
+                .is_some_and(|length| length != previous.length)
+        {
+            return Err(damaged(previous.number, previous.length, Fault::Short));
+        }
+        let mut max_index = 0;
+        let length = segment::scan(number, &bytes, tail, |offset, record| {
+            if record.kind == Kind::Entry {
+                max_index = max_index.max(record.position.index);
+            }
+            self.apply(record).map_err(|fault| damaged(number, offset, fault))
+        })?;
+        self.segments.push_back(Segment { number, length, max_index });
+        Ok(())
+    }
+
+    fn apply(&mut self, record: Record<'_>) -> Result<(), Fault> {
+        match record.kind {
+            Kind::State => self.recovery.state = Some(record.payload.to_vec()),
+            Kind::Reset => self.recovery.entries.clear(),
+            Kind::Base => self.base = self.base.max(record.position.index),
+            Kind::Entry => self.push(record)?,
+        }
+        Ok(())
+    }
+
+    fn push(&mut self, record: Record<'_>) -> Result<(), Fault> {
+        let entries = &mut self.recovery.entries;
+        if let Some(first) = entries.first() {
+            let offset =
+                record.position.index.checked_sub(first.position.index).ok_or(Fault::Gap)?;
+            let kept = usize::try_from(offset).ok().filter(|kept| *kept <= entries.len());
+            entries.truncate(kept.ok_or(Fault::Gap)?);
+        }
+        entries.push(Entry { position: record.position, payload: record.payload.to_vec() });
+        Ok(())
+    }
+
+    /// Drops the entries that the snapshot includes, or all if it doesn't continue them.
+    fn join_snapshot(&mut self, first_segment: u64) -> Result<(), Error> {
+        let entries = &mut self.recovery.entries;
+        let last =
+            self.recovery.snapshot.as_ref().map_or(Position::default(), |snapshot| snapshot.last);
+        if last.index < self.base {
+            return Err(Error::Damaged {
+                file: snapshot::file_name(self.base),
+                offset: 0,
+                fault: Fault::Missing,
+            });
+        }
+        let Some(first) = entries.first().map(|entry| entry.position.index) else {
+            return Ok(());
+        };
+        if first > last.index + 1 {
+            return Err(damaged(first_segment, 0, Fault::Gap));
+        }
+        if first == last.index + 1 {
+            return Ok(());
+        }
+        match entries.iter().position(|entry| entry.position == last) {
+            Some(at) => drop(entries.drain(..=at)),
+            None => {
+                entries.clear();
+                self.stale = true;
+            }
+        }
+        Ok(())
+    }
+}
+
+fn damaged(number: u64, offset: u64, fault: Fault) -> Error {
+    Error::Damaged { file: segment::file_name(number), offset, fault }
+}
