--- /dev/null
+++ b/crates/consensus/src/log.rs
@@ -0,0 +1,152 @@
+//! Entries held in memory, with the configurations that they set.
+
+use std::collections::VecDeque;
+
+use crate::{
+    entry::{Entry, Payload, Position, Snapshot},
+    member::Config,
+};
+
+/// A configuration and the index from which it holds.
+#[derive(Clone, Debug)]
+struct Dated {
+    index: u64,
+    config: Config,
+}
+
+#[derive(Debug)]
+pub(crate) struct Log {
+    /// The entry before the first one held.
+    base: Position,
+    entries: VecDeque<Entry>,
+    /// Configurations by index; the first one holds at `base`.
+    configs: Vec<Dated>,
+    pub snapshot: Snapshot,
+}
+
+impl Log {
+    /// A log that continues `snapshot`.
+    pub(crate) fn new(snapshot: Snapshot) -> Log {
+        let config = snapshot.config.clone();
+        let configs = vec![Dated { index: snapshot.last.index, config }];
+        Log { base: snapshot.last, entries: VecDeque::new(), configs, snapshot }
+    }
+
+    pub(crate) fn base(&self) -> Position {
+        self.base
+    }
+
+    pub(crate) fn last(&self) -> Position {
+        self.entries.back().map_or(self.base, |entry| entry.position)
+    }
+
+    /// The configuration in force: the newest in the log, committed or not.
+    pub(crate) fn config(&self) -> &Config {
+        &self.newest().config
+    }
+
+    /// Index from which the configuration in force holds.
+    pub(crate) fn config_index(&self) -> u64 {
+        self.newest().index
+    }
+
+    fn newest(&self) -> &Dated {
+        self.configs.last().expect("invariant: the configuration at the base is kept")
+    }
+
+    /// The configuration that held at `index`.
+    pub(crate) fn config_at(&self, index: u64) -> &Config {
+        let dated = self.configs.iter().rfind(|dated| dated.index <= index);
+        &dated.unwrap_or(&self.configs[0]).config
+    }
+
+    /// Term of the entry at `index`, if it is held or is the base.
+    pub(crate) fn term(&self, index: u64) -> Option<u64> {
+        if index == self.base.index {
+            return Some(self.base.term);
+        }
+        self.get(index).map(|entry| entry.position.term)
+    }
+
+    pub(crate) fn position(&self, index: u64) -> Option<Position> {
+        self.term(index).map(|term| Position { index, term })
+    }
+
+    pub(crate) fn get(&self, index: u64) -> Option<&Entry> {
+        self.entries.get(self.offset(index)?)
+    }
+
+    fn offset(&self, index: u64) -> Option<usize> {
+        usize::try_from(index.checked_sub(self.base.index + 1)?).ok()
+    }
+
+    /// Entries from `first` on, up to `bytes` but at least one, and up to `count`.
+    pub(crate) fn batch(&self, first: u64, count: usize, bytes: usize) -> Vec<Entry> {
+        let Some(offset) = self.offset(first) else {
+            return Vec::new();
+        };
+        let mut total = 0;
+        let within = |entry: &&Entry| {
+            let fits = total == 0 || total + entry.bytes() <= bytes;
+            total += entry.bytes();
+            fits
+        };
+        self.entries.iter().skip(offset).take(count).take_while(within).cloned().collect()
+    }
+
+    /// Entries from `first` to `last`.
+    pub(crate) fn range(&self, first: u64, last: u64) -> Vec<Entry> {
+        let count = usize::try_from((last + 1).saturating_sub(first)).unwrap_or(usize::MAX);
+        self.batch(first, count, usize::MAX)
+    }
+
+    pub(crate) fn push(&mut self, entry: Entry) {
+        if let Payload::Config(config) = &entry.payload {
+            self.configs.push(Dated { index: entry.position.index, config: config.clone() });
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Drops all entries from `index` on.
+    pub(crate) fn truncate(&mut self, index: u64) {
+        if let Some(offset) = self.offset(index) {
+            self.entries.truncate(offset);
+            self.configs.retain(|dated| dated.index < index);
+        }
+    }
+
+    /// Replaces the snapshot and keeps `retained` entries before it.
+    pub(crate) fn compact(&mut self, snapshot: Snapshot, retained: u64) {
+        let base = snapshot.last.index.saturating_sub(retained);
+        self.snapshot = snapshot;
+        while let Some(entry) = self.entries.front().filter(|entry| entry.position.index <= base) {
+            self.base = entry.position;
+            self.entries.pop_front();
+        }
+        let at_base = self.configs.iter().rposition(|dated| dated.index <= base).unwrap_or(0);
+        self.configs.drain(..at_base);
+    }
+
+    /// Puts a received snapshot in force; entries after it stay if they continue it.
+    pub(crate) fn restore(&mut self, snapshot: Snapshot) {
+        let last = snapshot.last;
+        let suffix = if self.term(last.index) == Some(last.term) {
+            self.range(last.index + 1, self.last().index)
+        } else {
+            Vec::new()
+        };
+        *self = Log::new(snapshot);
+        for entry in suffix {
+            self.push(entry);
+        }
+    }
+
+    /// The last place at or before `from` where a log could agree with one that has `from`'s term there.
+    pub(crate) fn agreement(&self, from: Position) -> Position {
+        let mut index = from.index.min(self.last().index);
+        while index > self.base.index && self.term(index).is_some_and(|term| term > from.term) {
+            index -= 1;
+        }
+        self.position(index).unwrap_or(self.base)
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node.rs
@@ -0,0 +1,297 @@
+//! The step function of one replica.
+
+mod change;
+mod election;
+mod follower;
+mod leader;
+mod read;
+mod replication;
+mod transfer;
+
+use std::collections::VecDeque;
+
+use common::{clock::Moment, collections::Set};
+
+use crate::{
+    effect::{Effect, Event, Hard, Proposal, Refusal, Start, Ticket, Write},
+    entry::{Entry, Payload, Position, Snapshot},
+    log::Log,
+    member::{Id, Member},
+    message::{Body, Envelope},
+    options::Options,
+    random::Random,
+    status::{Lag, Role, Status},
+};
+
+/// One replica of one log.
+#[derive(Debug)]
+pub struct Node {
+    options: Options,
+    random: Random,
+    hard: Hard,
+    log: Log,
+    role: Role,
+    leader: Option<Id>,
+    commit: u64,
+    /// When the leader was heard from last.
+    contact: Option<Moment>,
+    election_due: Moment,
+    votes: Set<Id>,
+    /// Number of the write that makes the own vote durable.
+    vote_write: u64,
+    lead: leader::Lead,
+    incoming: Option<transfer::Incoming>,
+    /// Index up to which the own log is durable.
+    durable: u64,
+    writes: VecDeque<Written>,
+    write: Write,
+    outbox: Vec<Message>,
+    effects: Vec<Effect>,
+}
+
+/// A write under way, and the end of the log that it makes durable.
+#[derive(Clone, Copy, Debug)]
+struct Written {
+    number: u64,
+    last: u64,
+}
+
+/// A message that leaves at the end of the step.
+#[derive(Debug)]
+struct Message {
+    envelope: Envelope,
+    order: Order,
+}
+
+/// When a message may leave.
+#[derive(Clone, Copy, Debug)]
+enum Order {
+    /// At once.
+    Now,
+    /// Once everything written so far is durable.
+    Synced,
+}
+
+impl Node {
+    /// A node that goes on from what its disk holds.
+    pub fn new(start: Start, options: Options) -> Node {
+        let founders = Snapshot { config: start.hard.founders.clone(), ..Snapshot::default() };
+        let snapshot = start.snapshot.unwrap_or(founders);
+        let commit = snapshot.last.index;
+        let mut log = Log::new(snapshot);
+        for entry in start.entries {
+            log.push(entry);
+        }
+        let mut random = Random::new(start.seed ^ start.hard.id.0);
+        let election_due = start.now + random.span(options.election_min, options.election_max);
+        Node {
+            options,
+            random,
+            hard: start.hard,
+            durable: log.last().index,
+            log,
+            role: Role::Follower,
+            leader: None,
+            commit,
+            contact: None,
+            election_due,
+            votes: Set::default(),
+            vote_write: 0,
+            lead: leader::Lead::default(),
+            incoming: None,
+            writes: VecDeque::new(),
+            write: Write::default(),
+            outbox: Vec::new(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Takes one event and returns what has to be done, in this order.
+    pub fn step(&mut self, event: Event, now: Moment) -> Vec<Effect> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Receive(envelope) if envelope.to == self.hard.id => self.receive(envelope, now),
+            Event::Receive(_) => {}
+            Event::Propose(proposals) => self.propose(proposals, now),
+            Event::Change(ticket, change) => self.change(ticket, &change, now),
+            Event::Read(ticket) => self.read(ticket, now),
+            Event::Synced(number) => self.synced(number, now),
+            Event::Transfer(to) => self.transfer(to, now),
+            Event::Compact(snapshot) => self.compact(snapshot),
+        }
+        self.finish()
+    }
+
+    /// What the node shows of itself.
+    pub fn status(&self) -> Status {
+        let last = self.log.last();
+        let lag =
+            |id: &Id| Lag { id: *id, entries: last.index.saturating_sub(self.lead.matched(*id)) };
+        let peers = self.log.config().members().iter().map(|member| member.id);
+        let peers: Vec<Id> = peers.filter(|id| *id != self.hard.id).collect();
+        let leads = self.role == Role::Leader;
+        Status {
+            id: self.hard.id,
+            role: self.role,
+            term: self.hard.term,
+            leader: self.leader,
+            commit: self.commit,
+            last,
+            config: self.log.config().clone(),
+            settled: leads && self.changes_allowed(),
+            lags: if leads { peers.iter().map(lag).collect() } else { Vec::new() },
+        }
+    }
+
+    /// The configuration that held at `index`, for a snapshot taken there.
+    pub fn config_at(&self, index: u64) -> crate::member::Config {
+        self.log.config_at(index).clone()
+    }
+
+    /// Term of the entry at `index`, if it is held.
+    pub fn term_at(&self, index: u64) -> Option<u64> {
+        self.log.term(index)
+    }
+
+    fn tick(&mut self, now: Moment) {
+        match self.role {
+            Role::Leader => self.tick_leader(now),
+            Role::Follower | Role::PreCandidate | Role::Candidate => {
+                if now >= self.election_due {
+                    self.ask_for_pre_votes(now);
+                }
+            }
+        }
+    }
+
+    fn receive(&mut self, envelope: Envelope, now: Moment) {
+        if !self.adopt_term(&envelope, now) {
+            return;
+        }
+        let Envelope { from, term, body, .. } = envelope;
+        match body {
+            Body::PreVote { last } => self.answer_pre_vote(from, term, last, now),
+            Body::PreVoteReply { granted } => self.count_pre_vote(from, granted, now),
+            Body::Vote { last, .. } => self.answer_vote(from, last, now),
+            Body::VoteReply { granted } => self.count_vote(from, granted, now),
+            Body::Append(append) => self.accept_entries(from, append, now),
+            Body::AppendReply(reply) => self.take_reply(from, reply, now),
+            Body::Chunk(chunk) => self.accept_chunk(from, chunk, now),
+            Body::ChunkReply { last, received } => {
+                self.continue_transfer(from, last, received, now);
+            }
+            Body::Campaign => self.campaign(crate::message::Cause::Transfer, now),
+        }
+    }
+
+    fn synced(&mut self, number: u64, now: Moment) {
+        while let Some(written) =
+            self.writes.front().copied().filter(|written| written.number <= number)
+        {
+            self.durable = written.last;
+            self.writes.pop_front();
+        }
+        match self.role {
+            Role::Candidate if number >= self.vote_write => {
+                self.count_vote(self.hard.id, true, now);
+            }
+            Role::Leader => {
+                self.advance_commit(now);
+                self.resolve_reads();
+            }
+            Role::Candidate | Role::Follower | Role::PreCandidate => {}
+        }
+    }
+
+    fn compact(&mut self, snapshot: Snapshot) {
+        if snapshot.last.index <= self.log.snapshot.last.index {
+            return;
+        }
+        self.log.compact(snapshot.clone(), self.options.retained_entries);
+        self.write.snapshot = Some(snapshot);
+    }
+
+    /// Appends an entry of the own term.
+    fn append(&mut self, payload: Payload) -> Position {
+        let position = Position { index: self.log.last().index + 1, term: self.hard.term };
+        self.push(Entry { position, payload });
+        position
+    }
+
+    fn push(&mut self, entry: Entry) {
+        self.write.entries.push(entry.clone());
+        self.log.push(entry);
+    }
+
+    /// Drops a suffix that conflicts with the leader's log.
+    fn truncate(&mut self, index: u64) {
+        assert!(index > self.commit, "invariant: committed entries stay");
+        self.log.truncate(index);
+        self.write.entries.retain(|entry| entry.position.index < index);
+        self.durable = self.durable.min(index - 1);
+        for written in &mut self.writes {
+            written.last = written.last.min(index - 1);
+        }
+    }
+
+    /// Applies entries up to `commit`, as far as they are held.
+    fn commit_to(&mut self, commit: u64) {
+        let commit = commit.min(self.log.last().index);
+        if commit > self.commit {
+            let entries = self.log.range(self.commit + 1, commit);
+            self.commit = commit;
+            self.effects.push(Effect::Apply(entries));
+        }
+    }
+
+    fn set_hard(&mut self, term: u64, vote: Option<Id>) {
+        self.hard.term = term;
+        self.hard.vote = vote;
+        self.write.hard = Some(self.hard.clone());
+    }
+
+    fn send(&mut self, to: Id, body: Body, order: Order) {
+        self.send_in_term(to, self.hard.term, body, order);
+    }
+
+    fn send_in_term(&mut self, to: Id, term: u64, body: Body, order: Order) {
+        let envelope = Envelope { from: self.hard.id, to, term, body };
+        self.outbox.push(Message { envelope, order });
+    }
+
+    fn refuse(&mut self, ticket: Ticket, refusal: Refusal) {
+        self.effects.push(Effect::Refused(ticket, refusal));
+    }
+
+    fn refuse_all(&mut self, proposals: &[Proposal], refusal: &Refusal) {
+        for proposal in proposals {
+            self.refuse(proposal.ticket, refusal.clone());
+        }
+    }
+
+    fn not_leader(&self) -> Refusal {
+        let leader: Option<&Member> = self.leader.and_then(|id| self.log.config().member(id));
+        Refusal::NotLeader { leader: leader.cloned() }
+    }
+
+    /// Numbers the write of this step and orders its effects.
+    fn finish(&mut self) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let write = std::mem::take(&mut self.write);
+        let number = write.number;
+        let changed = write.hard.is_some() || write.snapshot.is_some() || !write.entries.is_empty();
+        self.write.number = number + u64::from(changed);
+        if changed {
+            let number = self.write.number;
+            self.writes.push_back(Written { number, last: self.log.last().index });
+            effects.push(Effect::Write(Write { number, ..write }));
+        }
+        let number = self.write.number;
+        effects.extend(self.outbox.drain(..).map(|message| match message.order {
+            Order::Now => Effect::Send { after: 0, envelope: message.envelope },
+            Order::Synced => Effect::Send { after: number, envelope: message.envelope },
+        }));
+        effects.append(&mut self.effects);
+        effects
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node/election.rs
@@ -0,0 +1,150 @@
+//! Elections: terms, pre-votes and votes.
+
+use common::{clock::Moment, collections::Set};
+
+use super::{Node, Order};
+use crate::{
+    entry::Position,
+    member::Id,
+    message::{AppendReply, Body, Cause, Envelope, Outcome},
+    status::Role,
+};
+
+impl Node {
+    /// Takes over a newer term; returns whether the message is to be handled.
+    pub(super) fn adopt_term(&mut self, envelope: &Envelope, now: Moment) -> bool {
+        if envelope.term < self.hard.term {
+            self.reject_old_term(envelope);
+            return matches!(envelope.body, Body::PreVote { .. });
+        }
+        if envelope.term == self.hard.term {
+            return true;
+        }
+        match envelope.body {
+            Body::PreVote { .. } | Body::PreVoteReply { granted: true } => true,
+            Body::Vote { cause: Cause::Timeout, .. } if self.has_leader(now) => false,
+            _ => {
+                self.set_hard(envelope.term, None);
+                self.follow(None, now);
+                true
+            }
+        }
+    }
+
+    /// Lets a leader of an old term see that it was replaced.
+    fn reject_old_term(&mut self, envelope: &Envelope) {
+        if matches!(envelope.body, Body::Append(_) | Body::Chunk(_)) {
+            let outcome = Outcome::Rejected { previous: 0, hint: Position::default() };
+            self.send(
+                envelope.from,
+                Body::AppendReply(AppendReply { round: 0, outcome }),
+                Order::Synced,
+            );
+        }
+    }
+
+    /// Whether a leader was heard from so recently that no election is due anywhere.
+    fn has_leader(&self, now: Moment) -> bool {
+        let recent = |contact: Moment| now.since(contact) < self.options.election_min;
+        self.role == Role::Leader || (self.leader.is_some() && self.contact.is_some_and(recent))
+    }
+
+    /// Becomes a follower.
+    pub(super) fn follow(&mut self, leader: Option<Id>, now: Moment) {
+        if self.role == Role::Leader {
+            self.stop_leading();
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.reset_election(now);
+    }
+
+    pub(super) fn reset_election(&mut self, now: Moment) {
+        let (min, max) = (self.options.election_min, self.options.election_max);
+        self.election_due = now + self.random.span(min, max);
+    }
+
+    pub(super) fn ask_for_pre_votes(&mut self, now: Moment) {
+        self.reset_election(now);
+        if !self.log.config().is_voter(self.hard.id) {
+            return;
+        }
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.votes = Set::default();
+        let last = self.log.last();
+        for peer in self.other_voters() {
+            self.send_in_term(peer, self.hard.term + 1, Body::PreVote { last }, Order::Now);
+        }
+        self.count_pre_vote(self.hard.id, true, now);
+    }
+
+    pub(super) fn answer_pre_vote(&mut self, from: Id, term: u64, last: Position, now: Moment) {
+        let granted =
+            term > self.hard.term && last.covers(self.log.last()) && !self.has_leader(now);
+        let term = if granted { term } else { self.hard.term };
+        self.send_in_term(from, term, Body::PreVoteReply { granted }, Order::Synced);
+    }
+
+    pub(super) fn count_pre_vote(&mut self, from: Id, granted: bool, now: Moment) {
+        if self.role != Role::PreCandidate || !granted {
+            return;
+        }
+        self.votes.insert(from);
+        if self.won() {
+            self.campaign(Cause::Timeout, now);
+        }
+    }
+
+    /// Starts an election in a new term.
+    pub(super) fn campaign(&mut self, cause: Cause, now: Moment) {
+        if self.role == Role::Leader || !self.log.config().is_voter(self.hard.id) {
+            return;
+        }
+        self.reset_election(now);
+        self.role = Role::Candidate;
+        self.leader = None;
+        self.votes = Set::default();
+        self.set_hard(self.hard.term + 1, Some(self.hard.id));
+        self.vote_write = self.write.number + 1;
+        let last = self.log.last();
+        for peer in self.other_voters() {
+            self.send(peer, Body::Vote { last, cause }, Order::Synced);
+        }
+    }
+
+    pub(super) fn answer_vote(&mut self, from: Id, last: Position, now: Moment) {
+        let free = self.hard.vote.is_none_or(|vote| vote == from);
+        let granted = free && last.covers(self.log.last());
+        if granted {
+            self.set_hard(self.hard.term, Some(from));
+            self.follow(None, now);
+        }
+        self.send(from, Body::VoteReply { granted }, Order::Synced);
+    }
+
+    pub(super) fn count_vote(&mut self, from: Id, granted: bool, now: Moment) {
+        if self.role != Role::Candidate || !granted {
+            return;
+        }
+        self.votes.insert(from);
+        if self.won() {
+            self.lead(now);
+        }
+    }
+
+    /// Takes a message from the leader of the current term.
+    pub(super) fn hear_leader(&mut self, from: Id, now: Moment) {
+        assert!(self.role != Role::Leader, "invariant: one leader in a term");
+        self.follow(Some(from), now);
+        self.contact = Some(now);
+    }
+
+    fn won(&self) -> bool {
+        self.log.config().has_quorum(|id| self.votes.contains(&id))
+    }
+
+    fn other_voters(&self) -> Vec<Id> {
+        self.log.config().voters().filter(|id| *id != self.hard.id).collect()
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node/read.rs
@@ -0,0 +1,48 @@
+//! Reads that see everything accepted before them (read index, section 6.4 of the dissertation).
+
+use common::clock::Moment;
+
+use super::Node;
+use crate::{
+    effect::{Effect, Ticket},
+    member::Id,
+    status::Role,
+};
+
+/// A read that waits until a quorum has confirmed the leadership.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Read {
+    pub(super) ticket: Ticket,
+    round: u64,
+}
+
+impl Node {
+    pub(super) fn read(&mut self, ticket: Ticket, now: Moment) {
+        if self.role != Role::Leader {
+            let refusal = self.not_leader();
+            return self.refuse(ticket, refusal);
+        }
+        self.lead.round += 1;
+        self.lead.reads.push_back(Read { ticket, round: self.lead.round });
+        self.broadcast(now);
+        self.resolve_reads();
+    }
+
+    /// Answers the reads whose round a quorum has confirmed since they came in.
+    pub(super) fn resolve_reads(&mut self) {
+        if self.role != Role::Leader || self.commit < self.lead.first {
+            return;
+        }
+        while let Some(read) = self.lead.reads.front().copied() {
+            let confirmed = |id: Id| {
+                id == self.hard.id
+                    || self.lead.peers.get(&id).is_some_and(|peer| peer.round >= read.round)
+            };
+            if !self.log.config().has_quorum(confirmed) {
+                return;
+            }
+            self.lead.reads.pop_front();
+            self.effects.push(Effect::Readable(read.ticket, self.commit));
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node/replication.rs
@@ -0,0 +1,82 @@
+//! What a leader sends to one peer.
+
+use common::clock::Moment;
+
+use super::{Node, Order};
+use crate::{
+    entry::Entry,
+    member::Id,
+    message::{Append, Body},
+    progress::Mode,
+};
+
+impl Node {
+    /// Sends entries as far as the peer's bounds allow.
+    pub(super) fn send_entries(&mut self, to: Id, now: Moment) {
+        loop {
+            let last = self.log.last().index;
+            let Some(peer) = self.lead.peers.get(&to) else {
+                return;
+            };
+            if peer.next > last {
+                return;
+            }
+            let waits = match &peer.mode {
+                Mode::Probe { sent } => sent.is_some(),
+                Mode::Replicate => peer.room(&self.options) == 0,
+                Mode::Snapshot(_) => true,
+            };
+            if waits {
+                return;
+            }
+            if peer.next <= self.log.base().index {
+                return self.start_transfer(to, now);
+            }
+            self.send_batch(to, now);
+        }
+    }
+
+    /// Sends entries if there are any to send, else a heartbeat; repeats what may have been lost.
+    pub(super) fn poke(&mut self, to: Id, now: Moment) {
+        let retry = self.options.retry;
+        let Some(peer) = self.lead.peers.get_mut(&to) else {
+            return;
+        };
+        match &mut peer.mode {
+            Mode::Probe { sent } if sent.is_some_and(|sent| now.since(sent) >= retry) => {
+                *sent = None;
+            }
+            Mode::Snapshot(transfer) if now.since(transfer.sent) >= retry => {
+                return self.send_chunk(to, now);
+            }
+            Mode::Probe { .. } | Mode::Replicate | Mode::Snapshot(_) => {}
+        }
+        let next = peer.next;
+        self.send_entries(to, now);
+        if self.lead.peers.get(&to).is_some_and(|peer| peer.next == next) {
+            self.send_append(to, next, Vec::new());
+        }
+    }
+
+    fn send_batch(&mut self, to: Id, now: Moment) {
+        let Some(peer) = self.lead.peers.get_mut(&to) else {
+            return;
+        };
+        let next = peer.next;
+        let entries = self.log.batch(next, peer.room(&self.options), self.options.batch_bytes);
+        let bytes = entries.iter().map(Entry::bytes).sum();
+        match &mut peer.mode {
+            Mode::Probe { sent } => *sent = Some(now),
+            Mode::Replicate => peer.sent(next + entries.len() as u64 - 1, entries.len(), bytes),
+            Mode::Snapshot(_) => return,
+        }
+        self.send_append(to, next, entries);
+    }
+
+    /// Sends `entries`, the first of which has the index `next`.
+    fn send_append(&mut self, to: Id, next: u64, entries: Vec<Entry>) {
+        let previous = self.log.position(next - 1).unwrap_or(self.log.base());
+        let append = Append { previous, entries, commit: self.commit, round: self.lead.round };
+        self.send(to, Body::Append(append), Order::Now);
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/options.rs
@@ -0,0 +1,50 @@
+//! Timeouts and bounds of a node.
+
+use std::time::Duration;
+
+/// Timeouts and bounds of a node.
+///
+/// The defaults suit one-way latencies of up to 100 ms.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Shortest silence of the leader before an election.
+    pub election_min: Duration,
+    /// Longest silence of the leader before an election.
+    pub election_max: Duration,
+    /// Silence of a peer after which the last message to it is sent again.
+    pub retry: Duration,
+    /// Largest number of bytes of entries in one message, unless one entry alone is larger.
+    pub batch_bytes: usize,
+    /// Entries in flight to one peer.
+    pub flight_entries: usize,
+    /// Bytes in flight to one peer.
+    pub flight_bytes: usize,
+    /// Bytes of a snapshot in one message.
+    pub chunk_bytes: usize,
+    /// Entries that may wait for their commit before proposals are refused.
+    pub uncommitted_entries: u64,
+    /// Entries kept in memory behind a snapshot for peers that are a little behind.
+    pub retained_entries: u64,
+    /// Entries that a learner may lack when it is promoted.
+    pub promotion_gap: u64,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            heartbeat: Duration::from_millis(100),
+            election_min: Duration::from_millis(500),
+            election_max: Duration::from_millis(900),
+            retry: Duration::from_millis(500),
+            batch_bytes: 256 * 1024,
+            flight_entries: 1_024,
+            flight_bytes: 1024 * 1024,
+            chunk_bytes: 1024 * 1024,
+            uncommitted_entries: 4_096,
+            retained_entries: 1_024,
+            promotion_gap: 64,
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/progress.rs
@@ -0,0 +1,108 @@
+//! What a leader knows of one peer, and what is under way to it.
+
+use std::collections::VecDeque;
+
+use common::clock::Moment;
+
+use crate::{entry::Snapshot, options::Options};
+
+/// How entries are sent to a peer.
+#[derive(Clone, Debug)]
+pub(crate) enum Mode {
+    /// One message at a time, until the peer's log is known to agree.
+    Probe {
+        /// When the message was sent, or nothing if none is under way.
+        sent: Option<Moment>,
+    },
+    /// Messages one after the other within the bounds.
+    Replicate,
+    /// The peer lacks entries that are no longer held.
+    Snapshot(Transfer),
+}
+
+/// A snapshot under way.
+#[derive(Clone, Debug)]
+pub(crate) struct Transfer {
+    pub snapshot: Snapshot,
+    /// Bytes that the peer has.
+    pub offset: usize,
+    /// When the last chunk was sent.
+    pub sent: Moment,
+}
+
+/// A message under way.
+#[derive(Clone, Copy, Debug)]
+struct Flight {
+    last: u64,
+    entries: usize,
+    bytes: usize,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Progress {
+    /// The peer's log equals the leader's up to here, durably.
+    pub matched: u64,
+    /// First entry to send next.
+    pub next: u64,
+    pub mode: Mode,
+    /// Latest round that the peer has confirmed.
+    pub round: u64,
+    /// When the peer was heard from last.
+    pub heard: Moment,
+    flights: VecDeque<Flight>,
+    flight_entries: usize,
+    flight_bytes: usize,
+}
+
+impl Progress {
+    pub(crate) fn new(next: u64, now: Moment) -> Progress {
+        Progress {
+            matched: 0,
+            next,
+            mode: Mode::Probe { sent: None },
+            round: 0,
+            heard: now,
+            flights: VecDeque::new(),
+            flight_entries: 0,
+            flight_bytes: 0,
+        }
+    }
+
+    /// Entries that may be sent now.
+    pub(crate) fn room(&self, options: &Options) -> usize {
+        if self.flight_bytes >= options.flight_bytes {
+            return 0;
+        }
+        options.flight_entries.saturating_sub(self.flight_entries)
+    }
+
+    /// Notes entries sent up to `last`.
+    pub(crate) fn sent(&mut self, last: u64, entries: usize, bytes: usize) {
+        self.flights.push_back(Flight { last, entries, bytes });
+        self.flight_entries += entries;
+        self.flight_bytes += bytes;
+        self.next = last + 1;
+    }
+
+    /// Notes that the peer has everything up to `matched`.
+    pub(crate) fn accepted(&mut self, matched: u64) {
+        self.matched = self.matched.max(matched);
+        self.next = self.next.max(self.matched + 1);
+        while let Some(flight) =
+            self.flights.front().copied().filter(|flight| flight.last <= self.matched)
+        {
+            self.flight_entries -= flight.entries;
+            self.flight_bytes -= flight.bytes;
+            self.flights.pop_front();
+        }
+    }
+
+    /// Forgets what is under way and sends from `next` on, one message at a time.
+    pub(crate) fn probe(&mut self, next: u64) {
+        self.flights.clear();
+        self.flight_entries = 0;
+        self.flight_bytes = 0;
+        self.next = next.max(self.matched + 1);
+        self.mode = Mode::Probe { sent: None };
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/repair.rs
@@ -0,0 +1,57 @@
+//! Finishes the replacement of a replica, one change at a time.
+//!
+//! All that is under way stands in the configuration, so any later leader goes on where the last one stopped.
+
+use common::name;
+
+use crate::{
+    member::{Change, Id, Member},
+    status::Status,
+};
+
+/// The next change that a leader should propose, if any.
+///
+/// A learner that has caught up is promoted, then the member that it replaces is removed.
+pub fn next(status: &Status, promotion_gap: u64) -> Option<Change> {
+    if !status.settled {
+        return None;
+    }
+    let config = &status.config;
+    let replaced = config
+        .members()
+        .iter()
+        .filter(|member| member.voter)
+        .filter_map(|member| member.replaces)
+        .find(|old| config.member(*old).is_some());
+    if let Some(old) = replaced {
+        return Some(Change::Remove(old));
+    }
+    let caught_up = |id| status.lags.iter().any(|lag| lag.id == id && lag.entries <= promotion_gap);
+    config
+        .members()
+        .iter()
+        .find(|member| !member.voter && caught_up(member.id))
+        .map(|member| Change::Promote(member.id))
+}
+
+/// The change that lets a replica without any state join in the place of the one that its instance kept before.
+///
+/// Nothing if it has joined, if another change is under way, or if no member stands at `place`; a replica at a new
+/// place is added by an operator.
+pub fn admit(status: &Status, id: Id, place: &name::Instance) -> Option<Change> {
+    if !status.settled || status.config.member(id).is_some() {
+        return None;
+    }
+    let at_place = |member: &&Member| member.place == *place;
+    let abandoned = status.config.members().iter().filter(at_place).find(|member| !member.voter);
+    if let Some(learner) = abandoned {
+        return Some(Change::Remove(learner.id));
+    }
+    let newest = |member: &&Member| {
+        let replaced = |other: &Member| other.replaces == Some(member.id);
+        !status.config.members().iter().any(replaced)
+    };
+    let old = status.config.members().iter().filter(at_place).find(newest)?;
+    let replaces = Some(old.id);
+    Some(Change::Learn(Member { id, place: place.clone(), voter: false, replaces }))
+}
--- /dev/null
+++ b/crates/consensus/tests/node.rs
@@ -0,0 +1,273 @@
+//! Single steps of one node.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use common::clock::Moment;
+use consensus::{
+    effect::{Effect, Event, Hard, Proposal, Refusal, Start, Ticket},
+    entry::{Entry, Payload, Position},
+    member::{Change, Config, Fault, Id, Member},
+    message::{AppendReply, Body, Cause, Envelope, Outcome},
+    node::Node,
+    options::Options,
+    repair,
+    status::Role,
+};
+use expect_test::expect;
+
+const SELF: Id = Id(1);
+
+fn member(id: u64) -> Member {
+    Member { id: Id(id), place: format!("place-{id}").as_str().into(), voter: true, replaces: None }
+}
+
+fn start(voters: u64, term: u64, entries: &[(u64, u64)]) -> Start {
+    let founders = Config::new((1..=voters).map(member).collect());
+    let entry = |(index, term): &(u64, u64)| Entry {
+        position: Position { index: *index, term: *term },
+        payload: Payload::Empty,
+    };
+    let hard = Hard { id: SELF, term, vote: None, founders };
+    Start { hard, entries: entries.iter().map(entry).collect(), ..Start::default() }
+}
+
+/// Time passes until an election is due, and every write is durable at once.
+struct Driver {
+    node: Node,
+    now: Moment,
+    effects: Vec<Effect>,
+}
+
+impl Driver {
+    fn new(start: Start, options: Options) -> Driver {
+        Driver { node: Node::new(start, options), now: Moment(10_000), effects: Vec::new() }
+    }
+
+    fn step(&mut self, event: Event) -> Vec<Effect> {
+        let mut effects = self.node.step(event, self.now);
+        let written = effects.iter().find_map(|effect| match effect {
+            Effect::Write(write) => Some(write.number),
+            _ => None,
+        });
+        if let Some(number) = written {
+            effects.extend(self.step(Event::Synced(number)));
+        }
+        self.effects.extend(effects.clone());
+        effects
+    }
+
+    fn receive(&mut self, from: u64, term: u64, body: Body) -> Vec<Effect> {
+        self.step(Event::Receive(Envelope { from: Id(from), to: SELF, term, body }))
+    }
+
+    /// Wins the election of the next term with the vote of replica 2.
+    fn lead(&mut self) -> u64 {
+        self.step(Event::Tick);
+        let term = self.node.status().term + 1;
+        self.receive(2, term, Body::PreVoteReply { granted: true });
+        self.receive(2, term, Body::VoteReply { granted: true });
+        assert_eq!(self.node.status().role, Role::Leader);
+        term
+    }
+
+    fn accept(&mut self, from: u64, matched: u64) -> Vec<Effect> {
+        let term = self.node.status().term;
+        let outcome = Outcome::Accepted { matched };
+        self.receive(from, term, Body::AppendReply(AppendReply { round: 0, outcome }))
+    }
+
+    fn propose(&mut self, ticket: u64, bytes: usize) -> Vec<Effect> {
+        let proposal = Proposal { ticket: Ticket(ticket), command: vec![0; bytes] };
+        self.step(Event::Propose(vec![proposal]))
+    }
+}
+
+fn applied(effects: &[Effect]) -> Vec<u64> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Apply(entries) => Some(entries.iter().map(|entry| entry.position.index)),
+            _ => None,
+        })
+        .flatten()
+        .collect()
+}
+
+/// Index of the first and number of the entries sent to a replica.
+fn sent(effects: &[Effect], to: u64) -> Vec<(u64, usize)> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Send { envelope, .. } if envelope.to == Id(to) => match &envelope.body {
+                Body::Append(append) => Some((append.previous.index + 1, append.entries.len())),
+                _ => None,
+            },
+            _ => None,
+        })
+        .filter(|(_, count)| *count > 0)
+        .collect()
+}
+
+#[test]
+fn entries_of_older_terms_are_committed_only_with_one_of_the_own_term() {
+    let mut driver = Driver::new(start(3, 3, &[(1, 1), (2, 2)]), Options::default());
+    driver.lead();
+    assert_eq!(applied(&driver.accept(2, 2)), Vec::<u64>::new());
+    assert_eq!(applied(&driver.accept(2, 3)), [1, 2, 3]);
+}
+
+#[test]
+fn votes_and_replies_wait_for_their_write() {
+    let mut node = Node::new(start(3, 1, &[]), Options::default());
+    let body = Body::Vote { last: Position::default(), cause: Cause::Timeout };
+    let envelope = Envelope { from: Id(2), to: SELF, term: 2, body };
+    let effects = node.step(Event::Receive(envelope), Moment(0));
+    let order: Vec<String> = effects
+        .iter()
+        .map(|effect| match effect {
+            Effect::Write(write) => {
+                format!("write {} vote {:?}", write.number, write.hard.as_ref().unwrap().vote)
+            }
+            Effect::Send { after, envelope } => format!("after {after} send {:?}", envelope.body),
+            other => format!("{other:?}"),
+        })
+        .collect();
+    expect![[r#"
+        write 1 vote Some(Id(2))
+        after 1 send VoteReply { granted: true }"#]]
+    .assert_eq(&order.join("\n"));
+}
+
+#[test]
+fn a_vote_is_given_once_in_a_term() {
+    let mut driver = Driver::new(start(3, 1, &[]), Options::default());
+    let vote = || Body::Vote { last: Position::default(), cause: Cause::Timeout };
+    let granted = |effects: Vec<Effect>| {
+        effects.iter().any(|effect| {
+            matches!(effect, Effect::Send { envelope, .. } if envelope.body == Body::VoteReply { granted: true })
+        })
+    };
+    assert!(granted(driver.receive(2, 2, vote())));
+    assert!(granted(driver.receive(2, 2, vote())));
+    assert!(!granted(driver.receive(3, 2, vote())));
+}
+
+#[test]
+fn messages_to_another_identity_are_dropped() {
+    let mut driver = Driver::new(start(3, 1, &[]), Options::default());
+    let body = Body::Vote { last: Position::default(), cause: Cause::Timeout };
+    let envelope = Envelope { from: Id(2), to: Id(77), term: 9, body };
+    assert_eq!(driver.step(Event::Receive(envelope)), []);
+    assert_eq!(driver.node.status().term, 1);
+}
+
+#[test]
+fn what_is_in_flight_to_a_slow_peer_is_bounded() {
+    let options = Options { flight_entries: 4, ..Options::default() };
+    let mut driver = Driver::new(start(3, 0, &[]), options);
+    driver.lead();
+    driver.accept(2, 1);
+    driver.accept(3, 1);
+    driver.effects.clear();
+    for ticket in 0..20 {
+        driver.propose(ticket, 10);
+    }
+    assert_eq!(sent(&driver.effects, 3), [(2, 1), (3, 1), (4, 1), (5, 1)]);
+    assert_eq!(sent(&driver.accept(3, 4), 3), [(6, 3)]);
+}
+
+#[test]
+fn bytes_in_flight_are_bounded() {
+    let options = Options { flight_bytes: 1_000, ..Options::default() };
+    let mut driver = Driver::new(start(3, 0, &[]), options);
+    driver.lead();
+    driver.accept(3, 1);
+    driver.effects.clear();
+    for ticket in 0..20 {
+        driver.propose(ticket, 600);
+    }
+    assert_eq!(sent(&driver.effects, 3), [(2, 1), (3, 1)]);
+}
+
+#[test]
+fn one_change_at_a_time_and_none_before_an_own_entry_is_committed() {
+    let mut driver = Driver::new(start(3, 0, &[]), Options::default());
+    driver.lead();
+    let learn = |id| Event::Change(Ticket(id), Change::Learn(member(id)));
+    let refused = |ticket, refusal| vec![Effect::Refused(Ticket(ticket), refusal)];
+    assert_eq!(driver.step(learn(4)), refused(4, Refusal::Busy));
+    driver.accept(2, 1);
+    driver.step(learn(4));
+    assert_eq!(driver.step(learn(5)), refused(5, Refusal::Busy));
+    driver.accept(2, 2);
+    assert_eq!(driver.step(learn(4)), refused(4, Refusal::Impossible(Fault::Known)));
+    let status = driver.node.status();
+    let roles: Vec<(Id, bool)> =
+        status.config.members().iter().map(|member| (member.id, member.voter)).collect();
+    assert_eq!(roles, [(Id(1), true), (Id(2), true), (Id(3), true), (Id(4), false)]);
+}
+
+#[test]
+fn a_learner_that_is_behind_is_not_promoted() {
+    let options = Options { promotion_gap: 0, ..Options::default() };
+    let mut driver = Driver::new(start(3, 0, &[]), options);
+    driver.lead();
+    driver.accept(2, 1);
+    driver.step(Event::Change(Ticket(1), Change::Learn(member(4))));
+    driver.accept(2, 2);
+    let promote = Event::Change(Ticket(2), Change::Promote(Id(4)));
+    let refusal = Refusal::Impossible(Fault::Behind);
+    assert_eq!(driver.step(promote.clone()), [Effect::Refused(Ticket(2), refusal)]);
+    driver.accept(4, 2);
+    let position = Position { index: 3, term: 1 };
+    assert!(driver.step(promote).contains(&Effect::Proposed(Ticket(2), position)));
+}
+
+#[test]
+fn a_wiped_replica_takes_the_place_of_its_old_identity() {
+    let mut driver = Driver::new(start(3, 0, &[]), Options::default());
+    driver.lead();
+    driver.accept(2, 1);
+    let mut steps = Vec::new();
+    for index in 2..=5 {
+        let status = driver.node.status();
+        let change =
+            repair::admit(&status, Id(9), &"place-3".into()).or_else(|| repair::next(&status, 0));
+        steps.push(format!("{change:?}"));
+        if let Some(change) = change {
+            driver.step(Event::Change(Ticket(index), change));
+        }
+        driver.accept(2, index);
+        driver.accept(9, index);
+    }
+    expect![[r#"
+        Some(Learn(Member { id: Id(9), place: Instance("place-3"), voter: false, replaces: Some(Id(3)) }))
+        Some(Promote(Id(9)))
+        Some(Remove(Id(3)))
+        None"#]]
+    .assert_eq(&steps.join("\n"));
+}
+
+#[test]
+fn a_leader_without_a_quorum_steps_down() {
+    let mut driver = Driver::new(start(3, 0, &[]), Options::default());
+    driver.lead();
+    driver.now = driver.now + Options::default().election_min;
+    driver.step(Event::Read(Ticket(1)));
+    let effects = driver.step(Event::Tick);
+    let refusal = Refusal::NotLeader { leader: None };
+    assert!(effects.contains(&Effect::Refused(Ticket(1), refusal)));
+    assert_eq!(driver.node.status().role, Role::Follower);
+}
+
+#[test]
+fn a_read_waits_for_a_quorum_and_an_own_entry() {
+    let mut driver = Driver::new(start(3, 0, &[]), Options::default());
+    let term = driver.lead();
+    assert!(!driver.step(Event::Read(Ticket(1))).contains(&Effect::Readable(Ticket(1), 1)));
+    let reply = |round, matched| {
+        Body::AppendReply(AppendReply { round, outcome: Outcome::Accepted { matched } })
+    };
+    assert!(!driver.receive(2, term, reply(0, 1)).contains(&Effect::Readable(Ticket(1), 1)));
+    assert!(driver.receive(2, term, reply(1, 1)).contains(&Effect::Readable(Ticket(1), 1)));
+}
--- /dev/null
+++ b/crates/consensus/tests/support/checker.rs
@@ -0,0 +1,140 @@
+//! Checks what must hold in every schedule.
+
+use std::collections::BTreeMap;
+
+use consensus::{
+    entry::{Entry, Payload, Position},
+    member::Id,
+    node::Node,
+    status::Role,
+};
+
+/// What did not hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Violation {
+    TwoLeaders { term: u64 },
+    LeaderLacks { index: u64 },
+    LogsDiffer { index: u64, term: u64 },
+    AppliedDiffers { index: u64 },
+    AppliedOutOfOrder { index: u64 },
+    StateDiffers { index: u64 },
+    StaleRead { index: u64, accepted: u64 },
+    NoProgress,
+}
+
+#[derive(Default)]
+pub struct Checker {
+    leaders: BTreeMap<u64, Id>,
+    written: BTreeMap<(u64, u64), Entry>,
+    committed: Vec<Entry>,
+    /// For each committed entry, the term of the replica that applied it first.
+    committed_in: Vec<u64>,
+    /// Highest index that a client was told is accepted.
+    pub accepted: u64,
+}
+
+impl Checker {
+    /// One leader in a term, and each leader holds everything committed in earlier terms.
+    pub fn leader(&mut self, node: &Node) -> Result<(), Violation> {
+        let status = node.status();
+        if status.role != Role::Leader {
+            return Ok(());
+        }
+        let known = self.leaders.insert(status.term, status.id);
+        match known {
+            Some(id) if id == status.id => return Ok(()),
+            Some(_) => return Err(Violation::TwoLeaders { term: status.term }),
+            None => {}
+        }
+        let older = self.committed_in.iter().take_while(|term| **term < status.term).count();
+        for entry in &self.committed[..older] {
+            let Position { index, term } = entry.position;
+            let held =
+                node.term_at(index).is_none_or(|held| held == term) && index <= status.last.index;
+            if !held {
+                return Err(Violation::LeaderLacks { index });
+            }
+        }
+        Ok(())
+    }
+
+    /// Entries with the same index and term are the same entry.
+    pub fn written(&mut self, entries: &[Entry]) -> Result<(), Violation> {
+        for entry in entries {
+            let Position { index, term } = entry.position;
+            let first = self.written.entry((index, term)).or_insert_with(|| entry.clone());
+            if first != entry {
+                return Err(Violation::LogsDiffer { index, term });
+            }
+        }
+        Ok(())
+    }
+
+    /// Logs that agree at an entry agree at all before it.
+    pub fn logs(&self, left: &Node, right: &Node) -> Result<(), Violation> {
+        let end = left.status().last.index.min(right.status().last.index);
+        let mut agreed = false;
+        for index in (1..=end).rev() {
+            let (Some(first), Some(second)) = (left.term_at(index), right.term_at(index)) else {
+                return Ok(());
+            };
+            if agreed && first != second {
+                return Err(Violation::LogsDiffer { index, term: first });
+            }
+            agreed |= first == second;
+        }
+        Ok(())
+    }
+
+    /// Entries are applied in order, and are the same everywhere.
+    pub fn applied(&mut self, before: u64, term: u64, entries: &[Entry]) -> Result<(), Violation> {
+        for (expected, entry) in (before + 1..).zip(entries) {
+            let index = entry.position.index;
+            if index != expected {
+                return Err(Violation::AppliedOutOfOrder { index });
+            }
+            let at = usize::try_from(index - 1).unwrap();
+            match self.committed.get(at) {
+                Some(known) if known != entry => return Err(Violation::AppliedDiffers { index }),
+                Some(_) => {}
+                None if at > self.committed.len() => {
+                    return Err(Violation::AppliedOutOfOrder { index });
+                }
+                None => {
+                    self.committed.push(entry.clone());
+                    self.committed_in.push(term);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// A snapshot holds exactly the commands up to its index.
+    pub fn restored(&self, index: u64, state: &[u64]) -> Result<(), Violation> {
+        if self.commands(index) == state { Ok(()) } else { Err(Violation::StateDiffers { index }) }
+    }
+
+    /// A read sees everything accepted before it was asked for.
+    pub fn read(&self, index: u64, accepted: u64) -> Result<(), Violation> {
+        if index >= accepted { Ok(()) } else { Err(Violation::StaleRead { index, accepted }) }
+    }
+
+    /// Commands up to `index`, in order.
+    pub fn commands(&self, index: u64) -> Vec<u64> {
+        let upto = self.committed.iter().take_while(|entry| entry.position.index <= index);
+        upto.filter_map(command).collect()
+    }
+
+    /// Index of the last entry that is committed anywhere.
+    pub fn last(&self) -> u64 {
+        self.committed.len() as u64
+    }
+}
+
+/// The number that an entry's command carries.
+pub fn command(entry: &Entry) -> Option<u64> {
+    match &entry.payload {
+        Payload::Command(bytes) => Some(u64::from_le_bytes(bytes.as_slice().try_into().unwrap())),
+        Payload::Empty | Payload::Config(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/support/cluster.rs
@@ -0,0 +1,441 @@
+//! Replicas, their network and their clients under one deterministic clock.
+
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+use common::clock::Moment;
+use consensus::{
+    effect::{Effect, Event, Proposal, Ticket},
+    entry::Entry,
+    member::{Change, Config, Id, Member},
+    message::Envelope,
+    options::Options,
+    repair,
+    status::Role,
+};
+
+use crate::{
+    checker::{self, Checker, Violation},
+    host::{self, Host},
+    plan::{self, Fault, Kind, Plan},
+    random::Random,
+};
+
+const TICK_MS: u64 = 25;
+const CLIENT_MS: u64 = 40;
+const REPAIR_MS: u64 = 150;
+const SETTLE_MS: u64 = 60_000;
+const COMPACT_ENTRIES: u64 = 25;
+
+/// A mistake in the host that the checker has to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bug {
+    None,
+    /// Term and vote are not written.
+    VoteNotPersisted,
+    /// Messages leave before the write that they wait for.
+    RepliesBeforeSync,
+    /// A replica that lost its disk goes on under its old identity.
+    IdentityKept,
+    /// A leader answers reads without asking a quorum.
+    ReadsWithoutQuorum,
+}
+
+#[derive(Clone, Debug)]
+enum Action {
+    Tick(usize),
+    Deliver(Envelope),
+    Synced { host: usize, epoch: u64, number: u64 },
+    Client,
+    Repair,
+    Fault(Fault),
+    Start { host: usize, epoch: u64 },
+    Heal { host: usize },
+}
+
+pub struct Cluster {
+    plan: Plan,
+    bug: Bug,
+    options: Options,
+    now: Moment,
+    random: Random,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    actions: Vec<Option<Action>>,
+    hosts: Vec<Host>,
+    /// Hosts that hear nothing, and hosts that are not heard.
+    deaf: Vec<bool>,
+    mute: Vec<bool>,
+    pub checker: Checker,
+    next_number: u64,
+    /// Whether the network and the processes are faultless again.
+    healed: bool,
+}
+
+impl Cluster {
+    pub fn new(plan: Plan, bug: Bug) -> Cluster {
+        let member = |place: usize| Member {
+            id: Id(place as u64 + 1),
+            place: format!("place-{place}").as_str().into(),
+            voter: true,
+            replaces: None,
+        };
+        let founders = Config::new((0..plan.replicas).map(member).collect());
+        let hosts = (0..plan.replicas)
+            .map(|place| Host::new(place, Id(place as u64 + 1), founders.clone()))
+            .collect();
+        let options = Options {
+            batch_bytes: 200,
+            flight_entries: 8,
+            flight_bytes: 400,
+            chunk_bytes: 64,
+            retained_entries: 10,
+            ..Options::default()
+        };
+        let mut cluster = Cluster {
+            bug,
+            options,
+            now: Moment(0),
+            random: Random::new(plan.seed),
+            queue: BinaryHeap::new(),
+            actions: Vec::new(),
+            hosts,
+            deaf: vec![false; plan.replicas],
+            mute: vec![false; plan.replicas],
+            checker: Checker::default(),
+            next_number: 0,
+            healed: false,
+            plan,
+        };
+        cluster.schedule_all();
+        cluster
+    }
+
+    fn schedule_all(&mut self) {
+        for host in 0..self.hosts.len() {
+            self.start(host);
+            self.at(host as u64, Action::Tick(host));
+        }
+        self.at(CLIENT_MS, Action::Client);
+        self.at(REPAIR_MS, Action::Repair);
+        for fault in self.plan.faults.clone() {
+            self.at(fault.at_ms, Action::Fault(fault));
+        }
+    }
+
+    /// Runs all faults, then lets everything heal and waits until all replicas hold everything.
+    pub fn run(&mut self) -> Result<(), Violation> {
+        self.run_until(plan::FAULTS_MS, |_| false)?;
+        self.healed = true;
+        for host in 0..self.hosts.len() {
+            self.heal(host);
+            if self.hosts[host].node.is_none() {
+                self.start(host);
+            }
+        }
+        let wanted = self.checker.last() + 5;
+        let settled =
+            self.run_until(plan::FAULTS_MS + SETTLE_MS, |cluster| cluster.is_settled(wanted))?;
+        if settled { Ok(()) } else { Err(Violation::NoProgress) }
+    }
+
+    fn run_until(
+        &mut self,
+        end_ms: u64,
+        done: impl Fn(&Cluster) -> bool,
+    ) -> Result<bool, Violation> {
+        while let Some(Reverse((time, number))) = self.queue.pop() {
+            if time > end_ms {
+                self.queue.push(Reverse((time, number)));
+                return Ok(false);
+            }
+            self.now = Moment(time);
+            let action = self.actions[usize::try_from(number).unwrap()].take();
+            self.act(action.unwrap())?;
+            if done(self) {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+
+    fn is_settled(&self, wanted: u64) -> bool {
+        self.is_repaired() && self.hosts.iter().all(|host| host.applied >= wanted)
+    }
+
+    /// Whether the members are exactly the replicas that exist, all of them voters.
+    fn is_repaired(&self) -> bool {
+        let leader =
+            self.hosts.iter().filter_map(|host| host.node.as_ref()).map(|node| node.status());
+        let Some(status) =
+            leader.filter(|status| status.role == Role::Leader).max_by_key(|status| status.term)
+        else {
+            return false;
+        };
+        status.settled
+            && status.config.members().len() == self.hosts.len()
+            && self.hosts.iter().all(|host| status.config.is_voter(host.id))
+    }
+
+    fn at(&mut self, time: u64, action: Action) {
+        self.queue.push(Reverse((time, self.actions.len() as u64)));
+        self.actions.push(Some(action));
+    }
+
+    fn after(&mut self, delay: u64, action: Action) {
+        self.at(self.now.0 + delay, action);
+    }
+
+    fn act(&mut self, action: Action) -> Result<(), Violation> {
+        match action {
+            Action::Tick(host) => {
+                self.after(TICK_MS, Action::Tick(host));
+                self.step(host, Event::Tick)
+            }
+            Action::Deliver(envelope) => self.deliver(envelope),
+            Action::Synced { host, epoch, number } => self.sync(host, epoch, number),
+            Action::Client => self.act_as_client(),
+            Action::Repair => self.repair(),
+            Action::Fault(fault) => self.bring_about(fault),
+            Action::Start { host, epoch } => {
+                if self.hosts[host].node.is_none() && self.hosts[host].epoch == epoch {
+                    self.start(host);
+                }
+                Ok(())
+            }
+            Action::Heal { host } => {
+                self.heal(host);
+                Ok(())
+            }
+        }
+    }
+
+    fn start(&mut self, host: usize) {
+        let seed = self.random.below(u64::MAX);
+        self.hosts[host].start(self.options, seed, self.now);
+    }
+
+    fn heal(&mut self, host: usize) {
+        self.deaf[host] = false;
+        self.mute[host] = false;
+    }
+
+    fn deliver(&mut self, envelope: Envelope) -> Result<(), Violation> {
+        let Some(host) = self.hosts.iter().position(|host| host.id == envelope.to) else {
+            return Ok(());
+        };
+        if self.hosts[host].paused_until > self.now {
+            let until = self.hosts[host].paused_until;
+            self.at(until.0, Action::Deliver(envelope));
+            return Ok(());
+        }
+        self.step(host, Event::Receive(envelope))
+    }
+
+    fn step(&mut self, host: usize, event: Event) -> Result<(), Violation> {
+        if self.hosts[host].paused_until > self.now {
+            return Ok(());
+        }
+        let now = self.now;
+        let Some(node) = self.hosts[host].node.as_mut() else {
+            return Ok(());
+        };
+        let effects = node.step(event, now);
+        self.checker.leader(node)?;
+        for effect in effects {
+            self.carry_out(host, effect)?;
+        }
+        Ok(())
+    }
+
+    fn carry_out(&mut self, at: usize, effect: Effect) -> Result<(), Violation> {
+        let host = &mut self.hosts[at];
+        match effect {
+            Effect::Write(mut write) => {
+                self.checker.written(&write.entries)?;
+                if self.bug == Bug::VoteNotPersisted {
+                    write.hard = None;
+                }
+                let (epoch, number) = (host.epoch, write.number);
+                host.unsynced.push(write);
+                let delay = self.random.below(self.plan.sync_ms);
+                self.after(delay, Action::Synced { host: at, epoch, number });
+            }
+            Effect::Send { after, envelope } => {
+                let early = self.bug == Bug::RepliesBeforeSync;
+                if early || host.unsynced.first().is_none_or(|write| write.number > after) {
+                    self.send(at, envelope);
+                } else {
+                    host.held.push((after, envelope));
+                }
+            }
+            Effect::Restore(snapshot) => {
+                host.state = host::decode(&snapshot.data);
+                host.applied = snapshot.last.index;
+                self.checker.restored(host.applied, &host.state)?;
+            }
+            Effect::Apply(entries) => self.apply(at, &entries)?,
+            Effect::Proposed(_, position) => drop(host.proposed.insert(position.index, position)),
+            Effect::Readable(ticket, index) => {
+                if let Some(accepted) = host.reads.remove(&ticket) {
+                    self.checker.read(index, accepted)?;
+                }
+            }
+            Effect::Refused(ticket, _) => drop(host.reads.remove(&ticket)),
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, at: usize, entries: &[Entry]) -> Result<(), Violation> {
+        let host = &mut self.hosts[at];
+        let term = host.node.as_ref().map_or(0, |node| node.status().term);
+        self.checker.applied(host.applied, term, entries)?;
+        for entry in entries {
+            host.applied = entry.position.index;
+            host.state.extend(checker::command(entry));
+            if host.proposed.remove(&entry.position.index) == Some(entry.position) {
+                self.checker.accepted = self.checker.accepted.max(entry.position.index);
+            }
+        }
+        let kept = host.disk.snapshot.as_ref().map_or(0, |snapshot| snapshot.last.index);
+        let snapshot = host.snapshot().filter(|_| host.applied >= kept + COMPACT_ENTRIES);
+        match snapshot {
+            Some(snapshot) => self.step(at, Event::Compact(snapshot)),
+            None => Ok(()),
+        }
+    }
+
+    fn send(&mut self, from: usize, envelope: Envelope) {
+        let to = self.hosts.iter().position(|host| host.id == envelope.to);
+        let cut = self.mute[from] || to.is_some_and(|to| self.deaf[to]);
+        if cut || (!self.healed && self.random.percent(self.plan.loss)) {
+            return;
+        }
+        if self.random.percent(self.plan.duplicates) {
+            let delay = self.random.below(self.plan.delay_ms * 3);
+            self.after(delay, Action::Deliver(envelope.clone()));
+        }
+        let delay = self.random.below(self.plan.delay_ms);
+        self.after(delay, Action::Deliver(envelope));
+    }
+
+    fn sync(&mut self, at: usize, epoch: u64, number: u64) -> Result<(), Violation> {
+        let host = &mut self.hosts[at];
+        if host.epoch != epoch || host.node.is_none() {
+            return Ok(());
+        }
+        if host.paused_until > self.now {
+            let until = host.paused_until;
+            self.at(until.0, Action::Synced { host: at, epoch, number });
+            return Ok(());
+        }
+        let rest = host.unsynced.iter().position(|write| write.number > number);
+        let rest = host.unsynced.split_off(rest.unwrap_or(host.unsynced.len()));
+        for write in std::mem::replace(&mut host.unsynced, rest) {
+            host.disk.apply(write);
+        }
+        let (ready, held) = host.held.drain(..).partition(|(after, _)| *after <= number);
+        host.held = held;
+        for (_, envelope) in ready {
+            self.send(at, envelope);
+        }
+        self.step(at, Event::Synced(number))
+    }
+
+    fn act_as_client(&mut self) -> Result<(), Violation> {
+        self.after(CLIENT_MS, Action::Client);
+        let host = usize::try_from(self.random.below(self.hosts.len() as u64)).unwrap();
+        self.next_number += 1;
+        let ticket = Ticket(self.next_number);
+        if self.random.percent(50) {
+            let command = self.next_number.to_le_bytes().to_vec();
+            return self.step(host, Event::Propose(vec![Proposal { ticket, command }]));
+        }
+        self.hosts[host].reads.insert(ticket, self.checker.accepted);
+        if self.bug == Bug::ReadsWithoutQuorum
+            && let Some(node) = &self.hosts[host].node
+            && node.status().role == Role::Leader
+        {
+            return self.checker.read(node.status().commit, self.checker.accepted);
+        }
+        self.step(host, Event::Read(ticket))
+    }
+
+    /// Lets each leader add replicas that came back empty, and finish what is under way.
+    fn repair(&mut self) -> Result<(), Violation> {
+        self.after(REPAIR_MS, Action::Repair);
+        for left in 0..self.hosts.len() {
+            for right in 0..left {
+                if let (Some(left), Some(right)) = (&self.hosts[left].node, &self.hosts[right].node)
+                {
+                    self.checker.logs(left, right)?;
+                }
+            }
+        }
+        for host in 0..self.hosts.len() {
+            if let Some(change) = self.next_change(host) {
+                self.next_number += 1;
+                self.step(host, Event::Change(Ticket(self.next_number), change))?;
+            }
+        }
+        Ok(())
+    }
+
+    fn next_change(&self, host: usize) -> Option<Change> {
+        let status = self.hosts[host].node.as_ref()?.status();
+        if status.role != Role::Leader {
+            return None;
+        }
+        let joining = self.hosts.iter().find(|host| status.config.member(host.id).is_none());
+        let joining = joining.map(|host| repair::admit(&status, host.id, &host.place));
+        joining.flatten().or_else(|| repair::next(&status, self.options.promotion_gap))
+    }
+
+    fn bring_about(&mut self, fault: Fault) -> Result<(), Violation> {
+        let at = fault.host % self.hosts.len();
+        match fault.kind {
+            Kind::Crash => self.crash(at, fault.lasts_ms),
+            Kind::Blackout => {
+                (0..self.hosts.len()).for_each(|host| self.crash(host, fault.lasts_ms));
+            }
+            Kind::Wipe if self.is_repaired() => {
+                self.crash(at, fault.lasts_ms);
+                self.wipe(at);
+            }
+            Kind::Wipe => {}
+            Kind::Pause => {
+                self.hosts[at].paused_until =
+                    self.now + std::time::Duration::from_millis(fault.lasts_ms);
+            }
+            Kind::Isolate => (self.deaf[at], self.mute[at]) = (true, true),
+            Kind::Deafen => self.deaf[at] = true,
+            Kind::Mute => self.mute[at] = true,
+            Kind::Transfer => {
+                let to = self.hosts[(at + 1) % self.hosts.len()].id;
+                return self.step(at, Event::Transfer(to));
+            }
+        }
+        self.after(fault.lasts_ms, Action::Heal { host: at });
+        Ok(())
+    }
+
+    fn crash(&mut self, at: usize, lasts_ms: u64) {
+        let host = &mut self.hosts[at];
+        // Any part of what was written but not synced may have reached the disk.
+        let kept = usize::try_from(self.random.below(host.unsynced.len() as u64 + 1)).unwrap();
+        for write in host.unsynced.drain(..kept) {
+            host.disk.apply(write);
+        }
+        host.stop();
+        let epoch = host.epoch;
+        self.after(lasts_ms, Action::Start { host: at, epoch });
+    }
+
+    fn wipe(&mut self, at: usize) {
+        let host = &mut self.hosts[at];
+        let kept = self.bug == Bug::IdentityKept;
+        let founders = if kept { host.disk.hard.founders.clone() } else { Config::default() };
+        let id = if kept { host.id } else { Id(1_000 + self.next_number) };
+        self.next_number += 1;
+        let epoch = host.epoch;
+        self.hosts[at] = Host { epoch, ..Host::new(at, id, founders) };
+    }
+}
