--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -12,6 +12,5 @@
 pub mod node;
 pub mod options;
 mod progress;
-mod random;
 pub mod repair;
 pub mod status;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -10,7 +10,7 @@
 
 use std::collections::VecDeque;
 
-use common::{clock::Moment, collections::Set};
+use common::{clock::Moment, collections::Set, random::Random};
 
 use crate::{
     effect::{Effect, Event, Hard, Proposal, Refusal, Start, Ticket, Write},
@@ -19,7 +19,6 @@
     member::{Id, Member},
     message::{Body, Envelope},
     options::Options,
-    random::Random,
     status::{Lag, Role, Status},
 };
 
@@ -83,7 +82,7 @@
             log.push(entry);
         }
         let mut random = Random::new(start.seed ^ start.hard.id.0);
-        let election_due = start.now + random.span(options.election_min, options.election_max);
+        let election_due = start.now + options.election_timeout(&mut random);
         Node {
             options,
             random,
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -60,8 +60,7 @@
     }
 
     pub(super) fn reset_election(&mut self, now: Moment) {
-        let (min, max) = (self.options.election_min, self.options.election_max);
-        self.election_due = now + self.random.span(min, max);
+        self.election_due = now + self.options.election_timeout(&mut self.random);
     }
 
     pub(super) fn ask_for_pre_votes(&mut self, now: Moment) {
--- a/crates/consensus/src/options.rs
+++ b/crates/consensus/src/options.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use common::random::Random;
+
 /// Timeouts and bounds of a node.
 ///
 /// The defaults suit one-way latencies of up to 100 ms.
@@ -48,3 +50,11 @@
         }
     }
 }
+
+impl Options {
+    /// A random time from the shortest to the longest silence before an election.
+    pub(crate) fn election_timeout(&self, random: &mut Random) -> Duration {
+        let width = self.election_max.saturating_sub(self.election_min);
+        self.election_min + width.mul_f64(random.unit())
+    }
+}
