--- a/crates/consensus/src/repair.rs
+++ b/crates/consensus/src/repair.rs
@@ -55,3 +55,19 @@
     let replaces = Some(old.id);
     Some(Change::Learn(Member { id, place: place.clone(), voter: false, replaces }))
 }
+
+/// The change that lets a replica at a new place join, to take the place of the one at `old`.
+pub fn replace(
+    status: &Status,
+    id: Id,
+    old: &name::Instance,
+    new: &name::Instance,
+) -> Option<Change> {
+    let config = &status.config;
+    if !status.settled || config.member(id).is_some() {
+        return None;
+    }
+    let old = config.members().iter().find(|member| member.place == *old && member.voter)?;
+    let replaces = Some(old.id);
+    Some(Change::Learn(Member { id, place: new.clone(), voter: false, replaces }))
+}
--- /dev/null
+++ b/crates/replica/src/founding.rs
@@ -0,0 +1,115 @@
+//! How the first replicas of a log agree on its first members.
+//!
+//! Each of them draws an identity and keeps it on disk. The one with the smallest name waits until all others
+//! have answered with theirs and none knows a log; it writes the list down, and the others take it over. A
+//! replica whose disk was lost finds a list without its new identity, and joins instead.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use common::{cancel, name};
+use consensus::{
+    member::{Config, Id, Member},
+    status::Status,
+};
+use futures::future;
+use wire::{
+    log::{Standing, Wish},
+    peer::PeerClient,
+};
+
+use crate::{host::Settings, outbox::Peer};
+
+const PAUSE: Duration = Duration::from_millis(200);
+const JOIN_PAUSE: Duration = Duration::from_millis(500);
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+
+/// How a replica without state begins.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Beginning {
+    /// As one of the first members.
+    Founder(Config),
+    /// By joining.
+    Learner,
+}
+
+/// The other founder's answer.
+#[derive(Clone, Debug)]
+struct Answer {
+    place: name::Instance,
+    standing: Standing,
+}
+
+/// Asks the other founders until it is clear how to begin; nothing if the process ends first.
+pub(crate) async fn begin(
+    branch: &name::Branch,
+    own: &Member,
+    peers: &[Peer],
+    end: &cancel::Token,
+) -> Option<Beginning> {
+    let first = peers.iter().all(|peer| own.place < peer.instance);
+    loop {
+        let answers = future::join_all(peers.iter().map(|peer| ask(branch, peer))).await;
+        if let Some(beginning) = decide(own, &answers, first) {
+            return Some(beginning);
+        }
+        end.run_until_cancelled(tokio::time::sleep(PAUSE)).await?;
+    }
+}
+
+fn decide(own: &Member, answers: &[Answer], first: bool) -> Option<Beginning> {
+    let founded = answers.iter().find_map(|answer| match &answer.standing {
+        Standing::Founded(config) => Some(config),
+        _ => None,
+    });
+    if let Some(config) = founded {
+        let member = config.member(own.id).is_some();
+        return Some(if member { Beginning::Founder(config.clone()) } else { Beginning::Learner });
+    }
+    if answers.iter().any(|answer| answer.standing == Standing::Joined) {
+        return Some(Beginning::Learner);
+    }
+    if !first {
+        return None;
+    }
+    let others = answers.iter().map(|answer| match answer.standing {
+        Standing::Waiting(id) => Some(founder(id, &answer.place)),
+        _ => None,
+    });
+    let mut members = others.collect::<Option<Vec<Member>>>()?;
+    members.push(own.clone());
+    Some(Beginning::Founder(Config::new(members)))
+}
+
+/// A first member.
+pub(crate) fn founder(id: Id, place: &name::Instance) -> Member {
+    Member { id, place: place.clone(), voter: true, replaces: None }
+}
+
+async fn ask(branch: &name::Branch, peer: &Peer) -> Answer {
+    let call = async |client: &PeerClient, context| client.standing(context, branch.clone()).await;
+    let standing = peer.link.call(CALL_LIMIT, call).await.unwrap_or(Standing::Absent);
+    Answer { place: peer.instance.clone(), standing }
+}
+
+
+/// Asks the other replicas to be taken in, until the log counts this one as a member.
+pub(crate) async fn join(settings: Settings, id: Id, status: Arc<Mutex<Option<Status>>>) {
+    let wish = Wish::Join { id, place: settings.place.clone() };
+    loop {
+        let pause = settings.end.run_until_cancelled(tokio::time::sleep(JOIN_PAUSE)).await;
+        let known = status.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if pause.is_none() || known.is_some_and(|status| status.config.member(id).is_some()) {
+            return;
+        }
+        for peer in &settings.peers {
+            let wish = wish.clone();
+            let call = async |client: &PeerClient, context| {
+                client.change_members(context, settings.branch.clone(), wish).await
+            };
+            let _asked_again = peer.link.call(CALL_LIMIT, call).await;
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod completion;
 pub mod link;
+pub mod log;
 pub mod operator;
 pub mod outcome;
 pub mod peer;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,9 +1,10 @@
 //! The service that daemons offer each other.
 
 use common::name;
+use consensus::{message::Envelope, status::Status};
 use serde::{Deserialize, Serialize};
 
-use crate::spread;
+use crate::{log, spread};
 
 /// Version of this protocol; daemons that differ in it refuse each other.
 pub const VERSION: u32 = 1;
@@ -47,4 +48,22 @@
 
     /// Returns the versions in force.
     async fn in_force() -> Vec<spread::Have>;
+
+    /// Hands messages to the callee's replica of a branch's log; they may be lost.
+    async fn log_step(branch: name::Branch, envelopes: Vec<Envelope>);
+
+    /// Puts an encoded command into a branch's log, if the callee leads it.
+    async fn submit(branch: name::Branch, command: Vec<u8>) -> log::Outcome;
+
+    /// Answers an encoded question from a branch's state, if the callee leads its log.
+    async fn query(branch: name::Branch, query: Vec<u8>) -> log::Outcome;
+
+    /// Returns how the callee's replica stands to a branch's log.
+    async fn standing(branch: name::Branch) -> log::Standing;
+
+    /// Asks the callee, if it leads a branch's log, to change its members.
+    async fn change_members(branch: name::Branch, wish: log::Wish) -> log::Outcome;
+
+    /// Returns the state of the callee's replica of a branch's log.
+    async fn replica(branch: name::Branch) -> Option<Status>;
 }
