daisydrum: replicas of the logs, and tests of kills, restarts, lost disks and damaged files

Cause: settings, leases and claims had no log to stand in. Change: the daemon runs the replicas that its settings name, serves peers' calls on them, and reaches every log through a client; operators may list replicas and replace one. Conclusion: a killed leader, a replica that missed 3,000 changes, a lost disk followed by a second loss, and damaged or torn files are survived or refused by real daemons.

--- a/crates/daisydrum/src/daemon.rs
+++ b/crates/daisydrum/src/daemon.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     context::Context,
-    duty::{callers, control, declarations, operators, peers, services},
+    duty::{callers, control, declarations, members, operators, peers, replica, services},
     error::Fault,
     links::Links,
     logs, signal,
@@ -101,13 +101,19 @@
         let (directory_in_force, directory) = watch::channel(Arc::new(directory));
         let follow = services::follow(directory.clone(), router.clone(), context.end.clone());
         context.runtime.spawn(follow);
-        let logs = logs::Logs::Absent;
+        let replica::Replicas { host, logs, threads } = replica::start(context)?;
+        others.extend(threads);
         let spread = start_spread(context, &logs, directory_in_force)?;
         let control = control::Control {
             identity: context.identity.clone(),
             ready: Arc::clone(&ready),
             router: router.clone(),
             metrics,
+            members: members::Members {
+                context: context.clone(),
+                host: host.clone(),
+                logs: logs.clone(),
+            },
             operators: operators::Operators {
                 context: context.clone(),
                 authority: logs,
@@ -117,7 +123,7 @@
         let _listener = control::start(context.settings.control, control)?;
         others.push(peers::start(
             context,
-            peers::Server { identity: context.identity.clone(), spread },
+            peers::Server { identity: context.identity.clone(), replicas: host, spread },
         )?);
         let server = server::Server {
             instance: context.identity.instance.clone(),
--- a/crates/daisydrum/src/duty.rs
+++ b/crates/daisydrum/src/duty.rs
@@ -3,6 +3,8 @@
 pub mod callers;
 pub mod control;
 pub mod declarations;
+pub mod members;
 pub mod operators;
 pub mod peers;
+pub mod replica;
 pub mod services;
--- a/crates/daisydrum/src/duty/control.rs
+++ b/crates/daisydrum/src/duty/control.rs
@@ -18,7 +18,12 @@
 use tokio::sync::oneshot;
 use wire::{operator, peer, target};
 
-use crate::{duty::operators::Operators, error::Fault, http, logs::Logs};
+use crate::{
+    duty::{members::Members, operators::Operators},
+    error::Fault,
+    http,
+    logs::Logs,
+};
 
 const MAX_CONNECTIONS: usize = 256;
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -34,6 +39,8 @@
     pub router: router::Handle,
     /// The process's metrics.
     pub metrics: metric::Page,
+    /// Operators' calls on the replicas.
+    pub members: Members,
     /// Operators' calls on the branches.
     pub operators: Operators<Logs>,
 }
@@ -63,12 +70,16 @@
             }
             (&Method::GET, operator::STATUS_PATH) => self.status(),
             (&Method::POST, target::ANNOUNCE_PATH) => self.announce(request),
-            _ => self.operators.answer(request).unwrap_or_else(|| {
+            _ => self.answer_operator(request).unwrap_or_else(|| {
                 http::refuse(StatusCode::NOT_FOUND, format!("no such path: {path}"))
             }),
         }
     }
 
+    fn answer_operator(&self, request: &mut Request<Body>) -> Option<Response<Body>> {
+        self.members.answer(request).or_else(|| self.operators.answer(request))
+    }
+
     /// Whether the instance takes callers and has the declarations in force.
     fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Acquire) && self.operators.spread.is_ready()
--- /dev/null
+++ b/crates/daisydrum/src/duty/members.rs
@@ -0,0 +1,79 @@
+//! Answers operators' calls on the replicas.
+
+use std::time::Duration;
+
+use common::name;
+use futures::future;
+use oxhttp::model::{Body, Method, Request, Response, StatusCode};
+use replica::{client::Failure, host::Host};
+use wire::{
+    log::{self, Replacement},
+    peer::PeerClient,
+};
+
+use crate::{context::Context, http, logs::Logs};
+
+const PEER_LIMIT: Duration = Duration::from_secs(1);
+const CHANGE_LIMIT: Duration = Duration::from_secs(5);
+
+/// What operators' calls on the replicas are answered from.
+#[derive(Clone, Debug)]
+pub struct Members {
+    /// The instance.
+    pub context: Context,
+    /// The replicas kept here.
+    pub host: Host,
+    /// The logs as this instance reaches them.
+    pub logs: Logs,
+}
+
+impl Members {
+    /// Answers a call, if its path is that of the replicas.
+    pub fn answer(&self, request: &mut Request<Body>) -> Option<Response<Body>> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, log::REPLICAS_PATH) => Some(self.list()),
+            (&Method::POST, log::REPLICAS_PATH) => Some(self.replace(request)),
+            _ => None,
+        }
+    }
+
+    fn list(&self) -> Response<Body> {
+        let own = self.host.branches().map(|branch| log::Replica {
+            branch: branch.clone(),
+            place: self.context.identity.instance.clone(),
+            status: self.host.replica(branch).and_then(replica::host::Handle::status),
+        });
+        let others = self.context.peers.iter().flat_map(|peer| {
+            peer.replicas.iter().map(|branch| async {
+                let call = async |client: &PeerClient, context| {
+                    client.replica(context, branch.clone()).await
+                };
+                let status = peer.link.call(PEER_LIMIT, call).await.ok().flatten();
+                log::Replica { branch: branch.clone(), place: peer.instance.clone(), status }
+            })
+        });
+        let mut replicas: Vec<log::Replica> = own.collect();
+        replicas.extend(self.context.runtime.block_on(future::join_all(others)));
+        replicas
+            .sort_by(|left, right| (&left.branch, &left.place).cmp(&(&right.branch, &right.place)));
+        http::json(StatusCode::OK, &replicas)
+    }
+
+    fn replace(&self, request: &mut Request<Body>) -> Response<Body> {
+        let wish: Replacement = match http::read_json(request) {
+            Ok(wish) => wish,
+            Err(problem) => return http::refuse(StatusCode::BAD_REQUEST, problem),
+        };
+        let Logs::Replicated(client) = &self.logs else {
+            return http::refuse(StatusCode::CONFLICT, String::from("there are no replicas"));
+        };
+        let Replacement { branch, old, new } = wish;
+        let branch: name::Branch = branch;
+        let change = client.replace(&branch, old, new, CHANGE_LIMIT);
+        match self.context.runtime.block_on(change) {
+            Ok(()) => http::json(StatusCode::OK, &branch),
+            Err(Failure::NotAccepted { reason }) => http::refuse(StatusCode::CONFLICT, reason),
+            Err(Failure::Unknown { reason }) => http::refuse(StatusCode::GATEWAY_TIMEOUT, reason),
+        }
+    }
+}
--- a/crates/daisydrum/src/duty/peers.rs
+++ b/crates/daisydrum/src/duty/peers.rs
@@ -5,8 +5,10 @@
     time::Duration,
 };
 
-use common::cancel;
+use common::{cancel, name};
+use consensus::{message::Envelope, status::Status};
 use futures::{Stream, StreamExt};
+use replica::host::{Handle, Host};
 use spread::node::Node;
 use tarpc::{
     context, serde_transport,
@@ -20,6 +22,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 use wire::{
     link,
+    log::{Outcome, Standing, Wish},
     peer::{self, Peer},
     socket,
     spread::{Have, Update},
@@ -34,6 +37,8 @@
 pub struct Server {
     /// Who this daemon is.
     pub identity: peer::Identity,
+    /// The replicas kept here.
+    pub replicas: Host,
     /// The declarations in force here.
     pub spread: Node,
 }
@@ -50,6 +55,62 @@
     async fn in_force(self, _context: context::Context) -> Vec<Have> {
         self.spread.in_force()
     }
+
+    async fn log_step(
+        self,
+        _context: context::Context,
+        branch: name::Branch,
+        from: name::Instance,
+        envelopes: Vec<Envelope>,
+    ) {
+        if let Some(replica) = self.replicas.replica(&branch) {
+            replica.receive(from, envelopes);
+        }
+    }
+
+    async fn submit(
+        self,
+        _context: context::Context,
+        branch: name::Branch,
+        command: Vec<u8>,
+    ) -> Outcome {
+        match self.replicas.replica(&branch) {
+            Some(replica) => replica.submit(command).await,
+            None => Outcome::NotLeader { leader: None },
+        }
+    }
+
+    async fn query(
+        self,
+        _context: context::Context,
+        branch: name::Branch,
+        query: Vec<u8>,
+    ) -> Outcome {
+        match self.replicas.replica(&branch) {
+            Some(replica) => replica.query(query).await,
+            None => Outcome::NotLeader { leader: None },
+        }
+    }
+
+    async fn standing(self, _context: context::Context, branch: name::Branch) -> Standing {
+        self.replicas.replica(&branch).map_or(Standing::Absent, Handle::standing)
+    }
+
+    async fn change_members(
+        self,
+        _context: context::Context,
+        branch: name::Branch,
+        wish: Wish,
+    ) -> Outcome {
+        match self.replicas.replica(&branch) {
+            Some(replica) => replica.change_members(wish).await,
+            None => Outcome::NotLeader { leader: None },
+        }
+    }
+
+    async fn replica(self, _context: context::Context, branch: name::Branch) -> Option<Status> {
+        self.replicas.replica(&branch).and_then(Handle::status)
+    }
 }
 
 /// Starts to serve peers; the thread ends once `context.end` is cancelled.
--- /dev/null
+++ b/crates/daisydrum/src/duty/replica.rs
@@ -0,0 +1,80 @@
+//! The replicas of the logs that this instance keeps, and the way to all logs.
+
+use std::{path::Path, thread::JoinHandle};
+
+use common::{collections::Map, name};
+use consensus::options::Options;
+use control::state::State;
+use replica::{
+    client::Client,
+    host::{self, Host, Origin},
+    outbox,
+};
+use settings::instance;
+
+use crate::{context::Context, error::Fault, logs::Logs};
+
+const FOLDER: &str = "replicas";
+
+/// The replicas of this instance, and the way to all logs.
+#[derive(Debug)]
+pub struct Replicas {
+    /// The replicas kept here.
+    pub host: Host,
+    /// The logs as this instance reaches them.
+    pub logs: Logs,
+    /// Threads that end with `context.end`.
+    pub threads: Vec<JoinHandle<()>>,
+}
+
+/// Starts the replicas that the settings name.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] when there is no data folder, or a replica's files can't be used.
+pub fn start(context: &Context) -> Result<Replicas, Fault> {
+    let peers = peers(context);
+    let mut handles = Map::default();
+    let mut threads = Vec::new();
+    for settings in &context.settings.replicas {
+        let folder = context.settings.data_folder.as_ref().ok_or(Fault::NoDataFolder)?;
+        let folder = Path::new(folder).join(FOLDER).join(&settings.branch);
+        let branch = name::Branch::from(settings.branch.as_str());
+        let others = peers.iter().filter(|peer| peer.replicas.contains(&branch));
+        let options = host::Settings {
+            branch: branch.clone(),
+            place: context.identity.instance.clone(),
+            folder,
+            origin: origin(settings.start),
+            peers: others.cloned().collect(),
+            options: Options::default(),
+            runtime: context.runtime.clone(),
+            logger: context.log.clone(),
+            end: context.end.clone(),
+        };
+        let started = host::start(options, State::new(branch.clone()))?;
+        handles.insert(branch, started.handle);
+        threads.extend(started.threads);
+    }
+    let exist = !handles.is_empty() || peers.iter().any(|peer| !peer.replicas.is_empty());
+    let host = Host::new(handles);
+    let client = Client::new(context.identity.instance.clone(), host.clone(), peers);
+    let logs = if exist { Logs::Replicated(client) } else { Logs::Absent };
+    Ok(Replicas { host, logs, threads })
+}
+
+fn origin(start: instance::Start) -> Origin {
+    match start {
+        instance::Start::Founder => Origin::Founder,
+        instance::Start::Learner => Origin::Learner,
+    }
+}
+
+fn peers(context: &Context) -> Vec<outbox::Peer> {
+    let peer = |peer: &crate::context::Peer| outbox::Peer {
+        instance: peer.instance.clone(),
+        replicas: peer.replicas.clone(),
+        link: peer.link.clone(),
+    };
+    context.peers.iter().map(peer).collect()
+}
--- a/crates/daisydrum/src/error.rs
+++ b/crates/daisydrum/src/error.rs
@@ -38,6 +38,13 @@
     /// The declarations kept in the data folder can't be used.
     #[display("{_0}; check `data_folder`")]
     Declarations(spread::disk::Fault),
+    /// A replica can't start.
+    #[display("{_0}")]
+    Replica(replica::error::Fault),
+    /// The settings name replicas and no folder for them.
+    #[display("`replicas` are named and `data_folder` is not; name a folder on a disk")]
+    #[from(ignore)]
+    NoDataFolder,
     /// The process lacks a thread or another resource.
     #[display("can't start a thread: {_0}")]
     Thread(std::io::Error),
--- a/crates/daisydrum/src/logs.rs
+++ b/crates/daisydrum/src/logs.rs
@@ -1,6 +1,6 @@
 //! The replicated logs as this instance reaches them.
 
-use std::{future, time::Duration};
+use std::time::Duration;
 
 use common::name;
 use control::{
@@ -8,6 +8,7 @@
     query::{Answer, Query},
     reply::Reply,
 };
+use replica::client::{self, Client};
 use spread::authority::{Authority, Failure};
 
 /// The replicated logs as this instance reaches them.
@@ -15,28 +16,45 @@
 pub enum Logs {
     /// No instance of the settings keeps a replica; the tree is read from its folder.
     Absent,
+    /// Some instances keep replicas.
+    Replicated(Client),
 }
 
 impl Authority for Logs {
-    fn submit(
+    async fn submit(
         &self,
-        _branch: &name::Branch,
-        _command: Command,
-        _limit: Duration,
-    ) -> impl Future<Output = Result<Reply, Failure>> + Send {
-        future::ready(Err(absent()))
+        branch: &name::Branch,
+        command: Command,
+        limit: Duration,
+    ) -> Result<Reply, Failure> {
+        match self {
+            Logs::Absent => Err(absent()),
+            Logs::Replicated(client) => {
+                client.submit(branch, &command, limit).await.map_err(failure)
+            }
+        }
     }
 
-    fn query(
+    async fn query(
         &self,
-        _branch: &name::Branch,
-        _query: Query,
-        _limit: Duration,
-    ) -> impl Future<Output = Result<Answer, Failure>> + Send {
-        future::ready(Err(absent()))
+        branch: &name::Branch,
+        query: Query,
+        limit: Duration,
+    ) -> Result<Answer, Failure> {
+        match self {
+            Logs::Absent => Err(absent()),
+            Logs::Replicated(client) => client.query(branch, &query, limit).await.map_err(failure),
+        }
     }
 }
 
 fn absent() -> Failure {
     Failure::NotAccepted { reason: String::from("no instance keeps a replicated log") }
 }
+
+fn failure(failure: client::Failure) -> Failure {
+    match failure {
+        client::Failure::NotAccepted { reason } => Failure::NotAccepted { reason },
+        client::Failure::Unknown { reason } => Failure::Unknown { reason },
+    }
+}
--- /dev/null
+++ b/crates/daisydrum/tests/replicas.rs
@@ -0,0 +1,108 @@
+//! Replicas of a log in real daemons: kills, restarts, lost disks and damaged files.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+#[path = "support/replicas.rs"]
+mod replicas;
+
+use std::fs;
+
+use consensus::status::Status;
+use replicas::Cluster;
+use standin::harness::wait;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_leader_is_replaced_and_nothing_accepted_is_lost() {
+    let mut cluster = Cluster::start("kill", 3).await;
+    let mut accepted = cluster.claim_all(0, 100).await;
+    assert_eq!(accepted.len(), 100);
+    let leader = cluster.leader().await;
+    cluster.daemons[leader].kill();
+    accepted.extend(cluster.claim_all(100, 200).await);
+    cluster.daemons[leader].restart();
+    accepted.extend(cluster.claim_all(200, 300).await);
+    assert!(accepted.len() >= 200, "{}", accepted.len());
+    assert_eq!(cluster.missing(&accepted).await, Vec::<u64>::new());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_replica_that_missed_many_changes_catches_up_by_snapshot() {
+    let mut cluster = Cluster::start("restart", 3).await;
+    let absent = (cluster.leader().await + 1) % 3;
+    cluster.daemons[absent].kill();
+    let mut accepted = Vec::new();
+    for first in (0..3_000).step_by(500) {
+        accepted.extend(cluster.claim_all(first, first + 500).await);
+    }
+    assert_eq!(accepted.len(), 3_000);
+    cluster.daemons[absent].restart();
+    let end = cluster.statuses().await.iter().flatten().map(|status| status.commit).max().unwrap();
+    wait::until("the replica has caught up", async || {
+        cluster.statuses().await[absent].as_ref().is_some_and(|status| status.commit >= end)
+    })
+    .await;
+    let names = fs::read_dir(cluster.replica_folder(absent)).unwrap();
+    let mut names = names.map(|entry| entry.unwrap().file_name().into_string().unwrap());
+    assert!(names.any(|name| name.starts_with("snapshot-")));
+    let other = (0..3).find(|number| *number != absent).unwrap();
+    cluster.daemons[other].kill();
+    assert_eq!(cluster.missing(&accepted[2_900..]).await, Vec::<u64>::new());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_wiped_replica_is_replaced_and_another_may_be_lost_at_once() {
+    let mut cluster = Cluster::start("wipe", 3).await;
+    let accepted = cluster.claim_all(0, 300).await;
+    let leader = cluster.leader().await;
+    let wiped = (leader + 1) % 3;
+    let old = cluster.statuses().await[wiped].as_ref().unwrap().id;
+    cluster.wipe(wiped);
+    cluster.daemons[wiped].restart();
+    let repaired = |status: &Status| {
+        let config = &status.config;
+        status.settled && config.voters().count() == 3 && config.member(old).is_none()
+    };
+    cluster.until("the repair is finished", repaired).await;
+    let leader = cluster.leader().await;
+    cluster.daemons[leader].kill();
+    let more = cluster.claim_all(300, 400).await;
+    assert_eq!(cluster.missing(&accepted).await, Vec::<u64>::new());
+    assert_eq!(cluster.missing(&more).await, Vec::<u64>::new());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_damaged_log_is_refused_and_a_torn_write_is_cut_off() {
+    let mut cluster = Cluster::start("damage", 3).await;
+    let accepted = cluster.claim_all(0, 100).await;
+    let damaged = (cluster.leader().await + 1) % 3;
+    cluster.daemons[damaged].kill();
+    let names = fs::read_dir(cluster.replica_folder(damaged)).unwrap();
+    let segments = names.map(|entry| entry.unwrap().path());
+    let segment = segments
+        .filter(|path| path.file_name().unwrap().to_string_lossy().starts_with("segment-"))
+        .max()
+        .unwrap();
+    let sound = fs::read(&segment).unwrap();
+
+    let mut torn = sound.clone();
+    torn.extend_from_slice(&[1, 2, 3, 4, 5]);
+    fs::write(&segment, &torn).unwrap();
+    cluster.daemons[damaged].restart();
+    wait::until("the replica is back", async || cluster.statuses().await[damaged].is_some()).await;
+    cluster.daemons[damaged].kill();
+
+    let mut flipped = sound;
+    let middle = flipped.len() / 2;
+    flipped[middle] ^= 1;
+    fs::write(&segment, &flipped).unwrap();
+    cluster.daemons[damaged].restart();
+    let mut ended = false;
+    wait::until("the daemon has refused to start", async || {
+        ended = ended || cluster.daemons[damaged].has_ended();
+        ended
+    })
+    .await;
+    let log = cluster.daemons[damaged].log();
+    assert!(log.contains("is damaged at byte"), "{log}");
+    assert_eq!(cluster.missing(&accepted).await, Vec::<u64>::new());
+}
--- /dev/null
+++ b/crates/daisydrum/tests/support/replicas.rs
@@ -0,0 +1,152 @@
+//! Real daemons that keep replicas of one branch's log, and a client of that log.
+
+use std::{fs, path::PathBuf, sync::Arc, time::Duration};
+
+use common::name;
+use consensus::status::{Role, Status};
+use control::{claim, command::Command, query, reply::Reply};
+use replica::{
+    client::{Client, Failure},
+    host::Host,
+    outbox,
+};
+use settings::instance;
+use standin::harness::{
+    daemon::{self, Daemon},
+    folder::Folder,
+    wait,
+};
+use wire::{link::Link, log};
+
+const BRANCH: &str = "inkleaf";
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Daemons with a replica each.
+pub struct Cluster {
+    pub daemons: Vec<Daemon>,
+    pub client: Client,
+    folder: Folder,
+}
+
+impl Cluster {
+    /// Starts as many daemons and waits until one leads.
+    pub async fn start(name: &str, count: usize) -> Cluster {
+        let folder = Folder::new(name);
+        let mut settings: Vec<instance::Instance> = (0..count)
+            .map(|number| {
+                let name = format!("i{number}");
+                let mut settings = daemon::settings(&name, "sapporo-a", folder.path());
+                settings.tree = None;
+                settings.data_folder = Some(folder.path().join(&name).display().to_string());
+                let start = instance::Start::Founder;
+                settings.replicas = vec![instance::Replica { branch: BRANCH.to_owned(), start }];
+                settings
+            })
+            .collect();
+        daemon::connect(&mut settings);
+        let peers = settings.iter().map(peer).collect();
+        let client = Client::new(name::Instance::from("test"), Host::default(), peers);
+        let binary = PathBuf::from(env!("CARGO_BIN_EXE_daisydrum"));
+        let start = |settings| Daemon::start(&binary, folder.path(), settings);
+        let daemons = settings.into_iter().map(start).collect();
+        let cluster = Cluster { daemons, client, folder };
+        cluster.until("a replica leads", |status| status.role == Role::Leader).await;
+        cluster
+    }
+
+    /// Waits until any replica's status satisfies `holds`.
+    pub async fn until(&self, what: &str, holds: impl Fn(&Status) -> bool) {
+        wait::until(what, async || self.statuses().await.iter().flatten().any(&holds)).await;
+    }
+
+    /// The replicas' own accounts, by daemon; nothing from those that don't answer.
+    pub async fn statuses(&self) -> Vec<Option<Status>> {
+        let mut statuses = Vec::new();
+        for daemon in &self.daemons {
+            let answer = daemon.get(log::REPLICAS_PATH).await;
+            let replicas: Vec<log::Replica> =
+                answer.and_then(|answer| answer.json().ok()).unwrap_or_default();
+            let own =
+                replicas.into_iter().find(|replica| replica.place.0 == daemon.settings().name);
+            statuses.push(own.and_then(|replica| replica.status));
+        }
+        statuses
+    }
+
+    /// Number of the daemon whose replica leads.
+    pub async fn leader(&self) -> usize {
+        self.until("a replica leads", |status| status.role == Role::Leader).await;
+        let statuses = self.statuses().await;
+        let leader = statuses.iter().flatten().filter(|status| status.role == Role::Leader);
+        let leader = leader.max_by_key(|status| status.term).unwrap().id;
+        statuses
+            .iter()
+            .position(|status| status.as_ref().is_some_and(|own| own.id == leader))
+            .unwrap()
+    }
+
+    /// Folder of a daemon's replica.
+    pub fn replica_folder(&self, number: usize) -> PathBuf {
+        self.folder.path().join(format!("i{number}")).join("replicas").join(BRANCH)
+    }
+
+    /// Kills a daemon and removes its data folder.
+    pub fn wipe(&mut self, number: usize) {
+        self.daemons[number].kill();
+        fs::remove_dir_all(self.folder.path().join(format!("i{number}"))).unwrap();
+    }
+
+    /// Claims a key; a resend is the same command.
+    pub async fn claim(&self, key: u64) -> Result<Reply, Failure> {
+        let begin = claim::Begin {
+            key: claim_key(key),
+            digest: claim::Digest::default(),
+            claimant: name::Instance::from("test"),
+            attempt: format!("attempt-{key}"),
+            deadline_ms: 3_600_000,
+            retention_ms: 3_600_000,
+        };
+        self.client.submit(&branch(), &Command::Claim(begin), LIMIT).await
+    }
+
+    /// Claims the keys `first..end` at once and returns those that were accepted.
+    pub async fn claim_all(&self, first: u64, end: u64) -> Vec<u64> {
+        let claims =
+            (first..end).map(|key| async move { self.claim(key).await.is_ok().then_some(key) });
+        futures::future::join_all(claims).await.into_iter().flatten().collect()
+    }
+
+    /// Keys among `keys` that the log doesn't know.
+    pub async fn missing(&self, keys: &[u64]) -> Vec<u64> {
+        let mut missing = Vec::new();
+        for key in keys {
+            let question = query::Query::Claim { key: claim_key(*key) };
+            let answer: query::Answer =
+                self.client.query(&branch(), &question, LIMIT).await.unwrap();
+            if !matches!(answer, query::Answer::Claim(Some(_))) {
+                missing.push(*key);
+            }
+        }
+        missing
+    }
+}
+
+fn branch() -> name::Branch {
+    name::Branch::from(BRANCH)
+}
+
+fn claim_key(key: u64) -> claim::Key {
+    claim::Key {
+        service: name::Service::from("inkmind"),
+        organisation: name::Organisation::from("library"),
+        key: key.to_string(),
+    }
+}
+
+fn peer(settings: &instance::Instance) -> outbox::Peer {
+    outbox::Peer {
+        instance: name::Instance(settings.name.clone()),
+        replicas: vec![branch()],
+        link: Arc::new(Link::new(settings.peers_listen)),
+    }
+}
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -151,7 +151,9 @@
                     continue;
                 }
                 Try::Outcome(Outcome::NotLeader { .. }) => reason = String::from("no leader"),
-                Try::Outcome(Outcome::Refused { reason: why } | Outcome::Unknown { reason: why })
+                Try::Outcome(
+                    Outcome::Refused { reason: why } | Outcome::Unknown { reason: why },
+                )
                 | Try::NotSent(why)
                 | Try::Lost(why) => reason = format!("{place}: {why}"),
             }
--- a/crates/replica/src/founding.rs
+++ b/crates/replica/src/founding.rs
@@ -94,7 +94,6 @@
     Answer { place: peer.instance.clone(), standing }
 }
 
-
 /// Asks the other replicas to be taken in, until the log counts this one as a member.
 pub(crate) async fn join(settings: Settings, id: Id, status: Arc<Mutex<Option<Status>>>) {
     let wish = Wish::Join { id, place: settings.place.clone() };
--- a/crates/replica/src/host.rs
+++ b/crates/replica/src/host.rs
@@ -118,9 +118,9 @@
 }
 
 impl Handle {
-    /// Takes messages from another replica; they may be dropped.
-    pub fn receive(&self, envelopes: Vec<Envelope>) {
-        let _dropped = self.inputs.send(Input::Messages(envelopes));
+    /// Takes messages from the replica at `from`; they may be dropped.
+    pub fn receive(&self, from: name::Instance, envelopes: Vec<Envelope>) {
+        let _dropped = self.inputs.send(Input::Messages(from, envelopes));
     }
 
     /// Puts an encoded command into the log, if this replica leads.
@@ -154,9 +154,9 @@
         }
         let (reply, outcome) = oneshot::channel();
         match self.inputs.send(input(reply)) {
-            Ok(()) => outcome
-                .await
-                .unwrap_or_else(|_| Outcome::Unknown { reason: String::from("the replica stopped") }),
+            Ok(()) => outcome.await.unwrap_or_else(|_| Outcome::Unknown {
+                reason: String::from("the replica stopped"),
+            }),
             Err(refusal) => Outcome::Refused { reason: refusal.to_string() },
         }
     }
@@ -223,9 +223,8 @@
             standing: Arc::clone(&self.standing),
         };
         let name = format!("log-{}", self.settings.branch);
-        let thread = thread::Builder::new()
-            .name(name)
-            .spawn(move || self.run(inputs, receiver, status))?;
+        let thread =
+            thread::Builder::new().name(name).spawn(move || self.run(inputs, receiver, status))?;
         Ok(Started { handle, threads: vec![thread] })
     }
 
@@ -239,8 +238,7 @@
             return;
         }
         let settings = self.settings;
-        let outbox =
-            Outbox::start(&settings.branch, &settings.peers, &settings.runtime, &settings.end);
+        let outbox = Outbox::start(&settings);
         let (jobs, queue) = ring::bounded(disk::RING_JOBS);
         let synced = Arc::new(AtomicU64::new(0));
         let writer = Writer {
--- a/crates/replica/src/outbox.rs
+++ b/crates/replica/src/outbox.rs
@@ -1,13 +1,15 @@
 //! Messages to the other replicas: a bounded queue for each, emptied by a task on the peers' runtime.
 
-use std::{sync::Arc, time::Duration};
+use std::{mem, sync::Arc, time::Duration};
 
-use common::{cancel, collections::Map, name};
+use common::{collections::Map, name};
 use consensus::message::Envelope;
 use futures::{StreamExt, stream::FuturesUnordered};
-use tokio::{runtime, sync::mpsc};
+use tokio::sync::mpsc;
 use wire::{link::Link, peer::PeerClient};
 
+use crate::host::Settings;
+
 const QUEUE_MESSAGES: usize = 256;
 const BATCH_MESSAGES: usize = 64;
 const CALLS_UNDER_WAY: usize = 8;
@@ -31,20 +33,20 @@
 }
 
 impl Outbox {
-    /// Starts a task for each peer; they end with `end`.
-    pub(crate) fn start(
-        branch: &name::Branch,
-        peers: &[Peer],
-        runtime: &runtime::Handle,
-        end: &cancel::Token,
-    ) -> Outbox {
+    /// Starts a task for each peer; they end with the settings' token.
+    pub(crate) fn start(settings: &Settings) -> Outbox {
         let mut queues = Map::default();
-        for peer in peers {
+        for peer in &settings.peers {
             let (sender, receiver) = mpsc::channel(QUEUE_MESSAGES);
             queues.insert(peer.instance.clone(), sender);
-            let deliver = deliver(branch.clone(), Arc::clone(&peer.link), receiver);
-            let end = end.clone();
-            runtime.spawn(async move { end.run_until_cancelled(deliver).await });
+            let delivery = Delivery {
+                branch: settings.branch.clone(),
+                from: settings.place.clone(),
+                link: Arc::clone(&peer.link),
+            };
+            let end = settings.end.clone();
+            let run = async move { end.run_until_cancelled(delivery.run(receiver)).await };
+            settings.runtime.spawn(run);
         }
         Outbox { queues: Arc::new(queues) }
     }
@@ -57,25 +59,36 @@
     }
 }
 
-async fn deliver(branch: name::Branch, link: Arc<Link>, mut queue: mpsc::Receiver<Envelope>) {
-    let mut calls = FuturesUnordered::new();
-    let mut batch = Vec::new();
-    loop {
-        tokio::select! {
-            biased;
-            Some(()) = calls.next(), if !calls.is_empty() => {}
-            count = queue.recv_many(&mut batch, BATCH_MESSAGES), if calls.len() < CALLS_UNDER_WAY => {
-                if count == 0 {
-                    return;
+/// The way to one peer.
+struct Delivery {
+    branch: name::Branch,
+    from: name::Instance,
+    link: Arc<Link>,
+}
+
+impl Delivery {
+    async fn run(&self, mut queue: mpsc::Receiver<Envelope>) {
+        let mut calls = FuturesUnordered::new();
+        let mut batch = Vec::new();
+        loop {
+            tokio::select! {
+                biased;
+                Some(()) = calls.next(), if !calls.is_empty() => {}
+                count = queue.recv_many(&mut batch, BATCH_MESSAGES), if calls.len() < CALLS_UNDER_WAY => {
+                    if count == 0 {
+                        return;
+                    }
+                    calls.push(self.call(mem::take(&mut batch)));
                 }
-                calls.push(call(&link, branch.clone(), std::mem::take(&mut batch)));
             }
         }
     }
-}
 
-/// Delivers a batch; what is lost is sent again by the leader.
-async fn call(link: &Link, branch: name::Branch, batch: Vec<Envelope>) {
-    let call = async |client: &PeerClient, context| client.log_step(context, branch, batch).await;
-    let _lost = link.call(CALL_LIMIT, call).await;
+    /// Delivers a batch; what is lost is sent again by the leader.
+    async fn call(&self, batch: Vec<Envelope>) {
+        let call = async |client: &PeerClient, context| {
+            client.log_step(context, self.branch.clone(), self.from.clone(), batch).await
+        };
+        let _lost = self.link.call(CALL_LIMIT, call).await;
+    }
 }
--- a/crates/replica/src/pending.rs
+++ b/crates/replica/src/pending.rs
@@ -97,7 +97,9 @@
             Refusal::NotLeader { leader } => {
                 Outcome::NotLeader { leader: leader.map(|member| member.place) }
             }
-            Refusal::Busy | Refusal::Impossible(_) => Outcome::Refused { reason: refusal.to_string() },
+            Refusal::Busy | Refusal::Impossible(_) => {
+                Outcome::Refused { reason: refusal.to_string() }
+            }
         };
         for question in self.readable(ticket) {
             answer(question.reply, outcome.clone());
@@ -114,5 +116,7 @@
 }
 
 fn overwritten() -> Outcome {
-    Outcome::Refused { reason: String::from("another leader's entry stands in the command's place") }
+    Outcome::Refused {
+        reason: String::from("another leader's entry stands in the command's place"),
+    }
 }
--- a/crates/replica/src/worker.rs
+++ b/crates/replica/src/worker.rs
@@ -35,15 +35,16 @@
 const TICK: Duration = Duration::from_millis(20);
 const BATCH_INPUTS: usize = 512;
 const MAX_PENDING: usize = 4_096;
-/// Entries applied after which the state is encoded into a snapshot.
-const SNAPSHOT_ENTRIES: u64 = 4_096;
+/// Entries between two snapshots, at least.
+const SNAPSHOT_ENTRIES: u64 = 256;
 
 /// What a worker takes in.
 #[derive(Debug)]
 pub(crate) enum Input {
     /// Something is durable.
     Wake,
-    Messages(Vec<Envelope>),
+    /// Messages from the replica at a place.
+    Messages(name::Instance, Vec<Envelope>),
     Submit(Vec<u8>, Reply),
     Query(Question),
     Members(Wish, Reply),
@@ -77,6 +78,10 @@
     seen_synced: u64,
     /// Index of the last snapshot.
     snapshot: u64,
+    /// Size of the last snapshot.
+    snapshot_bytes: usize,
+    /// Size of the entries applied since.
+    applied_bytes: usize,
     leads: bool,
     stopped: bool,
 }
@@ -116,7 +121,7 @@
         for input in inputs {
             match input {
                 Input::Wake => {}
-                Input::Messages(envelopes) => self.receive(envelopes),
+                Input::Messages(from, envelopes) => self.receive(&from, envelopes),
                 Input::Submit(command, reply) => proposals.extend(self.admit(command, reply)),
                 Input::Query(question) => questions.push(question),
                 Input::Members(wish, reply) => self.change_members(wish, reply),
@@ -131,8 +136,11 @@
         }
     }
 
-    fn receive(&mut self, envelopes: Vec<Envelope>) {
+    fn receive(&mut self, from: &name::Instance, envelopes: Vec<Envelope>) {
         for envelope in envelopes {
+            if self.state.places.get(&envelope.from) != Some(from) {
+                self.state.places.insert(envelope.from, from.clone());
+            }
             // The sender repeats what is lost, and a disk that is behind must not be given more.
             if self.jobs.depth() < disk::RING_JOBS / 2 {
                 self.step(Event::Receive(envelope));
@@ -212,6 +220,7 @@
     fn apply(&mut self, entries: &[Entry]) {
         for entry in entries {
             self.applied = entry.position.index;
+            self.state.applied_bytes += entry.bytes();
             let caller = self.state.pending.applied(entry.position);
             match &entry.payload {
                 Payload::Empty => {}
@@ -219,14 +228,14 @@
                 Payload::Config(config) => self.note_config(config, caller),
             }
         }
-        if self.applied >= self.state.snapshot + SNAPSHOT_ENTRIES {
+        if self.is_snapshot_due() {
             self.take_snapshot();
         }
     }
 
     fn apply_command(&mut self, position: Position, command: &[u8], caller: Option<Reply>) {
-        let command: M::Command =
-            codec::decode(command).expect("invariant: commands are decoded before they are proposed");
+        let command: M::Command = codec::decode(command)
+            .expect("invariant: commands are decoded before they are proposed");
         let reply = self.machine.apply(position.index, &command);
         if let Some(caller) = caller {
             pending::answer(caller, Outcome::Done(codec::encode(&reply)));
@@ -246,6 +255,12 @@
         }
     }
 
+    /// A snapshot is due once the entries since the last one are as large, so its cost for an entry is bounded.
+    fn is_snapshot_due(&self) -> bool {
+        self.applied >= self.state.snapshot + SNAPSHOT_ENTRIES
+            && self.state.applied_bytes >= self.state.snapshot_bytes
+    }
+
     fn take_snapshot(&mut self) {
         let Some(term) = self.node.term_at(self.applied) else {
             return;
@@ -255,16 +270,22 @@
             config: self.node.config_at(self.applied),
             data: Arc::new(self.machine.encode()),
         };
-        self.state.snapshot = self.applied;
+        self.note_snapshot(snapshot.data.len());
         self.step(Event::Compact(snapshot));
     }
 
+    fn note_snapshot(&mut self, bytes: usize) {
+        self.state.snapshot = self.applied;
+        self.state.snapshot_bytes = bytes;
+        self.state.applied_bytes = 0;
+    }
+
     fn restore(&mut self, snapshot: &Snapshot) {
         match M::decode(&snapshot.data) {
             Ok(machine) => {
                 self.machine = machine;
                 self.applied = snapshot.last.index;
-                self.state.snapshot = self.applied;
+                self.note_snapshot(snapshot.data.len());
                 self.state.pending.passed_over(self.applied);
                 self.learn_places();
             }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -49,8 +49,8 @@
     /// Returns the versions in force.
     async fn in_force() -> Vec<spread::Have>;
 
-    /// Hands messages to the callee's replica of a branch's log; they may be lost.
-    async fn log_step(branch: name::Branch, envelopes: Vec<Envelope>);
+    /// Hands messages from the replica at `from` to the callee's replica of a branch's log; they may be lost.
+    async fn log_step(branch: name::Branch, from: name::Instance, envelopes: Vec<Envelope>);
 
     /// Puts an encoded command into a branch's log, if the callee leads it.
     async fn submit(branch: name::Branch, command: Vec<u8>) -> log::Outcome;
