--- a/crates/daisydrum/src/duty/members.rs
+++ b/crates/daisydrum/src/duty/members.rs
@@ -5,9 +5,9 @@
 use common::name;
 use futures::future;
 use oxhttp::model::{Body, Method, Request, Response, StatusCode};
-use replica::{client::Failure, host::Host};
+use replica::host::Host;
 use wire::{
-    log::{self, Replacement},
+    log::{self, Failure, Replacement},
     peer::PeerClient,
 };
 
--- a/crates/daisydrum/src/logs.rs
+++ b/crates/daisydrum/src/logs.rs
@@ -8,7 +8,7 @@
     query::{Answer, Query},
     reply::Reply,
 };
-use replica::client::{self, Client};
+use replica::client::Client;
 use spread::authority::{Authority, Failure};
 
 /// The replicated logs as this instance reaches them.
@@ -29,9 +29,7 @@
     ) -> Result<Reply, Failure> {
         match self {
             Logs::Absent => Err(absent()),
-            Logs::Replicated(client) => {
-                client.submit(branch, &command, limit).await.map_err(failure)
-            }
+            Logs::Replicated(client) => client.submit(branch, &command, limit).await,
         }
     }
 
@@ -43,7 +41,7 @@
     ) -> Result<Answer, Failure> {
         match self {
             Logs::Absent => Err(absent()),
-            Logs::Replicated(client) => client.query(branch, &query, limit).await.map_err(failure),
+            Logs::Replicated(client) => client.query(branch, &query, limit).await,
         }
     }
 }
@@ -51,10 +49,3 @@
 fn absent() -> Failure {
     Failure::NotAccepted { reason: String::from("no instance keeps a replicated log") }
 }
-
-fn failure(failure: client::Failure) -> Failure {
-    match failure {
-        client::Failure::NotAccepted { reason } => Failure::NotAccepted { reason },
-        client::Failure::Unknown { reason } => Failure::Unknown { reason },
-    }
-}
--- a/crates/daisydrum/tests/support/replicas.rs
+++ b/crates/daisydrum/tests/support/replicas.rs
@@ -5,18 +5,17 @@
 use common::name;
 use consensus::status::{Role, Status};
 use control::{claim, command::Command, query, reply::Reply};
-use replica::{
-    client::{Client, Failure},
-    host::Host,
-    outbox,
-};
+use replica::{client::Client, host::Host, outbox};
 use settings::instance;
 use standin::harness::{
     daemon::{self, Daemon},
     folder::Folder,
     wait,
 };
-use wire::{link::Link, log};
+use wire::{
+    link::Link,
+    log::{self, Failure},
+};
 
 const BRANCH: &str = "inkleaf";
 const LIMIT: Duration = Duration::from_secs(10);
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -6,11 +6,10 @@
 };
 
 use common::{collections::Map, name};
-use derive_more::{Display, Error};
 use serde::{Serialize, de::DeserializeOwned};
 use wire::{
     link,
-    log::{Outcome, Wish},
+    log::{Failure, Outcome, Wish},
     peer::PeerClient,
 };
 
@@ -23,23 +22,6 @@
 /// Longest time for one try of a question, which may be asked elsewhere afterwards.
 const QUERY_LIMIT: Duration = Duration::from_secs(1);
 
-/// Why a command or question got no answer.
-#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
-pub enum Failure {
-    /// The command certainly isn't in the log.
-    #[display("not accepted: {reason}")]
-    NotAccepted {
-        /// Why.
-        reason: String,
-    },
-    /// The command may be in the log.
-    #[display("outcome unknown: {reason}")]
-    Unknown {
-        /// Why.
-        reason: String,
-    },
-}
-
 /// Reaches the replicated logs from any instance; clones share the connections.
 #[derive(Clone, Debug)]
 pub struct Client {
--- a/crates/spread/src/authority.rs
+++ b/crates/spread/src/authority.rs
@@ -13,24 +13,8 @@
     reply::Reply,
     state::State,
 };
-use derive_more::{Display, Error};
 
-/// Why a command or question got no answer.
-#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
-pub enum Failure {
-    /// The command is certainly not in the log, and the question was not answered.
-    #[display("not accepted: {reason}")]
-    NotAccepted {
-        /// Why.
-        reason: String,
-    },
-    /// The command may be in the log; ask again with the same request id.
-    #[display("outcome unknown: {reason}")]
-    Unknown {
-        /// Why.
-        reason: String,
-    },
-}
+pub use wire::log::Failure;
 
 /// The replicated logs, as an instance reaches them.
 pub trait Authority: Clone + Send + Sync + 'static {
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -5,6 +5,7 @@
     member::{Config, Id},
     status::Status,
 };
+use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
 /// How a replica stands to its log.
@@ -42,6 +43,23 @@
     },
 }
 
+/// Why a command or question got no answer.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum Failure {
+    /// The command is certainly not in the log, and the question was not answered.
+    #[display("not accepted: {reason}")]
+    NotAccepted {
+        /// Why.
+        reason: String,
+    },
+    /// The command may be in the log; ask again with the same request id.
+    #[display("outcome unknown: {reason}")]
+    Unknown {
+        /// Why.
+        reason: String,
+    },
+}
+
 /// A wish about the members of a log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Wish {
