Retries avoid all targets that failed the request

Cause: a stream whose second engine died was sent back to the first one, which was dead, and was cut. Change: a request remembers up to four targets that failed it; they come last.

--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -173,18 +173,22 @@
 
 /// Chooses the target with the earliest expected first token among a random sample, the holders of the
 /// longest prefix and the prefix's rendezvous target; other data centres only join when none here is free.
+/// Targets to `avoid` are those that have failed the request before; they come last.
 pub fn choose(
     pool: &Pool,
     request: &Request,
-    avoid: Option<Target>,
+    avoid: &[Target],
     view: View<'_>,
     random: &mut Random,
 ) -> Option<Choice> {
-    let near = candidates(pool, request, view, random);
+    let mut near = candidates(pool, request, view, random);
+    if !avoid.is_empty() {
+        near.extend(pool.free.sample(SAMPLE * avoid.len(), random).map(Candidate::from));
+    }
     best(near, request, avoid, view).or_else(|| spill(pool, request, avoid, view, random)).or_else(
         || {
-            let last = avoid.filter(|key| pool.free.contains(*key))?;
-            best(vec![Candidate::from(last)], request, None, view)
+            let free = avoid.iter().filter(|key| pool.free.contains(**key));
+            best(free.map(|key| Candidate::from(*key)).collect(), request, &[], view)
         },
     )
 }
@@ -193,7 +197,7 @@
 fn spill(
     pool: &Pool,
     request: &Request,
-    avoid: Option<Target>,
+    avoid: &[Target],
     view: View<'_>,
     random: &mut Random,
 ) -> Option<Choice> {
@@ -235,12 +239,12 @@
 fn best(
     found: Vec<Candidate>,
     request: &Request,
-    avoid: Option<Target>,
+    avoid: &[Target],
     view: View<'_>,
 ) -> Option<Choice> {
     found
         .into_iter()
-        .filter(|candidate| Some(candidate.key) != avoid)
+        .filter(|candidate| !avoid.contains(&candidate.key))
         .filter_map(|candidate| weigh(candidate, request, view))
         .min_by(|a, b| a.first_token_ms.total_cmp(&b.first_token_ms))
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -102,7 +102,8 @@
     failures: u32,
     /// Calls that targets refused.
     refusals: u32,
-    last: Option<request::Target>,
+    /// Targets that have failed it.
+    avoid: Vec<request::Target>,
     run: Run,
     /// Whether the caller holds a part of the answer.
     begun: bool,
--- a/crates/route/src/router/attempt.rs
+++ b/crates/route/src/router/attempt.rs
@@ -9,6 +9,9 @@
     retry,
 };
 
+/// Targets that one request remembers to avoid.
+const MAX_AVOIDED: usize = 4;
+
 impl Router {
     /// Takes in what became of an attempt; a report on any but the last attempt is dropped.
     pub fn report(&mut self, ticket: Ticket, attempt: u32, event: Event, now: Moment) {
@@ -19,7 +22,6 @@
         let State::Running(running) = record.state else {
             return;
         };
-        self.requests[ticket].last = Some(running.target);
         self.judge(running.target, event, now);
         match event {
             Event::Started => self.start(ticket, running, now),
@@ -29,6 +31,7 @@
                 self.forget(ticket, now);
             }
             Event::Full | Event::Unavailable | Event::Unsent | Event::Broken => {
+                self.requests[ticket].shun(running.target);
                 self.stop_attempt(ticket, now);
                 self.follow(ticket, event, now);
             }
@@ -43,8 +46,8 @@
         let lane = &self.lanes[record.lane];
         let view = pool::View { targets: &self.targets, prefixes: &self.prefixes, now };
         let found = &self.pools[lane.pool];
-        let avoid = record.last;
-        let Some(choice) = pool::choose(found, &record.request, avoid, view, &mut self.random)
+        let Some(choice) =
+            pool::choose(found, &record.request, &record.avoid, view, &mut self.random)
         else {
             return false;
         };
@@ -206,6 +209,17 @@
     }
 }
 
+impl Record {
+    /// Remembers a target that has failed the request, so that others are tried first.
+    fn shun(&mut self, target: request::Target) {
+        self.avoid.retain(|known| *known != target);
+        if self.avoid.len() == MAX_AVOIDED {
+            self.avoid.remove(0);
+        }
+        self.avoid.push(target);
+    }
+}
+
 /// A refusal counts for the pause only; a stream that has begun goes on without the budget's leave.
 fn failure(record: &Record, event: Event) -> retry::Failure {
     let refused = matches!(event, Event::Full | Event::Unavailable);
--- a/crates/route/src/router/wait.rs
+++ b/crates/route/src/router/wait.rs
@@ -36,7 +36,7 @@
             attempt: 0,
             failures: 0,
             refusals: 0,
-            last: None,
+            avoid: Vec::new(),
             run: Run::Not,
             begun: false,
             charged: false,
--- a/crates/route/tests/route/choice.rs
+++ b/crates/route/tests/route/choice.rs
@@ -135,6 +135,24 @@
     assert_eq!(dispatches(&mut router).len(), 1, "no byte was sent, so another target may get it");
 }
 
+#[test]
+fn all_targets_that_failed_a_request_come_last_for_it() {
+    let mut router = router(&["a"]);
+    for target in ["one", "two", "three"] {
+        router.observe(&announcement(target, "a", 4), START);
+    }
+    let first = send(&mut router, request("a"), START);
+    router.report(first.ticket, first.attempt, Event::Broken, after(1));
+    router.tick(after(100));
+    let second = dispatches(&mut router).pop().unwrap();
+    router.report(second.ticket, second.attempt, Event::Broken, after(101));
+    router.tick(after(300));
+    let third = dispatches(&mut router).pop().unwrap();
+    let mut tried = [name(&first), name(&second), name(&third)];
+    tried.sort_unstable();
+    assert_eq!(tried, ["one", "three", "two"]);
+}
+
 #[test]
 fn late_reports_of_an_old_attempt_are_dropped() {
     let mut router = two_targets();
