Membership duty: announcements reach all instances; the request path proved through real daemons

Cause: the platform's balancer gives an announcement to any one instance. Change: a thread with the table, exchanges over wire::peer::Peer::gossip, changes pushed at once; own requests shared as neighbours'. Tests with real daemons of dead engines, silent connections, draining, stopping, bad requests.

--- a/crates/daisydrum/src/daemon.rs
+++ b/crates/daisydrum/src/daemon.rs
@@ -24,7 +24,9 @@
 
 use crate::{
     context::Context,
-    duty::{callers, control, declarations, members, operators, peers, replica, services},
+    duty::{
+        callers, control, declarations, members, membership, operators, peers, replica, services,
+    },
     error::Fault,
     links::Links,
     logs, signal,
@@ -104,10 +106,13 @@
         let replica::Replicas { host, logs, threads } = replica::start(context)?;
         others.extend(threads);
         let spread = start_spread(context, &logs, directory_in_force)?;
+        let (membership, membership_thread) = membership::start(context, router.clone())?;
+        others.push(membership_thread);
         let control = control::Control {
             identity: context.identity.clone(),
             ready: Arc::clone(&ready),
             router: router.clone(),
+            membership: membership.clone(),
             metrics,
             members: members::Members {
                 context: context.clone(),
@@ -123,7 +128,12 @@
         let _listener = control::start(context.settings.control, control)?;
         others.push(peers::start(
             context,
-            peers::Server { identity: context.identity.clone(), replicas: host, spread },
+            peers::Server {
+                identity: context.identity.clone(),
+                replicas: host,
+                spread,
+                membership,
+            },
         )?);
         let server = server::Server {
             instance: context.identity.instance.clone(),
--- a/crates/daisydrum/src/duty.rs
+++ b/crates/daisydrum/src/duty.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod declarations;
 pub mod members;
+pub mod membership;
 pub mod operators;
 pub mod peers;
 pub mod replica;
--- a/crates/daisydrum/src/duty/control.rs
+++ b/crates/daisydrum/src/duty/control.rs
@@ -19,7 +19,7 @@
 use wire::{operator, peer, target};
 
 use crate::{
-    duty::{members::Members, operators::Operators},
+    duty::{members::Members, membership, operators::Operators},
     error::Fault,
     http,
     logs::Logs,
@@ -37,6 +37,8 @@
     pub ready: Arc<AtomicBool>,
     /// The router's thread.
     pub router: router::Handle,
+    /// The table of targets and instances.
+    pub membership: membership::Handle,
     /// The process's metrics.
     pub metrics: metric::Page,
     /// Operators' calls on the replicas.
@@ -117,7 +119,7 @@
             Ok(announcement) => announcement,
             Err(problem) => return http::refuse(StatusCode::BAD_REQUEST, problem),
         };
-        match self.router.send(router::Command::Observe(Box::new(announcement))) {
+        match self.membership.announce(announcement) {
             Ok(()) => http::empty(StatusCode::NO_CONTENT),
             Err(refusal) => {
                 http::refuse(StatusCode::SERVICE_UNAVAILABLE, format!("{refusal}; announce again"))
--- /dev/null
+++ b/crates/daisydrum/src/duty/membership.rs
@@ -0,0 +1,270 @@
+//! The thread that keeps the table of targets and instances, and exchanges it with the other instances.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use common::{cancel, clock, clock::Moment, collections::Map, name, ring};
+use entry::router;
+use membership::{
+    event::{Event, Sum},
+    message::{Message, Origin},
+    table::{News, Seed, Table},
+};
+use route::router::Outstanding;
+use slog::{Logger, info, warn};
+use tokio::{runtime, sync::oneshot, time};
+use wire::{link::Link, target};
+
+use crate::context::Context;
+
+const RING_COMMANDS: usize = 4_096;
+/// Longest wait for a peer's answer.
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+/// Longest wait for the router's own counts.
+const ROUTER_LIMIT: Duration = Duration::from_millis(200);
+
+/// Messages to the thread.
+#[derive(Debug)]
+pub enum Command {
+    /// A target announced itself here.
+    Announce(Box<target::Announcement>),
+    /// A peer sent a message and waits for the answer.
+    Exchange(Vec<u8>, oneshot::Sender<Vec<u8>>),
+    /// A peer answered.
+    Answer(name::Instance, Vec<u8>),
+}
+
+/// Sends commands to the thread.
+#[derive(Clone, Debug)]
+pub struct Handle(ring::Sender<Command>);
+
+impl Handle {
+    /// Takes in an announcement without waiting.
+    ///
+    /// # Errors
+    ///
+    /// Returns the ring's refusal when it is full or the thread has ended.
+    pub fn announce(&self, announcement: target::Announcement) -> Result<(), ring::Refusal> {
+        self.0.send(Command::Announce(Box::new(announcement)))
+    }
+
+    /// Answers a peer's message; empty where the thread is too busy.
+    pub async fn exchange(&self, message: Vec<u8>) -> Vec<u8> {
+        let (reply, answer) = oneshot::channel();
+        if self.0.send(Command::Exchange(message, reply)).is_err() {
+            return Vec::new();
+        }
+        answer.await.unwrap_or_default()
+    }
+}
+
+/// Starts the thread; it ends once `context.end` is cancelled.
+///
+/// # Errors
+///
+/// Returns the operating system's error when the thread can't be started.
+pub fn start(context: &Context, router: router::Handle) -> io::Result<(Handle, JoinHandle<()>)> {
+    let (sender, receiver) = ring::bounded(RING_COMMANDS);
+    let duty = Duty::new(context, router, sender.clone());
+    let end = context.end.clone();
+    let thread = thread::Builder::new()
+        .name(String::from("membership"))
+        .spawn(move || duty.run(&receiver, &end))?;
+    Ok((Handle(sender), thread))
+}
+
+struct Duty {
+    table: Table,
+    links: Map<name::Instance, Arc<Link>>,
+    router: router::Handle,
+    neighbours: Map<name::Target, u32>,
+    instances: u32,
+    commands: ring::Sender<Command>,
+    runtime: runtime::Handle,
+    log: Logger,
+}
+
+impl Duty {
+    fn new(context: &Context, router: router::Handle, commands: ring::Sender<Command>) -> Duty {
+        let incarnation = clock::unix_ms();
+        let origin = origin(context, context.settings.callers, incarnation);
+        let seeds: Vec<Seed> = context
+            .peers
+            .iter()
+            .map(|peer| Seed {
+                instance: peer.instance.clone(),
+                data_centre: peer.data_centre.clone(),
+            })
+            .collect();
+        let links =
+            context.peers.iter().map(|peer| (peer.instance.clone(), Arc::clone(&peer.link)));
+        Duty {
+            table: Table::new(origin, &seeds, incarnation, Moment::now()),
+            links: links.collect(),
+            router,
+            neighbours: Map::default(),
+            instances: 0,
+            commands,
+            runtime: context.runtime.clone(),
+            log: context.log.clone(),
+        }
+    }
+
+    fn run(mut self, commands: &ring::Receiver<Command>, end: &cancel::Token) {
+        let mut next = Moment::now();
+        while !end.is_cancelled() {
+            let wait = next.since(Moment::now());
+            if let Ok(command) = commands.recv_timeout(wait) {
+                self.handle(command);
+            }
+            if Moment::now() >= next {
+                self.round();
+                next = Moment::now() + self.table.period();
+            }
+            self.pass_on();
+        }
+    }
+
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Announce(announcement) => self.announce(*announcement),
+            Command::Exchange(bytes, reply) => {
+                let answer = self.answer(&bytes).map(|answer| answer.encode());
+                // A peer that has given up asks again in its next round.
+                let _unsent = reply.send(answer.unwrap_or_default());
+            }
+            Command::Answer(peer, bytes) => {
+                if let Some(last) = self.answer(&bytes).filter(|last| !last.delta.is_empty()) {
+                    self.send(&peer, &last);
+                }
+            }
+        }
+    }
+
+    fn announce(&mut self, announcement: target::Announcement) {
+        let before = self.table.own_version();
+        let now = Moment::now();
+        if self.table.announce(announcement, now) != News::Urgent {
+            return;
+        }
+        let push = self.table.push(before, now);
+        let neighbours: Vec<name::Instance> = self.table.neighbours().cloned().collect();
+        for neighbour in neighbours {
+            self.send(&neighbour, &push);
+        }
+    }
+
+    fn answer(&mut self, bytes: &[u8]) -> Option<Message> {
+        let message = Message::decode(bytes).ok()?;
+        Some(self.table.answer(message, Moment::now()))
+    }
+
+    fn round(&mut self) {
+        if let Some(own) = self.own_requests() {
+            self.table.set_outstanding(own);
+        }
+        self.table.tick(Moment::now());
+        let alive = self.table.alive();
+        if alive != self.instances && self.tell(router::Command::Instances(alive)).is_ok() {
+            self.instances = alive;
+        }
+        let open = self.table.open();
+        for partner in self.table.partners() {
+            self.send(&partner, &open);
+        }
+    }
+
+    /// The router's own counts; `None` while it is too busy to tell.
+    fn own_requests(&self) -> Option<Vec<Sum>> {
+        let (reply, counts) = oneshot::channel();
+        self.tell(router::Command::Outstanding(reply)).ok()?;
+        let counts = self.runtime.block_on(async { time::timeout(ROUTER_LIMIT, counts).await });
+        let counts = counts.ok()?.ok()?.into_iter();
+        Some(counts.map(|own| Sum { target: own.target, requests: own.requests }).collect())
+    }
+
+    /// Sends a message to a peer in the background; its answer comes back as a command.
+    fn send(&self, peer: &name::Instance, message: &Message) {
+        let Some(link) = self.links.get(peer).cloned() else {
+            return;
+        };
+        let (peer, commands) = (peer.clone(), self.commands.clone());
+        let bytes = message.encode();
+        metrics::counter!("daisydrum_membership_sent_bytes_total").increment(bytes.len() as u64);
+        self.runtime.spawn(async move {
+            let call = async |client: &wire::peer::PeerClient, context| {
+                client.gossip(context, bytes).await
+            };
+            let answer = link.call(CALL_LIMIT, call).await.unwrap_or_default();
+            if !answer.is_empty() && commands.send(Command::Answer(peer, answer)).is_err() {
+                metrics::counter!("daisydrum_membership_ring_full_total").increment(1);
+            }
+        });
+    }
+
+    /// Tells the router what the table has learned.
+    fn pass_on(&mut self) {
+        while let Some(event) = self.table.next_event() {
+            match event {
+                Event::Announced(announcement) => {
+                    // The target announces itself again within a second.
+                    let _full = self.tell(router::Command::Observe(announcement));
+                }
+                Event::TargetsLost(targets) => self.lose(targets),
+                Event::InstancesUp(instances) => {
+                    info!(self.log, "instances_up"; "instances" => joined(&instances));
+                }
+                Event::InstancesLost { instances, data_centres } => {
+                    warn!(self.log, "instances_lost"; "instances" => joined(&instances),
+                        "whole_data_centres" => joined(&data_centres));
+                }
+                Event::Neighbours(sums) => self.hear_neighbours(sums),
+                Event::Summary(_) => {}
+            }
+        }
+    }
+
+    fn lose(&mut self, targets: Vec<name::Target>) {
+        info!(self.log, "targets_lost"; "targets" => joined(&targets));
+        for target in targets {
+            self.neighbours.remove(&target);
+            // The router ends the lease by itself, too.
+            let _full = self.tell(router::Command::Depart(target));
+        }
+    }
+
+    fn hear_neighbours(&mut self, sums: Vec<Sum>) {
+        for Sum { target, requests } in sums {
+            let before = self.neighbours.get(&target).copied().unwrap_or_default();
+            if before == 0 && requests == 0 {
+                continue;
+            }
+            let told = Outstanding { target: target.clone(), requests };
+            if self.tell(router::Command::Neighbours(told)).is_ok() {
+                self.neighbours.insert(target, requests);
+            }
+        }
+    }
+
+    fn tell(&self, command: router::Command) -> Result<(), ring::Refusal> {
+        self.router.send(command)
+    }
+}
+
+fn origin(context: &Context, callers: SocketAddr, incarnation: u64) -> Origin {
+    Origin {
+        instance: context.identity.instance.clone(),
+        data_centre: context.identity.data_centre.clone(),
+        incarnation,
+        callers,
+    }
+}
+
+fn joined<T: ToString>(names: &[T]) -> String {
+    names.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
+}
--- a/crates/daisydrum/src/duty/peers.rs
+++ b/crates/daisydrum/src/duty/peers.rs
@@ -28,7 +28,7 @@
     spread::{Have, Update},
 };
 
-use crate::{context::Context, error::Fault};
+use crate::{context::Context, duty::membership, error::Fault};
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -41,6 +41,8 @@
     pub replicas: Host,
     /// The declarations in force here.
     pub spread: Node,
+    /// The table of targets and instances.
+    pub membership: membership::Handle,
 }
 
 impl Peer for Server {
@@ -111,6 +113,10 @@
     async fn replica(self, _context: context::Context, branch: name::Branch) -> Option<Status> {
         self.replicas.replica(&branch).and_then(Handle::status)
     }
+
+    async fn gossip(self, _context: context::Context, message: Vec<u8>) -> Vec<u8> {
+        self.membership.exchange(message).await
+    }
 }
 
 /// Starts to serve peers; the thread ends once `context.end` is cancelled.
--- /dev/null
+++ b/crates/daisydrum/tests/path/main.rs
@@ -0,0 +1,9 @@
+//! The request path through real daemons: streams, silence, leaving, stopping and malformed requests.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod leaving;
+mod malformed;
+mod silence;
+mod site;
+mod streams;
--- /dev/null
+++ b/crates/daisydrum/tests/path/silence.rs
@@ -0,0 +1,74 @@
+//! Connections that go silent without a reset while new ones work.
+
+use common::clock::Moment;
+use standin::{harness::wait, http, proxy::Proxy};
+use tokio::net::TcpListener;
+
+use crate::site::{PROGRESS_MS, Site, Stream, check, completion};
+
+const TOKENS: usize = 200;
+
+/// An address that nothing listens on yet.
+async fn reserve() -> std::net::SocketAddr {
+    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_connection_to_the_engine_goes_silent_goes_on_over_a_new_one() {
+    let site = Site::start(1).await;
+    let listen = reserve().await;
+    let proxy = Proxy::start(listen).await.unwrap();
+    let through = proxy.address();
+    let _engine = site
+        .engine_with("one", |options| {
+            options.listen = listen;
+            options.announced = Some(through);
+        })
+        .await;
+    site.until_targets(1).await;
+    let mut stream = Stream::open(site.daemons[0].callers(), TOKENS).await;
+    stream.read_tokens(5).await;
+    let since = Moment::now();
+    proxy.silence_open();
+    check(&stream.read_all().await, TOKENS);
+    let bound = std::time::Duration::from_millis(PROGRESS_MS * 20);
+    assert!(Moment::now().since(since) < bound, "well within the deadline of two minutes");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_whose_connection_goes_silent_holds_an_engine_until_its_deadline_at_most() {
+    let site = Site::start(1).await;
+    let engine = site.engine("one").await;
+    site.until_targets(1).await;
+    let proxy = Proxy::start(site.daemons[0].callers()).await.unwrap();
+    let mut request = completion(100_000);
+    request.headers_mut().insert("x-daisydrum-deadline-ms", "5000".parse().unwrap());
+    let mut stream = Stream::new(http::open(proxy.address(), request).await.unwrap());
+    stream.read_tokens(3).await;
+    proxy.silence_open();
+    let again = Stream::open(proxy.address(), 5).await;
+    check(&again.read_all().await, 5);
+    wait::until("the engine is idle", async || engine.load().running == 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_goes_silent_for_good_is_left_for_another() {
+    let site = Site::start(1).await;
+    let listen = reserve().await;
+    let proxy = Proxy::start(listen).await.unwrap();
+    let through = proxy.address();
+    let silent = site
+        .engine_with("one", |options| {
+            options.listen = listen;
+            options.announced = Some(through);
+        })
+        .await;
+    site.until_targets(1).await;
+    let mut stream = Stream::open(site.daemons[0].callers(), TOKENS).await;
+    stream.read_tokens(5).await;
+    let _other = site.engine("two").await;
+    site.until_targets(2).await;
+    proxy.silence_open();
+    silent.kill();
+    check(&stream.read_all().await, TOKENS);
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -66,4 +66,8 @@
 
     /// Returns the state of the callee's replica of a branch's log.
     async fn replica(branch: name::Branch) -> Option<Status>;
+
+    /// Takes in a message of the membership table (`membership::message`) and returns the answer, which is
+    /// empty at the end of an exchange.
+    async fn gossip(message: Vec<u8>) -> Vec<u8>;
 }
