Orders over the replicated log, drains that operators want, counters of offered demand

Cause: the duty needs the log's commands, the marks of operators and what callers offer. Change: orders::branch over spread::authority, orders::registry, entry::offered, wire::peer::Counts; the duty of the daemon. The test of origins names changes_at_once instead of goodput_weight, which the sample no longer sets, so that it still shows a partner's value.

--- a/crates/daisydrum/src/daemon.rs
+++ b/crates/daisydrum/src/daemon.rs
@@ -141,6 +141,7 @@
             router,
             protocol: protocol::Native { instance: context.identity.instance.clone() },
             register: claim::Absent,
+            offered: offered.clone(),
             spans,
             log: context.log.clone(),
         };
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -13,6 +13,7 @@
     answer,
     call::Call,
     exchange::{Ending, Exchange},
+    offered,
     output::Output,
     protocol::{self, Protocol},
     router::{self, Update},
@@ -32,6 +33,7 @@
 pub(crate) struct Driver<P> {
     pub(crate) protocol: P,
     pub(crate) router: router::Handle,
+    pub(crate) offered: offered::Meter,
     pub(crate) spans: span::Exporter,
     pub(crate) log: Logger,
     pub(crate) call: Arc<Call>,
@@ -49,6 +51,7 @@
         let arrived = Moment::now();
         while self.step().await == Flow::GoesOn {}
         let owner = &self.call.binding.service.owner;
+        self.offered.answered(owner, self.delivered);
         info!(self.log, "request"; "partner" => %owner.partner, "service" => %owner.service,
             "attempts" => self.attempts, "tokens" => self.delivered,
             "ms" => u64::try_from(Moment::now().since(arrived).as_millis()).unwrap_or(u64::MAX),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod fleet;
 pub mod listener;
+pub mod offered;
 mod output;
 pub mod protocol;
 pub mod request;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -18,6 +18,7 @@
     claim::Register,
     directory::{Binding, Directory},
     driver::Driver,
+    offered,
     output::Output,
     protocol::Protocol,
     request::{authenticate, deadline, parse_completion, read_body, repeat},
@@ -42,6 +43,8 @@
     pub protocol: P,
     /// Keeps claims on calls that may not be repeated.
     pub register: R,
+    /// Counts what callers offer.
+    pub offered: offered::Meter,
     /// Takes ended spans.
     pub spans: span::Exporter,
     /// Takes log lines.
@@ -137,12 +140,15 @@
         span: span::Span,
         gone: cancel::Token,
     ) -> Result<Response<Body>, answer::Fault> {
-        let admitted = self.router.submit(call.request()).await;
+        let request = call.request();
+        self.offered.arrived(&request);
+        let admitted = self.router.submit(request).await;
         let admission = admitted.map_err(|refusal| answer::Fault::Refused { refusal })?;
         let (head, answered) = oneshot::channel();
         let driver = Driver {
             protocol: self.protocol.clone(),
             router: self.router.clone(),
+            offered: self.offered.clone(),
             spans: self.spans.clone(),
             log: self.log.clone(),
             call,
--- a/crates/orders/src/authority.rs
+++ b/crates/orders/src/authority.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use common::name;
 use derive_more::{Display, Error};
 
 use crate::intent::{Ending, Intent, Record};
@@ -39,6 +40,13 @@
     /// Returns why they can't be read.
     fn records(&mut self) -> Result<Vec<Record>, Denial>;
 
+    /// Reads which targets of the data centre operators want drained.
+    ///
+    /// # Errors
+    ///
+    /// Returns why they can't be read.
+    fn drains(&mut self) -> Result<Vec<name::Target>, Denial>;
+
     /// Records an intent.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/orders/src/branch.rs
@@ -0,0 +1,156 @@
+//! The replicated log of the branch that owns a data centre, for the orders' duty.
+
+use std::time::Duration;
+
+use common::name;
+use control::{
+    command::Command,
+    intent::{self, Open, Settle},
+    lease::{self, Grant, Release, Renew, Session},
+    query::{Answer, Query},
+    reply::Reply,
+};
+use spread::authority::{Authority as Log, Failure};
+use tokio::runtime;
+
+use crate::{
+    authority::{Authority, Denial, Opening},
+    intent::{Ending, Intent, Record, Settled},
+};
+
+/// Longest wait for the log.
+const LIMIT: Duration = Duration::from_secs(2);
+
+/// One instance's way to the log of a branch.
+#[derive(Clone, Debug)]
+pub struct Branch<L> {
+    /// The logs.
+    pub log: L,
+    /// The branch that owns the data centre.
+    pub branch: name::Branch,
+    /// The data centre.
+    pub data_centre: name::DataCentre,
+    /// This instance.
+    pub holder: name::Instance,
+    /// Tells this process from others of the instance.
+    pub session: Session,
+    /// Runs the calls.
+    pub runtime: runtime::Handle,
+}
+
+impl<L: Log> Branch<L> {
+    fn submit(&self, command: Command) -> Result<Reply, Denial> {
+        self.runtime.block_on(self.log.submit(&self.branch, command, LIMIT)).map_err(|failure| {
+            match failure {
+                Failure::NotAccepted { .. } | Failure::Unknown { .. } => Denial::Unreachable,
+            }
+        })
+    }
+
+    fn query(&self, query: Query) -> Result<Answer, Denial> {
+        let answer = self.runtime.block_on(self.log.query(&self.branch, query, LIMIT));
+        answer.map_err(|_failure| Denial::Unreachable)
+    }
+
+    fn lease(&self, command: Command) -> Result<u64, Denial> {
+        match self.submit(command)? {
+            Reply::Lease(lease::Reply::Granted { fencing, .. }) => Ok(fencing),
+            Reply::Lease(lease::Reply::Held { wait_ms, .. }) => {
+                Err(Denial::Held { wait: Duration::from_millis(wait_ms) })
+            }
+            Reply::Lease(lease::Reply::Released) => Ok(0),
+            _ => Err(Denial::Lost),
+        }
+    }
+}
+
+impl<L: Log> Authority for Branch<L> {
+    fn grant(&mut self, term: Duration) -> Result<u64, Denial> {
+        self.lease(Command::Grant(Grant {
+            data_centre: self.data_centre.clone(),
+            holder: self.holder.clone(),
+            session: self.session,
+            term_ms: u64::try_from(term.as_millis()).unwrap_or(u64::MAX),
+        }))
+    }
+
+    fn renew(&mut self, fencing: u64) -> Result<(), Denial> {
+        let renew =
+            Renew { data_centre: self.data_centre.clone(), session: self.session, fencing };
+        self.lease(Command::Renew(renew)).map(drop)
+    }
+
+    fn release(&mut self, fencing: u64) -> Result<(), Denial> {
+        let release =
+            Release { data_centre: self.data_centre.clone(), session: self.session, fencing };
+        self.lease(Command::Release(release)).map(drop)
+    }
+
+    fn records(&mut self) -> Result<Vec<Record>, Denial> {
+        let query = Query::Intents { data_centre: self.data_centre.clone() };
+        match self.query(query)? {
+            Answer::Intents(intents) => Ok(intents.into_iter().map(record).collect()),
+            _ => Err(Denial::Unreachable),
+        }
+    }
+
+    fn drains(&mut self) -> Result<Vec<name::Target>, Denial> {
+        let query = Query::Drains { data_centre: self.data_centre.clone() };
+        match self.query(query)? {
+            Answer::Drains(drains) => Ok(drains.into_iter().map(|drain| drain.target).collect()),
+            _ => Err(Denial::Unreachable),
+        }
+    }
+
+    fn open(&mut self, fencing: u64, intent: &Intent) -> Result<Opening, Denial> {
+        let action = serde_json::to_string(&intent.action)
+            .expect("invariant: actions have text keys only");
+        let reply = self.submit(Command::Open(Open {
+            data_centre: self.data_centre.clone(),
+            fencing,
+            target: intent.target.clone(),
+            id: intent.id.clone(),
+            action,
+        }))?;
+        match reply {
+            Reply::Intent(intent::Reply::Opened) => Ok(Opening::Opened),
+            Reply::Intent(intent::Reply::Ended { ending }) => Ok(Opening::Ended(ending)),
+            Reply::Intent(intent::Reply::Full) => Ok(Opening::Full),
+            Reply::Intent(intent::Reply::Busy { open }) => {
+                read(&intent.target, &open).map(Opening::Busy).ok_or(Denial::Unreachable)
+            }
+            _ => Err(Denial::Lost),
+        }
+    }
+
+    fn settle(&mut self, fencing: u64, intent: &Intent, ending: Ending) -> Result<(), Denial> {
+        let reply = self.submit(Command::Settle(Settle {
+            data_centre: self.data_centre.clone(),
+            fencing,
+            target: intent.target.clone(),
+            id: intent.id.clone(),
+            ending,
+        }))?;
+        match reply {
+            Reply::Intent(intent::Reply::Stale) => Err(Denial::Lost),
+            _ => Ok(()),
+        }
+    }
+}
+
+fn record(kept: control::query::Intent) -> Record {
+    let target = kept.target;
+    Record {
+        open: kept.record.open.and_then(|open| read(&target, &open)),
+        last: kept.record.last.and_then(|last| {
+            Some(Settled { intent: read(&target, &last.intent)?, ending: last.ending })
+        }),
+        target,
+    }
+}
+
+/// Reads an intent of the log; `None` for one whose action this version doesn't know.
+fn read(target: &name::Target, kept: &intent::Intent) -> Option<Intent> {
+    let action = serde_json::from_str(&kept.action).ok()?;
+    Some(Intent { id: kept.id.clone(), target: target.clone(), action })
+}
--- a/crates/orders/src/duty.rs
+++ b/crates/orders/src/duty.rs
@@ -31,6 +31,8 @@
 
 /// Wishes that wait for the duty or for another intent to end.
 const WISHES: usize = 4_096;
+/// Pauses between two readings of what operators want drained.
+const DRAINS_EVERY: u32 = 5;
 const COURIERS: usize = 4;
 
 /// Where and how the duty works.
@@ -88,6 +90,7 @@
         tenure: None,
         tenures: 0,
         ask_at: Moment::now(),
+        drains_at: Moment::now(),
         board: board.clone(),
         log,
     };
@@ -109,6 +112,7 @@
     /// Tenures so far.
     tenures: u64,
     ask_at: Moment,
+    drains_at: Moment,
     board: Board,
     log: Logger,
 }
@@ -160,12 +164,24 @@
         }
         tenure.settle(&mut self.authority, &self.board, &self.log)?;
         self.bucket.limit(self.roster.loads());
+        self.read_drains(tenure)?;
         tenure.assert(&mut self.waiting);
         tenure.admit(&mut self.waiting, &mut self.bucket, &mut self.authority, &self.log)?;
         tenure.call(&self.desk.errands, self.options.poll, self.options.gone_after);
         Ok(())
     }
 
+    fn read_drains(&mut self, tenure: &mut Tenure) -> Result<(), Denial> {
+        let now = Moment::now();
+        if now < self.drains_at {
+            return Ok(());
+        }
+        self.drains_at = now + self.options.poll * DRAINS_EVERY;
+        let drains = self.authority.drains()?;
+        tenure.drain(&drains);
+        Ok(())
+    }
+
     fn keep_lease(&mut self) {
         let now = Moment::now();
         match (&self.tenure, self.cell.valid(now)) {
--- a/crates/orders/src/duty/tenure.rs
+++ b/crates/orders/src/duty/tenure.rs
@@ -190,10 +190,27 @@
         self.asserted.insert(target.clone(), state.incarnation);
     }
 
+    /// Wishes for the engines that operators want drained, and for those that they no longer do.
+    pub fn drain(&mut self, wanted: &[name::Target]) {
+        for target in self.engines.keys().filter(|target| !self.jobs.contains_key(*target)) {
+            let last = self.last.get(target).filter(|last| last.ending == Ending::Done);
+            let is_drained = last.is_some_and(|last| last.intent.action == Action::Drain);
+            let action = match (wanted.contains(target), is_drained) {
+                (true, false) => Action::Drain,
+                (false, true) => Action::Undrain,
+                (true, true) | (false, false) => continue,
+            };
+            let reason = String::from("an operator's wish");
+            self.wishes.push(Wish { target: target.clone(), action, reason });
+        }
+    }
+
     /// Puts what engines lack of their intended state before all other wishes.
     pub fn assert(&mut self, waiting: &mut VecDeque<Waiting>) {
         for wish in self.wishes.drain(..) {
-            waiting.push_front(Waiting::new(wish));
+            if !waiting.iter().any(|other| other.is_for(&wish)) {
+                waiting.push_front(Waiting::new(wish));
+            }
         }
     }
 
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod advisor;
 pub mod assertion;
 pub mod authority;
+pub mod branch;
 pub mod bucket;
 pub mod courier;
 pub mod duty;
@@ -14,5 +15,6 @@
 pub mod lease;
 pub mod machine;
 pub mod planner;
+pub mod registry;
 pub mod roster;
 pub mod site;
--- /dev/null
+++ b/crates/orders/src/registry.rs
@@ -0,0 +1,50 @@
+//! The announcements that count now, shared between the thread that hears them and the duties.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use common::{clock::Moment, collections::Map, name};
+use wire::target::Announcement;
+
+/// Announcements by target; clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Registry(Arc<Mutex<Map<name::Target, Heard>>>);
+
+#[derive(Debug)]
+struct Heard {
+    announcement: Announcement,
+    until: Moment,
+}
+
+impl Registry {
+    /// Takes an announcement in, unless a newer one is known.
+    pub fn put(&self, announcement: &Announcement, now: Moment) {
+        let mut targets = self.lock();
+        let order = |other: &Announcement| (other.incarnation, other.sequence);
+        let known = targets.get(&announcement.target);
+        if known.is_some_and(|known| order(&known.announcement) > order(announcement)) {
+            return;
+        }
+        let until = now + Duration::from_millis(announcement.lease_ms);
+        let heard = Heard { announcement: announcement.clone(), until };
+        targets.insert(announcement.target.clone(), heard);
+    }
+
+    /// The announcements of a data centre that count at `now`.
+    pub fn list(&self, data_centre: &name::DataCentre, now: Moment) -> Vec<Announcement> {
+        let mut targets = self.lock();
+        targets.retain(|_, heard| heard.until > now);
+        targets
+            .values()
+            .map(|heard| &heard.announcement)
+            .filter(|announcement| announcement.data_centre == *data_centre)
+            .cloned()
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Map<name::Target, Heard>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/orders/tests/failures.rs
+++ b/crates/orders/tests/failures.rs
@@ -154,11 +154,14 @@
     let engine = site.engine("engine", |options| options.fencing = fencing);
     let client = site.log.client(1);
     let (handle, _token) = site.duty(&client);
-    handle.wishes.send(wish("engine", Action::Drain)).unwrap();
+    site.log.want_drained(&["engine"]);
     until("it drains", || site.log.endings().contains(&(Action::Drain, Ending::Done)));
     engine.kill();
     let restarted = site.engine("engine", |options| options.fencing = fencing);
     until("it drains again", || restarted.state().phase == Phase::Draining);
+    site.log.want_drained(&[]);
+    until("it takes work again", || restarted.state().phase == Phase::Ready);
+    drop(handle);
     site.log.check_one_open();
 }
 
--- a/crates/orders/tests/support/site.rs
+++ b/crates/orders/tests/support/site.rs
@@ -48,6 +48,7 @@
     holder: Option<Holder>,
     records: BTreeMap<name::Target, Record>,
     events: Vec<Event>,
+    drains: Vec<name::Target>,
 }
 
 #[derive(Debug)]
@@ -82,6 +83,10 @@
         self.events().into_iter().filter_map(of).collect()
     }
 
+    pub fn want_drained(&self, targets: &[&str]) {
+        self.lock().drains = targets.iter().map(|name| name::Target::from(*name)).collect();
+    }
+
     pub fn is_free(&self) -> bool {
         self.lock().holder.is_none()
     }
@@ -161,6 +166,10 @@
         Ok(self.reach()?.records.values().cloned().collect())
     }
 
+    fn drains(&mut self) -> Result<Vec<name::Target>, Denial> {
+        Ok(self.reach()?.drains.clone())
+    }
+
     fn open(&mut self, fencing: u64, intent: &Intent) -> Result<Opening, Denial> {
         let mut state = self.held(fencing)?;
         state.index += 1;
--- a/crates/settings/tests/inheritance.rs
+++ b/crates/settings/tests/inheritance.rs
@@ -33,7 +33,7 @@
         "limits.deadline_ms",
         "limits.first_token_ms",
         "limits.progress_ms",
-        "roles.goodput_weight",
+        "roles.changes_at_once",
         "claims.paths",
     ];
     let lines: String = keys
@@ -47,7 +47,7 @@
         limits.deadline_ms = 30000 (service association/services/member-portal.jsonc)
         limits.first_token_ms = 820 (venture venture.jsonc)
         limits.progress_ms = 5000 (default )
-        roles.goodput_weight = 1.0 (default )
+        roles.changes_at_once = 2 (partner association/partner.jsonc)
         claims.paths = ["/certificates"] (service association/services/member-portal.jsonc)
     "#]]
     .assert_eq(&lines);
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -20,6 +20,15 @@
     pub data_centre: name::DataCentre,
 }
 
+/// What callers offered to an instance.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// When the instance's process started, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
+    /// Its counters by service.
+    pub offered: Vec<Offered>,
+}
+
 /// What callers offered to one service at one instance since the instance's start.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Offered {
@@ -70,4 +79,7 @@
     /// Takes in a message of the membership table (`membership::message`) and returns the answer, which is
     /// empty at the end of an exchange.
     async fn gossip(message: Vec<u8>) -> Vec<u8>;
+
+    /// Returns what callers offered to the callee.
+    async fn offered() -> Counts;
 }
