Daemon: orders and roles of its data centre

Cause: the duty of orders ran in tests only. Change: the daemon starts it once a partner's declarations name its data centre; status shows it; peers read counters. Conclusion: without replicated logs no lease is granted, so nothing is ordered.

--- a/crates/daisydrum/src/daemon.rs
+++ b/crates/daisydrum/src/daemon.rs
@@ -10,8 +10,9 @@
     time::Duration,
 };
 
+use ::orders::registry::Registry;
 use common::{clock, name};
-use entry::{claim, directory::Directory, protocol, router, server};
+use entry::{claim, directory::Directory, offered::Meter, protocol, router, server};
 use settings::{check, error::Faults, instance, tree};
 use slog::{Level, info, warn};
 use spread::node;
@@ -25,7 +26,8 @@
 use crate::{
     context::Context,
     duty::{
-        callers, control, declarations, members, membership, operators, peers, replica, services,
+        callers, control, declarations, members, membership, operators, orders, peers, replica,
+        services,
     },
     error::Fault,
     links::Links,
@@ -106,8 +108,15 @@
         let replica::Replicas { host, logs, threads } = replica::start(context)?;
         others.extend(threads);
         let spread = start_spread(context, &logs, directory_in_force)?;
-        let (membership, membership_thread) = membership::start(context, router.clone())?;
+        let registry = Registry::default();
+        let (membership, membership_thread) =
+            membership::start(context, router.clone(), registry.clone())?;
         others.push(membership_thread);
+        let offered = Meter::default();
+        let counter = orders::Counter::new(offered.clone());
+        let sources = orders::Sources { registry, node: spread.clone(), counter: counter.clone() };
+        let (orders, orders_thread) = orders::start(context, logs.clone(), sources)?;
+        others.push(orders_thread);
         let control = control::Control {
             identity: context.identity.clone(),
             ready: Arc::clone(&ready),
@@ -124,6 +133,7 @@
                 authority: logs,
                 spread: spread.clone(),
             },
+            orders,
         };
         let _listener = control::start(context.settings.control, control)?;
         others.push(peers::start(
@@ -133,6 +143,7 @@
                 replicas: host,
                 spread,
                 membership,
+                counter,
             },
         )?);
         let server = server::Server {
@@ -141,7 +152,7 @@
             router,
             protocol: protocol::Native { instance: context.identity.instance.clone() },
             register: claim::Absent,
-            offered: offered.clone(),
+            offered,
             spans,
             log: context.log.clone(),
         };
--- a/crates/daisydrum/src/duty.rs
+++ b/crates/daisydrum/src/duty.rs
@@ -6,6 +6,7 @@
 pub mod members;
 pub mod membership;
 pub mod operators;
+pub mod orders;
 pub mod peers;
 pub mod replica;
 pub mod services;
--- a/crates/daisydrum/src/duty/control.rs
+++ b/crates/daisydrum/src/duty/control.rs
@@ -19,7 +19,7 @@
 use wire::{operator, peer, target};
 
 use crate::{
-    duty::{members::Members, membership, operators::Operators},
+    duty::{members::Members, membership, operators::Operators, orders},
     error::Fault,
     http,
     logs::Logs,
@@ -45,6 +45,8 @@
     pub members: Members,
     /// Operators' calls on the branches.
     pub operators: Operators<Logs>,
+    /// Orders and roles of the data centre.
+    pub orders: orders::Handle,
 }
 
 /// Starts the control listener. It ends with the process, since `oxhttp` can't stop a listener.
@@ -109,7 +111,7 @@
             data_centre: self.identity.data_centre.clone(),
             ready,
             targets,
-            orders: None,
+            orders: self.orders.summary(),
         };
         http::json(StatusCode::OK, &status)
     }
--- a/crates/daisydrum/src/duty/membership.rs
+++ b/crates/daisydrum/src/duty/membership.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use ::orders::registry::Registry;
 use common::{cancel, clock, clock::Moment, collections::Map, name, ring};
 use entry::router;
 use membership::{
@@ -68,9 +69,13 @@
 /// # Errors
 ///
 /// Returns the operating system's error when the thread can't be started.
-pub fn start(context: &Context, router: router::Handle) -> io::Result<(Handle, JoinHandle<()>)> {
+pub fn start(
+    context: &Context,
+    router: router::Handle,
+    registry: Registry,
+) -> io::Result<(Handle, JoinHandle<()>)> {
     let (sender, receiver) = ring::bounded(RING_COMMANDS);
-    let duty = Duty::new(context, router, sender.clone());
+    let duty = Duty::new(context, router, registry, sender.clone());
     let end = context.end.clone();
     let thread = thread::Builder::new()
         .name(String::from("membership"))
@@ -82,6 +87,8 @@
     table: Table,
     links: Map<name::Instance, Arc<Link>>,
     router: router::Handle,
+    /// Takes announcements for orders.
+    registry: Registry,
     neighbours: Map<name::Target, u32>,
     instances: u32,
     commands: ring::Sender<Command>,
@@ -90,7 +97,12 @@
 }
 
 impl Duty {
-    fn new(context: &Context, router: router::Handle, commands: ring::Sender<Command>) -> Duty {
+    fn new(
+        context: &Context,
+        router: router::Handle,
+        registry: Registry,
+        commands: ring::Sender<Command>,
+    ) -> Duty {
         let incarnation = clock::unix_ms();
         let origin = origin(context, context.settings.callers, incarnation);
         let seeds: Vec<Seed> = context
@@ -107,6 +119,7 @@
             table: Table::new(origin, &seeds, incarnation, Moment::now()),
             links: links.collect(),
             router,
+            registry,
             neighbours: Map::default(),
             instances: 0,
             commands,
@@ -212,6 +225,7 @@
         while let Some(event) = self.table.next_event() {
             match event {
                 Event::Announced(announcement) => {
+                    self.registry.put(&announcement, Moment::now());
                     // The target announces itself again within a second.
                     let _full = self.tell(router::Command::Observe(announcement));
                 }
--- a/crates/daisydrum/src/duty/orders.rs
+++ b/crates/daisydrum/src/duty/orders.rs
@@ -52,7 +52,26 @@
     /// The declarations in force.
     pub node: Node,
     /// What callers offer to this instance.
-    pub meter: Meter,
+    pub counter: Counter,
+}
+
+/// What callers offer to this process, for the holder of the data centre's lease.
+#[derive(Clone, Debug)]
+pub struct Counter {
+    started_unix_ms: u64,
+    meter: Meter,
+}
+
+impl Counter {
+    /// Makes the counter of this process.
+    pub fn new(meter: Meter) -> Counter {
+        Counter { started_unix_ms: clock::unix_ms(), meter }
+    }
+
+    /// The counters since the process's start.
+    pub fn read(&self) -> peer::Counts {
+        peer::Counts { started_unix_ms: self.started_unix_ms, offered: self.meter.read() }
+    }
 }
 
 impl Handle {
@@ -63,7 +82,7 @@
     }
 }
 
-/// Starts the thread that waits for the declarations and then runs the duties until `context.end`.
+/// Starts the thread that waits for the declarations and then runs the duties until `context.stop`, so that the lease is given back while the logs still run.
 ///
 /// # Errors
 ///
@@ -90,7 +109,7 @@
 
 /// Waits until a partner's declarations name the data centre; `None` once the process ends.
 fn wait_for_owner(context: &Context, node: &Node) -> Option<name::Branch> {
-    while !context.end.is_cancelled() {
+    while !context.stop.is_cancelled() {
         let view = Arc::clone(&node.watch().borrow());
         if let Some(owner) = owner(&view, &context.identity.data_centre) {
             return Some(owner);
@@ -102,8 +121,10 @@
 
 fn owner(view: &View, data_centre: &name::DataCentre) -> Option<name::Branch> {
     let tree = view.tree();
-    let owner =
-        tree.partners.iter().find(|(_, branch)| branch.partner.data_centres.contains(&data_centre.0));
+    let owner = tree
+        .partners
+        .iter()
+        .find(|(_, branch)| branch.partner.data_centres.contains(&data_centre.0));
     owner.map(|(partner, _)| name::Branch(partner.0.clone()))
 }
 
@@ -114,7 +135,6 @@
     owner: name::Branch,
     shown: &Handle,
 ) -> io::Result<()> {
-    let started_unix_ms = clock::unix_ms();
     let authority = Branch {
         log,
         branch: owner,
@@ -129,16 +149,10 @@
         poll: POLL,
         gone_after: GONE_AFTER,
     };
-    let site = Place {
-        context: context.clone(),
-        sources,
-        started_unix_ms,
-        deployments: Arc::default(),
-    };
-    let (end, log) = (context.end.clone(), context.log.clone());
+    let site = Place { context: context.clone(), sources, deployments: Arc::default() };
+    let (end, log) = (context.stop.clone(), context.log.clone());
     let data_centre = context.identity.data_centre.clone();
-    let duty =
-        duty::start(options, authority, Announced(site.clone()), end.clone(), log.clone())?;
+    let duty = duty::start(options, authority, Announced(site.clone()), end.clone(), log.clone())?;
     let advisor =
         advisor::start(data_centre, site, duty.board.clone(), duty.wishes.clone(), end, log)?;
     let _already = shown.0.set(Shown { board: duty.board, findings: advisor.findings });
@@ -153,7 +167,6 @@
 struct Place {
     context: Context,
     sources: Sources,
-    started_unix_ms: u64,
     deployments: Arc<Mutex<Option<Cached>>>,
 }
 
@@ -180,10 +193,7 @@
     }
 
     fn offered(&self) -> Vec<Counts> {
-        let own = peer::Counts {
-            started_unix_ms: self.started_unix_ms,
-            offered: self.sources.meter.read(),
-        };
+        let own = self.sources.counter.read();
         let mut all = vec![counts(&self.context.identity.instance, own)];
         let here = &self.context.identity.data_centre;
         for peer in self.context.peers.iter().filter(|peer| peer.data_centre == *here) {
--- a/crates/daisydrum/src/duty/peers.rs
+++ b/crates/daisydrum/src/duty/peers.rs
@@ -28,7 +28,11 @@
     spread::{Have, Update},
 };
 
-use crate::{context::Context, duty::membership, error::Fault};
+use crate::{
+    context::Context,
+    duty::{membership, orders::Counter},
+    error::Fault,
+};
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -43,6 +47,8 @@
     pub spread: Node,
     /// The table of targets and instances.
     pub membership: membership::Handle,
+    /// What callers offer to this daemon.
+    pub counter: Counter,
 }
 
 impl Peer for Server {
@@ -117,6 +123,10 @@
     async fn gossip(self, _context: context::Context, message: Vec<u8>) -> Vec<u8> {
         self.membership.exchange(message).await
     }
+
+    async fn offered(self, _context: context::Context) -> peer::Counts {
+        self.counter.read()
+    }
 }
 
 /// Starts to serve peers; the thread ends once `context.end` is cancelled.
--- a/crates/orders/src/branch.rs
+++ b/crates/orders/src/branch.rs
@@ -75,8 +75,7 @@
     }
 
     fn renew(&mut self, fencing: u64) -> Result<(), Denial> {
-        let renew =
-            Renew { data_centre: self.data_centre.clone(), session: self.session, fencing };
+        let renew = Renew { data_centre: self.data_centre.clone(), session: self.session, fencing };
         self.lease(Command::Renew(renew)).map(drop)
     }
 
@@ -103,8 +102,8 @@
     }
 
     fn open(&mut self, fencing: u64, intent: &Intent) -> Result<Opening, Denial> {
-        let action = serde_json::to_string(&intent.action)
-            .expect("invariant: actions have text keys only");
+        let action =
+            serde_json::to_string(&intent.action).expect("invariant: actions have text keys only");
         let reply = self.submit(Command::Open(Open {
             data_centre: self.data_centre.clone(),
             fencing,
