--- a/crates/roles/examples/cost.rs
+++ b/crates/roles/examples/plan_cost.rs
@@ -1,6 +1,6 @@
 //! Measures the time of one plan by number of engines.
 //!
-//! `cargo run --release -p roles --example cost`
+//! `cargo run --release -p roles --example plan_cost`
 
 #![allow(clippy::print_stdout, reason = "an example prints its table")]
 
