Count goodput at the request path

Cause: an operator could not see from a daemon whether answers keep the goals, which is what users measure.

--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -15,6 +15,7 @@
     exchange::{Ending, Exchange},
     offered,
     output::Output,
+    progress::Progress,
     protocol::{self, Protocol},
     router::{self, Update},
 };
@@ -41,7 +42,7 @@
     /// Cancelled when the caller has gone.
     pub(crate) gone: cancel::Token,
     pub(crate) output: Output,
-    pub(crate) delivered: u32,
+    pub(crate) progress: Progress,
     pub(crate) attempts: u32,
 }
 
@@ -51,9 +52,9 @@
         let arrived = Moment::now();
         while self.step().await == Flow::GoesOn {}
         let owner = &self.call.binding.service.owner;
-        self.offered.answered(owner, self.delivered);
+        self.offered.answered(owner, self.progress.delivered);
         info!(self.log, "request"; "partner" => %owner.partner, "service" => %owner.service,
-            "attempts" => self.attempts, "tokens" => self.delivered,
+            "attempts" => self.attempts, "tokens" => self.progress.delivered,
             "ms" => u64::try_from(Moment::now().since(arrived).as_millis()).unwrap_or(u64::MAX),
             "trace" => format!("{:032x}", self.call.span.trace));
         self.spans.end(span);
@@ -91,7 +92,12 @@
         span.set("ending", &format!("{ending:?}"));
         self.spans.end(span);
         match ending {
-            Some(Ending::Event(event)) => self.report(dispatch, event).await,
+            Some(Ending::Event(event)) => {
+                if event == Event::Finished {
+                    self.progress.record(&self.call.binding.service.owner);
+                }
+                self.report(dispatch, event).await
+            }
             Some(Ending::Gone) => self.abandon().await,
             Some(Ending::Cut) => self.report(dispatch, Event::Finished).await,
             None if self.gone.is_cancelled() => self.abandon().await,
@@ -106,7 +112,7 @@
         let attempt = protocol::Attempt {
             span: context,
             model: dispatch.model.clone(),
-            delivered: self.delivered,
+            delivered: self.progress.delivered,
             kv_handle: None,
             relay: dispatch.relay,
         };
@@ -117,7 +123,7 @@
             dispatch,
             attempt,
             output: &mut self.output,
-            delivered: &mut self.delivered,
+            progress: &mut self.progress,
         };
         tokio::select! {
             biased;
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -20,6 +20,7 @@
     call::Call,
     event::{Kind, Splitter},
     output::Output,
+    progress::Progress,
     protocol::{self, Protocol},
     router, transfer,
 };
@@ -47,8 +48,7 @@
     pub(crate) dispatch: &'a Dispatch,
     pub(crate) attempt: protocol::Attempt,
     pub(crate) output: &'a mut Output,
-    /// Tokens that the caller holds.
-    pub(crate) delivered: &'a mut u32,
+    pub(crate) progress: &'a mut Progress,
 }
 
 impl<P: Protocol> Exchange<'_, P> {
@@ -118,7 +118,7 @@
                     return Ending::Gone;
                 }
                 match kind {
-                    Kind::Token => *self.delivered += 1,
+                    Kind::Token => self.progress.count_token(),
                     Kind::Done => return Ending::Event(Event::Finished),
                     Kind::Other => {}
                 }
@@ -169,7 +169,7 @@
     /// Reports the first token and gives the caller the answer's head.
     async fn start(&mut self, head: &response::Parts) {
         let Dispatch { ticket, attempt, .. } = *self.dispatch;
-        if *self.delivered == self.attempt.delivered {
+        if self.progress.delivered == self.attempt.delivered {
             let event = Event::Started;
             self.router.report(router::Report { ticket, attempt, event }).await;
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod listener;
 pub mod offered;
 mod output;
+mod progress;
 pub mod protocol;
 pub mod request;
 pub mod router;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -10,6 +10,7 @@
 use slog::Logger;
 use telemetry::span;
 use tokio::sync::{oneshot, watch};
+use wire::completion;
 
 use crate::{
     answer,
@@ -20,6 +21,7 @@
     driver::Driver,
     offered,
     output::Output,
+    progress::Progress,
     protocol::Protocol,
     request::{authenticate, deadline, parse_completion, read_body, repeat},
     router,
@@ -144,6 +146,8 @@
         self.offered.arrived(&request);
         let admitted = self.router.submit(request).await;
         let admission = admitted.map_err(|refusal| answer::Fault::Refused { refusal })?;
+        let output_tokens = call.completion.as_ref().map_or(0, completion::Request::max_tokens);
+        let progress = Progress::new(&call.binding.service.settings.limits, output_tokens);
         let (head, answered) = oneshot::channel();
         let driver = Driver {
             protocol: self.protocol.clone(),
@@ -155,7 +159,7 @@
             admission,
             gone,
             output: Output::Head(head),
-            delivered: 0,
+            progress,
             attempts: 0,
         };
         tokio::spawn(driver.run(span));
