Tests of settings in real daemons: races, restarts, a partition and a dissolution

Change: three daemons with replicas and one without a disk behind proxies; daisyctl's commands run against them.

--- /dev/null
+++ b/crates/daisydrum/tests/settings.rs
@@ -0,0 +1,187 @@
+//! Accepted settings in real daemons: in force everywhere, through races, restarts, partitions and a dissolution.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+#[path = "support/venture.rs"]
+mod venture;
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
+
+use daisyctl::error;
+use hyper::StatusCode;
+use standin::{harness::wait, proxy::Flow};
+use venture::{BRANCHES, KEY, Venture};
+
+const PORTAL: &str = "association/services/member-portal.jsonc";
+/// Number of the instance without a disk.
+const DISKLESS: usize = 3;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn accepted_settings_reach_all_and_survive_restarts() {
+    let mut venture = Venture::start("settings-restart").await;
+    let tree = venture.tree("tree");
+    venture.apply(0, &tree).await;
+    for number in 0..venture.daemons.len() {
+        venture.daemons[number].until_ready().await;
+        assert_eq!(venture.call(number, KEY).await, Some(StatusCode::OK), "instance {number}");
+    }
+    let first = venture.accepted(0, "association").await.version;
+    venture.apply(1, &tree).await;
+    assert_eq!(venture.accepted(0, "association").await.version, first, "same tree, same version");
+
+    venture.daemons[DISKLESS].kill();
+    for deadline in 30_001..30_011 {
+        tree.edit(PORTAL, &(deadline - 1).to_string(), &deadline.to_string());
+        venture.apply(deadline as usize % 3, &tree).await;
+    }
+    let last = venture.accepted(0, "association").await.version;
+    assert_eq!(last, first + 10);
+    venture.daemons[DISKLESS].restart();
+    venture.daemons[DISKLESS].until_ready().await;
+    let served = venture.in_force(0, DISKLESS, "association").await;
+    assert!(served >= Some(last), "ready with {served:?}, accepted {last}");
+
+    // Alone after a restart, an instance with a disk serves what was in force.
+    for daemon in &mut venture.daemons {
+        daemon.kill();
+    }
+    venture.daemons[0].restart();
+    venture.daemons[0].until_ready().await;
+    assert_eq!(venture.in_force(0, 0, "association").await, Some(last));
+    wait::until("the directory is indexed", async || {
+        venture.call(0, KEY).await == Some(StatusCode::OK)
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn racing_operators_get_one_version_and_resends_the_same_answer() {
+    let venture = Venture::start("settings-race").await;
+    venture.apply(0, &venture.tree("base")).await;
+    let base = venture.accepted(0, "association").await.version;
+    let base_text = base.to_string();
+    let (one, other) = (venture.tree("one"), venture.tree("other"));
+    one.edit(PORTAL, "30000", "31000");
+    other.edit(PORTAL, "30000", "32000");
+    let folders = [&one, &other].map(|tree| tree.0.to_string_lossy().into_owned());
+    let arguments = |which: usize| {
+        let id = ["request-one", "request-other"][which];
+        vec![
+            "apply",
+            folders[which].as_str(),
+            "--branch",
+            "association",
+            "--base",
+            base_text.as_str(),
+            "--request-id",
+            id,
+        ]
+    };
+    let (first, second) = (arguments(0), arguments(1));
+    let (first, second) = tokio::join!(venture.ctl(0, &first), venture.ctl(1, &second));
+    assert!(first.is_ok() != second.is_ok(), "{first:?} {second:?}");
+    let accepted = venture.accepted(2, "association").await;
+    assert_eq!(accepted.version, base + 1);
+    for (which, result) in [(0, &first), (1, &second)] {
+        let again = venture.ctl(2, &arguments(which)).await;
+        assert_eq!(format!("{again:?}"), format!("{result:?}"));
+    }
+    assert_eq!(venture.accepted(2, "association").await, accepted);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_data_centre_that_is_cut_off_serves_on_and_accepts_nothing() {
+    let venture = Venture::start("settings-partition").await;
+    let tree = venture.tree("tree");
+    venture.apply(0, &tree).await;
+    for daemon in &venture.daemons {
+        daemon.until_ready().await;
+    }
+    let base = venture.accepted(0, "association").await.version;
+    venture.cut(2, Flow::Cut);
+    let lost = venture.tree("lost");
+    lost.edit(PORTAL, "30000", "39000");
+    let folder = lost.0.to_string_lossy().into_owned();
+    let refused = venture.ctl(2, &["apply", &folder]).await;
+    assert!(
+        matches!(refused, Err(error::Fault::Refused { .. } | error::Fault::Unknown { .. })),
+        "{refused:?}"
+    );
+    assert_eq!(venture.call(2, KEY).await, Some(StatusCode::OK));
+    tree.edit(PORTAL, "30000", "31000");
+    let folder = tree.0.to_string_lossy().into_owned();
+    wait::until("the majority accepts", async || venture.ctl(0, &["apply", &folder]).await.is_ok())
+        .await;
+    let accepted = venture.accepted(0, "association").await;
+    assert_eq!(accepted.version, base + 1);
+    assert_eq!(venture.call(2, KEY).await, Some(StatusCode::OK), "the cut-off one serves on");
+
+    venture.cut(2, Flow::Pass);
+    for number in 0..venture.daemons.len() {
+        wait::until("the accepted version is in force", async || {
+            venture.in_force(0, number, "association").await == Some(base + 1)
+        })
+        .await;
+    }
+    assert_eq!(venture.accepted(2, "association").await, accepted);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_dissolution_under_load_cuts_nothing() {
+    let venture = Arc::new(Venture::start("settings-dissolve").await);
+    let tree = venture.tree("tree");
+    venture.apply(0, &tree).await;
+    for daemon in &venture.daemons {
+        daemon.until_ready().await;
+    }
+    let (stop, calls) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let load = tokio::spawn({
+        let (venture, stop, calls) = (Arc::clone(&venture), Arc::clone(&stop), Arc::clone(&calls));
+        async move {
+            while !stop.load(Ordering::Relaxed) {
+                let number = usize::try_from(calls.fetch_add(1, Ordering::Relaxed)).unwrap();
+                let status = venture.call(number % venture.daemons.len(), KEY).await;
+                assert_eq!(status, Some(StatusCode::OK), "call {number}");
+            }
+        }
+    });
+    let before = venture.accepted(0, "inkleaf").await;
+    venture.ctl(1, &["dissolve", "--plan", "end", "--execute"]).await.unwrap();
+    let under_load = calls.load(Ordering::Relaxed);
+    assert!(under_load > 0);
+    wait::until("callers are served after it", async || {
+        calls.load(Ordering::Relaxed) > under_load + 20
+    })
+    .await;
+    stop.store(true, Ordering::Relaxed);
+    load.await.unwrap();
+
+    venture
+        .until_summaries(0, |summaries| {
+            let phase = |branch: &str| {
+                let one = summaries.iter().find(|one| one.branch.0 == branch)?;
+                Some(one.summary.as_ref()?.phase.to_string())
+            };
+            let phases: Vec<Option<String>> = BRANCHES.iter().map(|name| phase(name)).collect();
+            let expected = ["closed by end", "detached by end", "detached by end"];
+            phases == expected.map(|phase| Some(String::from(phase)))
+        })
+        .await;
+    let after = venture.accepted(0, "inkleaf").await;
+    assert_eq!(after.version, before.version + 1);
+    assert!(after.content.venture.defaults.is_empty());
+    assert!(!before.content.venture.defaults.is_empty());
+
+    // The venture takes no more changes; a partner on its own does.
+    let folder = tree.0.to_string_lossy().into_owned();
+    tree.edit("venture.jsonc", "120000", "110000");
+    let refused = venture.ctl(0, &["apply", &folder, "--branch", "venture"]).await;
+    assert!(matches!(refused, Err(error::Fault::Refused { .. })), "{refused:?}");
+    let again = venture.ctl(2, &["dissolve", "--plan", "end", "--execute"]).await;
+    assert!(again.is_ok(), "{again:?}");
+    tree.edit(PORTAL, "30000", "31000");
+    venture.ctl(0, &["apply", &folder, "--branch", "association", "--wait"]).await.unwrap();
+}
