--- /dev/null
+++ b/crates/daisydrum/src/claims.rs
@@ -0,0 +1,58 @@
+//! Claims of the request path in the logs of the partners' branches.
+
+use std::time::Duration;
+
+use common::name;
+use control::{claim, command::Command, reply::Reply};
+use entry::claim::{Failure, Register, Settlement};
+use spread::authority::{self, Authority};
+
+use crate::logs::Logs;
+
+/// Keeps claims in the logs of the partners' branches.
+#[derive(Clone, Debug)]
+pub struct Claims {
+    /// The logs.
+    pub logs: Logs,
+}
+
+impl Claims {
+    async fn submit(
+        &self,
+        partner: &name::Partner,
+        command: Command,
+        limit: Duration,
+    ) -> Result<claim::Reply, Failure> {
+        let branch = name::Branch(partner.0.clone());
+        match self.logs.submit(&branch, command, limit).await {
+            Ok(Reply::Claim(reply)) => Ok(reply),
+            Ok(_) | Err(authority::Failure::Unknown { .. }) => Err(Failure::Unknown),
+            Err(authority::Failure::NotAccepted { .. }) => Err(Failure::NotAccepted),
+        }
+    }
+}
+
+impl Register for Claims {
+    async fn begin(
+        &self,
+        partner: &name::Partner,
+        begin: claim::Begin,
+        limit: Duration,
+    ) -> Result<claim::Reply, Failure> {
+        self.submit(partner, Command::Claim(begin), limit).await
+    }
+
+    async fn settle(
+        &self,
+        partner: &name::Partner,
+        settlement: Settlement,
+        limit: Duration,
+    ) -> Result<claim::Reply, Failure> {
+        let command = match settlement {
+            Settlement::Finish(finish) => Command::Finish(finish),
+            Settlement::Abandon(abandon) => Command::Abandon(abandon),
+            Settlement::Lose(lose) => Command::Lose(lose),
+        };
+        self.submit(partner, command, limit).await
+    }
+}
--- a/crates/daisydrum/src/daemon.rs
+++ b/crates/daisydrum/src/daemon.rs
@@ -12,7 +12,7 @@
 
 use ::orders::registry::Registry;
 use common::{clock, name};
-use entry::{claim, directory::Directory, offered::Meter, protocol, router, server};
+use entry::{directory::Directory, offered::Meter, protocol, router, server};
 use settings::{check, error::Faults, instance, tree};
 use slog::{Level, info, warn};
 use spread::node;
@@ -24,6 +24,7 @@
 };
 
 use crate::{
+    claims,
     context::Context,
     duty::{
         callers, control, declarations, members, membership, operators, orders, peers, replica,
@@ -130,7 +131,7 @@
             },
             operators: operators::Operators {
                 context: context.clone(),
-                authority: logs,
+                authority: logs.clone(),
                 spread: spread.clone(),
             },
             orders,
@@ -151,7 +152,7 @@
             directory,
             router,
             protocol: protocol::Native { instance: context.identity.instance.clone() },
-            register: claim::Absent,
+            register: claims::Claims { logs: logs.clone() },
             offered,
             spans,
             log: context.log.clone(),
--- a/crates/daisydrum/src/lib.rs
+++ b/crates/daisydrum/src/lib.rs
@@ -3,6 +3,7 @@
 use std::{path::Path, process::ExitCode};
 
 pub mod arguments;
+pub mod claims;
 pub mod context;
 pub mod daemon;
 pub mod duty;
