Requests spill over to other data centres

Cause: summaries of other data centres were kept in the table, but no daemon sent them and the router knew none; a data centre whose targets were lost refused its callers while others had room. Change: one instance of each data centre exchanges summaries; the router counts other data centres' instances as far targets; requests are handed over with their deadline and, for streams, the tokens already delivered. Conclusion: a data centre without targets serves on, and a stream survives the loss of the one that took it.

--- a/crates/daisydrum/src/duty/membership.rs
+++ b/crates/daisydrum/src/duty/membership.rs
@@ -13,10 +13,10 @@
 use entry::router;
 use membership::{
     event::{Event, Sum},
-    message::{Message, Origin},
+    message::{Capacity, Message, Origin, Summary},
     table::{News, Seed, Table},
 };
-use route::router::Outstanding;
+use route::router::{Outstanding, Owner};
 use slog::{Logger, info, warn};
 use tokio::{runtime, sync::oneshot, time};
 use wire::{link::Link, target};
@@ -26,6 +26,8 @@
 const RING_COMMANDS: usize = 4_096;
 /// Longest wait for a peer's answer.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
+/// Other data centres that summaries are exchanged with in one round.
+const FAR_EXCHANGES: usize = 2;
 /// Longest wait for the router's own counts.
 const ROUTER_LIMIT: Duration = Duration::from_millis(200);
 
@@ -38,6 +40,10 @@
     Exchange(Vec<u8>, oneshot::Sender<Vec<u8>>),
     /// A peer answered.
     Answer(name::Instance, Vec<u8>),
+    /// An instance of another data centre sent its summary and waits for the own one.
+    Summary(Vec<u8>, oneshot::Sender<Vec<u8>>),
+    /// An instance of another data centre answered with its summary.
+    FarAnswer(Vec<u8>),
 }
 
 /// Sends commands to the thread.
@@ -62,6 +68,15 @@
         }
         answer.await.unwrap_or_default()
     }
+
+    /// Takes in another data centre's summary and answers with the own one; empty where the thread is too busy.
+    pub async fn exchange_summary(&self, summary: Vec<u8>) -> Vec<u8> {
+        let (reply, answer) = oneshot::channel();
+        if self.0.send(Command::Summary(summary, reply)).is_err() {
+            return Vec::new();
+        }
+        answer.await.unwrap_or_default()
+    }
 }
 
 /// Starts the thread; it ends once `context.end` is cancelled.
@@ -83,8 +98,26 @@
     Ok((Handle(sender), thread))
 }
 
+/// What another data centre can take, as the router is told.
+fn far(summary: Summary) -> router::Far {
+    let service = |capacity: Capacity| router::Remote {
+        owner: Owner { partner: capacity.partner, service: capacity.service },
+        kind: capacity.kind,
+        models: capacity.models,
+        slots: capacity.slots,
+        load: capacity.load,
+    };
+    router::Far {
+        data_centre: summary.data_centre,
+        addresses: summary.callers,
+        services: summary.services.into_iter().map(service).collect(),
+    }
+}
+
 struct Duty {
     table: Table,
+    /// The other data centre whose turn it is.
+    far_turn: usize,
     links: Map<name::Instance, Arc<Link>>,
     router: router::Handle,
     /// Takes announcements for orders.
@@ -116,6 +149,7 @@
         let links =
             context.peers.iter().map(|peer| (peer.instance.clone(), Arc::clone(&peer.link)));
         Duty {
+            far_turn: 0,
             table: Table::new(origin, &seeds, incarnation, Moment::now()),
             links: links.collect(),
             router,
@@ -151,6 +185,11 @@
                 // A peer that has given up asks again in its next round.
                 let _unsent = reply.send(answer.unwrap_or_default());
             }
+            Command::Summary(bytes, reply) => {
+                self.hear_summary(&bytes);
+                let _unsent = reply.send(self.table.summary(clock::unix_ms()).encode());
+            }
+            Command::FarAnswer(bytes) => self.hear_summary(&bytes),
             Command::Answer(peer, bytes) => {
                 if let Some(last) = self.answer(&bytes).filter(|last| !last.delta.is_empty()) {
                     self.send(&peer, &last);
@@ -190,6 +229,47 @@
         for partner in self.table.partners() {
             self.send(&partner, &open);
         }
+        if self.table.is_envoy() {
+            self.exchange_summaries();
+        }
+    }
+
+    /// Exchanges summaries with a few other data centres, each in its turn.
+    fn exchange_summaries(&mut self) {
+        let mut partners = self.table.far_partners();
+        if partners.is_empty() {
+            return;
+        }
+        let turn = self.far_turn % partners.len();
+        self.far_turn = turn + FAR_EXCHANGES;
+        partners.rotate_left(turn);
+        let summary = self.table.summary(clock::unix_ms()).encode();
+        for partner in partners.iter().take(FAR_EXCHANGES) {
+            self.send_summary(partner, summary.clone());
+        }
+    }
+
+    fn send_summary(&self, partner: &name::Instance, summary: Vec<u8>) {
+        let Some(link) = self.links.get(partner).cloned() else {
+            return;
+        };
+        let commands = self.commands.clone();
+        metrics::counter!("daisydrum_membership_sent_bytes_total").increment(summary.len() as u64);
+        self.runtime.spawn(async move {
+            let call = async |client: &wire::peer::PeerClient, context| {
+                client.summary(context, summary).await
+            };
+            let answer = link.call(CALL_LIMIT, call).await.unwrap_or_default();
+            if !answer.is_empty() && commands.send(Command::FarAnswer(answer)).is_err() {
+                metrics::counter!("daisydrum_membership_ring_full_total").increment(1);
+            }
+        });
+    }
+
+    fn hear_summary(&mut self, bytes: &[u8]) {
+        if let Ok(summary) = Summary::decode(bytes) {
+            self.table.hear_summary(summary, Moment::now());
+        }
     }
 
     /// The router's own counts; `None` while it is too busy to tell.
@@ -238,7 +318,10 @@
                         "whole_data_centres" => joined(&data_centres));
                 }
                 Event::Neighbours(sums) => self.hear_neighbours(sums),
-                Event::Summary(_) => {}
+                Event::Summary(summary) => {
+                    // The next summary follows within seconds.
+                    let _full = self.tell(router::Command::Far(Box::new(far(summary))));
+                }
             }
         }
     }
--- a/crates/daisydrum/src/duty/peers.rs
+++ b/crates/daisydrum/src/duty/peers.rs
@@ -124,6 +124,10 @@
         self.membership.exchange(message).await
     }
 
+    async fn summary(self, _context: context::Context, summary: Vec<u8>) -> Vec<u8> {
+        self.membership.exchange_summary(summary).await
+    }
+
     async fn offered(self, _context: context::Context) -> peer::Counts {
         self.counter.read()
     }
--- a/crates/daisydrum/tests/path/main.rs
+++ b/crates/daisydrum/tests/path/main.rs
@@ -6,4 +6,5 @@
 mod malformed;
 mod silence;
 mod site;
+mod spill;
 mod streams;
--- a/crates/daisydrum/tests/path/site.rs
+++ b/crates/daisydrum/tests/path/site.rs
@@ -38,10 +38,16 @@
 
 impl Site {
     pub async fn start(count: usize) -> Site {
+        Site::start_in(&vec!["suva"; count]).await
+    }
+
+    /// Starts a daemon in each of the data centres.
+    pub async fn start_in(data_centres: &[&str]) -> Site {
         let folder = Folder::new("path");
         let tree = write_tree(folder.path());
-        let mut instances: Vec<_> =
-            (0..count).map(|at| daemon::settings(&format!("suva-{at}"), "suva", &tree)).collect();
+        let settings =
+            |(at, place): (usize, &&str)| daemon::settings(&format!("{place}-{at}"), place, &tree);
+        let mut instances: Vec<_> = data_centres.iter().enumerate().map(settings).collect();
         daemon::connect(&mut instances);
         let start = |settings| Daemon::start(binary(), folder.path(), settings);
         let daemons: Vec<Daemon> = instances.into_iter().map(start).collect();
@@ -88,7 +94,8 @@
     fs::create_dir_all(&services).unwrap();
     let venture = serde_json::json!({ "name": "path" });
     fs::write(tree.join("venture.jsonc"), venture.to_string()).unwrap();
-    let partner = serde_json::json!({ "title": "Association", "data_centres": ["suva"] });
+    let partner =
+        serde_json::json!({ "title": "Association", "data_centres": ["suva", "nadi", "lautoka"] });
     fs::write(tree.join("association/partner.jsonc"), partner.to_string()).unwrap();
     let service = serde_json::json!({
         "kind": "model",
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -5,7 +5,7 @@
 use hyper::{HeaderMap, Method};
 use route::request::{Origin, Repeat, Request};
 use telemetry::span;
-use wire::completion;
+use wire::{completion, target};
 
 use crate::directory::Binding;
 
@@ -41,6 +41,15 @@
         self.completion.as_ref().is_some_and(|completion| completion.stream)
     }
 
+    /// Requests that another instance handed over stay here, and so do those that may not be repeated: their claim
+    /// is this instance's.
+    fn origin(&self) -> Origin {
+        if self.repeat == Repeat::Never || self.headers.contains_key(ORIGIN_HEADER) {
+            return Origin::Instance;
+        }
+        Origin::Caller
+    }
+
     /// What the router is asked.
     pub fn request(&self) -> Request {
         let owner = &self.binding.service.owner;
@@ -58,15 +67,20 @@
             pieces: completion.map(completion::Request::pieces).unwrap_or_default(),
             deadline: self.deadline,
             repeat: self.repeat,
-            origin: if self.headers.contains_key(ORIGIN_HEADER) {
-                Origin::Instance
-            } else {
-                Origin::Caller
-            },
+            origin: self.origin(),
         }
     }
 }
 
+/// Tokens that a caller holds already, as another instance says which hands a stream over in its middle.
+pub fn delivered(headers: &HeaderMap) -> u32 {
+    if !headers.contains_key(ORIGIN_HEADER) {
+        return 0;
+    }
+    let header = headers.get(target::RESUME_HEADER).and_then(|value| value.to_str().ok());
+    header.and_then(|value| value.parse().ok()).unwrap_or_default()
+}
+
 fn organisation(name: &name::Organisation) -> u64 {
     piece::hash(name.as_ref())
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod driver;
 mod event;
 mod exchange;
+mod far;
 mod fleet;
 pub mod listener;
 pub mod offered;
--- a/crates/entry/src/progress.rs
+++ b/crates/entry/src/progress.rs
@@ -26,12 +26,14 @@
 
 impl Progress {
     /// Starts with a request that has just arrived.
-    pub(crate) fn new(limits: &service::Limits, output_tokens: u32) -> Progress {
+    ///
+    /// `delivered` is more than zero where another instance hands a stream over in its middle.
+    pub(crate) fn new(limits: &service::Limits, output_tokens: u32, delivered: u32) -> Progress {
         let now = Instant::now();
         let gap_goal = Duration::from_millis(limits.token_gap_ms);
         let first_goal = Duration::from_millis(limits.first_token_ms);
         Progress {
-            delivered: 0,
+            delivered,
             arrived: now,
             first: None,
             last: now,
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -1,7 +1,7 @@
 //! How calls are put to targets, behind a small trait, since other fleets speak other protocols.
 
 use bytes::Bytes;
-use common::name;
+use common::{clock::Moment, name};
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Method, Request,
@@ -14,7 +14,10 @@
 use telemetry::span;
 use wire::{outcome, target};
 
-use crate::call::{self, Call};
+use crate::{
+    call::{self, Call},
+    request,
+};
 
 /// Headers that hold for one connection only (RFC 9110, section 7.6.1).
 const HOP_HEADERS: [&str; 8] = [
@@ -77,8 +80,14 @@
         headers.remove(CONTENT_LENGTH);
         headers.insert(HOST, HeaderValue::from_static("target"));
         set(headers, span::HEADER, &attempt.span.header());
+        headers.remove(target::RESUME_HEADER);
+        if attempt.delivered > 0 {
+            set(headers, target::RESUME_HEADER, &attempt.delivered.to_string());
+        }
         if attempt.relay {
             set(headers, call::ORIGIN_HEADER, self.instance.as_ref());
+            let remaining = call.deadline.since(Moment::now()).as_millis();
+            set(headers, request::DEADLINE_HEADER, &remaining.to_string());
             return request;
         }
         headers.remove(AUTHORIZATION);
@@ -86,9 +95,6 @@
         set(headers, target::ATTEMPT_HEADER, &format!("{:016x}", attempt.span.span));
         let priority = priority(call.binding.service.settings.admission.priority);
         set(headers, target::PRIORITY_HEADER, &priority.to_string());
-        if attempt.delivered > 0 {
-            set(headers, target::RESUME_HEADER, &attempt.delivered.to_string());
-        }
         request
     }
 
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -4,6 +4,7 @@
 
 use std::{
     io,
+    net::SocketAddr,
     sync::Arc,
     thread::{self, JoinHandle},
     time::Duration,
@@ -12,7 +13,7 @@
 use common::{cancel, clock::Moment, collections, name, ring};
 use route::{
     request::{Action, Dispatch, Event, Reason, Refusal, Request, Run, Ticket},
-    router::{Outstanding, Router, Setup},
+    router::{Outstanding, Owner, Router, Setup},
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -20,7 +21,7 @@
 };
 use wire::{operator, target};
 
-use crate::{directory::Directory, fleet::Fleet};
+use crate::{directory::Directory, far::Places, fleet::Fleet};
 
 const RING_COMMANDS: usize = 65_536;
 /// Commands that the ring holds at most before requests are refused, so that reports always find room.
@@ -48,6 +49,8 @@
     Depart(name::Target),
     /// Another instance's requests on a target.
     Neighbours(Outstanding),
+    /// What another data centre can take.
+    Far(Box<Far>),
     /// How many instances of the data centre share its targets.
     Instances(u32),
     /// Services as the tree in force declares them.
@@ -58,6 +61,32 @@
     Outstanding(oneshot::Sender<Vec<Outstanding>>),
 }
 
+/// What another data centre can take.
+#[derive(Clone, Debug)]
+pub struct Far {
+    /// The data centre.
+    pub data_centre: name::DataCentre,
+    /// Where its instances take callers.
+    pub addresses: Vec<SocketAddr>,
+    /// Its services.
+    pub services: Vec<Remote>,
+}
+
+/// What another data centre can take of one service.
+#[derive(Clone, Debug)]
+pub struct Remote {
+    /// The partner and the service.
+    pub owner: Owner,
+    /// Whether its targets are engines.
+    pub kind: target::Kind,
+    /// Models that they serve.
+    pub models: Vec<String>,
+    /// Requests that they run at once.
+    pub slots: u32,
+    /// Requests that they run or hold now.
+    pub load: u32,
+}
+
 /// A request that asks to be admitted.
 #[derive(Debug)]
 pub struct Submission {
@@ -162,6 +191,7 @@
     let state = State {
         router: Router::new(setup),
         fleet: Fleet::default(),
+        far: Places::default(),
         updates: collections::Map::default(),
     };
     let thread = thread::Builder::new()
@@ -173,6 +203,7 @@
 struct State {
     router: Router,
     fleet: Fleet,
+    far: Places,
     updates: collections::Map<Ticket, mpsc::Sender<Update>>,
 }
 
@@ -213,6 +244,7 @@
             Command::Neighbours(other) => {
                 self.router.hear_neighbours(&other.target, other.requests, now);
             }
+            Command::Far(far) => self.far.hear(&mut self.router, &far, now),
             Command::Instances(count) => self.router.set_instances(count),
             Command::Configure(directory) => self.configure(&directory),
             Command::List(reply) => {
@@ -254,6 +286,7 @@
         for target in self.fleet.expired(now) {
             self.depart(&target);
         }
+        self.far.expire(&mut self.router, now);
     }
 
     fn depart(&mut self, target: &name::Target) {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -15,7 +15,7 @@
 use crate::{
     answer,
     body::Body,
-    call::Call,
+    call::{Call, delivered},
     claim::Register,
     directory::{Binding, Directory},
     driver::Driver,
@@ -147,7 +147,11 @@
         let admitted = self.router.submit(request).await;
         let admission = admitted.map_err(|refusal| answer::Fault::Refused { refusal })?;
         let output_tokens = call.completion.as_ref().map_or(0, completion::Request::max_tokens);
-        let progress = Progress::new(&call.binding.service.settings.limits, output_tokens);
+        let progress = Progress::new(
+            &call.binding.service.settings.limits,
+            output_tokens,
+            delivered(&call.headers),
+        );
         let (head, answered) = oneshot::channel();
         let driver = Driver {
             protocol: self.protocol.clone(),
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -158,6 +158,26 @@
     pub services: Vec<Capacity>,
 }
 
+impl Summary {
+    /// Writes the summary.
+    ///
+    /// # Panics
+    ///
+    /// Never: all its types can be written.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("invariant: summaries can be written")
+    }
+
+    /// Reads a summary.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Malformed`] where `bytes` are none.
+    pub fn decode(bytes: &[u8]) -> Result<Summary, Malformed> {
+        Ok(postcard::from_bytes(bytes)?)
+    }
+}
+
 /// Slots of one service in a data centre.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Capacity {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -80,6 +80,10 @@
     /// empty at the end of an exchange.
     async fn gossip(message: Vec<u8>) -> Vec<u8>;
 
+    /// Takes in what the asker's data centre can take for others (`membership::message::Summary`) and returns the
+    /// callee's, which is empty where the callee is too busy.
+    async fn summary(summary: Vec<u8>) -> Vec<u8>;
+
     /// Returns what callers offered to the callee.
     async fn offered() -> Counts;
 }
