--- a/crates/daisyctl/src/arguments.rs
+++ b/crates/daisyctl/src/arguments.rs
@@ -148,6 +148,27 @@
             /// `table` or `json`.
             optional --output output: Format
         }
+        /// The replicas of the logs.
+        cmd replica {
+            /// Shows each replica's own account.
+            cmd list {
+                /// Control address of any instance, for example 127.0.0.1:7001.
+                required --instance instance: SocketAddr
+                /// `table` or `json`.
+                optional --output output: Format
+            }
+            /// Puts the replica of one instance in the place of another's.
+            cmd replace {
+                /// The branch: `venture` or a partner's name.
+                required branch: String
+                /// Instance whose replica goes.
+                required --old old: String
+                /// Instance whose replica, started as a learner, takes its place.
+                required --new new: String
+                /// Control address of any instance, for example 127.0.0.1:7001.
+                required --instance instance: SocketAddr
+            }
+        }
         /// Prints the hash of a caller's key, which is read from standard input.
         cmd hash-key {
         }
--- a/crates/daisyctl/src/command.rs
+++ b/crates/daisyctl/src/command.rs
@@ -11,6 +11,7 @@
 pub mod hash_key;
 pub mod history;
 pub mod load;
+pub mod replica;
 pub mod request;
 pub mod roles;
 pub mod rollback;
@@ -47,6 +48,7 @@
         DaisyctlCmd::Undrain(arguments) => {
             drain::run(&drain::Options::from(arguments), Wish::Undrain)
         }
+        DaisyctlCmd::Replica(arguments) => replica::run(&arguments),
         DaisyctlCmd::HashKey(_) => hash_key::run(),
         DaisyctlCmd::Trace(arguments) => trace::run(&arguments),
     }
--- a/crates/daisydrum/tests/replicas.rs
+++ b/crates/daisydrum/tests/replicas.rs
@@ -70,6 +70,28 @@
     assert_eq!(cluster.missing(&more).await, Vec::<u64>::new());
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_operator_replaces_a_replica_whose_instance_is_gone() {
+    let mut cluster = Cluster::start_with_learners("replace", 3, 1).await;
+    let accepted = cluster.claim_all(0, 100).await;
+    assert_eq!(accepted.len(), 100);
+    let gone = 3;
+    cluster.daemons[gone].kill();
+    wait::until("the replacement is accepted", async || cluster.replace("i3", "i0").await).await;
+    let replaced = |status: &Status| {
+        let places: Vec<&str> = status
+            .config
+            .voters()
+            .filter_map(|id| Some(status.config.member(id)?.place.0.as_str()))
+            .collect();
+        status.settled && places.len() == 3 && places.contains(&"i0") && !places.contains(&"i3")
+    };
+    cluster.until("the replacement is finished", replaced).await;
+    let leader = cluster.leader().await;
+    cluster.daemons[leader].kill();
+    assert_eq!(cluster.missing(&accepted).await, Vec::<u64>::new());
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_damaged_log_is_refused_and_a_torn_write_is_cut_off() {
     let mut cluster = Cluster::start("damage", 3).await;
--- a/crates/replica/src/founding.rs
+++ b/crates/replica/src/founding.rs
@@ -49,17 +49,16 @@
     peers: &[Peer],
     end: &cancel::Token,
 ) -> Option<Beginning> {
-    let first = peers.iter().all(|peer| own.place < peer.instance);
     loop {
         let answers = future::join_all(peers.iter().map(|peer| ask(branch, peer))).await;
-        if let Some(beginning) = decide(own, &answers, first) {
+        if let Some(beginning) = decide(own, &answers) {
             return Some(beginning);
         }
         end.run_until_cancelled(tokio::time::sleep(PAUSE)).await?;
     }
 }
 
-fn decide(own: &Member, answers: &[Answer], first: bool) -> Option<Beginning> {
+fn decide(own: &Member, answers: &[Answer]) -> Option<Beginning> {
     let founded = answers.iter().find_map(|answer| match &answer.standing {
         Standing::Founded(config) => Some(config),
         _ => None,
@@ -71,10 +70,11 @@
     if answers.iter().any(|answer| answer.standing == Standing::Joined) {
         return Some(Beginning::Learner);
     }
-    if !first {
+    let founders = || answers.iter().filter(|answer| answer.standing != Standing::Learner);
+    if founders().any(|founder| founder.place < own.place) {
         return None;
     }
-    let others = answers.iter().map(|answer| match answer.standing {
+    let others = founders().map(|answer| match answer.standing {
         Standing::Waiting(id) => Some(founder(id, &answer.place)),
         _ => None,
     });
--- a/crates/replica/src/host.rs
+++ b/crates/replica/src/host.rs
@@ -195,6 +195,7 @@
     let standing = match settings.origin {
         _ if founded => Standing::Founded(hard.founders.clone()),
         Origin::Founder if !began => Standing::Waiting(hard.id),
+        Origin::Learner if !began => Standing::Learner,
         Origin::Founder | Origin::Learner => Standing::Joined,
     };
     info!(settings.logger, "replica opened"; "id" => %hard.id, "term" => hard.term,
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -12,8 +12,8 @@
     Io(io::Error),
     /// A file holds bytes that were never written, at a place that a torn write can't explain.
     #[display(
-        "{file} is damaged at byte {offset}: {fault}; restore the folder, or empty it and have the replica \
-         replaced"
+        "{file} is damaged at byte {offset}: {fault}; keep a copy of the folder, empty it, and the replica is \
+         replaced by the others"
     )]
     #[from(ignore)]
     Damaged {
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -13,6 +13,8 @@
 pub enum Standing {
     /// The instance keeps no replica of the branch, or hasn't opened it yet.
     Absent,
+    /// Will join the log, and is none of its first replicas.
+    Learner,
     /// One of the first replicas, and the log hasn't begun as far as it knows.
     Waiting(Id),
     /// One of the first replicas of the log, which began with these members.
