--- a/crates/daisydrum/tests/path/silence.rs
+++ b/crates/daisydrum/tests/path/silence.rs
@@ -1,7 +1,7 @@
 //! Connections that go silent without a reset while new ones work.
 
 use common::clock::Moment;
-use standin::{harness::wait, http, proxy::Proxy};
+use standin::{engine::Engine, harness::wait, http, proxy::Proxy};
 use tokio::net::TcpListener;
 
 use crate::site::{PROGRESS_MS, Site, Stream, check, completion};
@@ -13,19 +13,24 @@
     TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_stream_whose_connection_to_the_engine_goes_silent_goes_on_over_a_new_one() {
-    let site = Site::start(1).await;
+async fn engine_behind_proxy(site: &Site) -> (Proxy, Engine) {
     let listen = reserve().await;
     let proxy = Proxy::start(listen).await.unwrap();
     let through = proxy.address();
-    let _engine = site
+    let engine = site
         .engine_with("one", |options| {
             options.listen = listen;
             options.announced = Some(through);
         })
         .await;
     site.until_targets(1).await;
+    (proxy, engine)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_connection_to_the_engine_goes_silent_goes_on_over_a_new_one() {
+    let site = Site::start(1).await;
+    let (proxy, _engine) = engine_behind_proxy(&site).await;
     let mut stream = Stream::open(site.daemons[0].callers(), TOKENS).await;
     stream.read_tokens(5).await;
     let since = Moment::now();
@@ -54,16 +59,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engine_that_goes_silent_for_good_is_left_for_another() {
     let site = Site::start(1).await;
-    let listen = reserve().await;
-    let proxy = Proxy::start(listen).await.unwrap();
-    let through = proxy.address();
-    let silent = site
-        .engine_with("one", |options| {
-            options.listen = listen;
-            options.announced = Some(through);
-        })
-        .await;
-    site.until_targets(1).await;
+    let (proxy, silent) = engine_behind_proxy(&site).await;
     let mut stream = Stream::open(site.daemons[0].callers(), TOKENS).await;
     stream.read_tokens(5).await;
     let _other = site.engine("two").await;
--- a/crates/route/examples/goodput/fleet.rs
+++ b/crates/route/examples/goodput/fleet.rs
@@ -1,11 +1,13 @@
 //! Engines as simple queues in virtual time, in front of a policy that is measured.
 
-use std::{cmp::Reverse, collections::BinaryHeap, collections::VecDeque, time::Duration};
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use common::{clock::Moment, collections::Map, name, random::Random, role::Role};
 use route::request::Event;
 use wire::target::{self, Announcement, Load};
 
+use crate::engine::{self, Engine};
+
 /// A request of the load.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -132,17 +134,6 @@
     Tick,
 }
 
-#[derive(Debug, Default)]
-struct Engine {
-    running: usize,
-    waiting: VecDeque<usize>,
-    prompt_until: f64,
-    cache: Vec<u64>,
-    events: Vec<target::Event>,
-    number: u64,
-    sequence: u64,
-}
-
 const PROMPT_MS_PER_TOKEN: f64 = 0.05;
 const GAP_MS: f64 = 20.0;
 const PERIOD: Duration = Duration::from_secs(1);
@@ -295,7 +286,7 @@
         let cached = (hits * common::piece::TOKENS) as u64;
         self.outcome.prompt_tokens += work.prompt;
         self.outcome.cached_tokens += cached;
-        store(state, &work.pieces, self.conditions.cache);
+        engine::store(state, &work.pieces, self.conditions.cache);
         let compute = (work.prompt - cached) as f64 * PROMPT_MS_PER_TOKEN;
         state.prompt_until = state.prompt_until.max(now.0 as f64) + compute;
         let gap = GAP_MS * (1.0 + state.running as f64 / self.conditions.slots as f64);
@@ -388,26 +379,6 @@
     }
 }
 
-fn store(engine: &mut Engine, pieces: &[u64], capacity: usize) {
-    for piece in pieces {
-        if let Some(position) = engine.cache.iter().position(|cached| cached == piece) {
-            engine.cache.remove(position);
-        } else {
-            record(engine, *piece, target::Change::Stored);
-        }
-        engine.cache.push(*piece);
-    }
-    while engine.cache.len() > capacity {
-        let evicted = engine.cache.remove(0);
-        record(engine, evicted, target::Change::Removed);
-    }
-}
-
-fn record(engine: &mut Engine, piece: u64, change: target::Change) {
-    engine.number += 1;
-    engine.events.push(target::Event { number: engine.number, piece, change });
-}
-
 /// Index of an engine by its name.
 pub fn index_of(name: &name::Target) -> usize {
     let digits = name.0.trim_start_matches("engine-");
--- a/crates/route/examples/goodput/main.rs
+++ b/crates/route/examples/goodput/main.rs
@@ -4,6 +4,7 @@
 
 #![allow(clippy::print_stdout, reason = "prints a table")]
 
+mod engine;
 mod fleet;
 mod load;
 mod policy;
--- a/crates/route/tests/route/main.rs
+++ b/crates/route/tests/route/main.rs
@@ -9,6 +9,8 @@
 mod parts;
 mod support;
 
+#[path = "../../examples/goodput/engine.rs"]
+mod engine;
 #[path = "../../examples/goodput/fleet.rs"]
 mod fleet;
 #[path = "../../examples/goodput/load.rs"]
