A graceful stop waits until the lease is given back; the example runs on embedded state

Cause: with no callers left, the replicas ended while the lease for orders was being given back, so the log never had it ("recorded=false") and a successor had to wait the lease out. Seen in the README's example. Change: the orders' duty is joined before the others end; starting the duties is a module of its own with short functions; the example keeps its state under data/ and applies the example tree as an operator would. Conclusion: leases are handed over at a planned stop.

--- a/crates/daisydrum/examples/single.rs
+++ b/crates/daisydrum/examples/single.rs
@@ -4,31 +4,56 @@
 
 use std::{
     error::Error,
+    fs,
     net::{Ipv4Addr, SocketAddr},
     path::Path,
+    thread,
     time::Duration,
 };
 
 use common::{cancel, name};
+use daisyctl::{arguments::Daisyctl, client, command};
 use settings::{document, instance};
 use standin::{announce, engine, plain};
 use tokio::runtime;
+use wire::operator;
 
 const SETTINGS: &str = "examples/single.jsonc";
+const TREE: &str = "examples/venture";
+const DATA_FOLDER: &str = "data";
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
 const PLAIN_DELAY: Duration = Duration::from_millis(20);
+const PAUSE: Duration = Duration::from_millis(100);
 
 fn main() -> Result<(), Box<dyn Error>> {
+    fs::create_dir_all(DATA_FOLDER)?;
     let settings = Path::new(SETTINGS);
     let instance: instance::Instance = document::read(settings)?;
     let runtime = runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     let token = cancel::Token::new();
     runtime.block_on(start_targets(instance.control, &token))?;
+    thread::spawn(move || apply_tree(instance.control));
     daisydrum::daemon::run(settings)?;
     token.cancel();
     Ok(())
 }
 
+/// Makes the example tree the settings in force, as an operator would.
+fn apply_tree(control: SocketAddr) {
+    let daemon = client::Daemon { address: control };
+    while daemon.get::<operator::Status>(operator::STATUS_PATH).is_err() {
+        thread::sleep(PAUSE);
+    }
+    let words = ["apply", TREE, "--instance", &control.to_string(), "--wait"];
+    let arguments = Daisyctl::from_vec(words.map(Into::into).to_vec());
+    let applied = arguments
+        .map_err(|fault| fault.to_string())
+        .and_then(|arguments| command::run(arguments).map_err(|fault| fault.to_string()));
+    if let Err(fault) = applied {
+        eprintln!("the example tree was not applied: {fault}");
+    }
+}
+
 async fn start_targets(control: SocketAddr, token: &cancel::Token) -> Result<(), Box<dyn Error>> {
     let engines = [
         ("vent-engine-1", "association", "vent-llm", "vent-7b"),
--- a/crates/daisydrum/src/daemon.rs
+++ b/crates/daisydrum/src/daemon.rs
@@ -1,39 +1,17 @@
-//! Starts the duties of an instance and stops them in order.
+//! Runs an instance from its settings to its stop.
 
-use std::{
-    path::Path,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    thread::JoinHandle,
-    time::Duration,
-};
+use std::{path::Path, time::Duration};
 
-use ::orders::registry::Registry;
-use common::{clock, name};
-use entry::{directory::Directory, offered::Meter, protocol, router, server};
+use entry::directory::Directory;
 use settings::{check, error::Faults, instance, tree};
 use slog::{Level, info, warn};
-use spread::node;
-use telemetry::{log, metric, span};
+use telemetry::log;
 use tokio::{
     runtime::{self, Runtime},
-    sync::watch,
     time,
 };
 
-use crate::{
-    claims,
-    context::Context,
-    duty::{
-        callers, control, declarations, members, membership, operators, orders, peers, replica,
-        services,
-    },
-    error::Fault,
-    links::Links,
-    logs, signal,
-};
+use crate::{context::Context, duties::Duties, error::Fault, signal};
 
 const PEER_WORKERS: usize = 2;
 
@@ -86,132 +64,6 @@
     context.cut.cancel();
 }
 
-/// The running duties, in the groups in which they are stopped.
-struct Duties {
-    ready: Arc<AtomicBool>,
-    /// End once all answers are given after `stop`.
-    callers: JoinHandle<()>,
-    /// End after `end`.
-    others: Vec<JoinHandle<()>>,
-}
-
-impl Duties {
-    fn start(context: &Context, directory: Directory) -> Result<Duties, Fault> {
-        let metrics = metric::install();
-        let ready = Arc::new(AtomicBool::new(false));
-        let (router, router_thread) = router::start(router_setup(), context.end.clone())?;
-        let mut others = vec![router_thread];
-        let (spans, spans_thread) = start_spans(&context.settings)?;
-        others.extend(spans_thread);
-        let (directory_in_force, directory) = watch::channel(Arc::new(directory));
-        let follow = services::follow(directory.clone(), router.clone(), context.end.clone());
-        context.runtime.spawn(follow);
-        let replica::Replicas { host, logs, threads } = replica::start(context)?;
-        others.extend(threads);
-        let spread = start_spread(context, &logs, directory_in_force)?;
-        let registry = Registry::default();
-        let (membership, membership_thread) =
-            membership::start(context, router.clone(), registry.clone())?;
-        others.push(membership_thread);
-        let offered = Meter::default();
-        let counter = orders::Counter::new(offered.clone());
-        let sources = orders::Sources { registry, node: spread.clone(), counter: counter.clone() };
-        let (orders, orders_thread) = orders::start(context, logs.clone(), sources)?;
-        others.push(orders_thread);
-        let control = control::Control {
-            identity: context.identity.clone(),
-            ready: Arc::clone(&ready),
-            router: router.clone(),
-            membership: membership.clone(),
-            metrics,
-            members: members::Members {
-                context: context.clone(),
-                host: host.clone(),
-                logs: logs.clone(),
-            },
-            operators: operators::Operators {
-                context: context.clone(),
-                authority: logs.clone(),
-                spread: spread.clone(),
-            },
-            orders,
-        };
-        let _listener = control::start(context.settings.control, control)?;
-        others.push(peers::start(
-            context,
-            peers::Server {
-                identity: context.identity.clone(),
-                replicas: host,
-                spread,
-                membership,
-                counter,
-            },
-        )?);
-        let server = server::Server {
-            instance: context.identity.instance.clone(),
-            directory,
-            router,
-            protocol: protocol::Native { instance: context.identity.instance.clone() },
-            register: claims::Claims { logs: logs.clone() },
-            offered,
-            spans,
-            log: context.log.clone(),
-        };
-        let callers = callers::start(context, server)?;
-        ready.store(true, Ordering::Release);
-        Ok(Duties { ready, callers, others })
-    }
-
-    /// Takes no new callers; those that are being answered go on.
-    fn refuse_callers(&self, context: &Context) {
-        self.ready.store(false, Ordering::Release);
-        context.stop.cancel();
-    }
-
-    /// Ends all duties once the callers are answered or cut.
-    fn stop(self, context: &Context) {
-        join(self.callers);
-        context.end.cancel();
-        for duty in self.others {
-            join(duty);
-        }
-    }
-}
-
-/// Starts what brings declarations to this instance; without replicated logs the directory stays as it is.
-fn start_spread(
-    context: &Context,
-    logs: &logs::Logs,
-    directory: watch::Sender<Arc<Directory>>,
-) -> Result<node::Node, Fault> {
-    let options = node::Options {
-        instance: Arc::clone(&context.settings),
-        log: context.log.clone(),
-        stop: context.end.clone(),
-    };
-    let node = node::Node::start(options, logs, &Links::new(context), &context.runtime)?;
-    let follow = declarations::follow(node.clone(), directory, context.clone());
-    context.runtime.spawn(follow);
-    for replica in &context.settings.replicas {
-        let branch = name::Branch::from(replica.branch.as_str());
-        let (node, logs) = (node.clone(), logs.clone());
-        if branch.0 != check::VENTURE {
-            let adopt = declarations::adopt(node, logs.clone(), branch.clone(), context.clone());
-            context.runtime.spawn(adopt);
-        }
-        context.runtime.spawn(declarations::count_time(logs, branch, context.clone()));
-    }
-    Ok(node)
-}
-
-fn router_setup() -> route::router::Setup {
-    route::router::Setup { seed: clock::unix_ns(), ..Default::default() }
-}
-
-fn join(duty: JoinHandle<()>) {
-    duty.join().expect("invariant: duties end without a panic");
-}
-
 fn peer_runtime() -> Result<Runtime, Fault> {
     let runtime = runtime::Builder::new_multi_thread()
         .worker_threads(PEER_WORKERS)
@@ -233,17 +85,6 @@
     Ok(Directory::new(&loaded.tree)?)
 }
 
-fn start_spans(
-    instance: &instance::Instance,
-) -> Result<(span::Exporter, Option<JoinHandle<()>>), Fault> {
-    let Some(file) = &instance.spans.file else {
-        return Ok((span::Exporter::off(), None));
-    };
-    let (exporter, thread) = span::Exporter::start(Path::new(file), &instance.name)
-        .map_err(|cause| Fault::Spans { path: file.clone(), cause })?;
-    Ok((exporter, Some(thread)))
-}
-
 fn level(level: instance::Level) -> Level {
     match level {
         instance::Level::Debug => Level::Debug,
--- /dev/null
+++ b/crates/daisydrum/src/duties.rs
@@ -0,0 +1,221 @@
+//! Starts the duties of an instance and stops them in order.
+
+use std::{
+    path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::JoinHandle,
+};
+
+use ::orders::registry::Registry;
+use common::{clock, name};
+use entry::{directory::Directory, offered::Meter, protocol, router, server};
+use settings::{check, instance};
+use spread::node;
+use telemetry::{metric, span};
+use tokio::sync::watch;
+
+use crate::{
+    claims,
+    context::Context,
+    duty::{
+        callers, control, declarations, members, membership, operators, orders, peers, replica,
+        services,
+    },
+    error::Fault,
+    links::Links,
+    logs,
+};
+
+/// The running duties, in the groups in which they are stopped.
+pub struct Duties {
+    ready: Arc<AtomicBool>,
+    /// Ends once all answers are given after `stop`.
+    callers: JoinHandle<()>,
+    /// Gives the lease back after `stop`, for which the replicas have to work still.
+    orders: JoinHandle<()>,
+    /// End after `end`.
+    others: Vec<JoinHandle<()>>,
+}
+
+/// What the listeners serve.
+struct Parts {
+    router: router::Handle,
+    spans: span::Exporter,
+    directory: watch::Receiver<Arc<Directory>>,
+    host: ::replica::host::Host,
+    logs: logs::Logs,
+    spread: node::Node,
+    membership: membership::Handle,
+    offered: Meter,
+    counter: orders::Counter,
+    orders: orders::Handle,
+}
+
+impl Duties {
+    /// Starts all duties; `directory` holds until the logs bring another.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] when an address, file or thread can't be had.
+    pub fn start(context: &Context, directory: Directory) -> Result<Duties, Fault> {
+        let ready = Arc::new(AtomicBool::new(false));
+        let (router, router_thread) = router::start(router_setup(), context.end.clone())?;
+        let (spans, spans_thread) = start_spans(&context.settings)?;
+        let (directory_in_force, directory) = watch::channel(Arc::new(directory));
+        let follow = services::follow(directory.clone(), router.clone(), context.end.clone());
+        context.runtime.spawn(follow);
+        let replica::Replicas { host, logs, threads } = replica::start(context)?;
+        let spread = start_spread(context, &logs, directory_in_force)?;
+        let registry = Registry::default();
+        let (membership, membership_thread) =
+            membership::start(context, router.clone(), registry.clone())?;
+        let offered = Meter::default();
+        let counter = orders::Counter::new(offered.clone());
+        let sources = orders::Sources { registry, node: spread.clone(), counter: counter.clone() };
+        let (orders, orders_thread) = orders::start(context, logs.clone(), sources)?;
+        let parts = Parts {
+            router,
+            spans,
+            directory,
+            host,
+            logs,
+            spread,
+            membership,
+            offered,
+            counter,
+            orders,
+        };
+        let mut others = vec![router_thread, membership_thread];
+        others.extend(spans_thread);
+        others.extend(threads);
+        others.push(start_listeners(context, &parts, &ready)?);
+        let callers = callers::start(context, parts.callers_server(context))?;
+        ready.store(true, Ordering::Release);
+        Ok(Duties { ready, callers, orders: orders_thread, others })
+    }
+
+    /// Takes no new callers; those that are being answered go on.
+    pub fn refuse_callers(&self, context: &Context) {
+        self.ready.store(false, Ordering::Release);
+        context.stop.cancel();
+    }
+
+    /// Ends all duties once the callers are answered or cut.
+    pub fn stop(self, context: &Context) {
+        join(self.callers);
+        join(self.orders);
+        context.end.cancel();
+        for duty in self.others {
+            join(duty);
+        }
+    }
+}
+
+impl Parts {
+    fn control(&self, context: &Context, ready: &Arc<AtomicBool>) -> control::Control {
+        let members = members::Members {
+            context: context.clone(),
+            host: self.host.clone(),
+            logs: self.logs.clone(),
+        };
+        let operators = operators::Operators {
+            context: context.clone(),
+            authority: self.logs.clone(),
+            spread: self.spread.clone(),
+        };
+        control::Control {
+            identity: context.identity.clone(),
+            ready: Arc::clone(ready),
+            router: self.router.clone(),
+            membership: self.membership.clone(),
+            metrics: metric::install(),
+            members,
+            operators,
+            orders: self.orders.clone(),
+        }
+    }
+
+    fn peers_server(&self, context: &Context) -> peers::Server {
+        peers::Server {
+            identity: context.identity.clone(),
+            replicas: self.host.clone(),
+            spread: self.spread.clone(),
+            membership: self.membership.clone(),
+            counter: self.counter.clone(),
+        }
+    }
+
+    fn callers_server(
+        &self,
+        context: &Context,
+    ) -> server::Server<protocol::Native, claims::Claims> {
+        server::Server {
+            instance: context.identity.instance.clone(),
+            directory: self.directory.clone(),
+            router: self.router.clone(),
+            protocol: protocol::Native { instance: context.identity.instance.clone() },
+            register: claims::Claims { logs: self.logs.clone() },
+            offered: self.offered.clone(),
+            spans: self.spans.clone(),
+            log: context.log.clone(),
+        }
+    }
+}
+
+/// Starts the listeners for targets, operators and peers. The former ends with the process.
+fn start_listeners(
+    context: &Context,
+    parts: &Parts,
+    ready: &Arc<AtomicBool>,
+) -> Result<JoinHandle<()>, Fault> {
+    let _listener = control::start(context.settings.control, parts.control(context, ready))?;
+    peers::start(context, parts.peers_server(context))
+}
+
+/// Starts what brings declarations to this instance; without replicated logs the directory stays as it is.
+fn start_spread(
+    context: &Context,
+    logs: &logs::Logs,
+    directory: watch::Sender<Arc<Directory>>,
+) -> Result<node::Node, Fault> {
+    let options = node::Options {
+        instance: Arc::clone(&context.settings),
+        log: context.log.clone(),
+        stop: context.end.clone(),
+    };
+    let node = node::Node::start(options, logs, &Links::new(context), &context.runtime)?;
+    let follow = declarations::follow(node.clone(), directory, context.clone());
+    context.runtime.spawn(follow);
+    for replica in &context.settings.replicas {
+        let branch = name::Branch::from(replica.branch.as_str());
+        let (node, logs) = (node.clone(), logs.clone());
+        if branch.0 != check::VENTURE {
+            let adopt = declarations::adopt(node, logs.clone(), branch.clone(), context.clone());
+            context.runtime.spawn(adopt);
+        }
+        context.runtime.spawn(declarations::count_time(logs, branch, context.clone()));
+    }
+    Ok(node)
+}
+
+fn router_setup() -> route::router::Setup {
+    route::router::Setup { seed: clock::unix_ns(), ..Default::default() }
+}
+
+fn join(duty: JoinHandle<()>) {
+    duty.join().expect("invariant: duties end without a panic");
+}
+
+fn start_spans(
+    instance: &instance::Instance,
+) -> Result<(span::Exporter, Option<JoinHandle<()>>), Fault> {
+    let Some(file) = &instance.spans.file else {
+        return Ok((span::Exporter::off(), None));
+    };
+    let (exporter, thread) = span::Exporter::start(Path::new(file), &instance.name)
+        .map_err(|cause| Fault::Spans { path: file.clone(), cause })?;
+    Ok((exporter, Some(thread)))
+}
--- a/crates/daisydrum/src/lib.rs
+++ b/crates/daisydrum/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod claims;
 pub mod context;
 pub mod daemon;
+pub mod duties;
 pub mod duty;
 pub mod error;
 pub mod http;
