Orders by real daemons: a paused holder and a graceful stop

Change: three daemons with their replicated log; the holder is stopped past its term and resumed. Conclusion: the resumed holder orders nothing, to engines that check fencing numbers and that don't.

--- /dev/null
+++ b/crates/daisydrum/tests/orders.rs
@@ -0,0 +1,155 @@
+//! Orders by real daemons whose holder of the lease is paused past its term.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+#[path = "support/replicas.rs"]
+#[allow(dead_code, reason = "other tests use the rest")]
+mod replicas;
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use common::{cancel, name};
+use control::{
+    command::Command,
+    declaration::{Author, Change, Request},
+    drain,
+    reply::Reply,
+};
+use replicas::Cluster;
+use settings::{delta, tree::Partner};
+use standin::{
+    engine::{Engine, Options},
+    harness::wait,
+};
+use wire::{
+    operator,
+    target::{Fencing, Phase},
+};
+
+const LIMIT: Duration = Duration::from_secs(10);
+const DATA_CENTRE: &str = "sapporo-a";
+
+fn author(request: &str) -> Author {
+    Author { request: String::from(request), operator: String::from("test"), wall_ms: 0 }
+}
+
+async fn submit(cluster: &Cluster, command: Command) {
+    let branch = name::Branch::from("inkleaf");
+    wait::until("the log takes the command", async || {
+        let reply: Result<Reply, _> = cluster.client.submit(&branch, &command, LIMIT).await;
+        reply.is_ok()
+    })
+    .await;
+}
+
+async fn declare(cluster: &Cluster) {
+    let partner = Partner {
+        title: String::from("Inkleaf"),
+        data_centres: vec![String::from(DATA_CENTRE)],
+        defaults: serde_json::Map::new(),
+    };
+    let service = name::Service::from("inkmind");
+    let declared = delta::Service::Declared(std::sync::Arc::default());
+    let delta = delta::Delta {
+        venture: None,
+        partner: Some(partner),
+        services: BTreeMap::from([(service, declared)]),
+    };
+    let request = Request { author: author("declare"), base: 0, change: Change::Apply(delta) };
+    submit(cluster, Command::Declare(request)).await;
+}
+
+async fn mark(cluster: &Cluster, target: &str, wish: drain::Wish) {
+    let set = drain::Set {
+        author: author(&format!("{target}-{wish}")),
+        data_centre: name::DataCentre::from(DATA_CENTRE),
+        target: name::Target::from(target),
+        wish,
+    };
+    submit(cluster, Command::Drain(set)).await;
+}
+
+async fn engine(cluster: &Cluster, name: &str, fencing: Fencing) -> Engine {
+    let control: Vec<SocketAddr> =
+        cluster.daemons.iter().map(standin::harness::daemon::Daemon::control).collect();
+    let mut options = Options::new(name, "inkleaf", "inkmind", control);
+    options.data_centre = name::DataCentre::from(DATA_CENTRE);
+    options.fencing = fencing;
+    options.route.interval = Duration::from_millis(200);
+    Engine::start(options, cancel::Token::new()).await.unwrap()
+}
+
+async fn orders(cluster: &Cluster, number: usize) -> Option<operator::Orders> {
+    cluster.daemons[number].status().await?.orders
+}
+
+/// Number of a daemon other than `except` that holds the lease.
+async fn holder(cluster: &Cluster, except: Option<usize>) -> usize {
+    let mut found = None;
+    wait::until("an instance holds the lease", async || {
+        for number in (0..cluster.daemons.len()).filter(|number| Some(*number) != except) {
+            if orders(cluster, number).await.is_some() {
+                found = Some(number);
+            }
+        }
+        found.is_some()
+    })
+    .await;
+    found.unwrap()
+}
+
+async fn until_phase(engine: &Engine, phase: Phase) {
+    wait::until("the engine is in the phase", async || engine.state().phase == phase).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_holder_paused_past_its_term_orders_nothing_once_it_resumes() {
+    let cluster = Cluster::start("orders-pause", 3).await;
+    declare(&cluster).await;
+    let checked = engine(&cluster, "checked", Fencing::Checked).await;
+    let unchecked = engine(&cluster, "unchecked", Fencing::Unchecked).await;
+    let old = holder(&cluster, None).await;
+    wait::until("the engine knows the holder", async || checked.state().fencing > 0).await;
+    let first = checked.state().fencing;
+
+    mark(&cluster, "checked", drain::Wish::Drain).await;
+    mark(&cluster, "unchecked", drain::Wish::Drain).await;
+    cluster.daemons[old].pause();
+    let new = holder(&cluster, Some(old)).await;
+    until_phase(&checked, Phase::Draining).await;
+    until_phase(&unchecked, Phase::Draining).await;
+    mark(&cluster, "checked", drain::Wish::Undrain).await;
+    mark(&cluster, "unchecked", drain::Wish::Undrain).await;
+    until_phase(&checked, Phase::Ready).await;
+    until_phase(&unchecked, Phase::Ready).await;
+    wait::until("the successor's intents are settled", async || {
+        orders(&cluster, new).await.is_some_and(|orders| orders.open.is_empty())
+    })
+    .await;
+    let taken = (checked.totals().orders, unchecked.totals().orders);
+
+    cluster.daemons[old].resume();
+    wait::until("the old holder has noticed", async || {
+        cluster.daemons[old].log().contains("lease lost") && orders(&cluster, old).await.is_none()
+    })
+    .await;
+    assert!(checked.state().fencing > first);
+    assert_eq!(checked.state().phase, Phase::Ready);
+    assert_eq!(unchecked.state().phase, Phase::Ready);
+    assert_eq!((checked.totals().orders, unchecked.totals().orders), taken);
+    assert!(orders(&cluster, new).await.is_some(), "the successor still holds the lease");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_that_stops_gives_the_lease_back() {
+    let cluster = Cluster::start("orders-stop", 3).await;
+    declare(&cluster).await;
+    let old = holder(&cluster, None).await;
+    cluster.daemons[old].terminate();
+    holder(&cluster, Some(old)).await;
+    wait::until("the lease was given back", async || {
+        let log = cluster.daemons[old].log();
+        log.lines().any(|line| line.contains("lease given back") && line.contains("recorded=true"))
+    })
+    .await;
+}
