Failures while callers are served, as tests with real daemons

Cause: what is not brought about is only hoped for. Change: a cluster of daemons behind fault proxies in the harness, and tests for killed daemons, partitions, lost answers, kills during a claim, stale reports, gapped cache events, a noisy partner and pairs of faults; reports of load say why requests were refused; docs/FAILURES.md lists the tests; an example measures what a daemon costs by its targets and tokens.

--- /dev/null
+++ b/crates/daisydrum/examples/capacity.rs
@@ -0,0 +1,166 @@
+//! Measures how a daemon's processor time and memory grow with its data centre's targets and with streamed tokens.
+//!
+//! Run it from the root of the repository:
+//! `cargo build --release -p daisydrum && cargo run --release -p daisydrum --example capacity`.
+
+use std::{
+    error::Error,
+    fs,
+    net::SocketAddr,
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use common::cancel;
+use load::{
+    run,
+    scenario::{Range, Rate, Scenario, Shape, Stream},
+};
+use standin::{
+    engine,
+    harness::{daemon, folder::Folder, tree},
+};
+use tokio::time;
+
+const TARGETS: [usize; 3] = [20, 100, 280];
+const RATES: [f64; 3] = [10.0, 20.0, 40.0];
+const OUTPUT_TOKENS: u32 = 100;
+const WINDOW: Duration = Duration::from_secs(10);
+const WARM_UP: Duration = Duration::from_secs(3);
+/// Kernel clock ticks a second, as `/proc/PID/stat` counts processor time on Linux.
+const TICKS_PER_SECOND: f64 = 100.0;
+const BINARY: &str = "target/release/daisydrum";
+
+type Outcome<T> = Result<T, Box<dyn Error + Send + Sync>>;
+
+#[tokio::main]
+#[allow(clippy::print_stdout, reason = "prints what it measured")]
+async fn main() -> Outcome<()> {
+    println!("targets  processor % of a core  memory MB");
+    for count in TARGETS {
+        let site = Site::start(count).await?;
+        let usage = site.usage(async { time::sleep(WINDOW).await }).await?;
+        println!("{count:>7}  {:>21.2}  {:>9.1}", usage.core_percent(), site.memory_mb()?);
+    }
+    println!("tokens a second  processor % of a core  microseconds a token");
+    for per_s in RATES {
+        let site = Site::start(1).await?;
+        let before = site.engines[0].totals().output_tokens;
+        let load = run::run(scenario(site.daemon.callers(), per_s));
+        let usage = site.usage(async { drop(load.await) }).await?;
+        let tokens = site.engines[0].totals().output_tokens - before;
+        #[allow(clippy::cast_precision_loss, reason = "a run's tokens fit a double exactly")]
+        let tokens = tokens as f64;
+        let each = usage.processor.as_secs_f64() * 1e6 / tokens;
+        let rate = tokens / usage.wall.as_secs_f64();
+        println!("{rate:>15.0}  {:>21.2}  {each:>20.1}", usage.core_percent());
+    }
+    Ok(())
+}
+
+/// A daemon with engines in this process.
+struct Site {
+    daemon: daemon::Daemon,
+    engines: Vec<engine::Engine>,
+    token: cancel::Token,
+    _folder: Folder,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.token.cancel();
+    }
+}
+
+/// Processor time that the daemon spent in some time.
+struct Usage {
+    processor: Duration,
+    wall: Duration,
+}
+
+impl Usage {
+    fn core_percent(&self) -> f64 {
+        self.processor.as_secs_f64() * 100.0 / self.wall.as_secs_f64()
+    }
+}
+
+impl Site {
+    async fn start(engines: usize) -> Outcome<Site> {
+        let folder = Folder::new("capacity");
+        let root = tree::write(folder.path(), &["suva"]);
+        let settings = daemon::settings("suva-1", "suva", &root);
+        let daemon = daemon::Daemon::start(Path::new(BINARY), folder.path(), settings);
+        daemon.until_ready().await;
+        let token = cancel::Token::new();
+        let mut running = Vec::new();
+        for number in 0..engines {
+            let options = options(number, daemon.control());
+            running.push(engine::Engine::start(options, token.child_token()).await?);
+        }
+        daemon.until_targets(engines).await;
+        time::sleep(WARM_UP).await;
+        Ok(Site { daemon, engines: running, token, _folder: folder })
+    }
+
+    async fn usage(&self, work: impl Future<Output = ()>) -> Outcome<Usage> {
+        let (start, before) = (Instant::now(), self.processor()?);
+        work.await;
+        Ok(Usage { processor: self.processor()? - before, wall: start.elapsed() })
+    }
+
+    fn processor(&self) -> Outcome<Duration> {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.daemon.id()))?;
+        let fields: Vec<&str> =
+            stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        // Fields 14 and 15 of the file: user and system time; the first two were cut off.
+        let ticks = fields[11].parse::<f64>()? + fields[12].parse::<f64>()?;
+        Ok(Duration::from_secs_f64(ticks / TICKS_PER_SECOND))
+    }
+
+    fn memory_mb(&self) -> Outcome<f64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.daemon.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or_default();
+        let kilobytes: f64 = line.trim().trim_end_matches(" kB").parse()?;
+        Ok(kilobytes / 1_024.0)
+    }
+}
+
+fn options(number: usize, control: SocketAddr) -> engine::Options {
+    let partner = tree::ASSOCIATION;
+    let name = format!("engine-{number}");
+    let mut options =
+        engine::Options::new(&name, partner.name, partner.model_service, vec![control]);
+    options.models = vec![String::from(partner.model)];
+    options.data_centre = common::name::DataCentre::from("suva");
+    options.slots = 1_024;
+    options.speed.step_stream = Duration::ZERO;
+    options
+}
+
+fn scenario(callers: SocketAddr, per_s: f64) -> Scenario {
+    let stream = Stream {
+        name: String::from("tokens"),
+        key: String::from(tree::ASSOCIATION.model_key),
+        shape: Shape::Completion {
+            model: String::from(tree::ASSOCIATION.model),
+            prompt_tokens: Range { from: 10, to: 20 },
+            output_tokens: Range { from: OUTPUT_TOKENS, to: OUTPUT_TOKENS },
+            prefixes: 0,
+            prefix_tokens: 0,
+        },
+        rates: vec![Rate { at_s: 0.0, per_s }],
+        deadline_ms: 30_000,
+        first_token_ms: 820,
+        token_gap_ms: 43,
+    };
+    Scenario {
+        seed: 1,
+        duration_s: WINDOW.as_secs_f64(),
+        max_requests: 10_000,
+        callers: vec![callers],
+        control: Vec::new(),
+        plain: Vec::new(),
+        resends: 0,
+        streams: vec![stream],
+    }
+}
--- /dev/null
+++ b/crates/daisydrum/tests/serving/killed_during_claim.rs
@@ -0,0 +1,94 @@
+//! Failure 12: an entry is killed between claim and dispatch, and between dispatch and answer.
+
+use load::{
+    arrival::{Arrival, Content},
+    call,
+    scenario::Scenario,
+};
+use standin::{
+    harness::{
+        cluster::{Cluster, Place},
+        tree::ASSOCIATION,
+        wait,
+    },
+    plain,
+    proxy::{Conditions, Flow, Proxy},
+};
+use tokio::time::{Duration, Instant};
+
+use crate::support;
+
+const PLACE: Place = Place { data_centre: "suva", daemons: 4, replicas: 3 };
+/// The daemon that is killed; it keeps no replica.
+const KILLED: usize = 3;
+const KEY: &str = "lodgement-1";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_runs_once_when_its_entry_is_killed_before_the_answer() {
+    let mut cluster = support::cluster("killed-after", &[PLACE]).await;
+    let options = cluster.plain("plain-1", ASSOCIATION, "suva");
+    let delay = Duration::from_secs(3);
+    let plain = cluster.start_plain(plain::Options { delay, ..options }).await;
+    cluster.until_targets(1).await;
+    let lost = send_through_killed(&cluster);
+    wait::until("the call runs", async || plain.counts().keys.contains_key(KEY)).await;
+    cluster.daemons[KILLED].kill();
+    lost.await.unwrap();
+    resend(&cluster, &plain).await;
+    assert_eq!(plain.counts().keys[KEY], 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_runs_at_most_once_when_its_entry_is_killed_during_dispatch() {
+    let mut cluster = support::cluster("killed-before", &[PLACE]).await;
+    let plain = cluster.start_plain(cluster.plain("plain-1", ASSOCIATION, "suva")).await;
+    let proxy = Proxy::start(plain.address()).await.unwrap();
+    proxy.set(Conditions { upstream: Flow::Cut, ..Conditions::default() });
+    let mut options = cluster.plain("plain-0", ASSOCIATION, "suva");
+    options.announced = Some(proxy.address());
+    plain.kill();
+    let plain = cluster.start_plain(options).await;
+    cluster.until_targets(1).await;
+    let lost = send_through_killed(&cluster);
+    wait::until("the call was dispatched", async || proxy.opened() > 0).await;
+    cluster.daemons[KILLED].kill();
+    lost.await.unwrap();
+    proxy.set(Conditions::default());
+    resend(&cluster, &plain).await;
+    assert!(plain.counts().keys.get(KEY).copied().unwrap_or_default() <= 1);
+}
+
+fn one_call(callers: Vec<std::net::SocketAddr>, resends: u32) -> Scenario {
+    let streams = vec![support::claims(ASSOCIATION, 1.0)];
+    Scenario { resends, ..support::scenario(callers, 1.0, streams) }
+}
+
+fn arrival() -> Arrival {
+    let content = Content::Plain { key: String::from(KEY), body: String::from("body") };
+    Arrival { at: Duration::ZERO, stream: 0, content }
+}
+
+fn send_through_killed(cluster: &Cluster) -> tokio::task::JoinHandle<call::Outcome> {
+    let scenario = one_call(vec![cluster.callers()[KILLED]], 0);
+    tokio::spawn(async move {
+        loop {
+            let outcome = call::send(&scenario, &arrival(), 1, Instant::now()).await;
+            if !outcome.verdict.is_not_run() {
+                return outcome;
+            }
+        }
+    })
+}
+
+/// Sends the call again through the other daemons; each word must be true.
+async fn resend(cluster: &Cluster, plain: &plain::Plain) {
+    let scenario = one_call(cluster.callers()[..KILLED].to_vec(), 0);
+    for seed in 0..6 {
+        let outcome = call::send(&scenario, &arrival(), seed, Instant::now()).await;
+        match outcome.verdict {
+            call::Verdict::MayHaveRun | call::Verdict::NotRun(_) => {}
+            call::Verdict::Whole => assert_eq!(plain.counts().keys[KEY], 1),
+            other => panic!("untruthful word: {other}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisydrum/tests/serving/main.rs
@@ -0,0 +1,13 @@
+//! Failures brought about while callers are served by real daemons; `docs/FAILURES.md` lists them.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod gapped_cache_events;
+mod killed_daemon;
+mod killed_during_claim;
+mod lost_answer;
+mod noisy_partner;
+mod pairs;
+mod partition;
+mod stale_reports;
+mod support;
--- /dev/null
+++ b/crates/daisydrum/tests/serving/partition.rs
@@ -0,0 +1,50 @@
+//! Failure 3: a data centre is cut off, both ways and one way; here, that it serves on.
+
+use load::run;
+use standin::{
+    harness::tree::ASSOCIATION,
+    proxy::{Conditions, Flow},
+};
+
+use crate::support;
+
+const CUT: Conditions = Conditions {
+    latency: std::time::Duration::ZERO,
+    upstream: Flow::Cut,
+    downstream: Flow::Cut,
+    refuses: false,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_that_is_cut_off_serves_on() {
+    serves_on(CUT, CUT).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_that_is_cut_off_one_way_serves_on() {
+    let one_way = Conditions { downstream: Flow::Pass, ..CUT };
+    serves_on(one_way, Conditions { upstream: Flow::Pass, ..CUT }).await;
+}
+
+async fn serves_on(into: Conditions, out_of: Conditions) {
+    let places = [support::place("suva", 2), support::place("lautoka", 2)];
+    let cluster = support::cluster("partition", &places).await;
+    for place in places {
+        let name = format!("engine-{}", place.data_centre);
+        let options = cluster.engine(&name, ASSOCIATION, place.data_centre);
+        cluster.start_engine(options).await;
+    }
+    cluster.until_targets(1).await;
+    cluster.set("lautoka", into, out_of);
+    let callers = cluster.callers();
+    let streams = || vec![support::completions(ASSOCIATION, 8.0)];
+    let (suva, lautoka) = tokio::join!(
+        run::run(support::scenario(callers[..2].to_vec(), 5.0, streams())),
+        run::run(support::scenario(callers[2..].to_vec(), 5.0, streams())),
+    );
+    support::assert_served(&suva);
+    support::assert_served(&lautoka);
+    cluster.set("lautoka", Conditions::default(), Conditions::default());
+    let healed = run::run(support::scenario(callers, 2.0, streams())).await;
+    support::assert_served(&healed);
+}
--- a/crates/load/src/call.rs
+++ b/crates/load/src/call.rs
@@ -26,7 +26,8 @@
     /// The whole answer came, and is the request's own.
     Whole,
     /// Refused; it did not run.
-    NotRun,
+    #[display("not run: {_0}")]
+    NotRun(String),
     /// The system says that it may have run.
     MayHaveRun,
     /// The answer is not the request's own, or has a token twice or out of order.
@@ -196,16 +197,24 @@
 async fn refusal(response: Response<Incoming>) -> Verdict {
     let word = response.headers().get(outcome::HEADER).and_then(|value| value.to_str().ok());
     let word: Option<outcome::Word> = word.and_then(|word| word.parse().ok());
+    let status = response.status();
+    let body = response.into_body().collect().await.map(http_body_util::Collected::to_bytes);
+    let body = body.unwrap_or_default();
     match word {
-        Some(outcome::Word::NotRun) => return Verdict::NotRun,
+        Some(outcome::Word::NotRun) => return Verdict::NotRun(reason(&body)),
         Some(outcome::Word::MayHaveRun) => return Verdict::MayHaveRun,
         Some(outcome::Word::Ran) | None => {}
     }
-    let status = response.status();
-    let body = response.into_body().collect().await.map(http_body_util::Collected::to_bytes);
-    Verdict::Other(format!("{status} {}", String::from_utf8_lossy(&body.unwrap_or_default())))
+    Verdict::Other(format!("{status} {}", String::from_utf8_lossy(&body)))
 }
 
 fn milliseconds(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// The message of an error in the form that callers of these endpoints expect, or the whole body.
+fn reason(body: &[u8]) -> String {
+    let error: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+    let message = error["error"]["message"].as_str().map(String::from);
+    message.unwrap_or_else(|| String::from_utf8_lossy(body).into_owned())
+}
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -35,6 +35,8 @@
     pub changes: Vec<Change>,
     /// Idempotency keys that ran more than once.
     pub doubled: Vec<String>,
+    /// Why requests were refused, and how often.
+    pub refusals: BTreeMap<String, u64>,
     /// The first faults in words.
     pub faults: Vec<String>,
 }
@@ -129,6 +131,7 @@
             seconds: seconds(scenario, outcomes),
             changes,
             doubled: doubled.collect(),
+            refusals: refusals(outcomes),
             faults: faults(scenario, outcomes),
         }
     }
@@ -172,7 +175,7 @@
         self.in_time += u64::from(outcome.is_in_time(stream));
         let counter = match outcome.verdict {
             Verdict::Whole => &mut self.whole,
-            Verdict::NotRun => &mut self.not_run,
+            Verdict::NotRun(_) => &mut self.not_run,
             Verdict::MayHaveRun => &mut self.may_have_run,
             Verdict::Wrong(_) => &mut self.wrong,
             Verdict::Cut(_) => &mut self.cut,
@@ -228,9 +231,19 @@
     Second { first_p95_ms: first.quantiles().p95, ..second }
 }
 
+fn refusals(outcomes: &[Outcome]) -> BTreeMap<String, u64> {
+    let mut refusals = BTreeMap::new();
+    for outcome in outcomes {
+        if let Verdict::NotRun(reason) = &outcome.verdict {
+            *refusals.entry(reason.clone()).or_default() += 1;
+        }
+    }
+    refusals
+}
+
 fn faults(scenario: &Scenario, outcomes: &[Outcome]) -> Vec<String> {
     let is_fault = |outcome: &&Outcome| {
-        !matches!(outcome.verdict, Verdict::Whole | Verdict::NotRun | Verdict::MayHaveRun)
+        !matches!(outcome.verdict, Verdict::Whole | Verdict::NotRun(_) | Verdict::MayHaveRun)
     };
     let faults = outcomes.iter().filter(is_fault).take(SHOWN_FAULTS);
     let words = faults.map(|outcome| {
--- a/crates/load/src/report/text.rs
+++ b/crates/load/src/report/text.rs
@@ -28,6 +28,9 @@
     }
     let _ = writeln!(text, "role changes: {}", report.changes.len());
     let _ = writeln!(text, "keys that ran more than once: {}", report.doubled.len());
+    for (reason, count) in &report.refusals {
+        let _ = writeln!(text, "refused {count} times: {reason}");
+    }
     for fault in &report.faults {
         let _ = writeln!(text, "fault: {fault}");
     }
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -2,15 +2,13 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
-use std::{net::SocketAddr, time::Duration};
-
-use common::{cancel, name};
+use common::cancel;
 use expect_test::expect;
 use load::{
     arrival, run,
     scenario::{Range, Rate, Scenario, Shape, Stream},
 };
-use standin::{announce, engine, plain};
+use standin::{engine, plain};
 
 #[test]
 fn draws_the_same_requests_from_the_same_seed() {
@@ -113,15 +111,7 @@
 }
 
 fn plain_options() -> plain::Options {
-    plain::Options {
-        name: name::Target::from("plain-1"),
-        partner: name::Partner::from("association"),
-        service: name::Service::from("member-portal"),
-        data_centre: name::DataCentre::from("suva"),
-        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-        announced: None,
-        route: announce::Route { control: Vec::new(), interval: Duration::from_secs(1), seed: 1 },
-        delay: Duration::ZERO,
-        fate: plain::Fate::Drop,
-    }
+    let options =
+        plain::Options::new("plain-1", "association", "member-portal", "suva", Vec::new());
+    plain::Options { fate: plain::Fate::Drop, ..options }
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -58,6 +58,8 @@
     pub weights: Option<SocketAddr>,
     /// Whether it dies half way through its first change.
     pub crash_in_change: bool,
+    /// Whether it refuses every call as full while it reports free slots.
+    pub is_secretly_full: bool,
     /// Output tokens after which the whole engine dies.
     pub crash_after_tokens: Option<u64>,
 }
@@ -127,6 +129,7 @@
             reports: Reports::default(),
             weights: None,
             crash_in_change: false,
+            is_secretly_full: false,
             crash_after_tokens: None,
         }
     }
--- a/crates/standin/src/harness.rs
+++ b/crates/standin/src/harness.rs
@@ -3,6 +3,8 @@
 //! Panics are failed steps of a test.
 
 pub mod address;
+pub mod cluster;
 pub mod daemon;
 pub mod folder;
+pub mod tree;
 pub mod wait;
--- /dev/null
+++ b/crates/standin/src/harness/cluster.rs
@@ -0,0 +1,202 @@
+//! Several real daemons in data centres, with a fault proxy on each path from one to another.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use common::{cancel, name};
+use settings::instance;
+
+use super::{daemon, folder::Folder, tree, wait};
+use crate::{
+    engine, plain,
+    proxy::{Conditions, Proxy},
+};
+
+/// A data centre of a cluster.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// Its name.
+    pub data_centre: &'static str,
+    /// Daemons in it.
+    pub daemons: usize,
+    /// How many of these keep replicas of all branches.
+    pub replicas: usize,
+}
+
+/// The path from one daemon to another.
+#[derive(Debug)]
+struct Track {
+    from: String,
+    to: String,
+    proxy: Proxy,
+}
+
+/// Running daemons, ended when dropped.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The daemons, in the order of their places.
+    pub daemons: Vec<daemon::Daemon>,
+    paths: Vec<Track>,
+    token: cancel::Token,
+    tree: PathBuf,
+    _folder: Folder,
+}
+
+impl Cluster {
+    /// Starts daemons of `binary`.
+    ///
+    /// Daemons without replicas anywhere load the tree at their start; others have to be given it.
+    pub async fn start(binary: &str, name: &str, places: &[Place]) -> Cluster {
+        let folder = Folder::new(name);
+        let data_centres: Vec<&str> = places.iter().map(|place| place.data_centre).collect();
+        let tree = tree::write(folder.path(), &data_centres);
+        let mut instances = instances(folder.path(), &tree, places);
+        daemon::connect(&mut instances);
+        let paths = connect_through_proxies(&mut instances).await;
+        let start = |settings| daemon::Daemon::start(Path::new(binary), folder.path(), settings);
+        let daemons: Vec<daemon::Daemon> = instances.into_iter().map(start).collect();
+        Cluster { daemons, paths, token: cancel::Token::new(), tree, _folder: folder }
+    }
+
+    /// Waits until all daemons take callers.
+    pub async fn until_ready(&self) {
+        for daemon in &self.daemons {
+            daemon.until_ready().await;
+        }
+    }
+
+    /// Folder of the tree of declarations.
+    pub fn tree(&self) -> &Path {
+        &self.tree
+    }
+
+    /// Where callers connect, by daemon.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(daemon::Daemon::callers).collect()
+    }
+
+    /// The control addresses of one data centre's daemons.
+    pub fn control(&self, data_centre: &str) -> Vec<SocketAddr> {
+        let inside =
+            self.daemons.iter().filter(|daemon| daemon.settings().data_centre == data_centre);
+        inside.map(daemon::Daemon::control).collect()
+    }
+
+    /// Puts conditions in force on all paths into and out of a data centre.
+    pub fn set(&self, data_centre: &str, into: Conditions, out_of: Conditions) {
+        for path in &self.paths {
+            match (path.from == data_centre, path.to == data_centre) {
+                (false, true) => path.proxy.set(into),
+                (true, false) => path.proxy.set(out_of),
+                _ => {}
+            }
+        }
+    }
+
+    /// Makes all open connections between daemons silent for good.
+    pub fn silence_open(&self) {
+        for path in &self.paths {
+            path.proxy.silence_open();
+        }
+    }
+
+    /// Options of an engine of `partner` that announces itself to its data centre's daemons.
+    pub fn engine(&self, name: &str, partner: tree::Partner, data_centre: &str) -> engine::Options {
+        let control = self.control(data_centre);
+        let mut options = engine::Options::new(name, partner.name, partner.model_service, control);
+        options.models = vec![String::from(partner.model)];
+        options.data_centre = name::DataCentre::from(data_centre);
+        options.speed.scale = FAST;
+        options.route.seed = common::piece::hash(name);
+        options
+    }
+
+    /// Options of a plain service of `partner` that announces itself to its data centre's daemons.
+    pub fn plain(&self, name: &str, partner: tree::Partner, data_centre: &str) -> plain::Options {
+        let control = self.control(data_centre);
+        plain::Options::new(name, partner.name, partner.plain_service, data_centre, control)
+    }
+
+    /// Starts an engine that ends with the cluster.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it can't listen.
+    pub async fn start_engine(&self, options: engine::Options) -> engine::Engine {
+        let engine = engine::Engine::start(options, self.token.child_token()).await;
+        engine.expect("a loopback port is free")
+    }
+
+    /// Starts a plain service that ends with the cluster.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it can't listen.
+    pub async fn start_plain(&self, options: plain::Options) -> plain::Plain {
+        let plain = plain::Plain::start(options, self.token.child_token()).await;
+        plain.expect("a loopback port is free")
+    }
+
+    /// Waits until each daemon knows at least `count` targets.
+    pub async fn until_targets(&self, count: usize) {
+        for daemon in &self.daemons {
+            wait::until("the daemons know the targets", async || {
+                daemon.status().await.is_some_and(|status| status.targets.len() >= count)
+            })
+            .await;
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.token.cancel();
+    }
+}
+
+/// Factor on the stand-ins' times, so that tests run fast.
+const FAST: f64 = 0.2;
+
+fn instances(folder: &Path, tree: &Path, places: &[Place]) -> Vec<instance::Instance> {
+    let mut instances = Vec::new();
+    for place in places {
+        for number in 0..place.daemons {
+            let name = format!("{}-{}", place.data_centre, number + 1);
+            let mut settings = daemon::settings(&name, place.data_centre, tree);
+            if number < place.replicas {
+                keep_replicas(&mut settings, folder);
+            }
+            instances.push(settings);
+        }
+    }
+    instances
+}
+
+fn keep_replicas(settings: &mut instance::Instance, folder: &Path) {
+    let data = folder.join(format!("{}-data", settings.name));
+    settings.data_folder = Some(data.display().to_string());
+    let branches = ["venture", tree::ASSOCIATION.name, tree::INKLEAF.name];
+    let replica = |branch: &str| instance::Replica {
+        branch: String::from(branch),
+        start: instance::Start::Founder,
+    };
+    settings.replicas = branches.map(replica).to_vec();
+}
+
+async fn connect_through_proxies(instances: &mut [instance::Instance]) -> Vec<Track> {
+    let mut paths = Vec::new();
+    for instance in instances {
+        for peer in &mut instance.peers {
+            let proxy = Proxy::start(peer.address).await.expect("a loopback port is free");
+            peer.address = proxy.address();
+            paths.push(Track {
+                from: instance.data_centre.clone(),
+                to: peer.data_centre.clone(),
+                proxy,
+            });
+        }
+    }
+    paths
+}
--- a/crates/standin/src/harness/daemon.rs
+++ b/crates/standin/src/harness/daemon.rs
@@ -135,8 +135,13 @@
     }
 
     /// Waits until it takes callers.
+    ///
+    /// # Panics
+    ///
+    /// Panics with its log when it doesn't within [`wait::LIMIT`].
     pub async fn until_ready(&self) {
-        wait::until("the daemon is ready", async || self.is_ready().await).await;
+        let is_ready = wait::holds_within(wait::LIMIT, async || self.is_ready().await).await;
+        assert!(is_ready, "the daemon did not get ready:\n{}", self.log());
     }
 
     /// Whether it takes callers.
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -50,6 +50,29 @@
     pub fate: Fate,
 }
 
+impl Options {
+    /// A plain service that listens on a free loopback port and answers at once.
+    pub fn new(
+        name: &str,
+        partner: &str,
+        service: &str,
+        data_centre: &str,
+        control: Vec<SocketAddr>,
+    ) -> Options {
+        Options {
+            name: name::Target::from(name),
+            partner: name::Partner::from(partner),
+            service: name::Service::from(service),
+            data_centre: name::DataCentre::from(data_centre),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            announced: None,
+            route: announce::Route { control, interval: Duration::from_secs(1), seed: 1 },
+            delay: Duration::ZERO,
+            fate: Fate::Answer,
+        }
+    }
+}
+
 /// What happens once a call has run.
 #[derive(Clone, Copy, Debug, Default, derive_more::FromStr, PartialEq, Eq)]
 pub enum Fate {
