--- /dev/null
+++ b/crates/daisyctl/tests/dissolve.rs
@@ -0,0 +1,100 @@
+//! The next step of a dissolution follows from the branches alone.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use control::{
+    command::Command,
+    declaration::{self, Author},
+    dissolution::{Phase, Step},
+    query::{Answer, Query, Summary},
+    state::State,
+};
+use daisyctl::command::dissolve::plan::{self, Next};
+use settings::{delta::Delta, tree::Venture};
+
+const PLAN: &str = "end";
+
+/// The venture at version 1 and two partners that have not taken over its defaults yet.
+fn branches() -> Vec<State> {
+    let mut states: Vec<State> =
+        ["venture", "a", "b"].into_iter().map(|name| State::new(name.into())).collect();
+    let venture = Venture { name: "v".into(), ..Venture::default() };
+    let delta = Delta { venture: Some(venture), ..Delta::default() };
+    declare(&mut states[0], declaration::Change::Apply(delta));
+    states
+}
+
+fn declare(state: &mut State, change: declaration::Change) {
+    let base = state.ledger().version();
+    let request = declaration::Request { author: Author::default(), base, change };
+    state.apply(1, &Command::Declare(request));
+}
+
+fn adopt(state: &mut State) {
+    let venture = Venture { name: "v".into(), ..Venture::default() };
+    declare(state, declaration::Change::Adopt { venture_version: 1, venture });
+}
+
+fn summaries(states: &[State]) -> Vec<Summary> {
+    let summary = |state: &State| match state.query(&Query::Summary) {
+        Answer::Summary(summary) => summary,
+        other => panic!("{other:?}"),
+    };
+    states.iter().map(summary).collect()
+}
+
+fn take(states: &mut [State], next: &Next) {
+    let Next::Step(branch, action) = next else { panic!("{next:?}") };
+    let state = states.iter_mut().find(|state| state.branch() == branch).unwrap();
+    let step = Step { author: Author::default(), plan: PLAN.into(), action: action.clone() };
+    state.apply(2, &Command::Dissolve(step));
+}
+
+#[test]
+fn a_partner_is_frozen_only_with_the_ventures_last_defaults() {
+    let mut states = branches();
+    let first = plan::next(PLAN, &summaries(&states)).unwrap();
+    take(&mut states, &first);
+    assert_eq!(plan::next(PLAN, &summaries(&states)), Ok(Next::Wait("a".into())));
+    adopt(&mut states[1]);
+    assert!(matches!(plan::next(PLAN, &summaries(&states)), Ok(Next::Step(..))));
+}
+
+#[test]
+fn the_steps_end_and_no_branch_is_detached_before_all_are_written_out() {
+    let mut states = branches();
+    states[1..].iter_mut().for_each(adopt);
+    let mut taken = Vec::new();
+    loop {
+        let before = summaries(&states);
+        let next = plan::next(PLAN, &before).unwrap();
+        let Next::Step(branch, action) = &next else {
+            assert_eq!(next, Next::Done);
+            break;
+        };
+        let name = format!("{action:?}").split([' ', '{']).next().unwrap().to_owned();
+        taken.push(format!("{branch} {name}"));
+        take(&mut states, &next);
+    }
+    let expected = [
+        "venture Freeze",
+        "a Freeze",
+        "b Freeze",
+        "a WriteOut",
+        "b WriteOut",
+        "a Detach",
+        "b Detach",
+        "venture Close",
+    ];
+    assert_eq!(taken, expected);
+}
+
+#[test]
+fn another_dissolution_under_way_is_an_obstacle() {
+    let mut states = branches();
+    let next = plan::next(PLAN, &summaries(&states)).unwrap();
+    take(&mut states, &next);
+    let obstacle = plan::next("other", &summaries(&states)).unwrap_err();
+    assert_eq!(obstacle.phase, Phase::Frozen { plan: PLAN.into() });
+    assert_eq!(obstacle.to_string(), "branch `venture` is frozen by end");
+}
--- a/crates/daisydrum/tests/settings.rs
+++ b/crates/daisydrum/tests/branches/settings.rs
@@ -1,19 +1,14 @@
 //! Accepted settings in real daemons: in force everywhere, through races, restarts, partitions and a dissolution.
 
-#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
-
-#[path = "support/venture.rs"]
-mod venture;
-
 use std::sync::{
     Arc,
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
+use crate::venture::{BRANCHES, KEY, Venture};
 use daisyctl::error;
 use hyper::StatusCode;
 use standin::{harness::wait, proxy::Flow};
-use venture::{BRANCHES, KEY, Venture};
 
 const PORTAL: &str = "association/services/member-portal.jsonc";
 /// Number of the instance without a disk.
