An instance is ready only once the request path has indexed its declarations

Cause: /ready answered 200 up to 50 ms before the keys were indexed; serving's test lost_answer then got "the key is missing or unknown" (one failure in a run of the workspace). Change: readiness also needs the first index.

--- a/crates/daisydrum/src/duty/declarations.rs
+++ b/crates/daisydrum/src/duty/declarations.rs
@@ -30,10 +30,11 @@
 pub async fn follow(node: Node, directory: watch::Sender<Arc<Directory>>, context: Context) {
     // Without replicated logs the tree of the settings' folder stays in force.
     if upstream::branches(&context.settings).is_empty() {
+        node.set_indexed();
         context.end.cancelled().await;
         return;
     }
-    while !node.is_ready() {
+    while !node.is_current() {
         tokio::select! {
             () = context.end.cancelled() => return,
             () = time::sleep(READY_INTERVAL) => {}
@@ -46,6 +47,7 @@
         match next {
             Ok(next) => {
                 directory.send_replace(Arc::new(next));
+                node.set_indexed();
             }
             Err(error) => {
                 warn!(context.log, "declarations kept from before"; "cause" => %error);
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -2,7 +2,10 @@
 
 use std::{
     path::Path,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -56,6 +59,7 @@
     options: Options,
     view: watch::Sender<Arc<View>>,
     gate: Mutex<Gate>,
+    indexed: AtomicBool,
     disk: Option<Disk>,
 }
 
@@ -100,7 +104,9 @@
         }
         let gate = Mutex::new(Gate::new(branches.clone(), &view.have(), now));
         let (view, _) = watch::channel(Arc::new(view));
-        let node = Node { shared: Arc::new(Shared { options, view, gate, disk }) };
+        let node = Node {
+            shared: Arc::new(Shared { options, view, gate, indexed: AtomicBool::new(false), disk }),
+        };
         for branch in branches {
             let follower = Follower {
                 node: node.clone(),
@@ -125,8 +131,18 @@
         self.shared.view.borrow().have()
     }
 
-    /// Whether the instance has what was in force when it was last known.
+    /// Records that the request path has indexed the declarations.
+    pub fn set_indexed(&self) {
+        self.shared.indexed.store(true, Ordering::Release);
+    }
+
+    /// Whether the instance may serve: it has what was in force when it was last known, and has indexed it.
     pub fn is_ready(&self) -> bool {
+        self.shared.indexed.load(Ordering::Acquire) && self.is_current()
+    }
+
+    /// Whether the instance has what was in force when it was last known.
+    pub fn is_current(&self) -> bool {
         let view = self.shared.view.borrow().clone();
         let gate = self.shared.gate.lock().unwrap_or_else(PoisonError::into_inner);
         gate.is_open(&view, Moment::now())
