Role changes by real daemons: under load, and with an engine that dies in its change

Cause: role changes were only shown with the duty in the test's own process; nothing drove the policy to a change in a real daemon while callers were served.

--- /dev/null
+++ b/crates/daisydrum/tests/role_change.rs
@@ -0,0 +1,214 @@
+//! A role change that the policy decides on while callers are served by a real daemon.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+#[path = "support/alone.rs"]
+mod alone;
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use common::{cancel, name, role::Role};
+use http_body_util::BodyExt;
+use standin::{
+    answer,
+    engine::{Engine, Options},
+    harness::{daemon::Daemon, folder::Folder},
+    http,
+};
+use tokio::{task::JoinHandle, time};
+use wire::completion;
+
+const KEY: &str = "Bearer vent-example-key";
+const CALLERS: usize = 6;
+const TOKENS: usize = 12;
+/// The policy reads demand in intervals of 10 s and wants two of them.
+const PATIENCE: Duration = Duration::from_secs(180);
+/// Rates at which the prompts of the test ask for more prefill than one engine gives.
+const ROLES: &str = r#"{
+  "roles": {
+    "prefill_rate": 100.0, "decode_rate": 5000.0, "change_price": 0.0, "dwell_s": 1, "change_s": 1,
+    "hysteresis_percent": 1, "horizon_s": 600, "goodput_weight": 10.0
+  }
+}"#;
+
+/// Roles of the engines at the start.
+const START: [Role; 4] = [Role::Prefill, Role::Decode, Role::Decode, Role::Decode];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_role_change_under_load_cuts_no_stream() {
+    let site = Site::start("role-change", |_| {}).await;
+    let load = Load::start(&site.daemon);
+    let changed =
+        || site.engines.iter().zip(START).any(|(engine, role)| engine.state().role != role);
+    until("an engine takes another role", changed).await;
+    load.until_more().await;
+    load.end().await;
+    assert!(site.daemon.log().contains("action=\"role "), "the log tells of the order");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_dies_in_its_role_change_is_settled_and_cuts_no_stream() {
+    let site = Site::start("role-death", |options| options.crash_in_change = true).await;
+    let load = Load::start(&site.daemon);
+    until("an engine dies in its change", || site.engines.iter().any(Engine::is_dead)).await;
+    let dead = site.engines.iter().position(Engine::is_dead).unwrap();
+    let orders = || site.orders(&format!("engine-{dead}"));
+    until("the order to it is settled", || {
+        orders().last().is_some_and(|line| line.contains("intent ended"))
+    })
+    .await;
+    load.until_more().await;
+    load.end().await;
+    let mut open = false;
+    for line in orders() {
+        let opens = line.contains("intent opened");
+        assert!(!(open && opens), "two orders to one engine are open: {line}");
+        open = opens;
+    }
+}
+
+/// A daemon with engines that are declared slow at prompts.
+struct Site {
+    daemon: Daemon,
+    engines: Vec<Engine>,
+    _folder: Folder,
+}
+
+impl Site {
+    async fn start(name: &str, change: impl Fn(&mut Options)) -> Site {
+        let folder = Folder::new(name);
+        let tree = write_tree(folder.path());
+        let daemon = alone::start(&tree, folder.path()).await;
+        let mut engines = Vec::new();
+        for (number, role) in START.into_iter().enumerate() {
+            let mut options = options(&daemon, number, role);
+            change(&mut options);
+            engines.push(Engine::start(options, cancel::Token::new()).await.unwrap());
+        }
+        daemon.until_targets(engines.len()).await;
+        Site { daemon, engines, _folder: folder }
+    }
+
+    /// What the log tells of orders to an engine.
+    fn orders(&self, engine: &str) -> Vec<String> {
+        let log = self.daemon.log();
+        let target = format!("target={engine} ");
+        let lines =
+            log.lines().filter(|line| line.contains("event=\"intent ") && line.contains(&target));
+        lines.map(String::from).collect()
+    }
+}
+
+async fn until(what: &str, condition: impl Fn() -> bool) {
+    let end = time::Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(time::Instant::now() < end, "waited in vain until {what}");
+        time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Callers that ask again as soon as they are answered, and check that each answer is whole.
+struct Load {
+    served: Arc<AtomicUsize>,
+    stop: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    fn start(daemon: &Daemon) -> Load {
+        let (served, stop) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
+        let caller = |number| {
+            let (address, served, stop) =
+                (daemon.callers(), Arc::clone(&served), Arc::clone(&stop));
+            tokio::spawn(async move {
+                while !stop.load(Ordering::Relaxed) {
+                    ask(address, number).await;
+                    served.fetch_add(1, Ordering::Relaxed);
+                }
+            })
+        };
+        let callers = (0..CALLERS).map(caller).collect();
+        Load { served, stop, callers }
+    }
+
+    /// Waits until each caller has been answered once more.
+    async fn until_more(&self) {
+        let served = self.served.load(Ordering::Relaxed);
+        until("callers are served on", || {
+            self.served.load(Ordering::Relaxed) > served + 2 * CALLERS
+        })
+        .await;
+    }
+
+    async fn end(self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for caller in self.callers {
+            caller.await.unwrap();
+        }
+    }
+}
+
+async fn ask(address: std::net::SocketAddr, number: usize) {
+    let asked = completion::Request {
+        model: String::from("vent-7b"),
+        prompt: Some(format!("caller {number} {}", "word ".repeat(400))),
+        stream: true,
+        max_tokens: Some(u32::try_from(TOKENS).unwrap()),
+        ..Default::default()
+    };
+    let mut request = http::post("/v1/completions", &asked).unwrap();
+    request.headers_mut().insert("authorization", hyper::header::HeaderValue::from_static(KEY));
+    let response = http::open(address, request).await.unwrap();
+    assert_eq!(response.status(), 200);
+    let body = response.into_body().collect().await.expect("no cut").to_bytes();
+    let text = String::from_utf8(body.to_vec()).unwrap();
+    let events: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    assert_eq!(events.last(), Some(&"[DONE]"), "{text}");
+    let token = |event: &&str| {
+        let event: serde_json::Value = serde_json::from_str(event).unwrap();
+        event["choices"][0]["text"].as_str().unwrap().to_owned()
+    };
+    let whole: String = events[..events.len() - 1].iter().map(token).collect();
+    answer::check(&asked.text(), TOKENS, &whole).unwrap();
+}
+
+fn options(daemon: &Daemon, number: usize, role: Role) -> Options {
+    let name = format!("engine-{number}");
+    let mut options = Options::new(&name, "association", "vent-llm", vec![daemon.control()]);
+    options.data_centre = name::DataCentre::from("suva");
+    options.models = vec![String::from("vent-7b")];
+    options.role = role;
+    options.speed.change = Duration::from_secs(1);
+    options.route.interval = Duration::from_millis(500);
+    options
+}
+
+/// A copy of the example tree whose engines are declared slow at prompts.
+fn write_tree(folder: &Path) -> PathBuf {
+    let from = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/venture");
+    let to = folder.join("tree");
+    for part in ["", "association", "association/services", "inkleaf", "inkleaf/services"] {
+        fs::create_dir_all(to.join(part)).unwrap();
+        for entry in fs::read_dir(from.join(part)).unwrap().map(Result::unwrap) {
+            if entry.path().is_file() {
+                fs::copy(entry.path(), to.join(part).join(entry.file_name())).unwrap();
+            }
+        }
+    }
+    let file = to.join("association/partner.jsonc");
+    let partner = serde_json::json!({
+        "title": "Association",
+        "data_centres": ["suva", "lautoka", "nadi", "nausori"],
+        "defaults": serde_json::from_str::<serde_json::Value>(ROLES).unwrap(),
+    });
+    fs::write(file, partner.to_string()).unwrap();
+    to
+}
