Whole-system run at today's sizes; long latencies in reports

Cause: nothing had shown all places of both partners together; reports of load clamped latencies near 2 s. Change: an example with 16 daemons, 24 engines, 8 plain services and faults, its figures as a page; histograms of load hold up to an hour, with a test (it gave 2 ms for answers that took over 4 s).

--- /dev/null
+++ b/crates/daisydrum/examples/whole_system.rs
@@ -0,0 +1,170 @@
+//! Runs both partners' places with real daemons and stand-in targets under a shifting mix with faults, and reports.
+//!
+//! Run it from the root of the repository:
+//! `cargo build --release -p daisydrum && cargo run --release -p daisydrum --example whole_system -- SECONDS`.
+
+use std::{env, error::Error, fs, time::Duration};
+
+use daisyctl::{arguments::Daisyctl, command};
+use load::{
+    run,
+    scenario::{Range, Rate, Scenario, Shape, Stream},
+};
+use standin::{
+    engine,
+    harness::{
+        cluster::{Cluster, Place},
+        tree::{ASSOCIATION, INKLEAF, Partner},
+        wait,
+    },
+    proxy::Conditions,
+};
+use tokio::time;
+
+const BINARY: &str = "target/release/daisydrum";
+const ENGINES: usize = 3;
+const FIJI: Duration = Duration::from_micros(500);
+const HOKKAIDO: Duration = Duration::from_micros(1_500);
+const DEFAULT_SECONDS: f64 = 120.0;
+
+const PLACES: [Place; 8] = [
+    Place { data_centre: "suva", daemons: 2, replicas: 1 },
+    Place { data_centre: "lautoka", daemons: 2, replicas: 1 },
+    Place { data_centre: "nadi", daemons: 2, replicas: 1 },
+    Place { data_centre: "nausori", daemons: 2, replicas: 0 },
+    Place { data_centre: "ink-sapporo-a", daemons: 2, replicas: 0 },
+    Place { data_centre: "ink-sapporo-b", daemons: 2, replicas: 0 },
+    Place { data_centre: "ink-asahikawa", daemons: 2, replicas: 0 },
+    Place { data_centre: "ink-kushiro", daemons: 2, replicas: 0 },
+];
+
+#[tokio::main]
+#[allow(clippy::print_stdout, reason = "prints the report")]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let seconds = env::args().nth(1).map_or(Ok(DEFAULT_SECONDS), |seconds| seconds.parse())?;
+    let mut cluster = Cluster::start(BINARY, "whole-system", &PLACES).await;
+    wait::until("the declarations are accepted", async || apply(&cluster).await).await;
+    cluster.until_ready().await;
+    let mut engines = Vec::new();
+    let mut plain = Vec::new();
+    for place in PLACES {
+        let (partner, latency) = owner(place.data_centre);
+        let delay = Conditions { latency, ..Conditions::default() };
+        cluster.set(place.data_centre, delay, delay);
+        for number in 0..ENGINES {
+            let name = format!("{}-engine-{number}", place.data_centre);
+            let mut options = cluster.engine(&name, partner, place.data_centre);
+            options.speed.scale = 1.0;
+            engines.push(cluster.start_engine(options).await);
+        }
+        let name = format!("{}-plain", place.data_centre);
+        plain.push(cluster.start_plain(cluster.plain(&name, partner, place.data_centre)).await);
+    }
+    cluster.until_targets(ENGINES + 1).await;
+    let mut load = scenario(&cluster, seconds);
+    load.plain = plain.iter().map(standin::plain::Plain::address).collect();
+    let load = tokio::spawn(run::run(load));
+    faults(&mut cluster, &engines, seconds).await;
+    let report = load.await?;
+    println!("{}", report.text());
+    fs::write("target/whole-system.html", report.page())?;
+    Ok(())
+}
+
+/// Whether the log of each branch accepts the cluster's tree.
+async fn apply(cluster: &Cluster) -> bool {
+    let tree = cluster.tree().as_os_str().to_owned();
+    let instance = cluster.daemons[0].control().to_string();
+    let arguments = vec!["apply".into(), tree, "--instance".into(), instance.into()];
+    let work = || Daisyctl::from_vec(arguments).is_ok_and(|flags| command::run(flags).is_ok());
+    tokio::task::spawn_blocking(work).await.unwrap_or(false)
+}
+
+fn owner(data_centre: &str) -> (Partner, Duration) {
+    if data_centre.starts_with("ink-") { (INKLEAF, HOKKAIDO) } else { (ASSOCIATION, FIJI) }
+}
+
+/// A daemon killed and started again, one paused, silent connections and two engines lost, spread over the run.
+async fn faults(cluster: &mut Cluster, engines: &[engine::Engine], seconds: f64) {
+    let step = Duration::from_secs_f64(seconds / 8.0);
+    time::sleep(step).await;
+    cluster.daemons[6].kill();
+    time::sleep(step).await;
+    cluster.daemons[6].restart();
+    cluster.silence_open();
+    time::sleep(step).await;
+    cluster.daemons[7].pause();
+    time::sleep(step).await;
+    cluster.daemons[7].resume();
+    engines[0].kill();
+    time::sleep(step).await;
+    engines[engines.len() - 1].kill();
+}
+
+fn scenario(cluster: &Cluster, seconds: f64) -> Scenario {
+    let half = seconds / 2.0;
+    let rates =
+        |first, second| vec![Rate { at_s: 0.0, per_s: first }, Rate { at_s: half, per_s: second }];
+    let short = Range { from: 50, to: 200 };
+    let long = Range { from: 500, to: 1_500 };
+    let streams = vec![
+        completions(
+            "checklists",
+            ASSOCIATION,
+            short,
+            Range { from: 100, to: 300 },
+            rates(8.0, 2.0),
+        ),
+        completions("summaries", ASSOCIATION, long, Range { from: 10, to: 40 }, rates(2.0, 8.0)),
+        completions("crash-reports", INKLEAF, long, Range { from: 10, to: 40 }, rates(1.0, 10.0)),
+        completions("release-notes", INKLEAF, short, Range { from: 100, to: 300 }, rates(6.0, 1.0)),
+        claims("certificates", ASSOCIATION, rates(2.0, 2.0)),
+        claims("firmware", INKLEAF, rates(1.0, 1.0)),
+    ];
+    Scenario {
+        seed: 1,
+        duration_s: seconds,
+        max_requests: 20_000,
+        callers: cluster.callers(),
+        control: Vec::new(),
+        plain: Vec::new(),
+        resends: 20,
+        streams,
+    }
+}
+
+fn completions(
+    name: &str,
+    partner: Partner,
+    prompt_tokens: Range,
+    output_tokens: Range,
+    rates: Vec<Rate>,
+) -> Stream {
+    let model = String::from(partner.model);
+    let shape = Shape::Completion {
+        model,
+        prompt_tokens,
+        output_tokens,
+        prefixes: 4,
+        prefix_tokens: 2_000,
+    };
+    stream(name, partner.model_key, shape, rates)
+}
+
+fn claims(name: &str, partner: Partner, rates: Vec<Rate>) -> Stream {
+    let path = String::from(partner.claimed_path);
+    let shape = Shape::Plain { path, body_bytes: Range { from: 100, to: 500 } };
+    stream(name, partner.plain_key, shape, rates)
+}
+
+fn stream(name: &str, key: &str, shape: Shape, rates: Vec<Rate>) -> Stream {
+    Stream {
+        name: String::from(name),
+        key: String::from(key),
+        shape,
+        rates,
+        deadline_ms: 30_000,
+        first_token_ms: 820,
+        token_gap_ms: 43,
+    }
+}
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -15,6 +15,8 @@
 };
 
 const MS_PER_SECOND: u64 = 1_000;
+/// Longest latency told apart, in milliseconds.
+const LONGEST_MS: u64 = 3_600_000;
 /// Significant digits of latencies.
 const DIGITS: u8 = 3;
 /// Faults that a report shows in words at most.
@@ -191,7 +193,8 @@
 
 impl Latency {
     fn new() -> Latency {
-        Latency(Histogram::new(DIGITS).expect("invariant: the digits are in the allowed range"))
+        let histogram = Histogram::new_with_bounds(1, LONGEST_MS, DIGITS);
+        Latency(histogram.expect("invariant: the bounds and digits are in the allowed range"))
     }
 
     fn record(&mut self, milliseconds: u64) {
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+use std::time::Duration;
+
 use common::cancel;
 use expect_test::expect;
 use load::{
@@ -36,6 +38,22 @@
     assert!(page.contains("<polyline") && !page.contains("//"), "{page}");
 }
 
+#[tokio::test]
+async fn tells_long_latencies_apart() {
+    let mut options = options();
+    options.speed.step = Duration::from_secs(60);
+    let engine = engine::Engine::start(options, cancel::Token::new()).await.unwrap();
+    let mut stream = completions();
+    if let Shape::Completion { output_tokens, .. } = &mut stream.shape {
+        *output_tokens = Range { from: 2, to: 2 };
+    }
+    let mut scenario = scenario(vec![stream]);
+    scenario.max_requests = 1;
+    scenario.callers = vec![engine.address()];
+    let report = run::run(scenario).await;
+    assert!(report.streams[0].total_ms.p50 >= 3_000, "{}", report.text());
+}
+
 #[tokio::test]
 async fn finds_cut_answers_cut() {
     let options = engine::Options { crash_after_tokens: Some(20), ..options() };
--- a/crates/standin/src/harness/tree.rs
+++ b/crates/standin/src/harness/tree.rs
@@ -49,10 +49,13 @@
     claimed_path: "/push",
 };
 
-/// Data centre of the second partner, which the first one's do not include.
-const INKLEAF_DATA_CENTRE: &str = "sapporo-a";
+/// Prefix of the names of the second partner's data centres.
+const INKLEAF_PREFIX: &str = "ink-";
+/// Data centre of the second partner where `write` is given none.
+const INKLEAF_DATA_CENTRE: &str = "ink-1";
 
-/// Writes the tree into `folder`, with the first partner in `data_centres`, and returns its path.
+/// Writes the tree into `folder` and returns its path; data centres whose names start with `ink-` are the second
+/// partner's, the others the first one's.
 ///
 /// # Panics
 ///
@@ -62,7 +65,11 @@
     save(&root.join("venture.jsonc"), &json!({ "name": "test-venture" }));
     for partner in [ASSOCIATION, INKLEAF] {
         let branch = root.join(partner.name);
-        let places = if partner == ASSOCIATION { data_centres } else { &[INKLEAF_DATA_CENTRE] };
+        let mut places: Vec<&str> = data_centres.to_vec();
+        places.retain(|place| place.starts_with(INKLEAF_PREFIX) == (partner == INKLEAF));
+        if places.is_empty() {
+            places.push(INKLEAF_DATA_CENTRE);
+        }
         let head = json!({ "title": partner.name, "data_centres": places });
         save(&branch.join("partner.jsonc"), &head);
         let model = json!({
