Calls that may not be repeated probe the last target that is left

Such calls avoid targets on probation; where a data centre has one target of a plain service and only such calls, nothing ever proved that it works again. Change: where no proven target is left, one such call at a time is the probe.

--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -185,12 +185,27 @@
     if !avoid.is_empty() {
         near.extend(pool.free.sample(SAMPLE * avoid.len(), random).map(Candidate::from));
     }
-    best(near, request, avoid, view).or_else(|| spill(pool, request, avoid, view, random)).or_else(
-        || {
+    best(near, request, avoid, view)
+        .or_else(|| spill(pool, request, avoid, view, random))
+        .or_else(|| {
             let free = avoid.iter().filter(|key| pool.free.contains(**key));
             best(free.map(|key| Candidate::from(*key)).collect(), request, &[], view)
-        },
-    )
+        })
+        .or_else(|| probe(pool, request, view, random))
+}
+
+/// Chooses a target on probation for a request that may not be repeated, where no other one is left.
+///
+/// Without this, a service whose calls may not be repeated would never find out that its last target works again.
+fn probe(pool: &Pool, request: &Request, view: View<'_>, random: &mut Random) -> Option<Choice> {
+    let is_proven = |key: &Target| {
+        view.targets.get(*key).is_some_and(|target| target.health.state == health::State::In)
+    };
+    if request.repeat == Repeat::Allowed || pool.members.keys().iter().any(is_proven) {
+        return None;
+    }
+    let key = pool.free.sample(1, random).next()?;
+    weigh_any(Candidate::from(key), request, view)
 }
 
 /// Chooses an instance of another data centre, which routes the request there.
@@ -254,6 +269,12 @@
     if request.repeat == Repeat::Never && target.health.state != health::State::In {
         return None;
     }
+    weigh_any(candidate, request, view)
+}
+
+/// Works out what is expected of a target, on probation or not.
+fn weigh_any(candidate: Candidate, request: &Request, view: View<'_>) -> Option<Choice> {
+    let target = view.targets.get(candidate.key)?;
     let held = view.prefixes.held(candidate.key, &request.pieces, view.now);
     let cached = (held * piece::TOKENS as f64) as u64;
     let uncached = request.prompt_tokens.saturating_sub(cached);
--- a/crates/route/tests/route/choice.rs
+++ b/crates/route/tests/route/choice.rs
@@ -119,6 +119,16 @@
         let once = Request { repeat: Repeat::Never, ..request("a") };
         assert_eq!(name(&send(&mut router, once, after(5_000))), "two");
     }
+    router.depart(&name::Target::from("two"));
+    drain(&mut router);
+    let once = Request { repeat: Repeat::Never, ..request("a") };
+    let sent = send(&mut router, once, after(5_000));
+    assert_eq!(name(&sent), "one", "the last target is probed by such a call, too");
+    router.report(sent.ticket, sent.attempt, Event::Finished, after(5_010));
+    for _ in 0..20 {
+        let once = Request { repeat: Repeat::Never, ..request("a") };
+        assert_eq!(name(&send(&mut router, once, after(5_020))), "one", "it is proven again");
+    }
 }
 
 #[test]
