Calls that may not be repeated are handed on with their claim

They had arrived in data centres without a target for their service; they may not be handed over unclaimed, and waited in vain instead of being refused. Change: the log hands a claim from one attempt to another, to one taker; the other instance takes it over before it sends the call. A request that must stay here is refused at once where nothing here serves it. An answer that came by another instance keeps its word of whether it ran.

--- a/crates/control/src/claim.rs
+++ b/crates/control/src/claim.rs
@@ -52,6 +52,21 @@
     pub retention_ms: u64,
 }
 
+/// Takes over a claim from the instance that handed the call on, so that only one may send it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Take {
+    /// The call.
+    pub key: Key,
+    /// What it asks for.
+    pub digest: Digest,
+    /// The attempt that holds the claim; afterwards it holds nothing.
+    pub from: String,
+    /// The instance that will send the call.
+    pub claimant: name::Instance,
+    /// The attempt that holds the claim afterwards.
+    pub attempt: String,
+}
+
 /// Records the answer of a claimed call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finish {
@@ -209,6 +224,26 @@
         Reply::Claimed
     }
 
+    /// Hands a claim from one attempt to another; of several that ask, one gets it.
+    pub fn take(&mut self, now: time::Clock, take: &Take) -> Reply {
+        let Some(claim) = self.claims.get_mut(&take.key) else {
+            return Reply::NotHeld;
+        };
+        if claim.digest != take.digest {
+            return Reply::OtherBody;
+        }
+        let running = claim.word(now) == Reply::InProgress;
+        if running && claim.attempt == take.from {
+            claim.claimant = take.claimant.clone();
+            claim.attempt = take.attempt.clone();
+            return Reply::Claimed;
+        }
+        if running && claim.attempt == take.attempt {
+            return Reply::Claimed;
+        }
+        claim.word(now)
+    }
+
     /// Records an answer; without room for it, only that the call ran.
     pub fn finish(&mut self, finish: &Finish) -> Reply {
         let room = MAX_ANSWER_BYTES - self.answer_bytes;
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -33,4 +33,6 @@
     Drain(drain::Set),
     /// A step of a dissolution.
     Dissolve(dissolution::Step),
+    /// Takes over a claim from the instance that handed the call on.
+    Take(claim::Take),
 }
--- a/crates/control/tests/claims.rs
+++ b/crates/control/tests/claims.rs
@@ -4,7 +4,7 @@
 
 use common::collections::Map;
 use control::{
-    claim::{Abandon, Answer, Begin, Digest, Finish, Key, Lose, Reply},
+    claim::{Abandon, Answer, Begin, Digest, Finish, Key, Lose, Reply, Take},
     command::Command,
     reply,
     state::State,
@@ -47,6 +47,32 @@
     Command::Lose(Lose { key: key(name), attempt: attempt.into() })
 }
 
+fn take(name: &str, body: u8, from: &str, attempt: &str) -> Command {
+    Command::Take(Take {
+        key: key(name),
+        digest: Digest([body; 32]),
+        from: from.into(),
+        claimant: "nadi-1".into(),
+        attempt: attempt.into(),
+    })
+}
+
+#[test]
+fn a_claim_that_is_handed_on_has_one_taker() {
+    let mut state = State::default();
+    assert_eq!(apply(&mut state, 1, &take("k", 1, "a", "b")), Reply::NotHeld, "nothing is claimed");
+    assert_eq!(apply(&mut state, 2, &begin("k", 1, "a")), Reply::Claimed);
+    assert_eq!(apply(&mut state, 3, &take("k", 2, "a", "b")), Reply::OtherBody);
+    assert_eq!(apply(&mut state, 4, &take("k", 1, "x", "b")), Reply::InProgress, "x never held it");
+    assert_eq!(apply(&mut state, 5, &take("k", 1, "a", "b")), Reply::Claimed);
+    assert_eq!(apply(&mut state, 6, &take("k", 1, "a", "c")), Reply::InProgress, "b was first");
+    assert_eq!(apply(&mut state, 7, &begin("k", 1, "a")), Reply::InProgress, "a holds it no more");
+    assert_eq!(apply(&mut state, 8, &abandon("k", "a")), Reply::NotHeld);
+    assert_eq!(apply(&mut state, 9, &finish("k", "b", vec![7])), Reply::Recorded);
+    let kept = Reply::Finished { answer: Some(answer(vec![7])) };
+    assert_eq!(apply(&mut state, 10, &take("k", 1, "b", "d")), kept);
+}
+
 fn apply(state: &mut State, index: u64, command: &Command) -> Reply {
     match state.apply(index, command) {
         reply::Reply::Claim(reply) => reply,
--- a/crates/daisydrum/src/claims.rs
+++ b/crates/daisydrum/src/claims.rs
@@ -42,6 +42,15 @@
         self.submit(partner, Command::Claim(begin), limit).await
     }
 
+    async fn take(
+        &self,
+        partner: &name::Partner,
+        take: claim::Take,
+        limit: Duration,
+    ) -> Result<claim::Reply, Failure> {
+        self.submit(partner, Command::Take(take), limit).await
+    }
+
     async fn settle(
         &self,
         partner: &name::Partner,
--- /dev/null
+++ b/crates/daisydrum/tests/serving/handed_on.rs
@@ -0,0 +1,51 @@
+//! Calls that may not be repeated, where only another data centre has a target for them.
+
+use load::{
+    arrival::{Arrival, Content},
+    call,
+};
+use standin::harness::{cluster::Place, tree::ASSOCIATION, wait};
+use tokio::time::{Duration, Instant};
+
+use crate::support;
+
+const PLACES: [Place; 3] = [
+    Place { data_centre: "suva", daemons: 1, replicas: 1 },
+    Place { data_centre: "lautoka", daemons: 1, replicas: 1 },
+    Place { data_centre: "nadi", daemons: 1, replicas: 1 },
+];
+const CALLS: usize = 12;
+
+fn arrival(number: usize) -> Arrival {
+    let content =
+        Content::Plain { key: format!("lodgement-{number}"), body: format!("body {number}") };
+    Arrival { at: Duration::ZERO, stream: 0, content }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_is_handed_on_runs_once_and_its_answer_is_kept() {
+    let cluster = support::cluster("handed-on", &PLACES).await;
+    let plain = cluster.start_plain(cluster.plain("plain-1", ASSOCIATION, "nadi")).await;
+    let scenario =
+        support::scenario(cluster.callers(), 1.0, vec![support::claims(ASSOCIATION, 1.0)]);
+    for address in cluster.callers() {
+        let alone = load::scenario::Scenario { callers: vec![address], ..scenario.clone() };
+        wait::until("the call is answered from each data centre", async || {
+            call::send(&alone, &arrival(0), 1, Instant::now()).await.verdict.is_whole()
+        })
+        .await;
+        let fresh = arrival(usize::from(address.port()));
+        let outcome = call::send(&alone, &fresh, 1, Instant::now()).await;
+        assert_eq!(outcome.verdict, call::Verdict::Whole, "asked at {address}");
+    }
+    for number in 1..CALLS {
+        for seed in 0..6 {
+            let outcome = call::send(&scenario, &arrival(number), seed, Instant::now()).await;
+            assert_eq!(outcome.verdict, call::Verdict::Whole);
+        }
+    }
+    let counts = plain.counts();
+    let doubled: Vec<_> = counts.keys.iter().filter(|(_, runs)| **runs != 1).collect();
+    assert!(doubled.is_empty(), "{doubled:?}");
+    assert_eq!(counts.keys.len(), CALLS + PLACES.len());
+}
--- a/crates/daisydrum/tests/serving/main.rs
+++ b/crates/daisydrum/tests/serving/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod gapped_cache_events;
+mod handed_on;
 mod killed_daemon;
 mod killed_during_claim;
 mod lost_answer;
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -12,6 +12,11 @@
 /// Header by which an instance marks a request that it hands over to another data centre's instance.
 pub const ORIGIN_HEADER: &str = "x-daisydrum-origin";
 
+/// Header with the attempt that holds the claim of a call which may not be repeated and is handed over.
+///
+/// Only the log knows the attempt beside the two instances, and it gives the claim to one taker.
+pub const CLAIM_HEADER: &str = "x-daisydrum-claim";
+
 /// A caller's request that belongs to a service.
 #[derive(Debug)]
 pub struct Call {
@@ -41,13 +46,19 @@
         self.completion.as_ref().is_some_and(|completion| completion.stream)
     }
 
-    /// Requests that another instance handed over stay here, and so do those that may not be repeated: their claim
-    /// is this instance's.
+    /// Names an instance's handling of the call, by which a claim is held.
+    pub fn attempt(&self, instance: &name::Instance) -> String {
+        format!("{instance}-{:016x}", self.span.span)
+    }
+
+    /// The attempt whose claim another instance hands on with the call.
+    pub fn handed_on(&self) -> Option<&str> {
+        self.headers.get(CLAIM_HEADER).and_then(|attempt| attempt.to_str().ok())
+    }
+
+    /// Requests that another instance handed over stay here.
     fn origin(&self) -> Origin {
-        if self.repeat == Repeat::Never || self.headers.contains_key(ORIGIN_HEADER) {
-            return Origin::Instance;
-        }
-        Origin::Caller
+        if self.headers.contains_key(ORIGIN_HEADER) { Origin::Instance } else { Origin::Caller }
     }
 
     /// What the router is asked.
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -38,6 +38,14 @@
         limit: Duration,
     ) -> impl Future<Output = Result<claim::Reply, Failure>> + Send;
 
+    /// Takes over the claim of a call that another instance hands on. The same attempt may ask again.
+    fn take(
+        &self,
+        partner: &name::Partner,
+        take: claim::Take,
+        limit: Duration,
+    ) -> impl Future<Output = Result<claim::Reply, Failure>> + Send;
+
     /// Records how a claim ends. Recording the same end again changes nothing.
     fn settle(
         &self,
@@ -61,6 +69,15 @@
         Err(Failure::NotAccepted)
     }
 
+    async fn take(
+        &self,
+        _partner: &name::Partner,
+        _take: claim::Take,
+        _limit: Duration,
+    ) -> Result<claim::Reply, Failure> {
+        Err(Failure::NotAccepted)
+    }
+
     async fn settle(
         &self,
         _partner: &name::Partner,
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -12,6 +12,7 @@
 };
 use route::request::{Dispatch, Event, Repeat};
 use tokio::time;
+use wire::outcome;
 
 use crate::{
     answer,
@@ -142,7 +143,10 @@
             }
         }
         let mut response = Response::from_parts(head, Body::whole(bytes.freeze()));
-        answer::mark(&mut response, wire::outcome::Word::Ran);
+        let told = response.headers().contains_key(outcome::HEADER);
+        if !(self.attempt.relay && told) {
+            answer::mark(&mut response, outcome::Word::Ran);
+        }
         self.output.whole(response);
         Ending::Event(Event::Finished)
     }
--- a/crates/entry/src/protocol.rs
+++ b/crates/entry/src/protocol.rs
@@ -8,7 +8,7 @@
     header::{AUTHORIZATION, CONTENT_LENGTH, HOST, HeaderName, HeaderValue},
     http::response,
 };
-use route::request::Event;
+use route::request::{Event, Repeat};
 use serde_json::Value;
 use settings::service::Priority;
 use telemetry::span;
@@ -88,10 +88,14 @@
             set(headers, call::ORIGIN_HEADER, self.instance.as_ref());
             let remaining = call.deadline.since(Moment::now()).as_millis();
             set(headers, request::DEADLINE_HEADER, &remaining.to_string());
+            if call.repeat == Repeat::Never {
+                set(headers, call::CLAIM_HEADER, &call.attempt(&self.instance));
+            }
             return request;
         }
         headers.remove(AUTHORIZATION);
         headers.remove(call::ORIGIN_HEADER);
+        headers.remove(call::CLAIM_HEADER);
         set(headers, target::ATTEMPT_HEADER, &format!("{:016x}", attempt.span.span));
         let priority = priority(call.binding.service.settings.admission.priority);
         set(headers, target::PRIORITY_HEADER, &priority.to_string());
@@ -103,7 +107,7 @@
             return Some(if word == FULL { Event::Full } else { Event::Unavailable });
         }
         let word = head.headers.get(outcome::HEADER)?;
-        (word == "not-run" && !head.status.is_client_error()).then_some(Event::Full)
+        (word == "not-run").then_some(Event::Full)
     }
 
     fn probe(&self) -> Request<Full<Bytes>> {
--- a/crates/entry/src/server/claimed.rs
+++ b/crates/entry/src/server/claimed.rs
@@ -26,6 +26,8 @@
 pub const KEY_HEADER: &str = "idempotency-key";
 /// Header that marks an answer which was kept from an earlier call.
 pub const REPLAYED_HEADER: &str = "x-daisydrum-replayed";
+/// Word of an answer whose call ran; another instance's answer may have another one.
+const RAN: &str = "ran";
 const CLAIM_LIMIT: Duration = Duration::from_secs(3);
 /// Longest wait for an answer to be kept before it is given to the caller.
 const KEEP_LIMIT: Duration = Duration::from_secs(1);
@@ -42,7 +44,7 @@
     span: span::Span,
 ) -> Result<Response<Body>, answer::Fault> {
     let key = key(&call)?;
-    let attempt = format!("{}-{:016x}", server.instance, span.context.span);
+    let attempt = call.attempt(&server.instance);
     let run = Run { server, call, key, attempt };
     let task = tokio::spawn(run.claim_and_send(span));
     task.await.unwrap_or(Err(answer::Fault::Unknown))
@@ -57,7 +59,10 @@
 
 impl<P: Protocol, R: Register> Run<P, R> {
     async fn claim_and_send(self, span: span::Span) -> Result<Response<Body>, answer::Fault> {
-        let begun = self.begin().await;
+        let begun = match self.call.handed_on() {
+            Some(from) => self.take(from).await,
+            None => self.begin().await,
+        };
         match begun {
             Ok(claim::Reply::Claimed) => {}
             Ok(reply) => return replay(reply),
@@ -99,8 +104,31 @@
         first
     }
 
+    /// Takes over the claim of a call that another instance hands on.
+    async fn take(&self, from: &str) -> Result<claim::Reply, Failure> {
+        let partner = &self.call.binding.service.owner.partner;
+        let take = claim::Take {
+            key: self.key.clone(),
+            digest: digest(&self.call),
+            from: String::from(from),
+            claimant: self.server.instance.clone(),
+            attempt: self.attempt.clone(),
+        };
+        let limit = self.call.deadline.since(Moment::now()).min(CLAIM_LIMIT);
+        let first = self.server.register.take(partner, take.clone(), limit).await;
+        if first == Err(Failure::Unknown) {
+            return self.server.register.take(partner, take, limit).await;
+        }
+        first
+    }
+
     async fn keep(self, response: Response<Body>) -> Result<Response<Body>, answer::Fault> {
         let (head, body) = response.into_parts();
+        if head.headers.get(outcome::HEADER).is_some_and(|word| word != RAN) {
+            let (key, attempt) = (self.key.clone(), self.attempt.clone());
+            self.settle(Settlement::Lose(claim::Lose { key, attempt })).await;
+            return Ok(Response::from_parts(head, body));
+        }
         let Ok(body) = body.collect().await.map(http_body_util::Collected::to_bytes) else {
             return Err(answer::Fault::Unknown);
         };
--- a/crates/route/src/router/services.rs
+++ b/crates/route/src/router/services.rs
@@ -8,7 +8,7 @@
 use super::{Lane, Owner, Router, Service};
 use crate::{
     fair, pool, queue,
-    request::{self, Request},
+    request::{self, Origin, Request},
     retry,
 };
 
@@ -53,7 +53,9 @@
         let fits = |key: &&request::Lane| {
             let lane = &self.lanes[**key];
             let pool = &self.pools[lane.pool];
-            let served = !pool.members.keys().is_empty() || !pool.remote.keys().is_empty();
+            let here = !pool.members.keys().is_empty();
+            let far = request.origin == Origin::Caller && !pool.remote.keys().is_empty();
+            let served = here || far;
             lane.weight > 0 && lane.name == request.model && served
         };
         let lanes: Vec<request::Lane> =
--- a/crates/route/tests/route/choice.rs
+++ b/crates/route/tests/route/choice.rs
@@ -5,7 +5,7 @@
 use common::{name, role::Role};
 use route::{
     pairing,
-    request::{Action, Event, Origin, Repeat, Request, Run},
+    request::{Action, Event, Origin, Reason, Repeat, Request, Run},
     router::{Router, Setup},
     target,
 };
@@ -264,3 +264,17 @@
     assert_eq!(paired.prefill.unwrap().target.0, "p");
     assert_eq!(send(&mut router, request("a"), START).prefill, None);
 }
+
+#[test]
+fn a_request_that_must_stay_is_refused_at_once_where_only_others_could_take_it() {
+    let mut router = router(&["a"]);
+    let far = target::Description {
+        distance: Duration::from_millis(50),
+        ..target::Description::from_announcement(&announcement("nadi", "a", 10))
+    };
+    router.describe(far, &Load::default(), START);
+    assert!(send(&mut router, request("a"), START).relay);
+    let stays = Request { origin: Origin::Instance, ..request("a") };
+    let refusal = router.submit(stays, START).unwrap_err();
+    assert_eq!(refusal.reason, Reason::NoTarget);
+}
