--- a/crates/replica/src/host.rs
+++ b/crates/replica/src/host.rs
@@ -309,7 +309,7 @@
                 Standing::Founded(config)
             }
         };
-        info!(self.settings.logger, "replica begins"; "standing" => format!("{standing:?}"));
+        info!(self.settings.logger, "replica begins"; "standing" => %standing);
         *self.lock_standing() = standing;
         true
     }
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -9,17 +9,22 @@
 use serde::{Deserialize, Serialize};
 
 /// How a replica stands to its log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
     /// The instance keeps no replica of the branch, or hasn't opened it yet.
+    #[display("absent")]
     Absent,
     /// Will join the log, and is none of its first replicas.
+    #[display("learner")]
     Learner,
     /// One of the first replicas, and the log hasn't begun as far as it knows.
+    #[display("waiting")]
     Waiting(Id),
     /// One of the first replicas of the log, which began with these members.
+    #[display("founded with {} members", _0.members().len())]
     Founded(Config),
     /// Joined the log later, or is about to.
+    #[display("joined")]
     Joined,
 }
 
