Claims are asked for again over a new connection after 1 s; in force means indexed

Cause: (1) a claim over a connection that had gone silent was waited for during 3 s; (2) an instance told that a version was in force before its request path had indexed it, and tests asked instances which the accepted tree had not reached: serving's lost_answer got "the key is missing or unknown" in one of two repeated runs. Conclusion: silent connections cost a claim one try.

--- a/crates/daisydrum/src/duty/declarations.rs
+++ b/crates/daisydrum/src/duty/declarations.rs
@@ -30,7 +30,7 @@
 pub async fn follow(node: Node, directory: watch::Sender<Arc<Directory>>, context: Context) {
     // Without replicated logs the tree of the settings' folder stays in force.
     if upstream::branches(&context.settings).is_empty() {
-        node.set_indexed();
+        node.set_indexed(&node.watch().borrow());
         context.end.cancelled().await;
         return;
     }
@@ -47,7 +47,7 @@
         match next {
             Ok(next) => {
                 directory.send_replace(Arc::new(next));
-                node.set_indexed();
+                node.set_indexed(&view);
             }
             Err(error) => {
                 warn!(context.log, "declarations kept from before"; "cause" => %error);
--- a/crates/entry/src/server/claimed.rs
+++ b/crates/entry/src/server/claimed.rs
@@ -28,12 +28,15 @@
 pub const REPLAYED_HEADER: &str = "x-daisydrum-replayed";
 /// Word of an answer whose call ran; another instance's answer may have another one.
 const RAN: &str = "ran";
-const CLAIM_LIMIT: Duration = Duration::from_secs(3);
+const CLAIM_LIMIT: Duration = Duration::from_secs(6);
+const CLAIM_TRY: Duration = Duration::from_secs(1);
+const CLAIM_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for an answer to be kept before it is given to the caller.
 const KEEP_LIMIT: Duration = Duration::from_secs(1);
 const SETTLE_TRIES: u32 = 20;
 const SETTLE_PAUSE: Duration = Duration::from_millis(500);
 const BYTES_PER_KB: u64 = 1_024;
+const MS_PER_SECOND: u64 = 1_000;
 
 /// Claims a call, sends it once and keeps its answer.
 ///
@@ -50,6 +53,12 @@
     task.await.unwrap_or(Err(answer::Fault::Unknown))
 }
 
+/// What the log is asked before a call is sent.
+enum Ask {
+    Begin(claim::Begin),
+    Take(claim::Take),
+}
+
 struct Run<P, R> {
     server: Server<P, R>,
     call: Arc<Call>,
@@ -59,11 +68,7 @@
 
 impl<P: Protocol, R: Register> Run<P, R> {
     async fn claim_and_send(self, span: span::Span) -> Result<Response<Body>, answer::Fault> {
-        let begun = match self.call.handed_on() {
-            Some(from) => self.take(from).await,
-            None => self.begin().await,
-        };
-        match begun {
+        match self.hold().await {
             Ok(claim::Reply::Claimed) => {}
             Ok(reply) => return replay(reply),
             Err(failure) => {
@@ -83,43 +88,57 @@
         }
     }
 
-    /// Claims the call. A claim of this attempt may be asked for again, as nothing was sent yet.
-    async fn begin(&self) -> Result<claim::Reply, Failure> {
-        let partner = &self.call.binding.service.owner.partner;
-        let settings = &self.call.binding.service.settings;
-        let remaining = self.call.deadline.since(Moment::now());
-        let begin = claim::Begin {
-            key: self.key.clone(),
-            digest: digest(&self.call),
-            claimant: self.server.instance.clone(),
-            attempt: self.attempt.clone(),
-            deadline_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
-            retention_ms: settings.claims.retention_s.saturating_mul(1_000),
-        };
-        let limit = remaining.min(CLAIM_LIMIT);
-        let first = self.server.register.begin(partner, begin.clone(), limit).await;
-        if first == Err(Failure::Unknown) {
-            return self.server.register.begin(partner, begin, limit).await;
+    /// Claims the call, or takes over the claim of one that another instance hands on.
+    ///
+    /// The log is asked again while there is time: an attempt's claim may be asked for again, as nothing was sent
+    /// yet. A try is much shorter than the whole, so that a connection gone silent costs one try.
+    async fn hold(&self) -> Result<claim::Reply, Failure> {
+        let end = (Moment::now() + CLAIM_LIMIT).min(self.call.deadline);
+        let ask = self.ask();
+        let mut failure = Failure::NotAccepted;
+        loop {
+            let left = end.since(Moment::now());
+            if left.is_zero() {
+                return Err(failure);
+            }
+            match self.send(&ask, left.min(CLAIM_TRY)).await {
+                Ok(reply) => return Ok(reply),
+                Err(Failure::Unknown) => failure = Failure::Unknown,
+                Err(Failure::NotAccepted) => time::sleep(CLAIM_PAUSE).await,
+            }
         }
-        first
     }
 
-    /// Takes over the claim of a call that another instance hands on.
-    async fn take(&self, from: &str) -> Result<claim::Reply, Failure> {
+    async fn send(&self, ask: &Ask, limit: Duration) -> Result<claim::Reply, Failure> {
         let partner = &self.call.binding.service.owner.partner;
-        let take = claim::Take {
-            key: self.key.clone(),
-            digest: digest(&self.call),
-            from: String::from(from),
-            claimant: self.server.instance.clone(),
-            attempt: self.attempt.clone(),
-        };
-        let limit = self.call.deadline.since(Moment::now()).min(CLAIM_LIMIT);
-        let first = self.server.register.take(partner, take.clone(), limit).await;
-        if first == Err(Failure::Unknown) {
-            return self.server.register.take(partner, take, limit).await;
+        match ask {
+            Ask::Begin(begin) => self.server.register.begin(partner, begin.clone(), limit).await,
+            Ask::Take(take) => self.server.register.take(partner, take.clone(), limit).await,
         }
-        first
+    }
+
+    fn ask(&self) -> Ask {
+        let (key, digest) = (self.key.clone(), digest(&self.call));
+        let (claimant, attempt) = (self.server.instance.clone(), self.attempt.clone());
+        if let Some(from) = self.call.handed_on() {
+            return Ask::Take(claim::Take {
+                key,
+                digest,
+                from: String::from(from),
+                claimant,
+                attempt,
+            });
+        }
+        let remaining = self.call.deadline.since(Moment::now());
+        let retention_s = self.call.binding.service.settings.claims.retention_s;
+        Ask::Begin(claim::Begin {
+            key,
+            digest,
+            claimant,
+            attempt,
+            deadline_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+            retention_ms: retention_s.saturating_mul(MS_PER_SECOND),
+        })
     }
 
     async fn keep(self, response: Response<Body>) -> Result<Response<Body>, answer::Fault> {
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -2,10 +2,7 @@
 
 use std::{
     path::Path,
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -59,7 +56,8 @@
     options: Options,
     view: watch::Sender<Arc<View>>,
     gate: Mutex<Gate>,
-    indexed: AtomicBool,
+    /// Versions that the request path has indexed; `None` before the first.
+    indexed: Mutex<Option<Vec<Have>>>,
     disk: Option<Disk>,
 }
 
@@ -105,7 +103,7 @@
         let gate = Mutex::new(Gate::new(branches.clone(), &view.have(), now));
         let (view, _) = watch::channel(Arc::new(view));
         let node = Node {
-            shared: Arc::new(Shared { options, view, gate, indexed: AtomicBool::new(false), disk }),
+            shared: Arc::new(Shared { options, view, gate, indexed: Mutex::default(), disk }),
         };
         for branch in branches {
             let follower = Follower {
@@ -126,19 +124,23 @@
         self.shared.view.subscribe()
     }
 
-    /// The versions in force.
+    /// The versions in force: those that the request path has indexed.
     pub fn in_force(&self) -> Vec<Have> {
-        self.shared.view.borrow().have()
+        self.indexed().clone().unwrap_or_default()
     }
 
-    /// Records that the request path has indexed the declarations.
-    pub fn set_indexed(&self) {
-        self.shared.indexed.store(true, Ordering::Release);
+    /// Records that the request path has indexed these declarations.
+    pub fn set_indexed(&self, view: &View) {
+        *self.indexed() = Some(view.have());
+    }
+
+    fn indexed(&self) -> MutexGuard<'_, Option<Vec<Have>>> {
+        self.shared.indexed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether the instance may serve: it has what was in force when it was last known, and has indexed it.
     pub fn is_ready(&self) -> bool {
-        self.shared.indexed.load(Ordering::Acquire) && self.is_current()
+        self.indexed().is_some() && self.is_current()
     }
 
     /// Whether the instance has what was in force when it was last known.
--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -3,17 +3,21 @@
 use std::{
     net::SocketAddr,
     path::{Path, PathBuf},
+    time::Duration,
 };
 
 use common::{cancel, name};
+use hyper::header::{AUTHORIZATION, HeaderValue};
 use settings::instance;
 
 use super::{daemon, folder::Folder, tree, wait};
 use crate::{
-    engine, plain,
+    engine, http, plain,
     proxy::{Conditions, Proxy},
 };
 
+const KEYS_LIMIT: Duration = Duration::from_secs(2);
+
 /// A data centre of a cluster.
 #[derive(Clone, Copy, Debug)]
 pub struct Place {
@@ -60,10 +64,13 @@
         Cluster { daemons, paths, token: cancel::Token::new(), tree, _folder: folder }
     }
 
-    /// Waits until all daemons take callers.
+    /// Waits until all daemons take callers and know the keys of the tree, which spreads for a while once it is
+    /// accepted.
     pub async fn until_ready(&self) {
         for daemon in &self.daemons {
             daemon.until_ready().await;
+            wait::until("the daemon knows the keys", async || knows_keys(daemon.callers()).await)
+                .await;
         }
     }
 
@@ -200,3 +207,13 @@
     }
     paths
 }
+
+async fn knows_keys(callers: SocketAddr) -> bool {
+    let Ok(mut request) = http::get("/v1/models") else {
+        return false;
+    };
+    let key = format!("Bearer {}", tree::ASSOCIATION.model_key);
+    let key = HeaderValue::from_str(&key).expect("invariant: keys of tests are ASCII");
+    request.headers_mut().insert(AUTHORIZATION, key);
+    http::call(callers, request, KEYS_LIMIT).await.is_ok_and(|answer| answer.status.is_success())
+}
