A refused start names its cause in one line and nothing panics

Cause: with a port in use, threads that had started panicked as the runtime went away; a data folder that can't be made was reported without its path. Change: the runtime outlives a refused start until the process ends; the data folder is made first and named in the fault, with what to do; two tests with real daemons. Figures: with the daemon's change taken out, the test of the port fails with a panic of the thread `peers`. Conclusion: a bad start is one line and exit code 1.

--- a/crates/daisydrum/src/daemon.rs
+++ b/crates/daisydrum/src/daemon.rs
@@ -38,7 +38,14 @@
     let runtime = peer_runtime()?;
     let context = Context::new(settings, runtime.handle().clone(), log);
     let mut signals = runtime.block_on(async { signal::Stop::new() })?;
-    let duties = Duties::start(&context, directory)?;
+    let duties = match Duties::start(&context, directory) {
+        Ok(duties) => duties,
+        Err(fault) => {
+            // Duties that have started wait on the runtime until the process ends, which it does at once.
+            std::mem::forget(runtime);
+            return Err(fault);
+        }
+    };
     let instance = &context.identity.instance;
     info!(context.log, "started"; "instance" => %instance, "data_centre" => %context.identity.data_centre,
         "callers" => %context.settings.callers, "control" => %context.settings.control,
--- a/crates/daisydrum/src/duty/replica.rs
+++ b/crates/daisydrum/src/duty/replica.rs
@@ -1,6 +1,6 @@
 //! The replicas of the logs that this instance keeps, and the way to all logs.
 
-use std::{path::Path, thread::JoinHandle};
+use std::{fs, path::Path, thread::JoinHandle};
 
 use common::{collections::Map, name};
 use consensus::options::Options;
@@ -39,6 +39,7 @@
     for settings in &context.settings.replicas {
         let folder = context.settings.data_folder.as_ref().ok_or(Fault::NoDataFolder)?;
         let folder = Path::new(folder).join(FOLDER).join(&settings.branch);
+        make_folder(&folder)?;
         let branch = name::Branch::from(settings.branch.as_str());
         let others = peers.iter().filter(|peer| peer.replicas.contains(&branch));
         let options = host::Settings {
@@ -63,6 +64,11 @@
     Ok(Replicas { host, logs, threads })
 }
 
+fn make_folder(folder: &Path) -> Result<(), Fault> {
+    fs::create_dir_all(folder)
+        .map_err(|cause| Fault::DataFolder { path: folder.display().to_string(), cause })
+}
+
 fn origin(start: instance::Start) -> Origin {
     match start {
         instance::Start::Founder => Origin::Founder,
--- a/crates/daisydrum/src/error.rs
+++ b/crates/daisydrum/src/error.rs
@@ -26,6 +26,17 @@
         /// The operating system's error.
         cause: std::io::Error,
     },
+    /// The data folder can't be made.
+    #[display(
+        "can't use the data folder {path}: {cause}; change `data_folder` or the folder's rights"
+    )]
+    #[from(ignore)]
+    DataFolder {
+        /// The folder.
+        path: String,
+        /// The operating system's error.
+        cause: std::io::Error,
+    },
     /// The file of spans can't be written.
     #[display("can't write spans to {path}: {cause}; change `spans.file`")]
     #[from(ignore)]
--- a/crates/daisydrum/tests/stream.rs
+++ b/crates/daisydrum/tests/stream.rs
@@ -13,6 +13,7 @@
 use http_body_util::BodyExt;
 
 use hyper::{Response, body::Incoming};
+use settings::instance;
 use standin::{
     answer, engine,
     harness::{
@@ -63,13 +64,57 @@
     let folder = Folder::new("fault");
     let file = folder.path().join("instance.jsonc");
     fs::write(&file, "{\n  \"name\": \"a\",\n  nonsense\n}").unwrap();
-    let output = Command::new(binary()).args(["run", "--settings"]).arg(&file).output().unwrap();
-    assert_eq!(output.status.code(), Some(1));
-    let text = String::from_utf8(output.stderr).unwrap();
+    let text = refused(&file);
     assert!(text.contains("instance.jsonc:"), "{text}");
     assert_eq!(text.lines().count(), 1, "{text}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_port_in_use_is_named_in_one_line() {
+    let folder = Folder::new("port");
+    let daemon = start(&folder).await;
+    let other = Folder::new("port-other");
+    let file = write_settings(&other, |settings| settings.callers = daemon.callers());
+    let text = refused(&file);
+    assert!(text.contains(&format!("can't listen on {} for callers", daemon.callers())), "{text}");
+    assert!(!text.contains("panicked"), "{text}");
+}
+
+#[test]
+fn a_data_folder_that_cannot_be_made_is_named() {
+    let folder = Folder::new("data-folder");
+    let taken = folder.path().join("taken");
+    fs::write(&taken, "a file").unwrap();
+    let file = write_settings(&folder, |settings| {
+        settings.tree = None;
+        settings.data_folder = Some(taken.display().to_string());
+        settings.replicas = vec![instance::Replica {
+            branch: String::from("venture"),
+            start: instance::Start::Founder,
+        }];
+    });
+    let text = refused(&file);
+    assert!(text.contains("can't use the data folder"), "{text}");
+    assert!(!text.contains("panicked"), "{text}");
+}
+
+/// Writes the file of an instance that a test has changed.
+fn write_settings(folder: &Folder, change: impl FnOnce(&mut instance::Instance)) -> PathBuf {
+    let tree = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples/venture");
+    let mut settings = daemon::settings("suva-2", "suva", &tree);
+    change(&mut settings);
+    let file = folder.path().join("changed.jsonc");
+    fs::write(&file, serde_json::to_string(&settings).unwrap()).unwrap();
+    file
+}
+
+/// What a daemon says that refuses to start.
+fn refused(file: &Path) -> String {
+    let output = Command::new(binary()).args(["run", "--settings"]).arg(file).output().unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    String::from_utf8(output.stderr).unwrap()
+}
+
 async fn start(folder: &Folder) -> Daemon {
     let tree = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples/venture");
     let settings = daemon::settings("suva-1", "suva", &tree);
