--- a/crates/consensus/src/repair.rs
+++ b/crates/consensus/src/repair.rs
@@ -56,6 +56,17 @@
     Some(Change::Learn(Member { id, place: place.clone(), voter: false, replaces }))
 }
 
+/// The change that adds a replica at a place where no member stands.
+///
+/// Nothing if it is a member, if another change is under way, or if a member stands at `place`.
+pub fn grow(status: &Status, id: Id, place: &name::Instance) -> Option<Change> {
+    let known = |member: &Member| member.id == id || member.place == *place;
+    if !status.settled || status.config.members().iter().any(known) {
+        return None;
+    }
+    Some(Change::Learn(Member { id, place: place.clone(), voter: false, replaces: None }))
+}
+
 /// The change that lets a replica at a new place join, to take the place of the one at `old`.
 pub fn replace(
     status: &Status,
--- a/crates/daisydrum/src/arguments.rs
+++ b/crates/daisydrum/src/arguments.rs
@@ -10,6 +10,12 @@
             /// File of the instance's settings, for example `examples/single.jsonc`.
             required --settings settings: String
         }
+        /// Runs an instance that finds the others from seeds until it gets SIGTERM or SIGINT.
+        cmd join {
+            /// File of the instance's settings, for example `examples/seeded.jsonc`; DAISYDRUM_CONFIG names it
+            /// where this is left out.
+            optional --settings settings: String
+        }
         /// Checks the settings and exits.
         cmd check {
             /// File of the instance's settings.
--- a/crates/daisydrum/src/duty/peers.rs
+++ b/crates/daisydrum/src/duty/peers.rs
@@ -11,7 +11,7 @@
 use replica::host::{Handle, Host};
 use spread::node::Node;
 use tarpc::{
-    context, serde_transport,
+    ClientMessage, Response, context, serde_transport,
     server::{self, Channel},
     tokio_serde::formats::Bincode,
 };
@@ -23,7 +23,7 @@
 use wire::{
     link,
     log::{Outcome, Standing, Wish},
-    peer::{self, Peer},
+    peer::{self, Peer, PeerRequest, PeerResponse},
     socket,
     spread::{Have, Update},
 };
@@ -36,6 +36,18 @@
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Calls that come over one connection.
+pub type Calls = server::BaseChannel<
+    PeerRequest,
+    PeerResponse,
+    serde_transport::Transport<
+        TcpStream,
+        ClientMessage<PeerRequest>,
+        Response<PeerResponse>,
+        Bincode<ClientMessage<PeerRequest>, Response<PeerResponse>>,
+    >,
+>;
+
 /// Answers the calls of other daemons; cloned for each connection.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -128,6 +140,10 @@
         self.membership.exchange_summary(summary).await
     }
 
+    async fn exchange(self, _context: context::Context, _question: Vec<u8>) -> Vec<u8> {
+        Vec::new()
+    }
+
     async fn offered(self, _context: context::Context) -> peer::Counts {
         self.counter.read()
     }
@@ -149,11 +165,19 @@
     let end = context.end.clone();
     let thread = thread::Builder::new()
         .name(String::from("peers"))
-        .spawn(move || runtime.block_on(accept(listener, server, end)))?;
+        .spawn(move || {
+            let serve = move |stream| run(channel(stream).execute(server.clone().serve()));
+            runtime.block_on(accept(listener, serve, end));
+        })?;
     Ok(thread)
 }
 
-async fn accept(listener: TcpListener, server: Server, end: cancel::Token) {
+/// Serves the connections of a listener with `serve` until the token is cancelled.
+pub async fn accept<F: Future<Output = ()> + Send + 'static>(
+    listener: TcpListener,
+    serve: impl Fn(TcpStream) -> F,
+    end: cancel::Token,
+) {
     loop {
         let accepted = tokio::select! {
             () = end.cancelled() => return,
@@ -164,20 +188,21 @@
             continue;
         };
         if socket::configure(&stream).is_ok() {
-            tokio::spawn(serve(stream, server.clone()));
+            tokio::spawn(serve(stream));
         }
     }
 }
 
-async fn serve(stream: TcpStream, server: Server) {
+/// The calls of one connection.
+pub fn channel(stream: TcpStream) -> Calls {
     let mut codec = LengthDelimitedCodec::builder();
     codec.max_frame_length(link::MAX_FRAME_BYTES);
     let transport = serde_transport::new(codec.new_framed(stream), Bincode::default());
-    let channel = server::BaseChannel::with_defaults(transport);
-    run(channel.execute(server.serve())).await;
+    server::BaseChannel::with_defaults(transport)
 }
 
-async fn run(responses: impl Stream<Item = impl Future<Output = ()> + Send + 'static>) {
+/// Runs the calls of a connection side by side.
+pub async fn run(responses: impl Stream<Item = impl Future<Output = ()> + Send + 'static>) {
     responses
         .for_each(|response| async {
             tokio::spawn(response);
--- a/crates/daisydrum/src/duty/replica.rs
+++ b/crates/daisydrum/src/duty/replica.rs
@@ -48,6 +48,7 @@
             folder,
             origin: origin(settings.start),
             peers: others.cloned().collect(),
+            growth: host::Growth::Operator,
             options: Options::default(),
             runtime: context.runtime.clone(),
             logger: context.log.clone(),
--- a/crates/daisydrum/src/error.rs
+++ b/crates/daisydrum/src/error.rs
@@ -56,6 +56,10 @@
     #[display("`replicas` are named and `data_folder` is not; name a folder on a disk")]
     #[from(ignore)]
     NoDataFolder,
+    /// No file of settings is named.
+    #[display("no settings: give `--settings FILE` or set DAISYDRUM_CONFIG")]
+    #[from(ignore)]
+    NoSettings,
     /// The process lacks a thread or another resource.
     #[display("can't start a thread: {_0}")]
     Thread(std::io::Error),
--- a/crates/daisydrum/src/lib.rs
+++ b/crates/daisydrum/src/lib.rs
@@ -1,6 +1,9 @@
 //! The daemon: reads its settings, starts its duties and stops them in order.
 
-use std::{path::Path, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 pub mod arguments;
 pub mod claims;
@@ -12,15 +15,20 @@
 pub mod http;
 pub mod links;
 pub mod logs;
+pub mod seeded;
 mod signal;
 
 const EXIT_REFUSED: u8 = 1;
 
+/// Names the file of settings where the command line doesn't.
+const SETTINGS_VARIABLE: &str = "DAISYDRUM_CONFIG";
+
 /// Runs the command line of the process.
 pub fn main() -> ExitCode {
     let arguments = arguments::Daisydrum::from_env_or_exit();
     let result = match arguments.subcommand {
         arguments::DaisydrumCmd::Run(run) => daemon::run(Path::new(&run.settings)),
+        arguments::DaisydrumCmd::Join(join) => join_path(join.settings).and_then(|path| seeded::run(&path)),
         arguments::DaisydrumCmd::Check(check) => daemon::check(Path::new(&check.settings)),
     };
     match result {
@@ -31,3 +39,8 @@
         }
     }
 }
+
+fn join_path(argument: Option<String>) -> Result<PathBuf, error::Fault> {
+    let path = argument.or_else(|| std::env::var(SETTINGS_VARIABLE).ok());
+    path.map(PathBuf::from).ok_or(error::Fault::NoSettings)
+}
--- /dev/null
+++ b/crates/daisydrum/src/seeded.rs
@@ -0,0 +1,68 @@
+//! Runs an instance that finds the others from seeds: it serves callers, or keeps state and hears targets.
+
+mod context;
+mod control;
+mod directory;
+mod entry;
+mod follow;
+mod gossip;
+mod listener;
+mod peers;
+mod reload;
+mod replicas;
+
+use std::path::Path;
+
+use settings::{check, error::Faults, instance};
+use slog::{Level, info};
+use telemetry::log;
+use tokio::runtime::{self, Runtime};
+
+use crate::{error::Fault, seeded::context::Context, signal};
+
+/// Runs an instance until it is told to stop.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] when the instance can't start.
+pub fn run(path: &Path) -> Result<(), Fault> {
+    let settings = check::seeded(path).map_err(Faults::from)?;
+    let log = log::start(level(settings.log.level));
+    let runtime = runtime()?;
+    runtime.block_on(async {
+        let mut signals = signal::Stop::new()?;
+        let context = Context::new(settings, log);
+        let directory = directory::Directory::new(context.card.clone());
+        let entry = entry::start(&context, &directory).await?;
+        let control = control::start(&context, &directory, runtime.handle()).await?;
+        peers::start(&context, &directory, control.as_ref()).await?;
+        follow::start(&context, &directory);
+        reload::start(&context, path.to_path_buf())?;
+        info!(context.log, "started"; "instance" => %context.card.instance,
+            "data_centre" => %context.card.data_centre, "peers" => %context.card.address,
+            "seeds" => format!("{:?}", context.seeds.borrow()));
+        signals.wait().await;
+        info!(context.log, "stopping"; "instance" => %context.card.instance);
+        context.stop.cancel();
+        if let Some(entry) = entry {
+            entry.stop(&context, &mut signals).await;
+        }
+        info!(context.log, "stopped"; "instance" => %context.card.instance);
+        context.end.cancel();
+        Ok(())
+    })
+}
+
+/// One thread for everything but the disk: a hand-over between threads costs more than the work that it splits.
+fn runtime() -> Result<Runtime, Fault> {
+    Ok(runtime::Builder::new_current_thread().enable_all().build()?)
+}
+
+fn level(level: instance::Level) -> Level {
+    match level {
+        instance::Level::Debug => Level::Debug,
+        instance::Level::Info => Level::Info,
+        instance::Level::Warning => Level::Warning,
+        instance::Level::Error => Level::Error,
+    }
+}
--- /dev/null
+++ b/crates/daisydrum/src/seeded/control.rs
@@ -0,0 +1,187 @@
+//! The duty that keeps state: hears targets and operators.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{clock::Moment, name};
+use fleet::{
+    register::Document,
+    registry::{Merge, State},
+};
+use http_body_util::{BodyExt, Limited};
+use hyper::{Request, StatusCode, body::Incoming};
+use platform::{
+    announcement,
+    call::{self, Call},
+};
+use slog::{info, warn};
+use telemetry::metric;
+use tokio::{runtime, time};
+
+use crate::{
+    error::Fault,
+    seeded::{
+        context::Context,
+        directory::{Contact, Directory},
+        entry::{bind, spawn},
+        listener::{self, Answer, Handler, json, text},
+        replicas::Replicas,
+    },
+};
+
+const METRICS_PATH: &str = "/metrics";
+/// Largest configuration, in bytes.
+const MAX_CONFIG_BYTES: usize = 8 * 1024 * 1024;
+const MAX_ANNOUNCEMENT_BYTES: usize = 64 * 1024;
+/// A target that was not heard from for this many announcements is lost; single ones may come seconds late.
+const LOST_AFTER_ANNOUNCEMENTS: u32 = 10;
+const EXPIRE_PAUSE: Duration = Duration::from_millis(500);
+/// Longest time that an announcement of leaving waits until all instances know it; targets wait a second.
+const SPREAD_LIMIT: Duration = Duration::from_millis(600);
+
+/// The running duty.
+#[derive(Clone)]
+pub(crate) struct Control {
+    context: Context,
+    directory: Directory,
+    pub(crate) replicas: Replicas,
+    metrics: metric::Page,
+}
+
+/// Starts the duty if the settings ask for it.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] when the address can't be listened on.
+pub(crate) async fn start(
+    context: &Context,
+    directory: &Directory,
+    runtime: &runtime::Handle,
+) -> Result<Option<Control>, Fault> {
+    let Some(address) = context.settings.control else {
+        return Ok(None);
+    };
+    let listener = bind(address, "targets and operators").await?;
+    let control = Control {
+        context: context.clone(),
+        directory: directory.clone(),
+        replicas: Replicas::start(context, directory, runtime),
+        metrics: metric::install(),
+    };
+    listener::serve(context, listener, control.clone());
+    spawn(context, control.clone().expire());
+    Ok(Some(control))
+}
+
+impl Handler for Control {
+    async fn handle(&self, request: Request<Incoming>) -> Answer {
+        let path = request.uri().path();
+        if path == METRICS_PATH {
+            return text(StatusCode::OK, self.metrics.render());
+        }
+        match call::decode(request.method(), path) {
+            Some(Call::Announce(target)) => self.announce(target, request).await,
+            Some(Call::Leave(target)) => self.leave(&target).await,
+            Some(Call::Declare) => self.declare(request).await,
+            Some(Call::Read) => self.read().await,
+            Some(Call::Readiness) => text(StatusCode::OK, "ready\n"),
+            None => text(StatusCode::NOT_FOUND, "unknown call\n"),
+        }
+    }
+}
+
+impl Control {
+    async fn announce(&self, name: name::Target, request: Request<Incoming>) -> Answer {
+        let Some(body) = read_body(request, MAX_ANNOUNCEMENT_BYTES).await else {
+            return text(StatusCode::BAD_REQUEST, "the body can't be read\n");
+        };
+        let target = match announcement::decode(name, &body) {
+            Ok(target) => target,
+            Err(fault) => {
+                info!(self.context.log, "announcement_refused"; "fault" => %fault);
+                return text(StatusCode::BAD_REQUEST, format!("{fault}\n"));
+            }
+        };
+        let leaves = target.state == State::Draining;
+        let line = format!("{} {:?} {:?}", target.name, target.state, target.stage);
+        let merge = self.directory.merge(vec![target], Moment::now());
+        if merge == Merge::Changed {
+            info!(self.context.log, "target_changed"; "target" => line);
+            if leaves {
+                self.directory.spread(self.directory.revision(), SPREAD_LIMIT).await;
+            }
+        }
+        json(announcement::ACCEPTED)
+    }
+
+    async fn leave(&self, target: &name::Target) -> Answer {
+        let merge = self.directory.leave(target, Moment::now());
+        if merge == Merge::Changed {
+            info!(self.context.log, "target_left"; "target" => %target);
+            self.directory.spread(self.directory.revision(), SPREAD_LIMIT).await;
+        }
+        json(announcement::ACCEPTED)
+    }
+
+    async fn declare(&self, request: Request<Incoming>) -> Answer {
+        let Some(body) = read_body(request, MAX_CONFIG_BYTES).await else {
+            return text(StatusCode::BAD_REQUEST, "the body can't be read\n");
+        };
+        let config = match platform::config::decode(&body) {
+            Ok(config) => config,
+            Err(fault) => {
+                info!(self.context.log, "config_refused"; "fault" => %fault);
+                return text(StatusCode::BAD_REQUEST, format!("{fault}\n"));
+            }
+        };
+        let version = config.version;
+        if self.directory.version() >= version {
+            return text(StatusCode::OK, "held already\n");
+        }
+        let document = Document { version, bytes: body.to_vec() };
+        match self.replicas.offer(&document).await {
+            Ok(held) => {
+                info!(self.context.log, "config_accepted"; "version" => version, "held" => held);
+                text(StatusCode::OK, "accepted\n")
+            }
+            Err(failure) => {
+                warn!(self.context.log, "config_not_accepted"; "version" => version,
+                    "failure" => %failure);
+                text(StatusCode::SERVICE_UNAVAILABLE, format!("{failure}\n"))
+            }
+        }
+    }
+
+    async fn read(&self) -> Answer {
+        match self.replicas.read().await {
+            Ok(Some(document)) => json(document.bytes),
+            Ok(None) => text(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n"),
+            Err(failure) => {
+                warn!(self.context.log, "config_not_read"; "failure" => %failure);
+                text(StatusCode::SERVICE_UNAVAILABLE, format!("{failure}\n"))
+            }
+        }
+    }
+
+    /// Marks silent targets as lost, but not while this instance may be the one that is cut off.
+    async fn expire(self) {
+        let announcement = Duration::from_millis(self.context.settings.announcement_ms);
+        let silence = announcement * LOST_AFTER_ANNOUNCEMENTS;
+        loop {
+            time::sleep(EXPIRE_PAUSE).await;
+            let now = Moment::now();
+            if self.directory.contact() == Contact::Lost {
+                self.directory.refresh(now);
+                continue;
+            }
+            for target in self.directory.expire(silence, now) {
+                info!(self.context.log, "target_lost"; "target" => %target);
+            }
+        }
+    }
+}
+
+async fn read_body(request: Request<Incoming>, limit: usize) -> Option<Bytes> {
+    let body = Limited::new(request.into_body(), limit).collect().await.ok()?;
+    Some(body.to_bytes())
+}
--- /dev/null
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -0,0 +1,288 @@
+//! What an instance knows of the fleet: targets, instances and the configuration in force.
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use common::{clock::{self, Moment}, collections::Map, name};
+use fleet::{
+    exchange::{Answer, Card, Cursor, Duty, News, Question},
+    register::Document,
+    registry::{Merge, Registry, Target},
+};
+use tokio::{sync::watch, time};
+
+/// An instance that didn't ask for longer than this has gone; instances ask each second.
+const FOLLOWER_LIFE: Duration = Duration::from_secs(4);
+
+/// What an instance knows of the fleet; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Directory {
+    own: Arc<Card>,
+    incarnation: u64,
+    inner: Arc<Mutex<Inner>>,
+    /// Revision of the last change that matters to the request path.
+    changed: watch::Sender<u64>,
+    /// Counts the questions of followers, each of which says how far the follower has got.
+    asked: watch::Sender<u64>,
+    document: watch::Sender<Option<Arc<Document>>>,
+    contact: watch::Sender<Contact>,
+}
+
+/// Whether the own replica is in contact with the log's leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Contact {
+    /// It leads or follows a leader.
+    Held,
+    /// It has no leader, or there is no replica here.
+    Lost,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    registry: Registry,
+    followers: Map<name::Instance, Follower>,
+    /// Peers' addresses of control instances.
+    control: BTreeSet<SocketAddr>,
+    /// Other instances that serve callers, as control instances tell.
+    entries: Map<name::Instance, (Card, Moment)>,
+}
+
+#[derive(Debug)]
+struct Follower {
+    card: Card,
+    cursor: Cursor,
+    seen: Moment,
+}
+
+impl Directory {
+    pub(crate) fn new(own: Card) -> Directory {
+        Directory {
+            own: Arc::new(own),
+            incarnation: clock::unix_ns(),
+            inner: Arc::default(),
+            changed: watch::Sender::new(0),
+            asked: watch::Sender::new(0),
+            document: watch::Sender::new(None),
+            contact: watch::Sender::new(Contact::Lost),
+        }
+    }
+
+    /// The newest configuration known as the operator sent it.
+    pub(crate) fn document(&self) -> Option<Arc<Document>> {
+        self.document.borrow().clone()
+    }
+
+    /// Follows the newest configuration.
+    pub(crate) fn documents(&self) -> watch::Receiver<Option<Arc<Document>>> {
+        self.document.subscribe()
+    }
+
+    /// Takes in a configuration unless a newer one is known.
+    pub(crate) fn adopt(&self, document: Document) {
+        self.document.send_if_modified(|held| {
+            let newer = held.as_ref().is_none_or(|held| held.version < document.version);
+            if newer {
+                *held = Some(Arc::new(document));
+            }
+            newer
+        });
+    }
+
+    /// Version of the newest configuration known; 0 for none.
+    pub(crate) fn version(&self) -> u64 {
+        self.document.borrow().as_ref().map_or(0, |document| document.version)
+    }
+
+    pub(crate) fn contact(&self) -> Contact {
+        *self.contact.borrow()
+    }
+
+    pub(crate) fn set_contact(&self, contact: Contact) {
+        self.contact.send_if_modified(|held| std::mem::replace(held, contact) != contact);
+    }
+
+    /// Follows the revision of the last change that matters to the request path.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Takes in what is said of targets; returns what the last of them did.
+    pub(crate) fn merge(&self, targets: Vec<Target>, now: Moment) -> Merge {
+        let mut inner = self.lock();
+        let mut last = Merge::Stale;
+        for target in targets {
+            last = inner.registry.merge(target, now);
+            if last == Merge::Changed {
+                self.changed.send_replace(inner.registry.revision());
+            }
+        }
+        last
+    }
+
+    /// Notes that a target has left.
+    pub(crate) fn leave(&self, target: &name::Target, now: Moment) -> Merge {
+        let mut inner = self.lock();
+        let merge = inner.registry.leave(target, now);
+        if merge == Merge::Changed {
+            self.changed.send_replace(inner.registry.revision());
+        }
+        merge
+    }
+
+    /// Marks targets as lost that were not heard from for `silence`.
+    pub(crate) fn expire(&self, silence: Duration, now: Moment) -> Vec<name::Target> {
+        let mut inner = self.lock();
+        let lost = inner.registry.expire(now - silence, now);
+        if !lost.is_empty() {
+            self.changed.send_replace(inner.registry.revision());
+        }
+        lost
+    }
+
+    /// Counts all targets as heard from now.
+    pub(crate) fn refresh(&self, now: Moment) {
+        self.lock().registry.refresh(now);
+    }
+
+    /// Revision of the registry.
+    pub(crate) fn revision(&self) -> u64 {
+        self.lock().registry.revision()
+    }
+
+    /// Targets that changed after a revision, and the revision reached.
+    pub(crate) fn changed_since(&self, revision: u64) -> (u64, Vec<Target>) {
+        let inner = self.lock();
+        (inner.registry.revision(), inner.registry.changed_since(revision).cloned().collect())
+    }
+
+    /// Takes in which control instances there are.
+    pub(crate) fn note_control(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let own = self.own.address;
+        let mut inner = self.lock();
+        inner.control.extend(addresses.into_iter().filter(|address| *address != own));
+    }
+
+    /// Forgets a control instance that was not reached for long.
+    pub(crate) fn forget_control(&self, address: SocketAddr) {
+        self.lock().control.remove(&address);
+    }
+
+    /// Peers' addresses of the other control instances.
+    pub(crate) fn control(&self) -> Vec<SocketAddr> {
+        self.lock().control.iter().copied().collect()
+    }
+
+    /// Takes in which other instances serve callers.
+    pub(crate) fn note_entries(&self, cards: Vec<Card>, now: Moment) {
+        let own = &self.own.instance;
+        let mut inner = self.lock();
+        for card in cards.into_iter().filter(|card| card.instance != *own) {
+            inner.entries.insert(card.instance.clone(), (card, now));
+        }
+        inner.entries.retain(|_, (_, seen)| now.since(*seen) < FOLLOWER_LIFE);
+    }
+
+    /// Other instances that serve callers.
+    pub(crate) fn entries(&self) -> Vec<Card> {
+        self.lock().entries.values().map(|(card, _)| card.clone()).collect()
+    }
+
+    /// Answers a question of another instance.
+    pub(crate) async fn answer(&self, question: Question) -> Answer {
+        match question {
+            Question::Fetch { above } => {
+                let held = self.document();
+                let newer = held.filter(|document| document.version > above);
+                Answer::Document(newer.map(|document| Document::clone(&document)))
+            }
+            Question::Follow { from, cursor, version, wait_ms } => {
+                let cursor = self.note_follower(&from, cursor);
+                let wait = Duration::from_millis(wait_ms);
+                let mut changes = self.changed.subscribe();
+                let mut documents = self.document.subscribe();
+                let new = async {
+                    while !self.has_news(cursor, version) {
+                        tokio::select! {
+                            _ = changes.changed() => {}
+                            _ = documents.changed() => {}
+                        }
+                    }
+                };
+                // After the wait there is an answer, new or not.
+                let _elapsed = time::timeout(wait, new).await;
+                Answer::News(self.news(&from, cursor))
+            }
+        }
+    }
+
+    /// Waits until all followers have got as far as a revision, at most for `limit`.
+    pub(crate) async fn spread(&self, revision: u64, limit: Duration) {
+        let mut asked = self.asked.subscribe();
+        let all = async {
+            while !self.has_spread(revision, Moment::now()) {
+                if asked.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        // A follower that is cut off must not hold the answer up for longer.
+        let _elapsed = time::timeout(limit, all).await;
+    }
+
+    fn has_spread(&self, revision: u64, now: Moment) -> bool {
+        let inner = self.lock();
+        let alive =
+            inner.followers.values().filter(|follower| now.since(follower.seen) < FOLLOWER_LIFE);
+        alive.into_iter().all(|follower| {
+            follower.cursor.incarnation == self.incarnation && follower.cursor.revision >= revision
+        })
+    }
+
+    fn note_follower(&self, from: &Card, cursor: Cursor) -> Cursor {
+        let cursor =
+            if cursor.incarnation == self.incarnation { cursor } else { Cursor::default() };
+        let now = Moment::now();
+        let follower = Follower { card: from.clone(), cursor, seen: now };
+        let mut inner = self.lock();
+        inner.followers.insert(from.instance.clone(), follower);
+        inner.followers.retain(|_, follower| now.since(follower.seen) < FOLLOWER_LIFE);
+        if from.duty == Duty::Control {
+            inner.control.insert(from.address);
+        }
+        drop(inner);
+        self.asked.send_modify(|count| *count += 1);
+        cursor
+    }
+
+    fn has_news(&self, cursor: Cursor, version: u64) -> bool {
+        let changed = *self.changed.borrow();
+        cursor.incarnation != self.incarnation || changed > cursor.revision || self.version() > version
+    }
+
+    fn news(&self, from: &Card, cursor: Cursor) -> News {
+        let inner = self.lock();
+        let registry = &inner.registry;
+        let targets: Vec<Target> = match from.duty {
+            Duty::Entry => registry.changed_since(cursor.revision).cloned().collect(),
+            Duty::Control => registry.touched_since(cursor.revision).cloned().collect(),
+        };
+        let entries = inner.followers.values().filter(|follower| follower.card.duty == Duty::Entry);
+        let own = (self.own.duty == Duty::Control).then_some(self.own.address);
+        News {
+            cursor: Cursor { incarnation: self.incarnation, revision: registry.revision() },
+            contact: self.contact() == Contact::Held,
+            version: self.version(),
+            targets,
+            control: inner.control.iter().copied().chain(own).collect(),
+            entries: entries.map(|follower| follower.card.clone()).collect(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/daisydrum/src/seeded/entry.rs
@@ -0,0 +1,152 @@
+//! The duty that serves callers: joins the request path with what is known of the fleet.
+
+use std::{sync::Arc, time::Duration};
+
+use common::clock;
+use gateway::{
+    listener::{self, Stops},
+    state::{Gateway, Options},
+};
+use placement::retry;
+use slog::{error, info};
+use tokio::{net::TcpListener, task::JoinHandle, time};
+
+use crate::{
+    error::Fault,
+    seeded::{context::Context, directory::Directory, gossip, listener as page},
+    signal,
+};
+
+/// Time that the balancer needs to see that the instance isn't ready, during which it still takes connections.
+const REROUTE_TIME: Duration = Duration::from_millis(2_600);
+/// Time before the end of `stop_s` at which what is left is cut, so that the process ends by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+const TRIM_PAUSE: Duration = Duration::from_secs(1);
+
+/// The running duty.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    stops: Stops,
+    callers: JoinHandle<()>,
+}
+
+/// Starts the duty if the settings ask for it.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] when an address can't be listened on.
+pub(crate) async fn start(
+    context: &Context,
+    directory: &Directory,
+) -> Result<Option<Entry>, Fault> {
+    let (Some(callers), Some(readiness)) = (context.settings.callers, context.settings.readiness)
+    else {
+        return Ok(None);
+    };
+    let bounds = context.settings.retries;
+    let options = Options {
+        instance: context.card.instance.clone(),
+        data_centre: context.card.data_centre.clone(),
+        retries: retry::Bounds {
+            window: Duration::from_secs(bounds.window_s),
+            ratio: bounds.ratio,
+            slack: bounds.slack,
+        },
+        seed: clock::unix_ns(),
+    };
+    let (gateway, dispatches) = Gateway::new(options, context.log.clone());
+    gossip::start(context, directory, &gateway, dispatches).await?;
+    spawn(context, follow_targets(directory.clone(), Arc::clone(&gateway)));
+    spawn(context, follow_documents(directory.clone(), Arc::clone(&gateway)));
+    spawn(context, trim(Arc::clone(&gateway)));
+    let listener = bind(callers, "callers").await?;
+    let stops = Stops { drain: context.stop.clone(), close: common::cancel::Token::new() };
+    let callers = tokio::spawn(listener::run(listener, Arc::clone(&gateway), stops.clone()));
+    page::start_readiness(context, readiness, gateway).await?;
+    Ok(Some(Entry { stops, callers }))
+}
+
+impl Entry {
+    /// Lets answers end; a second signal or the limit of the settings cuts those that are left.
+    pub(crate) async fn stop(self, context: &Context, signals: &mut signal::Stop) {
+        let limit = Duration::from_secs(context.settings.stop_s).saturating_sub(STOP_MARGIN);
+        let Entry { stops, callers } = self;
+        let ended = async {
+            time::sleep(REROUTE_TIME.min(limit / 2)).await;
+            stops.close.cancel();
+            callers.await
+        };
+        let reason = tokio::select! {
+            _ended = ended => "all answers given",
+            () = time::sleep(limit) => "limit of stop_s",
+            () = signals.wait() => "second signal",
+        };
+        info!(context.log, "callers_ended"; "reason" => reason);
+    }
+}
+
+/// Listens on an address.
+pub(crate) async fn bind(
+    address: std::net::SocketAddr,
+    purpose: &'static str,
+) -> Result<TcpListener, Fault> {
+    TcpListener::bind(address).await.map_err(|cause| Fault::Listen { address, purpose, cause })
+}
+
+/// Runs a duty until the process ends.
+pub(crate) fn spawn(context: &Context, duty: impl Future<Output = ()> + Send + 'static) {
+    let end = context.end.clone();
+    tokio::spawn(async move { end.run_until_cancelled(duty).await });
+}
+
+async fn follow_targets(directory: Directory, gateway: Arc<Gateway>) {
+    let mut changes = directory.changes();
+    let mut revision = 0;
+    loop {
+        let (reached, targets) = directory.changed_since(revision);
+        revision = reached;
+        for target in &targets {
+            gateway.update(target);
+            info!(gateway.log, "target_known"; "target" => %target.name, "state" => ?target.state,
+                "stage" => ?target.stage, "address" => %target.address);
+        }
+        gateway.set_instances(directory.entries().len() + 1);
+        let changed = time::timeout(TRIM_PAUSE, changes.changed()).await;
+        if matches!(changed, Ok(Err(_))) {
+            return;
+        }
+    }
+}
+
+async fn follow_documents(directory: Directory, gateway: Arc<Gateway>) {
+    let mut documents = directory.documents();
+    loop {
+        let newest = documents.borrow_and_update().clone();
+        if let Some(document) = newest {
+            match platform::config::decode(&document.bytes) {
+                Ok(config) => {
+                    let (version, routes) = (config.version, config.routes.len());
+                    if gateway.adopt(config) {
+                        // Targets known before their service was have no memory on the board yet.
+                        let (_, targets) = directory.changed_since(0);
+                        targets.iter().for_each(|target| gateway.update(target));
+                        info!(gateway.log, "config_in_force"; "version" => version,
+                            "routes" => routes);
+                    }
+                }
+                Err(fault) => error!(gateway.log, "config_not_readable";
+                    "version" => document.version, "fault" => %fault),
+            }
+        }
+        if documents.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn trim(gateway: Arc<Gateway>) {
+    loop {
+        time::sleep(TRIM_PAUSE).await;
+        gateway.pool.trim();
+    }
+}
--- /dev/null
+++ b/crates/daisydrum/src/seeded/follow.rs
@@ -0,0 +1,156 @@
+//! Follows every control instance at once, so that none that is cut off, slow or frozen holds news back.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use common::{clock::Moment, collections::Map};
+use fleet::exchange::{self, Answer, Cursor, Duty, News, Question};
+use slog::{debug, info};
+use tokio::{task::JoinHandle, time};
+use wire::peer::PeerClient;
+
+use crate::seeded::{context::Context, directory::Directory};
+
+/// Wait of a question for news at an instance that serves callers.
+const ENTRY_WAIT: Duration = Duration::from_millis(1_000);
+/// Wait at a control instance, whose peers also want to know which targets were heard from.
+const CONTROL_WAIT: Duration = Duration::from_millis(400);
+/// Time beyond the wait after which a connection counts as silent.
+const SILENCE: Duration = Duration::from_millis(700);
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+const MANAGE_PAUSE: Duration = Duration::from_millis(250);
+/// A control instance that is no seed and wasn't reached for longer is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(20);
+/// Time after its start in which an instance takes its first configuration only from one in contact with the leader.
+const CAREFUL_START: Duration = Duration::from_secs(3);
+
+/// Starts to follow the control instances.
+pub(crate) fn start(context: &Context, directory: &Directory) {
+    let manager = manage(context.clone(), directory.clone());
+    let end = context.end.clone();
+    tokio::spawn(async move { end.run_until_cancelled(manager).await });
+}
+
+async fn manage(context: Context, directory: Directory) {
+    let mut followers: Map<SocketAddr, JoinHandle<()>> = Map::default();
+    loop {
+        let seeds = context.seeds.borrow().clone();
+        let wanted = directory.control().into_iter().chain(seeds);
+        for address in wanted.filter(|address| *address != context.card.address) {
+            if followers.get(&address).is_none_or(JoinHandle::is_finished) {
+                let follower = Follower::new(address, &context, &directory);
+                let end = context.end.clone();
+                let run = async move {
+                    end.run_until_cancelled(follower.run()).await;
+                };
+                followers.insert(address, tokio::spawn(run));
+            }
+        }
+        followers.retain(|_, follower| !follower.is_finished());
+        time::sleep(MANAGE_PAUSE).await;
+    }
+}
+
+struct Follower {
+    address: SocketAddr,
+    context: Context,
+    directory: Directory,
+    cursor: Cursor,
+    started: Instant,
+}
+
+impl Follower {
+    fn new(address: SocketAddr, context: &Context, directory: &Directory) -> Follower {
+        Follower {
+            address,
+            context: context.clone(),
+            directory: directory.clone(),
+            cursor: Cursor::default(),
+            started: Instant::now(),
+        }
+    }
+
+    /// Follows until the instance is forgotten.
+    async fn run(mut self) {
+        let mut pause = FIRST_PAUSE;
+        let mut heard = Instant::now();
+        loop {
+            match self.ask_news().await {
+                Some(news) => {
+                    if pause > FIRST_PAUSE {
+                        info!(self.context.log, "control_reached"; "address" => %self.address);
+                    }
+                    pause = FIRST_PAUSE;
+                    heard = Instant::now();
+                    self.take(news).await;
+                }
+                None => {
+                    if pause == FIRST_PAUSE {
+                        info!(self.context.log, "control_not_reached"; "address" => %self.address);
+                    }
+                    let seed = self.context.seeds.borrow().contains(&self.address);
+                    if heard.elapsed() > FORGET_AFTER && !seed {
+                        self.directory.forget_control(self.address);
+                        return;
+                    }
+                    time::sleep(pause).await;
+                    pause = (pause * 2).min(MAX_PAUSE);
+                }
+            }
+        }
+    }
+
+    async fn ask_news(&self) -> Option<News> {
+        let wait = match self.context.card.duty {
+            Duty::Entry => ENTRY_WAIT,
+            Duty::Control => CONTROL_WAIT,
+        };
+        let question = Question::Follow {
+            from: self.context.card.clone(),
+            cursor: self.cursor,
+            version: self.directory.version(),
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+        };
+        match self.ask(&question, wait + SILENCE).await? {
+            Answer::News(news) => Some(news),
+            Answer::Document(_) | Answer::Refused => None,
+        }
+    }
+
+    async fn ask(&self, question: &Question, limit: Duration) -> Option<Answer> {
+        let question = exchange::encode(question);
+        let call =
+            async |client: &PeerClient, context| client.exchange(context, question.clone()).await;
+        match self.context.link(self.address).call(limit, call).await {
+            Ok(answer) => exchange::decode(&answer),
+            Err(fault) => {
+                debug!(self.context.log, "question_failed"; "address" => %self.address,
+                    "fault" => %fault);
+                None
+            }
+        }
+    }
+
+    async fn take(&mut self, news: News) {
+        let now = Moment::now();
+        self.directory.merge(news.targets, now);
+        self.directory.note_control(news.control);
+        self.directory.note_entries(news.entries, now);
+        self.cursor = news.cursor;
+        // A control instance takes the configuration from its own replica alone.
+        if self.context.card.duty == Duty::Control {
+            return;
+        }
+        let held = self.directory.version();
+        let trusted = news.contact || held > 0 || self.started.elapsed() > CAREFUL_START;
+        if news.version > held && trusted {
+            let answer = self.ask(&Question::Fetch { above: held }, ENTRY_WAIT).await;
+            if let Some(Answer::Document(Some(document))) = answer {
+                self.directory.adopt(document);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisydrum/src/seeded/gossip.rs
@@ -0,0 +1,80 @@
+//! Datagrams in which the instances that serve callers tell each other what they send where.
+//!
+//! A lost datagram costs a little precision only.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use fleet::exchange::{self, Dispatch};
+use gateway::state::Gateway;
+use slog::debug;
+use tokio::{net::UdpSocket, sync::mpsc};
+
+use crate::{
+    error::Fault,
+    seeded::{context::Context, directory::Directory, entry::spawn},
+};
+
+/// Dispatches in one datagram, which stays below the usual size of a packet.
+const MAX_DISPATCHES: usize = 10;
+const MAX_DATAGRAM_BYTES: usize = 4 * 1024;
+
+/// Starts to tell and to hear.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] when the address can't be used.
+pub(crate) async fn start(
+    context: &Context,
+    directory: &Directory,
+    gateway: &Arc<Gateway>,
+    dispatches: mpsc::Receiver<Dispatch>,
+) -> Result<(), Fault> {
+    let address = context.card.address;
+    let socket = UdpSocket::bind(address).await.map_err(|cause| Fault::Listen {
+        address,
+        purpose: "datagrams of other instances",
+        cause,
+    })?;
+    let socket = Arc::new(socket);
+    spawn(context, hear(Arc::clone(&socket), Arc::clone(gateway)));
+    spawn(context, tell(socket, context.clone(), directory.clone(), dispatches));
+    Ok(())
+}
+
+async fn hear(socket: Arc<UdpSocket>, gateway: Arc<Gateway>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, _from)) => {
+                let dispatches: Option<Vec<Dispatch>> = exchange::decode(&buffer[..length]);
+                for dispatch in dispatches.unwrap_or_default() {
+                    gateway.hear(&dispatch);
+                }
+            }
+            Err(error) => {
+                debug!(gateway.log, "datagram_not_received"; "error" => %error);
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn tell(
+    socket: Arc<UdpSocket>,
+    context: Context,
+    directory: Directory,
+    mut dispatches: mpsc::Receiver<Dispatch>,
+) {
+    let mut batch = Vec::new();
+    while dispatches.recv_many(&mut batch, MAX_DISPATCHES).await > 0 {
+        let bytes = exchange::encode(&batch);
+        batch.clear();
+        let addresses: Vec<SocketAddr> =
+            directory.entries().into_iter().map(|card| card.address).collect();
+        for address in addresses {
+            if let Err(error) = socket.try_send_to(&bytes, address) {
+                debug!(context.log, "datagram_not_sent"; "address" => %address, "error" => %error);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisydrum/src/seeded/listener.rs
@@ -0,0 +1,131 @@
+//! Small HTTP listeners for the balancer, targets, operators and metrics.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use gateway::state::Gateway;
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE, server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use platform::call::{self, Call};
+use slog::{debug, warn};
+use telemetry::metric;
+use tokio::{net::TcpListener, time};
+use wire::socket;
+
+use crate::{
+    error::Fault,
+    seeded::{context::Context, entry},
+};
+
+const METRICS_PATH: &str = "/metrics";
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Callers of these listeners keep connections for seconds between calls.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
+/// An answer of a listener.
+pub(crate) type Answer = Response<Full<Bytes>>;
+
+/// Answers requests on a listener; clones share the state.
+pub(crate) trait Handler: Clone + Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Answer> + Send;
+}
+
+/// An answer with a text body.
+pub(crate) fn text(status: StatusCode, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Full::new(body.into()));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// An answer with a JSON body.
+pub(crate) fn json(body: impl Into<Bytes>) -> Answer {
+    let mut answer = text(StatusCode::OK, body);
+    let value = hyper::header::HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, value);
+    answer
+}
+
+/// Serves an address until the process ends.
+pub(crate) fn serve<H: Handler>(context: &Context, listener: TcpListener, handler: H) {
+    let log = context.log.clone();
+    entry::spawn(context, async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _address)) => {
+                    if socket::configure(&stream).is_err() {
+                        continue;
+                    }
+                    let handler = handler.clone();
+                    let log = log.clone();
+                    let service = service_fn(move |request| {
+                        let handler = handler.clone();
+                        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+                    });
+                    tokio::spawn(async move {
+                        let connection = http1::Builder::new()
+                            .timer(TokioTimer::new())
+                            .header_read_timeout(IDLE_LIMIT)
+                            .serve_connection(TokioIo::new(stream), service);
+                        if let Err(error) = connection.await {
+                            debug!(log, "connection_failed"; "error" => %error);
+                        }
+                    });
+                }
+                Err(error) => {
+                    warn!(log, "accept_failed"; "error" => %error);
+                    time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    });
+}
+
+/// Says whether the instance takes callers.
+#[derive(Clone)]
+struct Readiness {
+    context: Context,
+    gateway: Arc<Gateway>,
+    metrics: metric::Page,
+}
+
+impl Readiness {
+    /// An instance is ready once it knows a configuration and a target, until it is told to stop.
+    fn is_ready(&self) -> bool {
+        let stopping = self.context.stop.is_cancelled();
+        !stopping && self.gateway.version() > 0 && !self.gateway.board().is_empty()
+    }
+}
+
+impl Handler for Readiness {
+    async fn handle(&self, request: Request<Incoming>) -> Answer {
+        if request.uri().path() == METRICS_PATH {
+            return text(StatusCode::OK, self.metrics.render());
+        }
+        match call::decode(request.method(), request.uri().path()) {
+            Some(Call::Readiness) if self.is_ready() => text(StatusCode::OK, "ready\n"),
+            Some(Call::Readiness) => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            _ => text(StatusCode::NOT_FOUND, "unknown call\n"),
+        }
+    }
+}
+
+/// Starts the listener that the balancer asks.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] when the address can't be listened on.
+pub(crate) async fn start_readiness(
+    context: &Context,
+    address: SocketAddr,
+    gateway: Arc<Gateway>,
+) -> Result<(), Fault> {
+    let listener = entry::bind(address, "the balancer").await?;
+    let metrics = metric::install();
+    serve(context, listener, Readiness { context: context.clone(), gateway, metrics });
+    Ok(())
+}
--- /dev/null
+++ b/crates/daisydrum/src/seeded/reload.rs
@@ -0,0 +1,67 @@
+//! Takes in changed settings, told by SIGHUP or found in the file.
+
+use std::{path::PathBuf, time::Duration};
+
+use settings::{check, error::Faults};
+use slog::{info, warn};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time,
+};
+
+use crate::{
+    error::Fault,
+    seeded::{
+        context::{self, Context},
+        entry::spawn,
+    },
+};
+
+/// The file may change without a signal.
+const READ_PAUSE: Duration = Duration::from_secs(2);
+
+/// Starts to follow the file of settings. Settings that can't be read keep the ones in force.
+///
+/// # Errors
+///
+/// Returns the operating system's error when the handler can't be set.
+pub(crate) fn start(context: &Context, path: PathBuf) -> Result<(), Fault> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    let duty = context.clone();
+    spawn(context, async move {
+        let mut refused = None;
+        loop {
+            tokio::select! {
+                _ = hangup.recv() => refused = None,
+                () = time::sleep(READ_PAUSE) => {}
+            }
+            match check::seeded(&path) {
+                Ok(settings) => {
+                    refused = None;
+                    take_seeds(&duty, context::peer_addresses(&settings));
+                }
+                Err(faults) => {
+                    let faults = Faults::from(faults).to_string();
+                    if refused.as_ref() != Some(&faults) {
+                        warn!(duty.log, "settings_refused"; "faults" => &faults);
+                    }
+                    refused = Some(faults);
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+fn take_seeds(context: &Context, seeds: Vec<std::net::SocketAddr>) {
+    let changed = context.seeds.send_if_modified(|held| {
+        let changed = *held != seeds;
+        if changed {
+            held.clone_from(&seeds);
+        }
+        changed
+    });
+    if changed {
+        info!(context.log, "settings_reloaded"; "seeds" => format!("{seeds:?}"));
+    }
+}
--- /dev/null
+++ b/crates/daisydrum/src/seeded/replicas.rs
@@ -0,0 +1,207 @@
+//! The replicated register of the configuration, kept on this instance's disk.
+
+use std::{
+    net::SocketAddr,
+    path::Path,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
+
+use common::name;
+use consensus::{options::Options, status::Role};
+use fleet::{
+    exchange,
+    register::{Document, Register},
+};
+use replica::{
+    client::Client,
+    host::{self, Growth, Handle, Host, Origin},
+    machine::Machine,
+    outbox,
+};
+use slog::warn;
+use tokio::{runtime, time};
+use wire::log::Failure;
+
+use crate::seeded::{
+    context::Context,
+    directory::{Contact, Directory},
+    entry::spawn,
+};
+
+/// Name of the log.
+pub(crate) const BRANCH: &str = "fleet";
+const FOLDER: &str = "fleet";
+/// Entries are whole configurations of up to megabytes, so few are kept for replicas that lag.
+const RETAINED_ENTRIES: u64 = 16;
+const OPEN_PAUSE: Duration = Duration::from_millis(250);
+const CONTACT_PAUSE: Duration = Duration::from_millis(100);
+/// Operators turn to another instance after a second.
+const CALL_LIMIT: Duration = Duration::from_millis(900);
+
+/// A register that publishes each configuration once it is committed.
+#[derive(Clone, Debug)]
+struct Published {
+    register: Register,
+    directory: Directory,
+}
+
+impl Published {
+    fn publish(&self) {
+        if let Some(document) = self.register.newest() {
+            self.directory.adopt(document.clone());
+        }
+    }
+}
+
+impl Machine for Published {
+    type Command = Document;
+    type Reply = u64;
+    type Query = ();
+    type Answer = Option<Document>;
+    type Fault = String;
+
+    fn apply(&mut self, _index: u64, command: &Document) -> u64 {
+        let held = self.register.offer(command);
+        self.publish();
+        held
+    }
+
+    fn query(&self, _query: &()) -> Option<Document> {
+        self.register.newest().cloned()
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        exchange::encode(&self.register)
+    }
+
+    fn decode(&self, bytes: &[u8]) -> Result<Published, String> {
+        let register = exchange::decode(bytes).ok_or("the snapshot is no register")?;
+        let published = Published { register, directory: self.directory.clone() };
+        published.publish();
+        Ok(published)
+    }
+}
+
+/// The own replica and the way to the others; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Replicas {
+    context: Context,
+    directory: Directory,
+    handle: Arc<OnceLock<Handle>>,
+}
+
+impl Replicas {
+    /// Starts the replica in the data folder; a folder that can't be used is tried again.
+    pub(crate) fn start(
+        context: &Context,
+        directory: &Directory,
+        runtime: &runtime::Handle,
+    ) -> Replicas {
+        let replicas = Replicas {
+            context: context.clone(),
+            directory: directory.clone(),
+            handle: Arc::default(),
+        };
+        spawn(context, replicas.clone().open(runtime.clone()));
+        spawn(context, replicas.clone().watch());
+        replicas
+    }
+
+    /// The own replica, once it is open.
+    pub(crate) fn handle(&self) -> Option<&Handle> {
+        self.handle.get()
+    }
+
+    /// Offers a configuration to the register; returns the version held then.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no leader took it, or that it may have been taken.
+    pub(crate) async fn offer(&self, document: &Document) -> Result<u64, Failure> {
+        self.client().submit(&name::Branch::from(BRANCH), document, CALL_LIMIT).await
+    }
+
+    /// Reads the newest configuration that was accepted before the call.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no leader answered.
+    pub(crate) async fn read(&self) -> Result<Option<Document>, Failure> {
+        self.client().query(&name::Branch::from(BRANCH), &(), CALL_LIMIT).await
+    }
+
+    async fn open(self, runtime: runtime::Handle) {
+        let machine =
+            Published { register: Register::default(), directory: self.directory.clone() };
+        loop {
+            match host::start(self.settings(&runtime), machine.clone()) {
+                Ok(started) => {
+                    let _first = self.handle.set(started.handle);
+                    return;
+                }
+                Err(fault) => warn!(self.context.log, "replica_not_opened"; "fault" => %fault),
+            }
+            time::sleep(OPEN_PAUSE).await;
+        }
+    }
+
+    /// Publishes the contact with the leader and the places of the other replicas.
+    async fn watch(self) {
+        loop {
+            let status = self.handle().and_then(Handle::status);
+            let contact = match &status {
+                Some(status) if status.role == Role::Leader => Contact::Held,
+                Some(status) if status.role == Role::Follower && status.leader.is_some() => {
+                    Contact::Held
+                }
+                Some(_) | None => Contact::Lost,
+            };
+            self.directory.set_contact(contact);
+            let members = status.iter().flat_map(|status| status.config.members());
+            let places = members.filter_map(|member| member.place.0.parse::<SocketAddr>().ok());
+            self.directory.note_control(places);
+            time::sleep(CONTACT_PAUSE).await;
+        }
+    }
+
+    fn settings(&self, runtime: &runtime::Handle) -> host::Settings {
+        let context = &self.context;
+        let seeds = context.seeds.borrow().clone();
+        let founds = context.settings.founding && seeds.contains(&context.card.address);
+        let folder = context.settings.data_folder.clone().unwrap_or_default();
+        host::Settings {
+            branch: name::Branch::from(BRANCH),
+            place: context.card.instance.clone(),
+            folder: Path::new(&folder).join(FOLDER),
+            origin: if founds { Origin::Founder } else { Origin::Learner },
+            peers: self.peers(seeds),
+            growth: Growth::Itself,
+            options: Options { retained_entries: RETAINED_ENTRIES, ..Options::default() },
+            runtime: runtime.clone(),
+            logger: context.log.clone(),
+            end: context.end.clone(),
+        }
+    }
+
+    fn peers(&self, addresses: Vec<SocketAddr>) -> Vec<outbox::Peer> {
+        let others = addresses.into_iter().filter(|address| *address != self.context.card.address);
+        let peer = |address: SocketAddr| outbox::Peer {
+            instance: name::Instance(address.to_string()),
+            replicas: vec![name::Branch::from(BRANCH)],
+            link: self.context.link(address),
+        };
+        others.map(peer).collect()
+    }
+
+    /// A client that reaches all control instances known now.
+    fn client(&self) -> Client {
+        let mut addresses = self.directory.control();
+        addresses.extend(self.context.seeds.borrow().iter().copied());
+        addresses.sort_unstable();
+        addresses.dedup();
+        let own = self.handle().map(|handle| (name::Branch::from(BRANCH), handle.clone()));
+        let host = Host::new(own.into_iter().collect());
+        Client::new(self.context.card.instance.clone(), host, self.peers(addresses))
+    }
+}
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -6,16 +6,17 @@
 
 const DONE: &[u8] = b"data: [DONE]";
 const DATA: &[u8] = b"data:";
+const ID: &[u8] = b"id:";
 /// Largest event, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// One event with the blank line that ends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Event(pub(crate) Bytes);
+pub struct Event(pub Bytes);
 
 /// What an event is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Kind {
+pub enum Kind {
     /// A token.
     Token,
     /// The end of the answer.
@@ -25,8 +26,14 @@
 }
 
 impl Event {
+    /// Identity of the event, where it has one that is a number.
+    pub fn id(&self) -> Option<u64> {
+        let field = self.0.split(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(ID))?;
+        std::str::from_utf8(field).ok()?.trim().parse().ok()
+    }
+
     /// What the event is.
-    pub(crate) fn kind(&self) -> Kind {
+    pub fn kind(&self) -> Kind {
         if self.0.starts_with(DONE) {
             return Kind::Done;
         }
@@ -39,18 +46,22 @@
 
 /// An event is larger than the system takes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Oversized;
+pub struct Oversized;
 
 /// Bytes of a stream that are no whole event yet.
 #[derive(Debug, Default)]
-pub(crate) struct Splitter {
+pub struct Splitter {
     buffer: BytesMut,
     searched: usize,
 }
 
 impl Splitter {
     /// Adds bytes of the stream.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<(), Oversized> {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Oversized`] when an event is larger than the system takes.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), Oversized> {
         if self.buffer.len() + bytes.len() > MAX_EVENT_BYTES {
             return Err(Oversized);
         }
@@ -58,8 +69,13 @@
         Ok(())
     }
 
+    /// Whether bytes are left that are no whole event.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     /// Takes the next whole event.
-    pub(crate) fn next(&mut self) -> Option<Event> {
+    pub fn next(&mut self) -> Option<Event> {
         let start = self.searched.saturating_sub(3);
         let Some(end) = find_end(&self.buffer[start..]) else {
             self.searched = self.buffer.len();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,7 +7,7 @@
 pub mod claim;
 pub mod directory;
 mod driver;
-mod event;
+pub mod event;
 mod exchange;
 mod far;
 mod fleet;
--- /dev/null
+++ b/crates/fleet/src/exchange.rs
@@ -0,0 +1,122 @@
+//! What the instances of one fleet tell each other, encoded with `postcard`.
+
+use std::net::SocketAddr;
+
+use common::name;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::{register::Document, registry::Target};
+
+/// Who an instance is and where its peers reach it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Card {
+    /// Its name.
+    pub instance: name::Instance,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: name::DataCentre,
+    /// What it does.
+    pub duty: Duty,
+}
+
+/// What an instance does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Duty {
+    /// Serves callers.
+    Entry,
+    /// Keeps the replicated state and hears the targets.
+    Control,
+}
+
+/// How far an instance has followed a control instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cursor {
+    /// Start of the process that was followed; a restart begins anew.
+    pub incarnation: u64,
+    /// Revision of its registry.
+    pub revision: u64,
+}
+
+/// A question to a control instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Question {
+    /// Asks what is new; answered at once if anything is, else after `wait_ms`.
+    Follow {
+        /// The asker.
+        from: Card,
+        /// How far it has got.
+        cursor: Cursor,
+        /// Version of the configuration that it holds; 0 for none.
+        version: u64,
+        /// Longest wait in milliseconds.
+        wait_ms: u64,
+    },
+    /// Asks for the configuration held, if it is newer than a version.
+    Fetch {
+        /// The version.
+        above: u64,
+    },
+}
+
+/// What is new at a control instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// How far the asker has got with this.
+    pub cursor: Cursor,
+    /// Whether the instance is in contact with the leader of the replicated log.
+    pub contact: bool,
+    /// Version of the configuration held; 0 for none.
+    pub version: u64,
+    /// Targets that changed.
+    pub targets: Vec<Target>,
+    /// All control instances known.
+    pub control: Vec<SocketAddr>,
+    /// All instances known that serve callers.
+    pub entries: Vec<Card>,
+}
+
+/// The answer to a question.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// What is new.
+    News(News),
+    /// The configuration, or nothing if none is newer.
+    Document(Option<Document>),
+    /// The question could not be read, or the instance does not answer it.
+    Refused,
+}
+
+/// A dispatch that an entry instance tells the others of, so that they see its load before the target reports it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Dispatch {
+    /// The sending instance.
+    pub from: name::Instance,
+    /// The target.
+    pub target: name::Target,
+    /// Expected computation of the prompt, in microseconds.
+    pub prompt_us: u32,
+    /// Tokens to generate.
+    pub output: u32,
+    /// Parts of the prompt, which the target holds from now on.
+    pub parts: Vec<Part>,
+}
+
+/// A part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Part {
+    /// Identity of the part.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// Encodes a message.
+pub fn encode(message: &impl Serialize) -> Vec<u8> {
+    postcard::to_stdvec(message).expect("invariant: messages always encode")
+}
+
+/// Decodes a message; nothing if the bytes are none.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    postcard::from_bytes(bytes).ok()
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,9 @@
+//! Routes, services and targets of one fleet as the instances know them, all pure.
+//!
+//! [`config`] is what operators declare, [`registry`] what targets announce, [`register`] the replicated copy of
+//! the newest configuration, and [`exchange`] what the instances tell each other.
+
+pub mod config;
+pub mod exchange;
+pub mod register;
+pub mod registry;
--- /dev/null
+++ b/crates/gateway/src/job.rs
@@ -0,0 +1,287 @@
+//! A caller's request on its way, and what both forms of answers share.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use common::{clock::Moment, name};
+use fleet::config::{Config, Repeat, Route};
+use http_body_util::Full;
+use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming};
+use placement::{
+    board::{Demand, Key, Prompt, Reason, Refusal, Verdict},
+    health::Outcome,
+};
+use platform::request::{Ask, Leg, Step};
+use slog::debug;
+
+use crate::{
+    answer::Fault,
+    connection::{self, Connection},
+    sent::{Place, Sent},
+    state::{Gateway, ms},
+};
+
+/// Rejections by targets after which a request is refused; each draws on the fleet's budget.
+const MAX_REJECTIONS: u32 = 3;
+/// Requests that were refused once come back with less than this share of their route's time.
+const FRESH_SHARE: f64 = 0.9;
+/// Time that an answer needs on its way back to the caller.
+const RETURN_TIME: Duration = Duration::from_millis(20);
+/// Pause that is asked for where targets rejected a request.
+const FULL_RETRY: Duration = Duration::from_millis(250);
+
+/// A caller's request on its way.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) config: Arc<Config>,
+    /// Index of the route in the configuration.
+    pub(crate) route: usize,
+    pub(crate) ask: Ask,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) arrived: Moment,
+    /// When the answer must have ended.
+    pub(crate) deadline: Moment,
+    /// Chosen at random once, so that all attempts try the services of a split route in the same order.
+    pub(crate) draw: u64,
+}
+
+/// What happened to a request so far.
+#[derive(Debug, Default)]
+pub(crate) struct Trail {
+    /// Targets that have failed or rejected it.
+    pub(crate) avoid: Vec<Key>,
+    /// Runs that were begun, or may have been.
+    pub(crate) runs: u32,
+    /// Rejections by targets that did not run it.
+    pub(crate) rejections: u32,
+    /// Calls that only computed the prompt.
+    pub(crate) prefills: u32,
+    /// Requests sent to targets, for the budget of repeats.
+    arrivals: u32,
+    /// Whether the request is counted for the budget of repeats.
+    counted: bool,
+}
+
+/// A head that came back, or why none did.
+pub(crate) enum Reply {
+    /// The head of an answer.
+    Head(Response<Incoming>, Connection),
+    /// The target did not run the request.
+    NotRun,
+    /// The target may have run the request.
+    Broken,
+}
+
+impl Job {
+    pub(crate) fn route(&self) -> &Route {
+        &self.config.routes[self.route]
+    }
+
+    pub(crate) fn remaining(&self) -> Duration {
+        self.deadline.since(Moment::now())
+    }
+
+    /// Chooses a target and counts the request there.
+    pub(crate) fn place(&self, trail: &mut Trail) -> Result<Sent, Fault> {
+        if trail.rejections >= MAX_REJECTIONS {
+            return Err(self.full());
+        }
+        let now = Moment::now();
+        let mut board = self.gateway.board();
+        let order = self.route().order(self.draw);
+        let served = order.iter().find(|service| board.serves(service)).or(order.first());
+        let Some(service) = served.copied().cloned() else {
+            return Err(self.full());
+        };
+        let counted = std::mem::replace(&mut trail.counted, true);
+        let demand = self.demand(&service, trail);
+        let plan = match board.choose(&demand, now) {
+            Verdict::Send(plan) => plan,
+            Verdict::Refuse(refusal) => return Err(Fault::Refused(refusal)),
+        };
+        if !counted {
+            self.gateway.count_request(&service);
+        }
+        if trail.arrivals > 0 && !self.gateway.take_repeat(&service) {
+            return Err(self.full());
+        }
+        let told = board.send(&plan, &demand, now);
+        drop(board);
+        self.gateway.tell(told);
+        Ok(Sent::new(Arc::clone(&self.gateway), plan, now))
+    }
+
+    fn demand<'a>(&'a self, service: &'a name::Service, trail: &'a Trail) -> Demand<'a> {
+        let route = self.route();
+        let remaining = self.remaining();
+        let returned = remaining < route.timeout.mul_f64(FRESH_SHARE) || trail.runs > 0;
+        // A request that has come back, or has begun, can't be in time any more; it is served while it can be.
+        let target = if returned { remaining } else { route.target };
+        Demand {
+            service,
+            parts: &self.ask.parts,
+            prompt_tokens: u64::from(self.ask.prompt_tokens),
+            output_tokens: u64::from(self.ask.output_tokens.max(1)),
+            target,
+            remaining,
+            avoid: &trail.avoid,
+            repeat: route.repeat,
+            prompt: if trail.prefills > 0 { Prompt::AtTarget } else { Prompt::Anywhere },
+        }
+    }
+
+    fn full(&self) -> Fault {
+        let retry_after = FULL_RETRY.min(self.remaining() / 3);
+        Fault::Refused(Refusal { reason: Reason::TargetsFull, retry_after })
+    }
+
+    /// Whether another run is allowed after one that failed.
+    pub(crate) fn may_run_again(&self, trail: &Trail) -> bool {
+        let route = self.route();
+        route.repeat != Repeat::Never
+            && trail.runs < route.attempts
+            && self.remaining() > RETURN_TIME
+    }
+
+    /// Sends the request to a target and waits for the head of the answer.
+    pub(crate) async fn call(
+        &self,
+        sent: &Sent,
+        key: Key,
+        trail: &mut Trail,
+        step: Step,
+        resume_after: Option<u64>,
+    ) -> Reply {
+        let Some(place) = sent.place(key) else {
+            return Reply::NotRun;
+        };
+        loop {
+            let (connection, origin) = match self.gateway.pool.take(place.address).await {
+                Ok(taken) => taken,
+                Err(fault) => return self.not_connected(sent, key, &place, &fault),
+            };
+            if step != Step::Prefill {
+                trail.arrivals += 1;
+            }
+            let request = self.request(&place, step.clone(), resume_after);
+            match self.exchange(sent, key, connection, request).await {
+                // The target had closed a kept connection before any byte left.
+                Err(connection::Fault::NotSent(_)) if origin == crate::pool::Origin::Kept => {
+                    trail.arrivals = trail.arrivals.saturating_sub(1);
+                }
+                Err(fault) => {
+                    debug!(self.gateway.log, "attempt_failed"; "id" => &self.ask.id,
+                        "target" => %place.name, "fault" => %fault);
+                    sent.judge(key, Outcome::Broken);
+                    trail.avoid.push(key);
+                    return Reply::Broken;
+                }
+                Ok(reply) => {
+                    if matches!(reply, Reply::NotRun) {
+                        trail.rejections += 1;
+                    }
+                    if !matches!(reply, Reply::Head(..)) {
+                        trail.avoid.push(key);
+                    }
+                    return reply;
+                }
+            }
+        }
+    }
+
+    fn not_connected(
+        &self,
+        sent: &Sent,
+        key: Key,
+        place: &Place,
+        fault: &connection::Fault,
+    ) -> Reply {
+        debug!(self.gateway.log, "target_not_reached"; "id" => &self.ask.id,
+            "target" => %place.name, "fault" => %fault);
+        sent.judge(key, Outcome::Broken);
+        Reply::NotRun
+    }
+
+    async fn exchange(
+        &self,
+        sent: &Sent,
+        key: Key,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Reply, connection::Fault> {
+        let response = connection.send(request).await?;
+        let (status, headers) = (response.status(), response.headers());
+        if !platform::answer::is_for(headers, &self.ask.id) {
+            // An extra answer to an earlier request; the one to this request can't be told apart any more.
+            sent.judge(key, Outcome::Error);
+            return Ok(Reply::Broken);
+        }
+        if platform::answer::is_not_run(status, headers) {
+            let other = platform::answer::is_other_target(status);
+            sent.judge(key, if other { Outcome::Broken } else { Outcome::Refusal });
+            return Ok(Reply::NotRun);
+        }
+        Ok(Reply::Head(response, connection))
+    }
+
+    fn request(
+        &self,
+        place: &Place,
+        step: Step,
+        resume_after: Option<u64>,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let leg = Leg {
+            target: place.name.clone(),
+            remaining: self.remaining(),
+            rank: self.route().rank,
+            resume_after,
+            step,
+        };
+        *request.headers_mut() = platform::request::forward(&self.headers, &leg);
+        request
+    }
+
+    /// Gives up a computed prompt that nothing will fetch; a target that isn't reached forgets it by itself.
+    pub(crate) fn release(&self, address: SocketAddr, handle: &str) {
+        let pool = self.gateway.pool.clone();
+        let path = platform::engine::handle_path(handle);
+        let host = address.to_string();
+        tokio::spawn(async move {
+            let Ok((mut connection, _)) = pool.take(address).await else {
+                return;
+            };
+            let request = Request::builder()
+                .method(Method::DELETE)
+                .uri(path)
+                .header(hyper::header::HOST, host)
+                .body(Full::default());
+            let Ok(request) = request else {
+                return;
+            };
+            let limit = Duration::from_secs(1);
+            if let Ok(Ok(response)) = tokio::time::timeout(limit, connection.send(request)).await {
+                let drained = http_body_util::BodyExt::collect(response.into_body());
+                if tokio::time::timeout(limit, drained).await.is_ok_and(|body| body.is_ok()) {
+                    pool.put(address, connection);
+                }
+            }
+        });
+    }
+
+    /// Milliseconds on the instance's clock.
+    pub(crate) fn now_ms(&self) -> f64 {
+        Moment::now().0 as f64
+    }
+
+    /// Milliseconds since the request arrived.
+    pub(crate) fn age_ms(&self) -> u64 {
+        ms(Moment::now().since(self.arrived))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,16 @@
+//! The request path of the fleet: takes callers' requests in, puts them to targets and passes the answers back.
+//!
+//! [`state::Gateway`] holds what all requests share, [`listener`] the connections of callers, [`serve`] routes a
+//! request, [`whole`] and [`stream`] carry it out, [`connection`] and [`pool`] reach the targets.
+
+pub mod answer;
+pub mod connection;
+pub mod listener;
+pub mod pool;
+pub mod serve;
+pub mod state;
+
+mod job;
+mod sent;
+mod stream;
+mod whole;
--- /dev/null
+++ b/crates/gateway/src/sent.rs
@@ -0,0 +1,75 @@
+//! A request that was sent to a target, counted there until it ends however it ends.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use common::{clock::Moment, name};
+use placement::{
+    board::{Key, Plan},
+    health::Outcome,
+};
+use slog::info;
+
+use crate::state::Gateway;
+
+/// A request that was sent to a target; its end is counted when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Sent {
+    gateway: Arc<Gateway>,
+    pub(crate) plan: Plan,
+    at: Moment,
+    computed: bool,
+}
+
+/// Where a target is reached.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
+    pub(crate) name: name::Target,
+    pub(crate) address: SocketAddr,
+}
+
+impl Sent {
+    pub(crate) fn new(gateway: Arc<Gateway>, plan: Plan, at: Moment) -> Sent {
+        Sent { gateway, plan, at, computed: false }
+    }
+
+    pub(crate) fn place(&self, key: Key) -> Option<Place> {
+        let board = self.gateway.board();
+        let target = &board.entry(key)?.target;
+        Some(Place { name: target.name.clone(), address: target.address })
+    }
+
+    /// Notes that the prompt is computed.
+    pub(crate) fn computed(&mut self) {
+        if !std::mem::replace(&mut self.computed, true) {
+            let key = self.plan.prefill.unwrap_or(self.plan.target);
+            self.gateway.board().computed(key, &self.plan, self.at, Moment::now());
+        }
+    }
+
+    /// Takes in how the exchange with a target went.
+    pub(crate) fn judge(&self, key: Key, outcome: Outcome) {
+        let left_out = self.gateway.board().judge(key, outcome, Moment::now());
+        let Some(place) = self.place(key) else {
+            return;
+        };
+        if outcome == Outcome::Broken {
+            self.gateway.pool.clear(place.address);
+        }
+        if left_out {
+            metrics::counter!("daisydrum_targets_left_out_total").increment(1);
+            info!(self.gateway.log, "target_left_out"; "target" => %place.name,
+                "address" => %place.address, "outcome" => ?outcome);
+        }
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        let mut board = self.gateway.board();
+        board.end(self.plan.target);
+        if !self.computed {
+            let key = self.plan.prefill.unwrap_or(self.plan.target);
+            board.withdraw(key, self.plan.prompt_ms, Moment::now());
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,122 @@
+//! Routes one request and answers it.
+
+use std::{convert::Infallible, sync::Arc};
+
+use bytes::Bytes;
+use common::{clock::Moment, random};
+use entry::body::Body;
+use fleet::config::{Config, Form};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{
+    Request, Response,
+    body::{Body as _, Incoming},
+    header::HOST,
+    http::request::Parts,
+};
+use slog::{debug, info};
+
+use crate::{
+    answer::Fault,
+    job::Job,
+    state::{Gateway, ms},
+    stream, whole,
+};
+
+/// Answers one request; faults are answers, too.
+///
+/// # Errors
+///
+/// Never fails.
+pub async fn serve(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let arrived = Moment::now();
+    let (head, body) = request.into_parts();
+    let answer = match prepare(&gateway, head, body, arrived).await {
+        Ok(job) => carry_out(Arc::new(job)).await,
+        Err(fault) => {
+            info!(gateway.log, "request_rejected"; "fault" => %fault,
+                "status" => fault.status().as_u16(), "config" => gateway.version());
+            Err(fault)
+        }
+    };
+    let response = answer.unwrap_or_else(|fault| fault.response());
+    let status = response.status().as_u16().to_string();
+    metrics::counter!("daisydrum_requests_total", "status" => status).increment(1);
+    Ok(response)
+}
+
+async fn carry_out(job: Arc<Job>) -> Result<Response<Body>, Fault> {
+    let answer = match job.route().form {
+        Form::Stream { .. } => stream::run(Arc::clone(&job)).await,
+        Form::Whole => whole::run(&job).await,
+    };
+    let (gateway, ask) = (&job.gateway, &job.ask);
+    match &answer {
+        Ok(response) => debug!(gateway.log, "request_answered"; "id" => &ask.id,
+            "route" => &job.route().name, "status" => response.status().as_u16(),
+            "ms" => job.age_ms()),
+        Err(fault) => info!(gateway.log, "request_failed"; "id" => &ask.id,
+            "route" => &job.route().name, "status" => fault.status().as_u16(), "fault" => %fault,
+            "ms" => job.age_ms(), "retry_after_ms" => fault.retry_after().map_or(0, ms),
+            "left_ms" => ms(job.remaining()), "config" => job.config.version),
+    }
+    answer
+}
+
+async fn prepare(
+    gateway: &Arc<Gateway>,
+    head: Parts,
+    body: Incoming,
+    arrived: Moment,
+) -> Result<Job, Fault> {
+    let config = gateway.config().ok_or(Fault::NoConfig)?;
+    let route = find_route(&config, &head).ok_or(Fault::NoRoute)?;
+    let ask = platform::request::decode(&head.headers)
+        .map_err(|fault| Fault::Malformed(fault.to_string()))?;
+    let body = read_body(body, config.limits.body_bytes).await?;
+    let timeout = config.routes[route].timeout;
+    let patience = ask.patience.map_or(timeout, |patience| patience.min(timeout));
+    let draw = random::mix(ask.id.bytes().fold(0, |hash, byte| {
+        random::mix(hash ^ u64::from(byte))
+    }));
+    Ok(Job {
+        gateway: Arc::clone(gateway),
+        config,
+        route,
+        ask,
+        method: head.method,
+        uri: origin_form(head.uri),
+        headers: head.headers,
+        body,
+        arrived,
+        deadline: arrived + patience,
+        draw,
+    })
+}
+
+fn find_route(config: &Config, head: &Parts) -> Option<usize> {
+    let named = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = head.uri.host().or(named)?;
+    let host = host.split(':').next().unwrap_or(host);
+    let found = config.route(host, head.uri.path())?;
+    config.routes.iter().position(|route| std::ptr::eq(route, found))
+}
+
+/// The path and query alone, as targets expect them.
+fn origin_form(uri: hyper::Uri) -> hyper::Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or(uri, hyper::Uri::from)
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Fault> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Fault::TooLarge),
+        Err(error) => Err(Fault::Malformed(format!("the body broke off: {error}"))),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,146 @@
+//! What all requests of an instance share.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use common::{clock::Moment, collections::Map, name};
+use fleet::{config::Config, exchange, registry::Target};
+use placement::{board::Board, retry};
+use slog::Logger;
+use tokio::sync::{mpsc, watch};
+
+use crate::pool::Pool;
+
+/// Dispatches that wait to be told to the other instances; what finds it full is not told.
+pub const TOLD_DISPATCHES: usize = 256;
+
+/// What an instance is made with.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The instance.
+    pub instance: name::Instance,
+    /// Its data centre.
+    pub data_centre: name::DataCentre,
+    /// How often the fleet may be asked again.
+    pub retries: retry::Bounds,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+/// What all requests of an instance share.
+#[derive(Debug)]
+pub struct Gateway {
+    /// The instance.
+    pub instance: name::Instance,
+    /// Connections to targets.
+    pub pool: Pool,
+    /// Takes log lines.
+    pub log: Logger,
+    config: watch::Sender<Option<Arc<Config>>>,
+    board: Mutex<Board>,
+    budgets: Mutex<Map<name::Service, retry::Budget>>,
+    retries: retry::Bounds,
+    instances: AtomicUsize,
+    told: mpsc::Sender<exchange::Dispatch>,
+}
+
+impl Gateway {
+    /// Makes the state; the receiver gets the dispatches that other instances should know of.
+    pub fn new(
+        options: Options,
+        log: Logger,
+    ) -> (Arc<Gateway>, mpsc::Receiver<exchange::Dispatch>) {
+        let (told, dispatches) = mpsc::channel(TOLD_DISPATCHES);
+        let gateway = Gateway {
+            instance: options.instance,
+            pool: Pool::default(),
+            log,
+            config: watch::Sender::new(None),
+            board: Mutex::new(Board::new(options.data_centre, options.seed)),
+            budgets: Mutex::default(),
+            retries: options.retries,
+            instances: AtomicUsize::new(1),
+            told,
+        };
+        (Arc::new(gateway), dispatches)
+    }
+
+    /// The configuration in force; nothing before one is known.
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Version in force; 0 for none.
+    pub fn version(&self) -> u64 {
+        self.config.borrow().as_ref().map_or(0, |config| config.version)
+    }
+
+    /// Puts a configuration in force unless the one in force is as new; returns whether it did.
+    pub fn adopt(&self, config: Config) -> bool {
+        if config.version <= self.version() {
+            return false;
+        }
+        self.board().configure(&config);
+        self.config.send_replace(Some(Arc::new(config)));
+        true
+    }
+
+    /// Takes in what is known of a target.
+    pub fn update(&self, target: &Target) {
+        self.board().update(target);
+    }
+
+    /// Takes in how many instances share the fleet.
+    pub fn set_instances(&self, instances: usize) {
+        self.instances.store(instances.max(1), Ordering::Relaxed);
+    }
+
+    /// Takes in a dispatch of another instance.
+    pub fn hear(&self, dispatch: &exchange::Dispatch) {
+        self.board().hear(dispatch, Moment::now());
+    }
+
+    /// The targets with what is believed of them.
+    pub fn board(&self) -> MutexGuard<'_, Board> {
+        self.board.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a request that is sent to a service for the first time.
+    pub(crate) fn count_request(&self, service: &name::Service) {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.count(&self.retries, Moment::now());
+    }
+
+    /// Takes one repeat out of a service's budget; `false` if none is left.
+    pub(crate) fn take_repeat(&self, service: &name::Service) -> bool {
+        let instances = self.instances.load(Ordering::Relaxed);
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let budget = budgets.entry(service.clone()).or_default();
+        let taken = budget.take(&self.retries, instances, Moment::now());
+        if !taken {
+            metrics::counter!("daisydrum_repeats_denied_total").increment(1);
+        }
+        taken
+    }
+
+    /// Tells the other instances of dispatches; what finds the queue full is dropped.
+    pub(crate) fn tell(&self, dispatches: Vec<exchange::Dispatch>) {
+        for dispatch in dispatches {
+            let dispatch = exchange::Dispatch { from: self.instance.clone(), ..dispatch };
+            if self.told.try_send(dispatch).is_err() {
+                metrics::counter!("daisydrum_dispatches_untold_total").increment(1);
+            }
+        }
+    }
+}
+
+/// Milliseconds of a time, for log lines.
+pub(crate) fn ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/placement/src/board.rs
@@ -0,0 +1,484 @@
+//! The targets of the fleet with what is believed of their load, and the choice among them.
+//!
+//! Answers loads in which a few hundred parts of prompts are asked for again and again: a request goes where its
+//! first token is predicted to come soonest, and tokens that must be computed again weigh more than their time,
+//! since they also delay what comes after them.
+
+use std::time::Duration;
+
+use common::{clock::Moment, collections::Map, name, random::Random};
+use fleet::{
+    config,
+    exchange::{self, Part},
+    registry::{Stage, State, Target},
+};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{
+    backlog::Backlog,
+    cache::Cache,
+    health::{Health, Outcome, Standing},
+    speed::{self, Distance, Speed},
+};
+
+new_key_type! {
+    /// A target on the board.
+    pub struct Key;
+}
+
+/// Weight of the computation that a choice costs the fleet, beside the time that it costs the request.
+const WORK_WEIGHT: f64 = 1.0;
+/// What a prompt computed elsewhere must save, in milliseconds, since its KV cache has to be moved.
+const MOVE_MARGIN_MS: f64 = 25.0;
+/// Prompts with fewer tokens to compute are never computed elsewhere.
+const MIN_MOVED_TOKENS: u64 = 512;
+/// Requests at one target of a plain service, as a share of its slots, above which another one is looked for.
+const FAR_PENALTY: f64 = 0.5;
+/// A first token later than this share of the target time is expected to miss it.
+const TARGET_SHARE: f64 = 1.1;
+/// Share of the time left that a request may be expected to take until its first token.
+const LEFT_SHARE: f64 = 0.7;
+/// Shortest pause that a refusal asks for.
+const MIN_RETRY: Duration = Duration::from_millis(50);
+/// Pause that is asked for where no target is known.
+const NO_TARGET_RETRY: Duration = Duration::from_millis(400);
+
+/// A request that looks for a target.
+#[derive(Clone, Debug)]
+pub struct Demand<'a> {
+    /// The service.
+    pub service: &'a name::Service,
+    /// Parts of the prompt; empty for plain services.
+    pub parts: &'a [Part],
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Output tokens expected.
+    pub output_tokens: u64,
+    /// Time within which the answer is worth most, counted from now.
+    pub target: Duration,
+    /// Time that is left.
+    pub remaining: Duration,
+    /// Targets that have failed or refused it.
+    pub avoid: &'a [Key],
+    /// Whether a failure could be repaired.
+    pub repeat: config::Repeat,
+    /// Where the prompt may be computed.
+    pub prompt: Prompt,
+}
+
+/// Where a prompt may be computed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Prompt {
+    /// At the target that generates, or at another engine before.
+    Anywhere,
+    /// At the target that generates.
+    AtTarget,
+}
+
+/// What a request is told.
+#[derive(Clone, Debug)]
+pub enum Verdict {
+    /// Send it.
+    Send(Plan),
+    /// Refuse it at once; it did not run.
+    Refuse(Refusal),
+}
+
+/// Where a request is sent.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The target that answers.
+    pub target: Key,
+    /// The engine that computes the prompt before.
+    pub prefill: Option<Key>,
+    /// Tokens that have to be computed.
+    pub fresh: u64,
+    /// Time in which they are expected to be computed once begun, in milliseconds.
+    pub prompt_ms: f64,
+    /// When the first token is expected, in milliseconds on the instance's clock.
+    pub expected_at: f64,
+}
+
+/// A refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// When it is worth asking again.
+    pub retry_after: Duration,
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub enum Reason {
+    /// No target of the service can be used.
+    #[display("no target")]
+    NoTarget,
+    /// The first token is expected too late.
+    #[display("too late")]
+    TooLate,
+    /// Its targets refused it, and it may not be sent to another one.
+    #[display("targets full")]
+    TargetsFull,
+}
+
+/// A target with what is believed of it.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// As it announced itself.
+    pub target: Target,
+    backlog: Backlog,
+    cache: Cache,
+    speed: Speed,
+    health: Health,
+}
+
+/// The targets of the fleet.
+#[derive(Debug)]
+pub struct Board {
+    data_centre: name::DataCentre,
+    entries: SlotMap<Key, Entry>,
+    names: Map<name::Target, Key>,
+    engines: Map<name::Service, config::Engine>,
+    random: Random,
+}
+
+impl Board {
+    /// A board of an instance in a data centre; `seed` decides between equals.
+    pub fn new(data_centre: name::DataCentre, seed: u64) -> Board {
+        Board {
+            data_centre,
+            entries: SlotMap::with_key(),
+            names: Map::default(),
+            engines: Map::default(),
+            random: Random::new(seed),
+        }
+    }
+
+    /// Takes in what the engines of each service offer.
+    pub fn configure(&mut self, config: &config::Config) {
+        let engine = |service: &config::Service| Some((service.name.clone(), service.engine?));
+        self.engines = config.services.iter().filter_map(engine).collect();
+    }
+
+    /// Takes in what is known of a target.
+    pub fn update(&mut self, target: &Target) {
+        let known = self.names.get(&target.name).copied();
+        if target.state >= State::Lost {
+            if let Some(key) = known {
+                self.names.remove(&target.name);
+                self.entries.remove(key);
+            }
+            return;
+        }
+        let restarted =
+            |entry: &Entry| entry.target.born_unix_ms != target.born_unix_ms;
+        match known.and_then(|key| self.entries.get_mut(key)) {
+            Some(entry) if !restarted(entry) => entry.target = target.clone(),
+            _ => {
+                let tokens = self.engines.get(&target.service).map_or(0, |engine| engine.kv_tokens);
+                let entry = Entry {
+                    target: target.clone(),
+                    backlog: Backlog::default(),
+                    cache: Cache::new(tokens),
+                    speed: Speed::default(),
+                    health: Health::default(),
+                };
+                if let Some(key) = known {
+                    self.entries.remove(key);
+                }
+                let key = self.entries.insert(entry);
+                self.names.insert(target.name.clone(), key);
+            }
+        }
+    }
+
+    /// A target on the board.
+    pub fn entry(&self, key: Key) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// Targets on the board.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no target is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Whether a service has a target that takes work.
+    pub fn serves(&self, service: &name::Service) -> bool {
+        let ready = |entry: &Entry| entry.target.state == State::Ready;
+        self.entries.values().any(|entry| entry.target.service == *service && ready(entry))
+    }
+
+    /// Decides where a request is sent, or refuses it.
+    pub fn choose(&mut self, demand: &Demand<'_>, now: Moment) -> Verdict {
+        let plan = if self.engines.contains_key(demand.service) {
+            self.choose_engine(demand, now)
+        } else {
+            self.choose_plain(demand, now)
+        };
+        let Some(plan) = plan else {
+            let reason =
+                if demand.avoid.is_empty() { Reason::NoTarget } else { Reason::TargetsFull };
+            let retry_after = NO_TARGET_RETRY.min(demand.remaining / 4);
+            return Verdict::Refuse(Refusal { reason, retry_after });
+        };
+        match late_by(&plan, demand, now) {
+            Some(excess) => {
+                let longest = (demand.remaining / 3).max(MIN_RETRY);
+                let retry_after = excess.clamp(MIN_RETRY, longest);
+                Verdict::Refuse(Refusal { reason: Reason::TooLate, retry_after })
+            }
+            None => Verdict::Send(plan),
+        }
+    }
+
+    /// Counts a plan as sent and returns what other instances are told of it.
+    pub fn send(
+        &mut self,
+        plan: &Plan,
+        demand: &Demand<'_>,
+        now: Moment,
+    ) -> Vec<exchange::Dispatch> {
+        let mut told = Vec::new();
+        let time = now.0 as f64;
+        let own_ms = if plan.prefill.is_some() { 0.0 } else { plan.prompt_ms };
+        if let Some(key) = plan.prefill
+            && let Some(entry) = self.entries.get_mut(key)
+        {
+            entry.backlog.add_prompt(plan.prompt_ms, time);
+            entry.cache.read(demand.parts);
+            entry.health.send(now);
+            told.push(dispatch(entry, plan.prompt_ms, 0, demand.parts));
+        }
+        if let Some(entry) = self.entries.get_mut(plan.target) {
+            entry.backlog.send(own_ms, time);
+            entry.cache.read(demand.parts);
+            entry.health.send(now);
+            if !demand.parts.is_empty() {
+                told.push(dispatch(entry, own_ms, demand.output_tokens, demand.parts));
+            }
+        }
+        told
+    }
+
+    /// Takes in a dispatch of another instance.
+    pub fn hear(&mut self, dispatch: &exchange::Dispatch, now: Moment) {
+        let Some(entry) = self.names.get(&dispatch.target).and_then(|key| self.entries.get_mut(*key))
+        else {
+            return;
+        };
+        let prompt_ms = f64::from(dispatch.prompt_us) / 1e3;
+        let time = now.0 as f64;
+        if dispatch.output == 0 {
+            entry.backlog.add_prompt(prompt_ms, time);
+        } else {
+            let running = entry.backlog.running(time);
+            let run_ms = speed::output_ms(u64::from(dispatch.output), running);
+            entry.backlog.send_other(prompt_ms, run_ms, time);
+        }
+        entry.cache.read(&dispatch.parts);
+    }
+
+    /// Takes in that a prompt is computed; `sent` is when it was sent.
+    pub fn computed(&mut self, key: Key, plan: &Plan, sent: Moment, now: Moment) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        entry.backlog.computed(plan.expected_at, now.0 as f64);
+        let predicted = plan.expected_at - sent.0 as f64;
+        entry.speed.observe(predicted, now.since(sent).as_secs_f64() * 1e3);
+    }
+
+    /// Takes in that an own request has ended at its target.
+    pub fn end(&mut self, key: Key) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.backlog.end();
+        }
+    }
+
+    /// Takes back a prompt that will not be computed.
+    pub fn withdraw(&mut self, key: Key, prompt_ms: f64, now: Moment) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.backlog.withdraw(prompt_ms, now.0 as f64);
+        }
+    }
+
+    /// Takes in how an exchange went; returns whether the target is left out from now on.
+    pub fn judge(&mut self, key: Key, outcome: Outcome, now: Moment) -> bool {
+        let Some(service) = self.entries.get(key).map(|entry| entry.target.service.clone()) else {
+            return false;
+        };
+        let usual = self.usual_failures(&service);
+        let entry = &mut self.entries[key];
+        let left_out = entry.health.observe(outcome, usual, now);
+        if outcome == Outcome::Broken {
+            // A target that broke off may have started again without its memory.
+            entry.cache.clear();
+            entry.backlog.clear();
+        }
+        left_out
+    }
+
+    /// Median share of failures among the targets of a service.
+    fn usual_failures(&self, service: &name::Service) -> f64 {
+        let mut shares: Vec<f64> = self
+            .entries
+            .values()
+            .filter(|entry| entry.target.service == *service)
+            .map(|entry| entry.health.failing())
+            .collect();
+        shares.sort_by(f64::total_cmp);
+        shares.get(shares.len() / 2).copied().unwrap_or_default()
+    }
+
+    /// Targets of a service that may be used, by the best standing that any has.
+    fn usable(&self, demand: &Demand<'_>, now: Moment, fits: impl Fn(&Entry) -> bool) -> Vec<Key> {
+        let ready: Vec<(Key, Standing)> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.target.service == *demand.service)
+            .filter(|(_, entry)| entry.target.state == State::Ready && fits(entry))
+            .filter(|(key, _)| !demand.avoid.contains(key))
+            .map(|(key, entry)| (key, entry.health.standing(now)))
+            .collect();
+        let repairable = demand.repeat != config::Repeat::Never;
+        if repairable
+            && demand.avoid.is_empty()
+            && let Some((key, _)) = ready.iter().find(|(_, standing)| *standing == Standing::Probation)
+        {
+            return vec![*key];
+        }
+        let inside: Vec<Key> =
+            ready.iter().filter(|(_, standing)| *standing == Standing::In).map(|(key, _)| *key).collect();
+        // Where all are left out, any of them is better than none.
+        if inside.is_empty() { ready.into_iter().map(|(key, _)| key).collect() } else { inside }
+    }
+
+    fn choose_plain(&mut self, demand: &Demand<'_>, now: Moment) -> Option<Plan> {
+        let usable = self.usable(demand, now, |_| true);
+        let time = now.0 as f64;
+        let weighed: Vec<(Key, f64)> = usable
+            .into_iter()
+            .map(|key| {
+                let entry = &self.entries[key];
+                let far = entry.target.data_centre != self.data_centre;
+                let load = f64::from(entry.backlog.own());
+                let jitter = self.random.unit() * 0.1;
+                (key, load + if far { FAR_PENALTY } else { 0.0 } + jitter)
+            })
+            .collect();
+        let (target, _) = weighed.into_iter().min_by(|a, b| a.1.total_cmp(&b.1))?;
+        Some(Plan { target, prefill: None, fresh: 0, prompt_ms: 0.0, expected_at: time })
+    }
+
+    fn choose_engine(&mut self, demand: &Demand<'_>, now: Moment) -> Option<Plan> {
+        let engine = *self.engines.get(demand.service)?;
+        let generates = |entry: &Entry| entry.target.stage != Some(Stage::Prefill);
+        let decode = self.usable(demand, now, generates);
+        let time = now.0 as f64;
+        let direct = decode
+            .iter()
+            .map(|key| self.weigh(*key, demand, time))
+            .min_by(|a, b| a.score.total_cmp(&b.score))?;
+        let moved = self.choose_moved(demand, &engine, &decode, now);
+        let best = match moved {
+            Some((prefill, target)) if prefill.score + MOVE_MARGIN_MS < direct.score => Plan {
+                target,
+                prefill: Some(prefill.key),
+                fresh: prefill.fresh,
+                prompt_ms: prefill.prompt_ms,
+                expected_at: time + prefill.first_ms,
+            },
+            _ => Plan {
+                target: direct.key,
+                prefill: None,
+                fresh: direct.fresh,
+                prompt_ms: direct.prompt_ms,
+                expected_at: time + direct.first_ms,
+            },
+        };
+        Some(best)
+    }
+
+    /// The best engine that computes the prompt for another one, and that other one.
+    fn choose_moved(
+        &mut self,
+        demand: &Demand<'_>,
+        engine: &config::Engine,
+        decode: &[Key],
+        now: Moment,
+    ) -> Option<(Weighed, Key)> {
+        if demand.prompt == Prompt::AtTarget {
+            return None;
+        }
+        let prefill =
+            self.usable(demand, now, |entry| entry.target.stage == Some(Stage::Prefill));
+        let time = now.0 as f64;
+        let mut best = prefill
+            .into_iter()
+            .map(|key| self.weigh(key, demand, time))
+            .filter(|weighed| weighed.fresh >= MIN_MOVED_TOKENS)
+            .min_by(|a, b| a.score.total_cmp(&b.score))?;
+        let from = self.entries[best.key].target.data_centre.clone();
+        let mut receivers: Vec<(Key, f64)> = Vec::with_capacity(decode.len());
+        for key in decode {
+            let entry = &mut self.entries[*key];
+            let far = entry.target.data_centre != from;
+            let distance = if far { Distance::Far } else { Distance::Near };
+            let transfer = speed::transfer_ms(engine, demand.prompt_tokens, distance);
+            let wait = entry.backlog.wait_ms(time);
+            let running = entry.backlog.running(time) as f64;
+            receivers.push((*key, transfer + wait + running));
+        }
+        let (target, extra) = receivers.into_iter().min_by(|a, b| a.1.total_cmp(&b.1))?;
+        best.first_ms += extra;
+        best.score += extra;
+        Some((best, target))
+    }
+
+    fn weigh(&self, key: Key, demand: &Demand<'_>, time: f64) -> Weighed {
+        let entry = &self.entries[key];
+        let cached = entry.cache.tokens(demand.parts).min(demand.prompt_tokens);
+        let fresh = demand.prompt_tokens - cached;
+        let prompt_ms = entry.speed.prompt_ms(entry.target.stage, fresh, cached);
+        let first_ms = entry.backlog.wait_ms(time) + prompt_ms + speed::first_step_ms();
+        Weighed { key, fresh, prompt_ms, first_ms, score: first_ms + WORK_WEIGHT * prompt_ms }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Weighed {
+    key: Key,
+    fresh: u64,
+    prompt_ms: f64,
+    /// Milliseconds until the first token.
+    first_ms: f64,
+    score: f64,
+}
+
+/// By how much a plan is too late to be worth its computation.
+fn late_by(plan: &Plan, demand: &Demand<'_>, now: Moment) -> Option<Duration> {
+    let first_ms = plan.expected_at - now.0 as f64;
+    let target_ms = demand.target.as_secs_f64() * 1e3 * TARGET_SHARE;
+    let left_ms = demand.remaining.as_secs_f64() * 1e3 * LEFT_SHARE;
+    let alone_ms = plan.prompt_ms + speed::first_step_ms();
+    // A prompt that is late by its own size is not helped by waiting.
+    let limit_ms = target_ms.max(alone_ms).min(left_ms);
+    (first_ms > limit_ms).then(|| Duration::from_secs_f64((first_ms - limit_ms) / 1e3))
+}
+
+#[allow(clippy::cast_sign_loss, clippy::cast_possible_truncation, reason = "saturates")]
+fn dispatch(entry: &Entry, prompt_ms: f64, output: u64, parts: &[Part]) -> exchange::Dispatch {
+    exchange::Dispatch {
+        from: name::Instance::default(),
+        target: entry.target.name.clone(),
+        prompt_us: (prompt_ms * 1e3) as u32,
+        output: u32::try_from(output).unwrap_or(u32::MAX),
+        parts: parts.to_vec(),
+    }
+}
--- a/crates/replica/examples/figures/cluster.rs
+++ b/crates/replica/examples/figures/cluster.rs
@@ -101,6 +101,7 @@
             folder: self.folder.join(number.to_string()),
             origin: Origin::Founder,
             peers: others(&self.addresses, Some(number)),
+            growth: host::Growth::Operator,
             options: self.options,
             runtime: runtime.handle().clone(),
             logger: logger::discard(),
@@ -220,6 +221,10 @@
         Vec::new()
     }
 
+    async fn exchange(self, _context: context::Context, _question: Vec<u8>) -> Vec<u8> {
+        Vec::new()
+    }
+
     async fn offered(self, _context: context::Context) -> peer::Counts {
         unreachable!("not called in this example")
     }
--- a/crates/replica/examples/figures/machine.rs
+++ b/crates/replica/examples/figures/machine.rs
@@ -6,7 +6,7 @@
 
 const KEPT: usize = 1_000;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Tail {
     commands: VecDeque<Vec<u8>>,
     count: u64,
@@ -38,7 +38,7 @@
         bytes
     }
 
-    fn decode(bytes: &[u8]) -> Result<Tail, std::num::TryFromIntError> {
+    fn decode(&self, bytes: &[u8]) -> Result<Tail, std::num::TryFromIntError> {
         let (count, _) = bytes.split_first_chunk().expect("a snapshot begins with the count");
         Ok(Tail { commands: VecDeque::new(), count: u64::from_le_bytes(*count) })
     }
--- a/crates/replica/src/founding.rs
+++ b/crates/replica/src/founding.rs
@@ -16,7 +16,8 @@
 };
 use futures::future;
 use wire::{
-    log::{Standing, Wish},
+    link::Link,
+    log::{Outcome, Standing, Wish},
     peer::PeerClient,
 };
 
@@ -104,11 +105,23 @@
             return;
         }
         for peer in &settings.peers {
-            let wish = wish.clone();
-            let call = async |client: &PeerClient, context| {
-                client.change_members(context, settings.branch.clone(), wish).await
-            };
-            let _asked_again = peer.link.call(CALL_LIMIT, call).await;
+            if let Some(leader) = ask_in(&settings, &peer.link, &wish).await
+                && settings.peers.iter().all(|peer| peer.instance != leader)
+                && let Ok(address) = leader.0.parse()
+            {
+                ask_in(&settings, &Link::new(address), &wish).await;
+            }
         }
     }
 }
+
+/// Asks one replica; returns the leader that it names. What fails is asked again.
+async fn ask_in(settings: &Settings, link: &Link, wish: &Wish) -> Option<name::Instance> {
+    let call = async |client: &PeerClient, context| {
+        client.change_members(context, settings.branch.clone(), wish.clone()).await
+    };
+    match link.call(CALL_LIMIT, call).await {
+        Ok(Outcome::NotLeader { leader }) => leader,
+        Ok(Outcome::Done(_) | Outcome::Refused { .. } | Outcome::Unknown { .. }) | Err(_) => None,
+    }
+}
--- a/crates/replica/src/host.rs
+++ b/crates/replica/src/host.rs
@@ -6,6 +6,7 @@
     path::PathBuf,
     sync::{Arc, Mutex, PoisonError, atomic::AtomicU64},
     thread::{self, JoinHandle},
+    time::Duration,
 };
 
 use common::{cancel, clock::Moment, collections::Map, name, ring};
@@ -34,6 +35,9 @@
     worker::{self, Input, Worker},
 };
 
+/// Pause before a replica whose disk failed is opened again; a full or broken disk may work again by then.
+const REOPEN_PAUSE: Duration = Duration::from_millis(250);
+
 /// How a replica begins when its folder is empty.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Origin {
@@ -43,6 +47,15 @@
     Learner,
 }
 
+/// Who adds replicas at places where none stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Growth {
+    /// An operator, in the place of another replica.
+    Operator,
+    /// The leader, as soon as one asks to be taken in.
+    Itself,
+}
+
 /// What a replica needs.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -56,6 +69,8 @@
     pub origin: Origin,
     /// The other instances that keep a replica of the branch.
     pub peers: Vec<Peer>,
+    /// Who adds replicas at new places.
+    pub growth: Growth,
     /// Timeouts and bounds.
     pub options: Options,
     /// Runs calls to peers.
@@ -169,12 +184,14 @@
 /// Returns a [`Fault`] when the folder can't be read or was damaged.
 pub fn start<M: Machine>(settings: Settings, machine: M) -> Result<Started, Fault> {
     let branch = settings.branch.clone();
-    open(settings, machine).map_err(|cause| Fault { branch, cause })
-}
-
-fn open<M: Machine>(settings: Settings, empty: M) -> Result<Started, Cause> {
     let logger = settings.logger.new(o!("branch" => settings.branch.0.clone()));
     let settings = Settings { logger, ..settings };
+    let fault = |cause| Fault { branch: branch.clone(), cause };
+    let opening = open(settings.clone(), &machine).map_err(fault)?;
+    start_threads(settings, machine, opening).map_err(|cause| fault(Cause::from(cause)))
+}
+
+fn open<M: Machine>(settings: Settings, empty: &M) -> Result<Opening<M>, Cause> {
     let disk = Disk::open(&settings.folder)?;
     let (mut log, recovery) = Log::open(disk, store::log::Options::default())?;
     let hard = match codec::load_hard(recovery.state.as_deref())? {
@@ -186,9 +203,9 @@
     let entries = entries.iter().map(codec::load_entry).collect::<Result<Vec<Entry>, _>>()?;
     let machine = match &snapshot {
         Some(snapshot) => {
-            M::decode(&snapshot.data).map_err(|fault| Cause::Snapshot(fault.to_string()))?
+            empty.decode(&snapshot.data).map_err(|fault| Cause::Snapshot(fault.to_string()))?
         }
-        None => empty,
+        None => empty.clone(),
     };
     let began = snapshot.is_some() || !entries.is_empty();
     let founded = !hard.founders.members().is_empty();
@@ -201,8 +218,48 @@
     info!(settings.logger, "replica opened"; "id" => %hard.id, "term" => hard.term,
         "entries" => entries.len(), "snapshot" => snapshot.as_ref().map_or(0, |snapshot| snapshot.last.index));
     let standing = Arc::new(Mutex::new(standing));
-    let opening = Opening { settings, hard, snapshot, entries, machine, log, standing };
-    Ok(opening.start_threads()?)
+    Ok(Opening { settings, hard, snapshot, entries, machine, log, standing })
+}
+
+/// Starts the thread that runs the replica, and opens it again from its folder after a failure of the disk.
+fn start_threads<M: Machine>(
+    settings: Settings,
+    empty: M,
+    opening: Opening<M>,
+) -> io::Result<Started> {
+    let (inputs, receiver) = ring::bounded(worker::RING_INPUTS);
+    let status = Arc::new(Mutex::new(None));
+    let standing = Arc::new(Mutex::new(opening.lock_standing().clone()));
+    let handle = Handle {
+        inputs: inputs.clone(),
+        status: Arc::clone(&status),
+        standing: Arc::clone(&standing),
+    };
+    let name = format!("log-{}", settings.branch);
+    let run = move || {
+        let mut opening = Some(Opening { standing: Arc::clone(&standing), ..opening });
+        while !settings.end.is_cancelled() {
+            if let Some(opening) = opening.take() {
+                opening.run(inputs.clone(), receiver.clone(), Arc::clone(&status));
+            }
+            if settings.end.is_cancelled() {
+                return;
+            }
+            thread::sleep(REOPEN_PAUSE);
+            match open(settings.clone(), &empty) {
+                Ok(again) => {
+                    let stands = again.lock_standing().clone();
+                    *standing.lock().unwrap_or_else(PoisonError::into_inner) = stands;
+                    opening = Some(Opening { standing: Arc::clone(&standing), ..again });
+                }
+                Err(cause) => {
+                    slog::warn!(settings.logger, "replica not reopened"; "cause" => %cause);
+                }
+            }
+        }
+    };
+    let thread = thread::Builder::new().name(name).spawn(run)?;
+    Ok(Started { handle, threads: vec![thread] })
 }
 
 /// Gives an empty folder an identity that no replica had before.
@@ -215,20 +272,6 @@
 }
 
 impl<M: Machine> Opening<M> {
-    fn start_threads(self) -> io::Result<Started> {
-        let (inputs, receiver) = ring::bounded(worker::RING_INPUTS);
-        let status = Arc::new(Mutex::new(None));
-        let handle = Handle {
-            inputs: inputs.clone(),
-            status: Arc::clone(&status),
-            standing: Arc::clone(&self.standing),
-        };
-        let name = format!("log-{}", self.settings.branch);
-        let thread =
-            thread::Builder::new().name(name).spawn(move || self.run(inputs, receiver, status))?;
-        Ok(Started { handle, threads: vec![thread] })
-    }
-
     fn run(
         mut self,
         inputs: ring::Sender<Input>,
@@ -263,6 +306,7 @@
             place: settings.place.clone(),
             node: Node::new(start, settings.options),
             options: settings.options,
+            growth: settings.growth,
             machine: self.machine,
             applied: snapshot,
             inputs: receiver,
--- a/crates/replica/src/machine.rs
+++ b/crates/replica/src/machine.rs
@@ -4,7 +4,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 /// A state that changes only by the commands of its log.
-pub trait Machine: Send + Sized + 'static {
+pub trait Machine: Clone + Send + Sized + 'static {
     /// A command.
     type Command: Serialize + DeserializeOwned;
     /// The reply to a command.
@@ -25,12 +25,12 @@
     /// Encodes the state for a snapshot.
     fn encode(&self) -> Vec<u8>;
 
-    /// Decodes a snapshot.
+    /// Decodes a snapshot into a state that takes the place of this one.
     ///
     /// # Errors
     ///
     /// Returns the fault when the bytes are not the encoding of a state.
-    fn decode(bytes: &[u8]) -> Result<Self, Self::Fault>;
+    fn decode(&self, bytes: &[u8]) -> Result<Self, Self::Fault>;
 }
 
 impl Machine for state::State {
@@ -52,7 +52,7 @@
         state::State::encode(self)
     }
 
-    fn decode(bytes: &[u8]) -> Result<state::State, snapshot::Fault> {
+    fn decode(&self, bytes: &[u8]) -> Result<state::State, snapshot::Fault> {
         state::State::decode(bytes)
     }
 }
--- a/crates/replica/src/outbox.rs
+++ b/crates/replica/src/outbox.rs
@@ -1,6 +1,10 @@
 //! Messages to the other replicas: a bounded queue for each, emptied by a task on the peers' runtime.
 
-use std::{mem, sync::Arc, time::Duration};
+use std::{
+    mem,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use common::{collections::Map, name};
 use consensus::message::Envelope;
@@ -26,39 +30,50 @@
     pub link: Arc<Link>,
 }
 
-/// Queues by instance.
+/// Queues by instance; an instance whose name is its address needs not be among the peers.
 #[derive(Clone, Debug)]
 pub(crate) struct Outbox {
-    queues: Arc<Map<name::Instance, mpsc::Sender<Envelope>>>,
+    queues: Arc<Mutex<Map<name::Instance, mpsc::Sender<Envelope>>>>,
+    settings: Arc<Settings>,
 }
 
 impl Outbox {
     /// Starts a task for each peer; they end with the settings' token.
     pub(crate) fn start(settings: &Settings) -> Outbox {
-        let mut queues = Map::default();
-        for peer in &settings.peers {
-            let (sender, receiver) = mpsc::channel(QUEUE_MESSAGES);
-            queues.insert(peer.instance.clone(), sender);
-            let delivery = Delivery {
-                branch: settings.branch.clone(),
-                from: settings.place.clone(),
-                link: Arc::clone(&peer.link),
-            };
-            let end = settings.end.clone();
-            let run = async move { end.run_until_cancelled(delivery.run(receiver)).await };
-            settings.runtime.spawn(run);
-        }
-        Outbox { queues: Arc::new(queues) }
+        let queue = |peer: &Peer| (peer.instance.clone(), start_queue(settings, &peer.link));
+        let queues = settings.peers.iter().map(queue).collect();
+        Outbox { queues: Arc::new(Mutex::new(queues)), settings: Arc::new(settings.clone()) }
     }
 
     /// Queues a message; a full queue drops it, as the network may.
     pub(crate) fn send(&self, place: &name::Instance, envelope: Envelope) {
-        if let Some(queue) = self.queues.get(place) {
+        let mut queues = self.queues.lock().unwrap_or_else(PoisonError::into_inner);
+        if !queues.contains_key(place)
+            && let Ok(address) = place.0.parse()
+        {
+            let queue = start_queue(&self.settings, &Arc::new(Link::new(address)));
+            queues.insert(place.clone(), queue);
+        }
+        if let Some(queue) = queues.get(place) {
             let _dropped = queue.try_send(envelope);
         }
     }
 }
 
+/// Starts the task that delivers to one peer.
+fn start_queue(settings: &Settings, link: &Arc<Link>) -> mpsc::Sender<Envelope> {
+    let (sender, receiver) = mpsc::channel(QUEUE_MESSAGES);
+    let delivery = Delivery {
+        branch: settings.branch.clone(),
+        from: settings.place.clone(),
+        link: Arc::clone(link),
+    };
+    let end = settings.end.clone();
+    let run = async move { end.run_until_cancelled(delivery.run(receiver)).await };
+    settings.runtime.spawn(run);
+    sender
+}
+
 /// The way to one peer.
 struct Delivery {
     branch: name::Branch,
--- a/crates/replica/src/worker.rs
+++ b/crates/replica/src/worker.rs
@@ -25,6 +25,7 @@
 use crate::{
     codec,
     disk::{self, Job},
+    host::Growth,
     machine::Machine,
     outbox::Outbox,
     pending::{self, Pending, Question, Reply},
@@ -55,6 +56,7 @@
     pub place: name::Instance,
     pub node: Node,
     pub options: Options,
+    pub growth: Growth,
     pub machine: M,
     pub applied: u64,
     pub inputs: ring::Receiver<Input>,
@@ -281,7 +283,7 @@
     }
 
     fn restore(&mut self, snapshot: &Snapshot) {
-        match M::decode(&snapshot.data) {
+        match self.machine.decode(&snapshot.data) {
             Ok(machine) => {
                 self.machine = machine;
                 self.applied = snapshot.last.index;
@@ -329,7 +331,7 @@
             Wish::Join { id, place } => {
                 self.state.places.insert(id, place.clone());
                 self.state.candidates.insert(place.clone(), id);
-                repair::admit(status, id, &place)
+                repair::admit(status, id, &place).or_else(|| self.grow(status, id, &place))
             }
             Wish::Replace { old, new } => {
                 let id = *self.state.candidates.get(&new)?;
@@ -338,6 +340,14 @@
         }
     }
 
+    /// The change that adds a replica at a place where no member stands, if the log grows by itself.
+    fn grow(&self, status: &Status, id: Id, place: &name::Instance) -> Option<Change> {
+        match self.growth {
+            Growth::Operator => None,
+            Growth::Itself => repair::grow(status, id, place),
+        }
+    }
+
     /// Proposes the next change of a replacement that is under way.
     fn repair(&mut self) {
         let status = self.node.status();
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -10,6 +10,7 @@
     document::{self, Document},
     error::Fault,
     instance::Instance,
+    seeded::Seeded,
     service::{Kind, Service},
     tree::{self, Branch, Documents, Partner, Tree, Venture},
 };
@@ -29,6 +30,33 @@
     if faults.is_empty() { Ok(instance) } else { Err(faults) }
 }
 
+/// Reads the file of an instance that finds the others from seeds, and collects every fault.
+///
+/// # Errors
+///
+/// Returns all faults, at least one.
+pub fn seeded(path: &Path) -> Result<Seeded, Vec<Fault>> {
+    let document = Document::read(path).map_err(|fault| vec![fault])?;
+    let settings: Seeded = document::typed(&document)?;
+    let mut faults = Vec::new();
+    let mut report = |key: &str, problem: &str| {
+        faults.push(document.fault(key, String::from(problem)));
+    };
+    if settings.callers.is_none() && settings.control.is_none() {
+        report("callers", "the instance has nothing to do; expected `callers` or `control`");
+    }
+    if settings.callers.is_some() && settings.readiness.is_none() {
+        report("readiness", "is missing; an instance with `callers` says there whether it is ready");
+    }
+    if settings.control.is_some() && settings.data_folder.is_none() {
+        report("data_folder", "is missing; an instance with `control` keeps state on a disk");
+    }
+    if settings.seeds.is_empty() {
+        report("seeds", "is empty; expected the control address of at least one instance");
+    }
+    if faults.is_empty() { Ok(settings) } else { Err(faults) }
+}
+
 /// Checks an instance against the tree: its data centres must be declared by a partner.
 pub fn places(path: &Path, instance: &Instance, tree: &Tree) -> Vec<Fault> {
     let Ok(document) = Document::read(path) else {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod key;
 pub mod reference;
 pub mod schema;
+pub mod seeded;
 pub mod service;
 pub mod text;
 pub mod tree;
--- a/crates/settings/src/reference.rs
+++ b/crates/settings/src/reference.rs
@@ -6,6 +6,7 @@
 use crate::{
     instance::Instance,
     schema,
+    seeded::Seeded,
     service::Service,
     tree::{Partner, Venture},
 };
@@ -17,7 +18,8 @@
 samples in `examples/` differ from the program.
 
 Files are JSON with comments and trailing commas. `daisydrum check --settings FILE` checks an instance's file,
-`daisyctl check FOLDER` a tree. Samples: `examples/instance.jsonc`, `examples/replica.jsonc`, `examples/venture/`.
+`daisyctl check FOLDER` a tree. Samples: `examples/instance.jsonc`, `examples/replica.jsonc`, `examples/seeded.jsonc`,
+`examples/venture/`.
 
 A unit is part of a key's name: `_ms` milliseconds, `_s` seconds, `_kb` kilobytes, `_percent` percent.
 
@@ -44,6 +46,7 @@
 pub fn pages() -> Vec<Page> {
     vec![
         Page { path: "schema/instance.json", text: schema_text::<Instance>() },
+        Page { path: "schema/seeded.json", text: schema_text::<Seeded>() },
         Page { path: "schema/venture.json", text: schema_text::<Venture>() },
         Page { path: "schema/partner.json", text: schema_text::<Partner>() },
         Page { path: "schema/service.json", text: schema_text::<Service>() },
@@ -58,6 +61,7 @@
 fn keys_page() -> String {
     let mut page = String::from(HEAD);
     section::<Instance>(&mut page, "An instance's file");
+    section::<Seeded>(&mut page, "The file of an instance that finds the others from seeds");
     section::<Venture>(&mut page, "`venture.jsonc`");
     section::<Partner>(&mut page, "`PARTNER/partner.jsonc`");
     section::<Service>(&mut page, "`PARTNER/services/SERVICE.jsonc` and `defaults`");
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -84,6 +84,10 @@
     /// callee's, which is empty where the callee is too busy.
     async fn summary(summary: Vec<u8>) -> Vec<u8>;
 
+    /// Takes in a question of an instance that found the callee from seeds (`fleet::exchange::Question`) and
+    /// returns the answer (`fleet::exchange::Answer`), which is empty where the callee has none.
+    async fn exchange(question: Vec<u8>) -> Vec<u8>;
+
     /// Returns what callers offered to the callee.
     async fn offered() -> Counts;
 }
