--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -109,10 +109,10 @@
         if trail.arrivals > 0 && !self.gateway.take_repeat(&service) {
             return Err(self.full());
         }
-        let told = board.send(&plan, &demand, now);
+        let (mark, told) = board.send(&plan, &demand, now);
         drop(board);
         self.gateway.tell(told);
-        Ok(Sent::new(Arc::clone(&self.gateway), plan, now))
+        Ok(Sent::new(Arc::clone(&self.gateway), plan, mark, now))
     }
 
     fn demand<'a>(&'a self, service: &'a name::Service, trail: &'a Trail) -> Demand<'a> {
@@ -167,7 +167,16 @@
             if step != Step::Prefill {
                 trail.arrivals += 1;
             }
-            let request = self.request(&place, step.clone(), resume_after);
+            let fetch = sent.plan.fetch.filter(|_| !matches!(step, Step::Fetch { .. }));
+            let leg = Leg {
+                target: place.name.clone(),
+                remaining: self.remaining(),
+                rank: self.route().rank,
+                resume_after,
+                fetch: fetch.and_then(|key| sent.place(key)).map(|holder| holder.address),
+                step: step.clone(),
+            };
+            let request = self.request(&leg);
             match self.exchange(sent, key, connection, request).await {
                 // The target had closed a kept connection before any byte left.
                 Err(connection::Fault::NotSent(_)) if origin == crate::pool::Origin::Kept => {
@@ -228,23 +237,11 @@
         Ok(Reply::Head(response, connection))
     }
 
-    fn request(
-        &self,
-        place: &Place,
-        step: Step,
-        resume_after: Option<u64>,
-    ) -> Request<Full<Bytes>> {
+    fn request(&self, leg: &Leg) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
-        let leg = Leg {
-            target: place.name.clone(),
-            remaining: self.remaining(),
-            rank: self.route().rank,
-            resume_after,
-            step,
-        };
-        *request.headers_mut() = platform::request::forward(&self.headers, &leg);
+        *request.headers_mut() = platform::request::forward(&self.headers, leg);
         request
     }
 
--- a/crates/gateway/src/sent.rs
+++ b/crates/gateway/src/sent.rs
@@ -4,18 +4,20 @@
 
 use common::{clock::Moment, name};
 use placement::{
+    backlog::Mark,
     board::{Key, Plan},
     health::Outcome,
 };
 use slog::info;
 
-use crate::state::Gateway;
+use crate::state::{Gateway, ms};
 
 /// A request that was sent to a target; its end is counted when this is dropped.
 #[derive(Debug)]
 pub(crate) struct Sent {
     gateway: Arc<Gateway>,
     pub(crate) plan: Plan,
+    mark: Mark,
     at: Moment,
     computed: bool,
 }
@@ -28,8 +30,8 @@
 }
 
 impl Sent {
-    pub(crate) fn new(gateway: Arc<Gateway>, plan: Plan, at: Moment) -> Sent {
-        Sent { gateway, plan, at, computed: false }
+    pub(crate) fn new(gateway: Arc<Gateway>, plan: Plan, mark: Mark, at: Moment) -> Sent {
+        Sent { gateway, plan, mark, at, computed: false }
     }
 
     pub(crate) fn place(&self, key: Key) -> Option<Place> {
@@ -40,10 +42,18 @@
 
     /// Notes that the prompt is computed.
     pub(crate) fn computed(&mut self) {
-        if !std::mem::replace(&mut self.computed, true) {
-            let key = self.plan.prefill.unwrap_or(self.plan.target);
-            self.gateway.board().computed(key, &self.plan, self.at, Moment::now());
+        if std::mem::replace(&mut self.computed, true) {
+            return;
         }
+        let now = Moment::now();
+        let key = self.plan.prefill.unwrap_or(self.plan.target);
+        self.gateway.board().computed(key, &self.plan, self.mark, self.at, now);
+        let name = |key| self.place(key).map_or_else(String::new, |place| place.name.0);
+        let predicted_ms = self.plan.expected_at - self.at.0 as f64;
+        info!(self.gateway.log, "prompt_computed"; "target" => name(self.plan.target),
+            "prefill" => self.plan.prefill.map_or_else(String::new, name),
+            "fetch" => self.plan.fetch.map_or_else(String::new, name), "fresh_tokens" => self.plan.fresh, "prompt_ms" => format!("{:.0}", self.plan.prompt_ms),
+            "predicted_ms" => format!("{predicted_ms:.0}"), "ms" => ms(now.since(self.at)));
     }
 
     /// Takes in how the exchange with a target went.
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -15,7 +15,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{
-    backlog::Backlog,
+    backlog::{Backlog, Mark},
     cache::Cache,
     health::{Health, Outcome, Standing},
     speed::{self, Distance, Speed},
@@ -28,6 +28,15 @@
 
 /// Weight of the computation that a choice costs the fleet, beside the time that it costs the request.
 const WORK_WEIGHT: f64 = 1.0;
+/// Share of a generating engine's time that may go into prompts before its streams suffer.
+const FREE_DUTY: f64 = 0.15;
+/// Weight of a prompt at a generating engine for each unit of time share above that: every running stream waits
+/// while a chunk of a prompt is computed.
+const DUTY_WEIGHT: f64 = 10.0;
+/// Tokens that a generating engine newly holds weigh a millisecond for each so many, since others yield to them.
+const SPILL_TOKENS_PER_MS: f64 = 200.0;
+/// Tokens that another engine must hold more than a target, for the target to fetch them from there.
+const MIN_FETCHED_TOKENS: u64 = 256;
 /// What a prompt computed elsewhere must save, in milliseconds, since its KV cache has to be moved.
 const MOVE_MARGIN_MS: f64 = 25.0;
 /// Prompts with fewer tokens to compute are never computed elsewhere.
@@ -91,12 +100,16 @@
     pub target: Key,
     /// The engine that computes the prompt before.
     pub prefill: Option<Key>,
+    /// The engine from which the one that computes the prompt first fetches what it lacks of the parts.
+    pub fetch: Option<Key>,
     /// Tokens that have to be computed.
     pub fresh: u64,
     /// Time in which they are expected to be computed once begun, in milliseconds.
     pub prompt_ms: f64,
     /// When the first token is expected, in milliseconds on the instance's clock.
     pub expected_at: f64,
+    /// What of that is no work of the engine that computes the prompt, in milliseconds.
+    pub beside_ms: f64,
 }
 
 /// A refusal.
@@ -237,33 +250,37 @@
         }
     }
 
-    /// Counts a plan as sent and returns what other instances are told of it.
+    /// Counts a plan as sent; returns the mark of its prompt and what other instances are told of it.
     pub fn send(
         &mut self,
         plan: &Plan,
         demand: &Demand<'_>,
         now: Moment,
-    ) -> Vec<exchange::Dispatch> {
+    ) -> (Mark, Vec<exchange::Dispatch>) {
         let mut told = Vec::new();
+        let mut mark = Mark::default();
         let time = now.0 as f64;
         let own_ms = if plan.prefill.is_some() { 0.0 } else { plan.prompt_ms };
         if let Some(key) = plan.prefill
             && let Some(entry) = self.entries.get_mut(key)
         {
-            entry.backlog.add_prompt(plan.prompt_ms, time);
-            entry.cache.read(demand.parts);
+            mark = entry.backlog.add_prompt(plan.prompt_ms, time);
+            entry.cache.read(demand.parts, plan.expected_at);
             entry.health.send(now);
             told.push(dispatch(entry, plan.prompt_ms, 0, demand.parts));
         }
         if let Some(entry) = self.entries.get_mut(plan.target) {
-            entry.backlog.send(own_ms, time);
-            entry.cache.read(demand.parts);
+            entry.backlog.send();
+            if plan.prefill.is_none() {
+                mark = entry.backlog.add_prompt(own_ms, time);
+            }
+            entry.cache.read(demand.parts, plan.expected_at);
             entry.health.send(now);
             if !demand.parts.is_empty() {
                 told.push(dispatch(entry, own_ms, demand.output_tokens, demand.parts));
             }
         }
-        told
+        (mark, told)
     }
 
     /// Takes in a dispatch of another instance.
@@ -281,17 +298,21 @@
             let run_ms = speed::output_ms(u64::from(dispatch.output), running);
             entry.backlog.send_other(prompt_ms, run_ms, time);
         }
-        entry.cache.read(&dispatch.parts);
+        let ready_at = time + entry.backlog.wait_ms(time) + speed::first_step_ms();
+        entry.cache.read(&dispatch.parts, ready_at);
     }
 
     /// Takes in that a prompt is computed; `sent` is when it was sent.
-    pub fn computed(&mut self, key: Key, plan: &Plan, sent: Moment, now: Moment) {
+    pub fn computed(&mut self, key: Key, plan: &Plan, mark: Mark, sent: Moment, now: Moment) {
         let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
-        entry.backlog.computed(plan.expected_at, now.0 as f64);
+        entry.backlog.computed(mark, plan.beside_ms, now.0 as f64);
         let predicted = plan.expected_at - sent.0 as f64;
-        entry.speed.observe(predicted, now.since(sent).as_secs_f64() * 1e3);
+        // Only a prompt that hardly waited shows the speed of the engine itself.
+        if predicted - plan.prompt_ms - plan.beside_ms < plan.prompt_ms / 4.0 {
+            entry.speed.observe(predicted, now.since(sent).as_secs_f64() * 1e3);
+        }
     }
 
     /// Takes in that an own request has ended at its target.
@@ -315,13 +336,7 @@
         };
         let usual = self.usual_failures(&service);
         let entry = &mut self.entries[key];
-        let left_out = entry.health.observe(outcome, usual, now);
-        if outcome == Outcome::Broken {
-            // A target that broke off may have started again without its memory.
-            entry.cache.clear();
-            entry.backlog.clear();
-        }
-        left_out
+        entry.health.observe(outcome, usual, now)
     }
 
     /// Median share of failures among the targets of a service.
@@ -373,7 +388,15 @@
             })
             .collect();
         let (target, _) = weighed.into_iter().min_by(|a, b| a.1.total_cmp(&b.1))?;
-        Some(Plan { target, prefill: None, fresh: 0, prompt_ms: 0.0, expected_at: time })
+        Some(Plan {
+            target,
+            prefill: None,
+            fetch: None,
+            fresh: 0,
+            prompt_ms: 0.0,
+            expected_at: time,
+            beside_ms: 0.0,
+        })
     }
 
     fn choose_engine(&mut self, demand: &Demand<'_>, now: Moment) -> Option<Plan> {
@@ -381,28 +404,28 @@
         let generates = |entry: &Entry| entry.target.stage != Some(Stage::Prefill);
         let decode = self.usable(demand, now, generates);
         let time = now.0 as f64;
+        let holder = self.holder(demand, time);
         let direct = decode
             .iter()
-            .map(|key| self.weigh(*key, demand, time))
+            .map(|key| self.weigh(*key, demand, &engine, holder, time))
             .min_by(|a, b| a.score.total_cmp(&b.score))?;
-        let moved = self.choose_moved(demand, &engine, &decode, now);
-        let best = match moved {
-            Some((prefill, target)) if prefill.score + MOVE_MARGIN_MS < direct.score => Plan {
-                target,
-                prefill: Some(prefill.key),
-                fresh: prefill.fresh,
-                prompt_ms: prefill.prompt_ms,
-                expected_at: time + prefill.first_ms,
-            },
-            _ => Plan {
-                target: direct.key,
-                prefill: None,
-                fresh: direct.fresh,
-                prompt_ms: direct.prompt_ms,
-                expected_at: time + direct.first_ms,
-            },
-        };
-        Some(best)
+        let moved = self.choose_moved(demand, &engine, holder, &decode, now);
+        Some(match moved {
+            Some((prefill, target)) if prefill.score + MOVE_MARGIN_MS < direct.score => {
+                prefill.plan(target, Some(prefill.key), time)
+            }
+            _ => direct.plan(direct.key, None, time),
+        })
+    }
+
+    /// The engine that holds most of a prompt's parts.
+    fn holder(&self, demand: &Demand<'_>, time: f64) -> Option<Holder> {
+        let engines = self.entries.iter().filter(|(_, entry)| {
+            entry.target.service == *demand.service && entry.target.stage.is_some()
+        });
+        engines
+            .map(|(key, entry)| Holder { key, tokens: entry.cache.ready_tokens(demand.parts, time) })
+            .max_by_key(|holder| holder.tokens)
     }
 
     /// The best engine that computes the prompt for another one, and that other one.
@@ -410,6 +433,7 @@
         &mut self,
         demand: &Demand<'_>,
         engine: &config::Engine,
+        holder: Option<Holder>,
         decode: &[Key],
         now: Moment,
     ) -> Option<(Weighed, Key)> {
@@ -421,7 +445,7 @@
         let time = now.0 as f64;
         let mut best = prefill
             .into_iter()
-            .map(|key| self.weigh(key, demand, time))
+            .map(|key| self.weigh(key, demand, engine, holder, time))
             .filter(|weighed| weighed.fresh >= MIN_MOVED_TOKENS)
             .min_by(|a, b| a.score.total_cmp(&b.score))?;
         let from = self.entries[best.key].target.data_centre.clone();
@@ -433,7 +457,9 @@
             let transfer = speed::transfer_ms(engine, demand.prompt_tokens, distance);
             let wait = entry.backlog.wait_ms(time);
             let running = entry.backlog.running(time) as f64;
-            receivers.push((*key, transfer + wait + running));
+            let lacks = demand.prompt_tokens.saturating_sub(entry.cache.tokens(demand.parts));
+            let spill = lacks as f64 / SPILL_TOKENS_PER_MS;
+            receivers.push((*key, transfer + wait + running + spill));
         }
         let (target, extra) = receivers.into_iter().min_by(|a, b| a.1.total_cmp(&b.1))?;
         best.first_ms += extra;
@@ -441,26 +467,71 @@
         Some((best, target))
     }
 
-    fn weigh(&self, key: Key, demand: &Demand<'_>, time: f64) -> Weighed {
+    fn weigh(
+        &self,
+        key: Key,
+        demand: &Demand<'_>,
+        engine: &config::Engine,
+        holder: Option<Holder>,
+        time: f64,
+    ) -> Weighed {
         let entry = &self.entries[key];
-        let cached = entry.cache.tokens(demand.parts).min(demand.prompt_tokens);
+        let own = entry.cache.tokens(demand.parts).min(demand.prompt_tokens);
+        let lacks = |holder: &Holder| holder.tokens > own + MIN_FETCHED_TOKENS;
+        let fetch = holder.filter(lacks);
+        let cached = fetch.map_or(own, |holder| holder.tokens.min(demand.prompt_tokens));
+        let fetch_ms = fetch.map_or(0.0, |holder| {
+            let near = self.entries[holder.key].target.data_centre == entry.target.data_centre;
+            let distance = if near { Distance::Near } else { Distance::Far };
+            speed::transfer_ms(engine, cached - own, distance)
+        });
         let fresh = demand.prompt_tokens - cached;
         let prompt_ms = entry.speed.prompt_ms(entry.target.stage, fresh, cached);
-        let first_ms = entry.backlog.wait_ms(time) + prompt_ms + speed::first_step_ms();
-        Weighed { key, fresh, prompt_ms, first_ms, score: first_ms + WORK_WEIGHT * prompt_ms }
+        let beside_ms = fetch_ms + speed::first_step_ms();
+        let first_ms = entry.backlog.wait_ms(time) + prompt_ms + beside_ms;
+        let excess = match entry.target.stage {
+            Some(Stage::Prefill) => 0.0,
+            Some(Stage::Decode) | None => (entry.backlog.duty(time) - FREE_DUTY).max(0.0),
+        };
+        let work = prompt_ms * (WORK_WEIGHT + DUTY_WEIGHT * excess);
+        let fetch = fetch.map(|holder| holder.key);
+        Weighed { key, fetch, fresh, prompt_ms, beside_ms, first_ms, score: first_ms + work }
     }
 }
 
+/// The engine that holds most of a prompt's parts.
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    key: Key,
+    tokens: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Weighed {
     key: Key,
+    fetch: Option<Key>,
     fresh: u64,
     prompt_ms: f64,
+    beside_ms: f64,
     /// Milliseconds until the first token.
     first_ms: f64,
     score: f64,
 }
 
+impl Weighed {
+    fn plan(self, target: Key, prefill: Option<Key>, time: f64) -> Plan {
+        Plan {
+            target,
+            prefill,
+            fetch: self.fetch,
+            fresh: self.fresh,
+            prompt_ms: self.prompt_ms,
+            expected_at: time + self.first_ms,
+            beside_ms: self.beside_ms,
+        }
+    }
+}
+
 /// By how much a plan is too late to be worth its computation.
 fn late_by(plan: &Plan, demand: &Demand<'_>, now: Moment) -> Option<Duration> {
     let first_ms = plan.expected_at - now.0 as f64;
--- a/crates/placement/src/cache.rs
+++ b/crates/placement/src/cache.rs
@@ -28,6 +28,8 @@
 struct Held {
     tokens: u64,
     used: u64,
+    /// When it is expected to be computed, in milliseconds on the instance's clock.
+    ready_at: f64,
 }
 
 impl Cache {
@@ -43,23 +45,33 @@
         }
     }
 
-    /// Tokens of a prompt that are held.
+    /// Tokens of a prompt that are held, or will be once what was sent before is computed.
     pub fn tokens(&self, parts: &[Part]) -> u64 {
-        let held = chains(parts).map_while(|(chain, _)| self.chains.get(&chain));
-        held.map(|held| held.tokens).sum()
+        self.held(parts).map(|held| held.tokens).sum()
     }
 
-    /// Notes that the target reads a prompt and holds all its parts then.
-    pub fn read(&mut self, parts: &[Part]) {
+    /// Tokens of a prompt that can be copied from here now.
+    pub fn ready_tokens(&self, parts: &[Part], now: f64) -> u64 {
+        self.held(parts).take_while(|held| held.ready_at <= now).map(|held| held.tokens).sum()
+    }
+
+    fn held(&self, parts: &[Part]) -> impl Iterator<Item = &Held> {
+        chains(parts).map_while(|(chain, _)| self.chains.get(&chain))
+    }
+
+    /// Notes that the target reads a prompt and holds all its parts from `ready_at` on.
+    pub fn read(&mut self, parts: &[Part], ready_at: f64) {
         for (chain, part) in chains(parts) {
             self.clock += 1;
             let tokens = u64::from(part.tokens);
-            match self.chains.insert(chain, Held { tokens, used: self.clock }) {
-                Some(before) => {
-                    self.order.remove(&before.used);
-                }
-                None => self.held += tokens,
+            let mut held = Held { tokens, used: self.clock, ready_at };
+            if let Some(before) = self.chains.get(&chain) {
+                self.order.remove(&before.used);
+                held.ready_at = held.ready_at.min(before.ready_at);
+            } else {
+                self.held += tokens;
             }
+            self.chains.insert(chain, held);
             self.order.insert(self.clock, chain);
         }
         while self.held > self.capacity
@@ -70,17 +82,6 @@
             }
         }
     }
-
-    /// Forgets everything, as the target does when it starts again.
-    pub fn clear(&mut self) {
-        *self = Cache {
-            capacity: self.capacity,
-            held: 0,
-            chains: Map::default(),
-            order: BTreeMap::new(),
-            clock: 0,
-        };
-    }
 }
 
 /// The parts with the identity of the chain that ends with each.
