--- a/crates/daisydrum/src/seeded/entry.rs
+++ b/crates/daisydrum/src/seeded/entry.rs
@@ -54,8 +54,8 @@
         },
         seed: clock::unix_ns(),
     };
-    let (gateway, dispatches) = Gateway::new(options, context.log.clone());
-    gossip::start(context, directory, &gateway, dispatches).await?;
+    let (gateway, notices) = Gateway::new(options, context.log.clone());
+    gossip::start(context, directory, &gateway, notices).await?;
     spawn(context, follow_targets(directory.clone(), Arc::clone(&gateway)));
     spawn(context, follow_documents(directory.clone(), Arc::clone(&gateway)));
     spawn(context, trim(Arc::clone(&gateway)));
--- a/crates/daisydrum/src/seeded/gossip.rs
+++ b/crates/daisydrum/src/seeded/gossip.rs
@@ -4,7 +4,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use fleet::exchange::{self, Dispatch};
+use fleet::exchange::{self, Notice};
 use gateway::state::Gateway;
 use slog::debug;
 use tokio::{net::UdpSocket, sync::mpsc};
@@ -14,8 +14,8 @@
     seeded::{context::Context, directory::Directory, entry::spawn},
 };
 
-/// Dispatches in one datagram, which stays below the usual size of a packet.
-const MAX_DISPATCHES: usize = 10;
+/// Notices in one datagram, which stays below the usual size of a packet.
+const MAX_NOTICES: usize = 10;
 const MAX_DATAGRAM_BYTES: usize = 4 * 1024;
 
 /// Starts to tell and to hear.
@@ -27,7 +27,7 @@
     context: &Context,
     directory: &Directory,
     gateway: &Arc<Gateway>,
-    dispatches: mpsc::Receiver<Dispatch>,
+    notices: mpsc::Receiver<Notice>,
 ) -> Result<(), Fault> {
     let address = context.card.address;
     let socket = UdpSocket::bind(address).await.map_err(|cause| Fault::Listen {
@@ -37,7 +37,7 @@
     })?;
     let socket = Arc::new(socket);
     spawn(context, hear(Arc::clone(&socket), Arc::clone(gateway)));
-    spawn(context, tell(socket, context.clone(), directory.clone(), dispatches));
+    spawn(context, tell(socket, context.clone(), directory.clone(), notices));
     Ok(())
 }
 
@@ -46,9 +46,9 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, _from)) => {
-                let dispatches: Option<Vec<Dispatch>> = exchange::decode(&buffer[..length]);
-                for dispatch in dispatches.unwrap_or_default() {
-                    gateway.hear(&dispatch);
+                let notices: Option<Vec<Notice>> = exchange::decode(&buffer[..length]);
+                for notice in notices.unwrap_or_default() {
+                    gateway.hear(&notice);
                 }
             }
             Err(error) => {
@@ -63,10 +63,10 @@
     socket: Arc<UdpSocket>,
     context: Context,
     directory: Directory,
-    mut dispatches: mpsc::Receiver<Dispatch>,
+    mut notices: mpsc::Receiver<Notice>,
 ) {
     let mut batch = Vec::new();
-    while dispatches.recv_many(&mut batch, MAX_DISPATCHES).await > 0 {
+    while notices.recv_many(&mut batch, MAX_NOTICES).await > 0 {
         let bytes = exchange::encode(&batch);
         batch.clear();
         let addresses: Vec<SocketAddr> =
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -90,8 +90,6 @@
 /// A dispatch that an entry instance tells the others of, so that they see its load before the target reports it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Dispatch {
-    /// The sending instance.
-    pub from: name::Instance,
     /// The target.
     pub target: name::Target,
     /// Expected computation of the prompt, in microseconds.
@@ -102,6 +100,24 @@
     pub parts: Vec<Part>,
 }
 
+/// A prompt that is computed, which an entry instance tells the others of, so that they can have its parts copied.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Computed {
+    /// The target that holds it.
+    pub target: name::Target,
+    /// Its parts.
+    pub parts: Vec<Part>,
+}
+
+/// What entry instances tell each other in datagrams.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Notice {
+    /// A request was sent.
+    Sent(Dispatch),
+    /// A prompt is computed.
+    Computed(Computed),
+}
+
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Part {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use common::{clock::Moment, name};
-use fleet::config::{Config, Repeat, Route};
+use fleet::{
+    config::{Config, Repeat, Route},
+    exchange::Notice,
+};
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming};
 use placement::{
@@ -111,8 +114,9 @@
         }
         let (mark, told) = board.send(&plan, &demand, now);
         drop(board);
-        self.gateway.tell(told);
-        Ok(Sent::new(Arc::clone(&self.gateway), plan, mark, now))
+        self.gateway.tell(told.into_iter().map(Notice::Sent));
+        let parts = self.ask.parts.clone();
+        Ok(Sent::new(Arc::clone(&self.gateway), plan, mark, parts, now))
     }
 
     fn demand<'a>(&'a self, service: &'a name::Service, trail: &'a Trail) -> Demand<'a> {
--- a/crates/gateway/src/sent.rs
+++ b/crates/gateway/src/sent.rs
@@ -3,9 +3,10 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use common::{clock::Moment, name};
+use fleet::exchange::{Notice, Part};
 use placement::{
     backlog::Mark,
-    board::{Key, Plan},
+    board::{Key, Plan, Sending},
     health::Outcome,
 };
 use slog::info;
@@ -18,6 +19,7 @@
     gateway: Arc<Gateway>,
     pub(crate) plan: Plan,
     mark: Mark,
+    parts: Vec<Part>,
     at: Moment,
     computed: bool,
 }
@@ -30,8 +32,14 @@
 }
 
 impl Sent {
-    pub(crate) fn new(gateway: Arc<Gateway>, plan: Plan, mark: Mark, at: Moment) -> Sent {
-        Sent { gateway, plan, mark, at, computed: false }
+    pub(crate) fn new(
+        gateway: Arc<Gateway>,
+        plan: Plan,
+        mark: Mark,
+        parts: Vec<Part>,
+        at: Moment,
+    ) -> Sent {
+        Sent { gateway, plan, mark, parts, at, computed: false }
     }
 
     pub(crate) fn place(&self, key: Key) -> Option<Place> {
@@ -46,8 +54,10 @@
             return;
         }
         let now = Moment::now();
-        let key = self.plan.prefill.unwrap_or(self.plan.target);
-        self.gateway.board().computed(key, &self.plan, self.mark, self.at, now);
+        let sending =
+            Sending { plan: &self.plan, mark: self.mark, parts: &self.parts, at: self.at };
+        let told = self.gateway.board().computed(&sending, now);
+        self.gateway.tell(told.into_iter().map(Notice::Computed));
         let name = |key| self.place(key).map_or_else(String::new, |place| place.name.0);
         let predicted_ms = self.plan.expected_at - self.at.0 as f64;
         info!(self.gateway.log, "prompt_computed"; "target" => name(self.plan.target),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,8 +16,8 @@
 
 use crate::pool::Pool;
 
-/// Dispatches that wait to be told to the other instances; what finds it full is not told.
-pub const TOLD_DISPATCHES: usize = 256;
+/// Notices that wait to be told to the other instances; what finds the queue full is not told.
+pub const TOLD_NOTICES: usize = 256;
 
 /// What an instance is made with.
 #[derive(Clone, Debug)]
@@ -46,16 +46,16 @@
     budgets: Mutex<Map<name::Service, retry::Budget>>,
     retries: retry::Bounds,
     instances: AtomicUsize,
-    told: mpsc::Sender<exchange::Dispatch>,
+    told: mpsc::Sender<exchange::Notice>,
 }
 
 impl Gateway {
-    /// Makes the state; the receiver gets the dispatches that other instances should know of.
+    /// Makes the state; the receiver gets the notices that other instances should know of.
     pub fn new(
         options: Options,
         log: Logger,
-    ) -> (Arc<Gateway>, mpsc::Receiver<exchange::Dispatch>) {
-        let (told, dispatches) = mpsc::channel(TOLD_DISPATCHES);
+    ) -> (Arc<Gateway>, mpsc::Receiver<exchange::Notice>) {
+        let (told, notices) = mpsc::channel(TOLD_NOTICES);
         let gateway = Gateway {
             instance: options.instance,
             pool: Pool::default(),
@@ -67,7 +67,7 @@
             instances: AtomicUsize::new(1),
             told,
         };
-        (Arc::new(gateway), dispatches)
+        (Arc::new(gateway), notices)
     }
 
     /// The configuration in force; nothing before one is known.
@@ -100,9 +100,12 @@
         self.instances.store(instances.max(1), Ordering::Relaxed);
     }
 
-    /// Takes in a dispatch of another instance.
-    pub fn hear(&self, dispatch: &exchange::Dispatch) {
-        self.board().hear(dispatch, Moment::now());
+    /// Takes in a notice of another instance.
+    pub fn hear(&self, notice: &exchange::Notice) {
+        match notice {
+            exchange::Notice::Sent(dispatch) => self.board().hear(dispatch, Moment::now()),
+            exchange::Notice::Computed(computed) => self.board().hear_computed(computed),
+        }
     }
 
     /// The targets with what is believed of them.
@@ -129,12 +132,11 @@
         taken
     }
 
-    /// Tells the other instances of dispatches; what finds the queue full is dropped.
-    pub(crate) fn tell(&self, dispatches: Vec<exchange::Dispatch>) {
-        for dispatch in dispatches {
-            let dispatch = exchange::Dispatch { from: self.instance.clone(), ..dispatch };
-            if self.told.try_send(dispatch).is_err() {
-                metrics::counter!("daisydrum_dispatches_untold_total").increment(1);
+    /// Tells the other instances; what finds the queue full is dropped.
+    pub(crate) fn tell(&self, notices: impl Iterator<Item = exchange::Notice>) {
+        for notice in notices {
+            if self.told.try_send(notice).is_err() {
+                metrics::counter!("daisydrum_notices_untold_total").increment(1);
             }
         }
     }
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -112,6 +112,19 @@
     pub beside_ms: f64,
 }
 
+/// An own request that was sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Sending<'a> {
+    /// Where it was sent.
+    pub plan: &'a Plan,
+    /// The mark of its prompt.
+    pub mark: Mark,
+    /// Parts of its prompt.
+    pub parts: &'a [Part],
+    /// When it was sent.
+    pub at: Moment,
+}
+
 /// A refusal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -265,7 +278,7 @@
             && let Some(entry) = self.entries.get_mut(key)
         {
             mark = entry.backlog.add_prompt(plan.prompt_ms, time);
-            entry.cache.read(demand.parts, plan.expected_at);
+            entry.cache.send(demand.parts);
             entry.health.send(now);
             told.push(dispatch(entry, plan.prompt_ms, 0, demand.parts));
         }
@@ -274,7 +287,7 @@
             if plan.prefill.is_none() {
                 mark = entry.backlog.add_prompt(own_ms, time);
             }
-            entry.cache.read(demand.parts, plan.expected_at);
+            entry.cache.send(demand.parts);
             entry.health.send(now);
             if !demand.parts.is_empty() {
                 told.push(dispatch(entry, own_ms, demand.output_tokens, demand.parts));
@@ -298,20 +311,37 @@
             let run_ms = speed::output_ms(u64::from(dispatch.output), running);
             entry.backlog.send_other(prompt_ms, run_ms, time);
         }
-        let ready_at = time + entry.backlog.wait_ms(time) + speed::first_step_ms();
-        entry.cache.read(&dispatch.parts, ready_at);
+        entry.cache.send(&dispatch.parts);
     }
 
-    /// Takes in that a prompt is computed; `sent` is when it was sent.
-    pub fn computed(&mut self, key: Key, plan: &Plan, mark: Mark, sent: Moment, now: Moment) {
-        let Some(entry) = self.entries.get_mut(key) else {
-            return;
+    /// Takes in that an own prompt is computed; returns what other instances are told of it.
+    pub fn computed(&mut self, sent: &Sending<'_>, now: Moment) -> Vec<exchange::Computed> {
+        let Sending { plan, mark, parts, at } = *sent;
+        let mut told = Vec::new();
+        for key in [Some(plan.target), plan.prefill].into_iter().flatten() {
+            if let Some(entry) = self.entries.get_mut(key).filter(|_| !parts.is_empty()) {
+                entry.cache.computed(parts);
+                let target = entry.target.name.clone();
+                told.push(exchange::Computed { target, parts: parts.to_vec() });
+            }
+        }
+        let Some(entry) = self.entries.get_mut(plan.prefill.unwrap_or(plan.target)) else {
+            return told;
         };
         entry.backlog.computed(mark, plan.beside_ms, now.0 as f64);
-        let predicted = plan.expected_at - sent.0 as f64;
+        let predicted = plan.expected_at - at.0 as f64;
         // Only a prompt that hardly waited shows the speed of the engine itself.
         if predicted - plan.prompt_ms - plan.beside_ms < plan.prompt_ms / 4.0 {
-            entry.speed.observe(predicted, now.since(sent).as_secs_f64() * 1e3);
+            entry.speed.observe(predicted, now.since(at).as_secs_f64() * 1e3);
+        }
+        told
+    }
+
+    /// Takes in that a prompt of another instance is computed.
+    pub fn hear_computed(&mut self, computed: &exchange::Computed) {
+        let key = self.names.get(&computed.target).copied();
+        if let Some(entry) = key.and_then(|key| self.entries.get_mut(key)) {
+            entry.cache.computed(&computed.parts);
         }
     }
 
@@ -404,7 +434,7 @@
         let generates = |entry: &Entry| entry.target.stage != Some(Stage::Prefill);
         let decode = self.usable(demand, now, generates);
         let time = now.0 as f64;
-        let holder = self.holder(demand, time);
+        let holder = self.holder(demand);
         let direct = decode
             .iter()
             .map(|key| self.weigh(*key, demand, &engine, holder, time))
@@ -419,12 +449,12 @@
     }
 
     /// The engine that holds most of a prompt's parts.
-    fn holder(&self, demand: &Demand<'_>, time: f64) -> Option<Holder> {
+    fn holder(&self, demand: &Demand<'_>) -> Option<Holder> {
         let engines = self.entries.iter().filter(|(_, entry)| {
             entry.target.service == *demand.service && entry.target.stage.is_some()
         });
         engines
-            .map(|(key, entry)| Holder { key, tokens: entry.cache.ready_tokens(demand.parts, time) })
+            .map(|(key, entry)| Holder { key, tokens: entry.cache.computed_tokens(demand.parts) })
             .max_by_key(|holder| holder.tokens)
     }
 
@@ -546,7 +576,6 @@
 #[allow(clippy::cast_sign_loss, clippy::cast_possible_truncation, reason = "saturates")]
 fn dispatch(entry: &Entry, prompt_ms: f64, output: u64, parts: &[Part]) -> exchange::Dispatch {
     exchange::Dispatch {
-        from: name::Instance::default(),
         target: entry.target.name.clone(),
         prompt_us: (prompt_ms * 1e3) as u32,
         output: u32::try_from(output).unwrap_or(u32::MAX),
--- a/crates/placement/src/cache.rs
+++ b/crates/placement/src/cache.rs
@@ -28,8 +28,16 @@
 struct Held {
     tokens: u64,
     used: u64,
-    /// When it is expected to be computed, in milliseconds on the instance's clock.
-    ready_at: f64,
+    state: State,
+}
+
+/// Whether a part is computed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// A prompt with it was sent and is not known to be computed.
+    Pending,
+    /// It can be copied from here.
+    Computed,
 }
 
 impl Cache {
@@ -51,23 +59,35 @@
     }
 
     /// Tokens of a prompt that can be copied from here now.
-    pub fn ready_tokens(&self, parts: &[Part], now: f64) -> u64 {
-        self.held(parts).take_while(|held| held.ready_at <= now).map(|held| held.tokens).sum()
+    pub fn computed_tokens(&self, parts: &[Part]) -> u64 {
+        let computed = self.held(parts).take_while(|held| held.state == State::Computed);
+        computed.map(|held| held.tokens).sum()
     }
 
     fn held(&self, parts: &[Part]) -> impl Iterator<Item = &Held> {
         chains(parts).map_while(|(chain, _)| self.chains.get(&chain))
     }
 
-    /// Notes that the target reads a prompt and holds all its parts from `ready_at` on.
-    pub fn read(&mut self, parts: &[Part], ready_at: f64) {
+    /// Notes that a prompt was sent to the target, which will hold all its parts.
+    pub fn send(&mut self, parts: &[Part]) {
+        self.put(parts, State::Pending);
+    }
+
+    /// Notes that the target holds all parts of a prompt.
+    pub fn computed(&mut self, parts: &[Part]) {
+        self.put(parts, State::Computed);
+    }
+
+    fn put(&mut self, parts: &[Part], state: State) {
         for (chain, part) in chains(parts) {
             self.clock += 1;
             let tokens = u64::from(part.tokens);
-            let mut held = Held { tokens, used: self.clock, ready_at };
+            let mut held = Held { tokens, used: self.clock, state };
             if let Some(before) = self.chains.get(&chain) {
                 self.order.remove(&before.used);
-                held.ready_at = held.ready_at.min(before.ready_at);
+                if before.state == State::Computed {
+                    held.state = State::Computed;
+                }
             } else {
                 self.held += tokens;
             }
