All entry instances follow every prompt from dispatch to first event

Cause: a prompt was counted as computed when it was expected to be, and at a generating engine as soon as it was sent to the one that computes it; copies were asked for too early, and the parts were read again. Each instance also corrected its backlog by its own eighth of the prompts only.

--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -87,37 +87,47 @@
     Refused,
 }
 
-/// A dispatch that an entry instance tells the others of, so that they see its load before the target reports it.
+/// What entry instances tell each other in datagrams, so that each sees the load of all before targets report it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Notice {
+    /// A request was sent to a target.
+    Sent(Dispatch),
+    /// The prompt of a dispatch is computed.
+    Computed {
+        /// Number of the dispatch.
+        number: u64,
+    },
+    /// The prompt of a dispatch will not be computed.
+    Withdrawn {
+        /// Number of the dispatch.
+        number: u64,
+    },
+    /// A target holds the parts of a prompt, which can be copied from there.
+    Held {
+        /// The target.
+        target: name::Target,
+        /// The parts.
+        parts: Vec<Part>,
+    },
+}
+
+/// A request that was sent to a target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Dispatch {
+    /// Number drawn at random, by which later notices name it.
+    pub number: u64,
     /// The target.
     pub target: name::Target,
     /// Expected computation of the prompt, in microseconds.
     pub prompt_us: u32,
-    /// Tokens to generate.
+    /// Expected time besides that until the target answers, in microseconds.
+    pub beside_us: u32,
+    /// Tokens to generate; 0 where the target only computes the prompt.
     pub output: u32,
-    /// Parts of the prompt, which the target holds from now on.
-    pub parts: Vec<Part>,
-}
-
-/// A prompt that is computed, which an entry instance tells the others of, so that they can have its parts copied.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Computed {
-    /// The target that holds it.
-    pub target: name::Target,
-    /// Its parts.
+    /// Parts of the prompt that the target computes.
     pub parts: Vec<Part>,
 }
 
-/// What entry instances tell each other in datagrams.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Notice {
-    /// A request was sent.
-    Sent(Dispatch),
-    /// A prompt is computed.
-    Computed(Computed),
-}
-
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Part {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -4,14 +4,11 @@
 
 use bytes::Bytes;
 use common::{clock::Moment, name};
-use fleet::{
-    config::{Config, Repeat, Route},
-    exchange::Notice,
-};
+use fleet::config::{Config, Repeat, Route};
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming};
 use placement::{
-    board::{Demand, Key, Prompt, Reason, Refusal, Verdict},
+    board::{Demand, Key, Reason, Refusal, Site, Verdict},
     health::Outcome,
 };
 use platform::request::{Ask, Leg, Step};
@@ -112,11 +109,11 @@
         if trail.arrivals > 0 && !self.gateway.take_repeat(&service) {
             return Err(self.full());
         }
-        let (mark, told) = board.send(&plan, &demand, now);
+        let (number, told) = board.send(&plan, &demand, now);
         drop(board);
-        self.gateway.tell(told.into_iter().map(Notice::Sent));
+        self.gateway.tell(told);
         let parts = self.ask.parts.clone();
-        Ok(Sent::new(Arc::clone(&self.gateway), plan, mark, parts, now))
+        Ok(Sent::new(Arc::clone(&self.gateway), plan, number, parts, now))
     }
 
     fn demand<'a>(&'a self, service: &'a name::Service, trail: &'a Trail) -> Demand<'a> {
@@ -134,7 +131,7 @@
             remaining,
             avoid: &trail.avoid,
             repeat: route.repeat,
-            prompt: if trail.prefills > 0 { Prompt::AtTarget } else { Prompt::Anywhere },
+            prompt: if trail.prefills > 0 { Site::AtTarget } else { Site::Anywhere },
         }
     }
 
--- a/crates/gateway/src/sent.rs
+++ b/crates/gateway/src/sent.rs
@@ -3,10 +3,9 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use common::{clock::Moment, name};
-use fleet::exchange::{Notice, Part};
+use fleet::exchange::Part;
 use placement::{
-    backlog::Mark,
-    board::{Key, Plan, Sending},
+    board::{Key, Plan},
     health::Outcome,
 };
 use slog::info;
@@ -18,10 +17,11 @@
 pub(crate) struct Sent {
     gateway: Arc<Gateway>,
     pub(crate) plan: Plan,
-    mark: Mark,
+    /// Number of its prompt.
+    number: u64,
     parts: Vec<Part>,
     at: Moment,
-    computed: bool,
+    begun: bool,
 }
 
 /// Where a target is reached.
@@ -35,11 +35,11 @@
     pub(crate) fn new(
         gateway: Arc<Gateway>,
         plan: Plan,
-        mark: Mark,
+        number: u64,
         parts: Vec<Part>,
         at: Moment,
     ) -> Sent {
-        Sent { gateway, plan, mark, parts, at, computed: false }
+        Sent { gateway, plan, number, parts, at, begun: false }
     }
 
     pub(crate) fn place(&self, key: Key) -> Option<Place> {
@@ -49,23 +49,35 @@
     }
 
     /// Notes that the prompt is computed.
-    pub(crate) fn computed(&mut self) {
-        if std::mem::replace(&mut self.computed, true) {
+    pub(crate) fn computed(&self) {
+        let now = Moment::now();
+        let notice = self.gateway.board().computed(self.number, now);
+        if notice.is_none() {
             return;
         }
-        let now = Moment::now();
-        let sending =
-            Sending { plan: &self.plan, mark: self.mark, parts: &self.parts, at: self.at };
-        let told = self.gateway.board().computed(&sending, now);
-        self.gateway.tell(told.into_iter().map(Notice::Computed));
+        self.gateway.tell(notice);
         let name = |key| self.place(key).map_or_else(String::new, |place| place.name.0);
         let predicted_ms = self.plan.expected_at - self.at.0 as f64;
         info!(self.gateway.log, "prompt_computed"; "target" => name(self.plan.target),
             "prefill" => self.plan.prefill.map_or_else(String::new, name),
-            "fetch" => self.plan.fetch.map_or_else(String::new, name), "fresh_tokens" => self.plan.fresh, "prompt_ms" => format!("{:.0}", self.plan.prompt_ms),
+            "fetch" => self.plan.fetch.map_or_else(String::new, name),
+            "fresh_tokens" => self.plan.fresh, "pending_tokens" => self.plan.pending,
+            "prompt_ms" => format!("{:.0}", self.plan.prompt_ms),
             "predicted_ms" => format!("{predicted_ms:.0}"), "ms" => ms(now.since(self.at)));
     }
 
+    /// Notes that the first event has come, after which the prompt's parts can be copied.
+    pub(crate) fn begun(&mut self) {
+        if std::mem::replace(&mut self.begun, true) {
+            return;
+        }
+        self.computed();
+        for key in [Some(self.plan.target), self.plan.prefill].into_iter().flatten() {
+            let notice = self.gateway.board().hold(key, &self.parts);
+            self.gateway.tell(notice);
+        }
+    }
+
     /// Takes in how the exchange with a target went.
     pub(crate) fn judge(&self, key: Key, outcome: Outcome) {
         let left_out = self.gateway.board().judge(key, outcome, Moment::now());
@@ -87,9 +99,8 @@
     fn drop(&mut self) {
         let mut board = self.gateway.board();
         board.end(self.plan.target);
-        if !self.computed {
-            let key = self.plan.prefill.unwrap_or(self.plan.target);
-            board.withdraw(key, self.plan.prompt_ms, Moment::now());
-        }
+        let notice = board.withdraw(self.number, Moment::now());
+        drop(board);
+        self.gateway.tell(notice);
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -102,10 +102,7 @@
 
     /// Takes in a notice of another instance.
     pub fn hear(&self, notice: &exchange::Notice) {
-        match notice {
-            exchange::Notice::Sent(dispatch) => self.board().hear(dispatch, Moment::now()),
-            exchange::Notice::Computed(computed) => self.board().hear_computed(computed),
-        }
+        self.board().hear(notice, Moment::now());
     }
 
     /// The targets with what is believed of them.
@@ -133,7 +130,7 @@
     }
 
     /// Tells the other instances; what finds the queue full is dropped.
-    pub(crate) fn tell(&self, notices: impl Iterator<Item = exchange::Notice>) {
+    pub(crate) fn tell(&self, notices: impl IntoIterator<Item = exchange::Notice>) {
         for notice in notices {
             if self.told.try_send(notice).is_err() {
                 metrics::counter!("daisydrum_notices_untold_total").increment(1);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -212,7 +212,7 @@
                 break;
             }
             while let Some(event) = splitter.next() {
-                sent.computed();
+                sent.begun();
                 if !self.pass_on_event(event).await {
                     return Ending::Gone;
                 }
--- a/crates/placement/src/backlog.rs
+++ b/crates/placement/src/backlog.rs
@@ -66,14 +66,13 @@
         Mark { expected_at: self.prompts_until, corrections: self.corrections }
     }
 
-    /// Counts a request of another instance that is expected to run for `run_ms` after its prompt.
+    /// Counts a request of another instance that is expected to run for `run_ms` from now.
     #[allow(clippy::cast_sign_loss, clippy::cast_possible_truncation, reason = "times are positive")]
-    pub fn send_other(&mut self, prompt_ms: f64, run_ms: f64, now: f64) {
-        let mark = self.add_prompt(prompt_ms, now);
-        self.others.push(Reverse((mark.expected_at + run_ms) as u64));
+    pub fn send_other(&mut self, run_ms: f64, now: f64) {
+        self.others.push(Reverse((now + run_ms) as u64));
     }
 
-    /// Takes in that an own prompt is computed, `beside_ms` of which was no work of the target.
+    /// Takes in that a prompt is computed, `beside_ms` of which was no work of the target.
     pub fn computed(&mut self, mark: Mark, beside_ms: f64, now: f64) {
         // Corrections made since the prompt was sent have moved its expected end already.
         let expected = mark.expected_at + (self.corrections - mark.corrections) + beside_ms;
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -9,7 +9,7 @@
 use common::{clock::Moment, collections::Map, name, random::Random};
 use fleet::{
     config,
-    exchange::{self, Part},
+    exchange::{self, Notice, Part},
     registry::{Stage, State, Target},
 };
 use slotmap::{SlotMap, new_key_type};
@@ -35,6 +35,12 @@
 const DUTY_WEIGHT: f64 = 10.0;
 /// Tokens that a generating engine newly holds weigh a millisecond for each so many, since others yield to them.
 const SPILL_TOKENS_PER_MS: f64 = 200.0;
+/// Prompts that are remembered until they are known to be computed; above that the old ones are forgotten.
+const MAX_PROMPTS: usize = 4_096;
+/// A prompt is computed or given up well within this time.
+const PROMPT_LIFE: Duration = Duration::from_secs(10);
+/// Time for an engine's answer to arrive.
+const HOP_MS: f64 = 2.0;
 /// Tokens that another engine must hold more than a target, for the target to fetch them from there.
 const MIN_FETCHED_TOKENS: u64 = 256;
 /// What a prompt computed elsewhere must save, in milliseconds, since its KV cache has to be moved.
@@ -72,12 +78,12 @@
     /// Whether a failure could be repaired.
     pub repeat: config::Repeat,
     /// Where the prompt may be computed.
-    pub prompt: Prompt,
+    pub prompt: Site,
 }
 
 /// Where a prompt may be computed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Prompt {
+pub enum Site {
     /// At the target that generates, or at another engine before.
     Anywhere,
     /// At the target that generates.
@@ -104,6 +110,8 @@
     pub fetch: Option<Key>,
     /// Tokens that have to be computed.
     pub fresh: u64,
+    /// Tokens counted as held that are being computed for other requests.
+    pub pending: u64,
     /// Time in which they are expected to be computed once begun, in milliseconds.
     pub prompt_ms: f64,
     /// When the first token is expected, in milliseconds on the instance's clock.
@@ -112,19 +120,6 @@
     pub beside_ms: f64,
 }
 
-/// An own request that was sent.
-#[derive(Clone, Copy, Debug)]
-pub struct Sending<'a> {
-    /// Where it was sent.
-    pub plan: &'a Plan,
-    /// The mark of its prompt.
-    pub mark: Mark,
-    /// Parts of its prompt.
-    pub parts: &'a [Part],
-    /// When it was sent.
-    pub at: Moment,
-}
-
 /// A refusal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -148,6 +143,17 @@
     TargetsFull,
 }
 
+/// A prompt that was sent and is not known to be computed.
+#[derive(Clone, Copy, Debug)]
+struct Prompt {
+    key: Key,
+    mark: Mark,
+    wait_ms: f64,
+    prompt_ms: f64,
+    beside_ms: f64,
+    at: Moment,
+}
+
 /// A target with what is believed of it.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -166,6 +172,8 @@
     entries: SlotMap<Key, Entry>,
     names: Map<name::Target, Key>,
     engines: Map<name::Service, config::Engine>,
+    /// Prompts by number.
+    prompts: Map<u64, Prompt>,
     random: Random,
 }
 
@@ -177,6 +185,7 @@
             entries: SlotMap::with_key(),
             names: Map::default(),
             engines: Map::default(),
+            prompts: Map::default(),
             random: Random::new(seed),
         }
     }
@@ -263,86 +272,123 @@
         }
     }
 
-    /// Counts a plan as sent; returns the mark of its prompt and what other instances are told of it.
-    pub fn send(
-        &mut self,
-        plan: &Plan,
-        demand: &Demand<'_>,
-        now: Moment,
-    ) -> (Mark, Vec<exchange::Dispatch>) {
-        let mut told = Vec::new();
-        let mut mark = Mark::default();
-        let time = now.0 as f64;
-        let own_ms = if plan.prefill.is_some() { 0.0 } else { plan.prompt_ms };
-        if let Some(key) = plan.prefill
-            && let Some(entry) = self.entries.get_mut(key)
-        {
-            mark = entry.backlog.add_prompt(plan.prompt_ms, time);
-            entry.cache.send(demand.parts);
-            entry.health.send(now);
-            told.push(dispatch(entry, plan.prompt_ms, 0, demand.parts));
-        }
+    /// Counts a plan as sent; returns the number of its prompt and what other instances are told of it.
+    pub fn send(&mut self, plan: &Plan, demand: &Demand<'_>, now: Moment) -> (u64, Vec<Notice>) {
+        let number = self.random.word();
         if let Some(entry) = self.entries.get_mut(plan.target) {
             entry.backlog.send();
-            if plan.prefill.is_none() {
-                mark = entry.backlog.add_prompt(own_ms, time);
-            }
-            entry.cache.send(demand.parts);
             entry.health.send(now);
-            if !demand.parts.is_empty() {
-                told.push(dispatch(entry, own_ms, demand.output_tokens, demand.parts));
-            }
         }
-        (mark, told)
+        if demand.parts.is_empty() {
+            return (number, Vec::new());
+        }
+        let computing = plan.prefill.unwrap_or(plan.target);
+        let mut dispatches = Vec::new();
+        if let Some(entry) = self.entries.get(computing) {
+            let output = if plan.prefill.is_some() { 0 } else { demand.output_tokens };
+            let dispatch = exchange::Dispatch {
+                number,
+                target: entry.target.name.clone(),
+                prompt_us: microseconds(plan.prompt_ms),
+                beside_us: microseconds(plan.beside_ms),
+                output: u32::try_from(output).unwrap_or(u32::MAX),
+                parts: demand.parts.to_vec(),
+            };
+            self.count_prompt(computing, &dispatch, now);
+            dispatches.push(dispatch);
+        }
+        if plan.prefill.is_some()
+            && let Some(entry) = self.entries.get(plan.target)
+        {
+            // The parts arrive there only once they are computed.
+            dispatches.push(exchange::Dispatch {
+                number: 0,
+                target: entry.target.name.clone(),
+                prompt_us: 0,
+                beside_us: 0,
+                output: u32::try_from(demand.output_tokens).unwrap_or(u32::MAX),
+                parts: Vec::new(),
+            });
+        }
+        (number, dispatches.into_iter().map(Notice::Sent).collect())
     }
 
-    /// Takes in a dispatch of another instance.
-    pub fn hear(&mut self, dispatch: &exchange::Dispatch, now: Moment) {
-        let Some(entry) = self.names.get(&dispatch.target).and_then(|key| self.entries.get_mut(*key))
-        else {
-            return;
-        };
-        let prompt_ms = f64::from(dispatch.prompt_us) / 1e3;
-        let time = now.0 as f64;
-        if dispatch.output == 0 {
-            entry.backlog.add_prompt(prompt_ms, time);
-        } else {
-            let running = entry.backlog.running(time);
-            let run_ms = speed::output_ms(u64::from(dispatch.output), running);
-            entry.backlog.send_other(prompt_ms, run_ms, time);
+    /// Takes in a notice of another instance.
+    pub fn hear(&mut self, notice: &Notice, now: Moment) {
+        match notice {
+            Notice::Sent(dispatch) => self.hear_dispatch(dispatch, now),
+            Notice::Computed { number } => drop(self.computed(*number, now)),
+            Notice::Withdrawn { number } => drop(self.withdraw(*number, now)),
+            Notice::Held { target, parts } => {
+                if let Some(key) = self.names.get(target).copied() {
+                    self.hold(key, parts);
+                }
+            }
         }
-        entry.cache.send(&dispatch.parts);
     }
 
-    /// Takes in that an own prompt is computed; returns what other instances are told of it.
-    pub fn computed(&mut self, sent: &Sending<'_>, now: Moment) -> Vec<exchange::Computed> {
-        let Sending { plan, mark, parts, at } = *sent;
-        let mut told = Vec::new();
-        for key in [Some(plan.target), plan.prefill].into_iter().flatten() {
-            if let Some(entry) = self.entries.get_mut(key).filter(|_| !parts.is_empty()) {
-                entry.cache.computed(parts);
-                let target = entry.target.name.clone();
-                told.push(exchange::Computed { target, parts: parts.to_vec() });
-            }
+    /// Takes in that a prompt is computed; returns what other instances are told of it.
+    pub fn computed(&mut self, number: u64, now: Moment) -> Option<Notice> {
+        let prompt = self.prompts.remove(&number)?;
+        let entry = self.entries.get_mut(prompt.key)?;
+        entry.backlog.computed(prompt.mark, prompt.beside_ms, now.0 as f64);
+        // Only a prompt that hardly waited shows the speed of the engine itself.
+        if prompt.wait_ms < prompt.prompt_ms / 4.0 {
+            let taken_ms = now.since(prompt.at).as_secs_f64() * 1e3;
+            entry.speed.observe(prompt.wait_ms + prompt.prompt_ms + prompt.beside_ms, taken_ms);
         }
-        let Some(entry) = self.entries.get_mut(plan.prefill.unwrap_or(plan.target)) else {
-            return told;
+        Some(Notice::Computed { number })
+    }
+
+    /// Takes in that a target holds the parts of a prompt; returns what other instances are told of it.
+    pub fn hold(&mut self, key: Key, parts: &[Part]) -> Option<Notice> {
+        let entry = self.entries.get_mut(key).filter(|_| !parts.is_empty())?;
+        entry.cache.computed(parts);
+        Some(Notice::Held { target: entry.target.name.clone(), parts: parts.to_vec() })
+    }
+
+    /// Takes back a prompt that will not be computed; returns what other instances are told of it.
+    pub fn withdraw(&mut self, number: u64, now: Moment) -> Option<Notice> {
+        let prompt = self.prompts.remove(&number)?;
+        let entry = self.entries.get_mut(prompt.key)?;
+        entry.backlog.withdraw(prompt.prompt_ms, now.0 as f64);
+        Some(Notice::Withdrawn { number })
+    }
+
+    fn hear_dispatch(&mut self, dispatch: &exchange::Dispatch, now: Moment) {
+        let Some(key) = self.names.get(&dispatch.target).copied() else {
+            return;
         };
-        entry.backlog.computed(mark, plan.beside_ms, now.0 as f64);
-        let predicted = plan.expected_at - at.0 as f64;
-        // Only a prompt that hardly waited shows the speed of the engine itself.
-        if predicted - plan.prompt_ms - plan.beside_ms < plan.prompt_ms / 4.0 {
-            entry.speed.observe(predicted, now.since(at).as_secs_f64() * 1e3);
+        if !dispatch.parts.is_empty() {
+            self.count_prompt(key, dispatch, now);
+        }
+        if dispatch.output > 0
+            && let Some(entry) = self.entries.get_mut(key)
+        {
+            let time = now.0 as f64;
+            let running = entry.backlog.running(time);
+            let output_ms = speed::output_ms(u64::from(dispatch.output), running);
+            entry.backlog.send_other(entry.backlog.wait_ms(time) + output_ms, time);
         }
-        told
     }
 
-    /// Takes in that a prompt of another instance is computed.
-    pub fn hear_computed(&mut self, computed: &exchange::Computed) {
-        let key = self.names.get(&computed.target).copied();
-        if let Some(entry) = key.and_then(|key| self.entries.get_mut(key)) {
-            entry.cache.computed(&computed.parts);
+    /// Counts a prompt at the target that computes it.
+    fn count_prompt(&mut self, key: Key, dispatch: &exchange::Dispatch, now: Moment) {
+        let forgotten = |prompt: &Prompt| now.since(prompt.at) > PROMPT_LIFE;
+        if self.prompts.len() >= MAX_PROMPTS {
+            self.prompts.retain(|_, prompt| !forgotten(prompt));
         }
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        let time = now.0 as f64;
+        let prompt_ms = f64::from(dispatch.prompt_us) / 1e3;
+        let wait_ms = entry.backlog.wait_ms(time);
+        let mark = entry.backlog.add_prompt(prompt_ms, time);
+        entry.cache.send(&dispatch.parts);
+        let beside_ms = f64::from(dispatch.beside_us) / 1e3;
+        let prompt = Prompt { key, mark, wait_ms, prompt_ms, beside_ms, at: now };
+        self.prompts.insert(dispatch.number, prompt);
     }
 
     /// Takes in that an own request has ended at its target.
@@ -352,13 +398,6 @@
         }
     }
 
-    /// Takes back a prompt that will not be computed.
-    pub fn withdraw(&mut self, key: Key, prompt_ms: f64, now: Moment) {
-        if let Some(entry) = self.entries.get_mut(key) {
-            entry.backlog.withdraw(prompt_ms, now.0 as f64);
-        }
-    }
-
     /// Takes in how an exchange went; returns whether the target is left out from now on.
     pub fn judge(&mut self, key: Key, outcome: Outcome, now: Moment) -> bool {
         let Some(service) = self.entries.get(key).map(|entry| entry.target.service.clone()) else {
@@ -423,6 +462,7 @@
             prefill: None,
             fetch: None,
             fresh: 0,
+            pending: 0,
             prompt_ms: 0.0,
             expected_at: time,
             beside_ms: 0.0,
@@ -467,7 +507,7 @@
         decode: &[Key],
         now: Moment,
     ) -> Option<(Weighed, Key)> {
-        if demand.prompt == Prompt::AtTarget {
+        if demand.prompt == Site::AtTarget {
             return None;
         }
         let prefill =
@@ -479,7 +519,7 @@
             .filter(|weighed| weighed.fresh >= MIN_MOVED_TOKENS)
             .min_by(|a, b| a.score.total_cmp(&b.score))?;
         let from = self.entries[best.key].target.data_centre.clone();
-        let mut receivers: Vec<(Key, f64)> = Vec::with_capacity(decode.len());
+        let mut receivers: Vec<(Key, f64, f64)> = Vec::with_capacity(decode.len());
         for key in decode {
             let entry = &mut self.entries[*key];
             let far = entry.target.data_centre != from;
@@ -489,11 +529,13 @@
             let running = entry.backlog.running(time) as f64;
             let lacks = demand.prompt_tokens.saturating_sub(entry.cache.tokens(demand.parts));
             let spill = lacks as f64 / SPILL_TOKENS_PER_MS;
-            receivers.push((*key, transfer + wait + running + spill));
+            receivers.push((*key, transfer + wait, running + spill));
         }
-        let (target, extra) = receivers.into_iter().min_by(|a, b| a.1.total_cmp(&b.1))?;
-        best.first_ms += extra;
-        best.score += extra;
+        let total = |receiver: &(Key, f64, f64)| receiver.1 + receiver.2;
+        let (target, delay, weight) =
+            receivers.into_iter().min_by(|a, b| total(a).total_cmp(&total(b)))?;
+        best.first_ms += delay;
+        best.score += delay + weight;
         Some((best, target))
     }
 
@@ -517,7 +559,7 @@
         });
         let fresh = demand.prompt_tokens - cached;
         let prompt_ms = entry.speed.prompt_ms(entry.target.stage, fresh, cached);
-        let beside_ms = fetch_ms + speed::first_step_ms();
+        let beside_ms = fetch_ms + HOP_MS + speed::first_step_ms();
         let first_ms = entry.backlog.wait_ms(time) + prompt_ms + beside_ms;
         let excess = match entry.target.stage {
             Some(Stage::Prefill) => 0.0,
@@ -525,7 +567,8 @@
         };
         let work = prompt_ms * (WORK_WEIGHT + DUTY_WEIGHT * excess);
         let fetch = fetch.map(|holder| holder.key);
-        Weighed { key, fetch, fresh, prompt_ms, beside_ms, first_ms, score: first_ms + work }
+        let pending = cached.saturating_sub(entry.cache.computed_tokens(demand.parts).max(fetch.map_or(0, |_| cached)));
+        Weighed { key, fetch, fresh, pending, prompt_ms, beside_ms, first_ms, score: first_ms + work }
     }
 }
 
@@ -541,6 +584,7 @@
     key: Key,
     fetch: Option<Key>,
     fresh: u64,
+    pending: u64,
     prompt_ms: f64,
     beside_ms: f64,
     /// Milliseconds until the first token.
@@ -555,6 +599,7 @@
             prefill,
             fetch: self.fetch,
             fresh: self.fresh,
+            pending: self.pending,
             prompt_ms: self.prompt_ms,
             expected_at: time + self.first_ms,
             beside_ms: self.beside_ms,
@@ -574,11 +619,6 @@
 }
 
 #[allow(clippy::cast_sign_loss, clippy::cast_possible_truncation, reason = "saturates")]
-fn dispatch(entry: &Entry, prompt_ms: f64, output: u64, parts: &[Part]) -> exchange::Dispatch {
-    exchange::Dispatch {
-        target: entry.target.name.clone(),
-        prompt_us: (prompt_ms * 1e3) as u32,
-        output: u32::try_from(output).unwrap_or(u32::MAX),
-        parts: parts.to_vec(),
-    }
+fn microseconds(ms: f64) -> u32 {
+    (ms * 1e3) as u32
 }
