--- a/crates/daisydrum/src/seeded.rs
+++ b/crates/daisydrum/src/seeded.rs
@@ -35,7 +35,7 @@
         let directory = directory::Directory::new(context.card.clone());
         let entry = entry::start(&context, &directory).await?;
         let control = control::start(&context, &directory, runtime.handle()).await?;
-        peers::start(&context, &directory, control.as_ref()).await?;
+        peers::start(&context, &directory, entry.as_ref(), control.as_ref()).await?;
         follow::start(&context, &directory);
         reload::start(&context, path.to_path_buf())?;
         info!(context.log, "started"; "instance" => %context.card.instance,
--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -194,6 +194,7 @@
     /// Answers a question of another instance.
     pub(crate) async fn answer(&self, question: Question) -> Answer {
         match question {
+            Question::Holdings => Answer::Refused,
             Question::Fetch { above } => {
                 let held = self.document();
                 let newer = held.filter(|document| document.version > above);
--- a/crates/daisydrum/src/seeded/entry.rs
+++ b/crates/daisydrum/src/seeded/entry.rs
@@ -1,8 +1,12 @@
 //! The duty that serves callers: joins the request path with what is known of the fleet.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use common::clock;
+use fleet::exchange::{Answer, Notice, Question};
 use gateway::{
     listener::{self, Stops},
     state::{Gateway, Options},
@@ -13,7 +17,7 @@
 
 use crate::{
     error::Fault,
-    seeded::{context::Context, directory::Directory, gossip, listener as page},
+    seeded::{context::Context, directory::Directory, follow, gossip, listener as page},
     signal,
 };
 
@@ -21,11 +25,17 @@
 const REROUTE_TIME: Duration = Duration::from_millis(2_600);
 /// Time before the end of `stop_s` at which what is left is cut, so that the process ends by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
+/// Time after the start in which the other instances are asked what the engines hold.
+const LEARN_LIMIT: Duration = Duration::from_secs(10);
+const LEARN_PAUSE: Duration = Duration::from_millis(100);
+const LEARN_CALL_LIMIT: Duration = Duration::from_millis(500);
 const TRIM_PAUSE: Duration = Duration::from_secs(1);
 
 /// The running duty.
 #[derive(Debug)]
 pub(crate) struct Entry {
+    /// What all requests share.
+    pub(crate) gateway: Arc<Gateway>,
     stops: Stops,
     callers: JoinHandle<()>,
 }
@@ -62,15 +72,16 @@
     let listener = bind(callers, "callers").await?;
     let stops = Stops { drain: context.stop.clone(), close: common::cancel::Token::new() };
     let callers = tokio::spawn(listener::run(listener, Arc::clone(&gateway), stops.clone()));
-    page::start_readiness(context, readiness, gateway).await?;
-    Ok(Some(Entry { stops, callers }))
+    spawn(context, learn_holdings(context.clone(), directory.clone(), Arc::clone(&gateway)));
+    page::start_readiness(context, readiness, Arc::clone(&gateway)).await?;
+    Ok(Some(Entry { gateway, stops, callers }))
 }
 
 impl Entry {
     /// Lets answers end; a second signal or the limit of the settings cuts those that are left.
     pub(crate) async fn stop(self, context: &Context, signals: &mut signal::Stop) {
         let limit = Duration::from_secs(context.settings.stop_s).saturating_sub(STOP_MARGIN);
-        let Entry { stops, callers } = self;
+        let Entry { stops, callers, .. } = self;
         let ended = async {
             time::sleep(REROUTE_TIME.min(limit / 2)).await;
             stops.close.cancel();
@@ -144,6 +155,29 @@
     }
 }
 
+/// Asks another entry instance what the engines hold; an instance that knows nothing of it has all prompts computed
+/// anew.
+async fn learn_holdings(context: Context, directory: Directory, gateway: Arc<Gateway>) {
+    let started = Instant::now();
+    while started.elapsed() < LEARN_LIMIT {
+        time::sleep(LEARN_PAUSE).await;
+        if gateway.board().is_empty() || gateway.version() == 0 {
+            continue;
+        }
+        for card in directory.entries() {
+            let answer =
+                follow::ask(&context, card.address, &Question::Holdings, LEARN_CALL_LIMIT).await;
+            if let Some(Answer::Holdings(notices)) = answer
+                && notices.iter().any(|notice| matches!(notice, Notice::Held { parts, .. } if !parts.is_empty()))
+            {
+                notices.iter().for_each(|notice| gateway.hear(notice));
+                info!(gateway.log, "holdings_learnt"; "from" => %card.instance);
+                return;
+            }
+        }
+    }
+}
+
 async fn trim(gateway: Arc<Gateway>) {
     loop {
         time::sleep(TRIM_PAUSE).await;
--- a/crates/daisydrum/src/seeded/follow.rs
+++ b/crates/daisydrum/src/seeded/follow.rs
@@ -116,22 +116,12 @@
         };
         match self.ask(&question, wait + SILENCE).await? {
             Answer::News(news) => Some(news),
-            Answer::Document(_) | Answer::Refused => None,
+            Answer::Document(_) | Answer::Holdings(_) | Answer::Refused => None,
         }
     }
 
     async fn ask(&self, question: &Question, limit: Duration) -> Option<Answer> {
-        let question = exchange::encode(question);
-        let call =
-            async |client: &PeerClient, context| client.exchange(context, question.clone()).await;
-        match self.context.link(self.address).call(limit, call).await {
-            Ok(answer) => exchange::decode(&answer),
-            Err(fault) => {
-                debug!(self.context.log, "question_failed"; "address" => %self.address,
-                    "fault" => %fault);
-                None
-            }
-        }
+        ask(&self.context, self.address, question, limit).await
     }
 
     async fn take(&mut self, news: News) {
@@ -154,3 +144,22 @@
         }
     }
 }
+
+/// Asks another instance; nothing if it gives no answer within `limit`.
+pub(crate) async fn ask(
+    context: &Context,
+    address: SocketAddr,
+    question: &Question,
+    limit: Duration,
+) -> Option<Answer> {
+    let question = exchange::encode(question);
+    let call =
+        async |client: &PeerClient, context| client.exchange(context, question.clone()).await;
+    match context.link(address).call(limit, call).await {
+        Ok(answer) => exchange::decode(&answer),
+        Err(fault) => {
+            debug!(context.log, "question_failed"; "address" => %address, "fault" => %fault);
+            None
+        }
+    }
+}
--- a/crates/daisydrum/src/seeded/peers.rs
+++ b/crates/daisydrum/src/seeded/peers.rs
@@ -1,9 +1,12 @@
 //! The listener for other instances.
 
+use std::sync::Arc;
+
 use common::name;
 use control::query::Changes;
 use consensus::{message::Envelope, status::Status};
 use fleet::exchange::{self, Answer, Question};
+use gateway::state::Gateway;
 use replica::host::Handle;
 use tarpc::{context, server::Channel};
 use wire::{
@@ -19,7 +22,7 @@
         context::Context,
         control::Control,
         directory::Directory,
-        entry::{bind, spawn},
+        entry::{Entry, bind, spawn},
         replicas::{BRANCH, Replicas},
     },
 };
@@ -30,6 +33,7 @@
     context: Context,
     directory: Directory,
     replicas: Option<Replicas>,
+    gateway: Option<Arc<Gateway>>,
 }
 
 impl Server {
@@ -122,6 +126,10 @@
 
     async fn exchange(self, _context: context::Context, question: Vec<u8>) -> Vec<u8> {
         let answer = match exchange::decode::<Question>(&question) {
+            Some(Question::Holdings) => match &self.gateway {
+                Some(gateway) => Answer::Holdings(gateway.holdings()),
+                None => Answer::Refused,
+            },
             Some(question) => self.directory.answer(question).await,
             None => Answer::Refused,
         };
@@ -141,6 +149,7 @@
 pub(crate) async fn start(
     context: &Context,
     directory: &Directory,
+    entry: Option<&Entry>,
     control: Option<&Control>,
 ) -> Result<(), Fault> {
     let socket = bind(context.card.address, "other instances").await?;
@@ -148,6 +157,7 @@
         context: context.clone(),
         directory: directory.clone(),
         replicas: control.map(|control| control.replicas.clone()),
+        gateway: entry.map(|entry| Arc::clone(&entry.gateway)),
     };
     let serve =
         move |stream| listener::run(listener::channel(stream).execute(server.clone().serve()));
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -52,6 +52,8 @@
         /// Longest wait in milliseconds.
         wait_ms: u64,
     },
+    /// Asks an entry instance which parts of prompts the engines hold.
+    Holdings,
     /// Asks for the configuration held, if it is newer than a version.
     Fetch {
         /// The version.
@@ -81,6 +83,8 @@
 pub enum Answer {
     /// What is new.
     News(News),
+    /// The parts that each engine holds ([`Notice::Held`]), the least recently used first.
+    Holdings(Vec<Notice>),
     /// The configuration, or nothing if none is newer.
     Document(Option<Document>),
     /// The question could not be read, or the instance does not answer it.
@@ -88,7 +92,7 @@
 }
 
 /// What entry instances tell each other in datagrams, so that each sees the load of all before targets report it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Notice {
     /// A request was sent to a target.
     Sent(Dispatch),
@@ -112,7 +116,7 @@
 }
 
 /// A request that was sent to a target.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Dispatch {
     /// Number drawn at random, by which later notices name it.
     pub number: u64,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -105,6 +105,11 @@
         self.board().hear(notice, Moment::now());
     }
 
+    /// What the engines are believed to hold, for an instance that has just started.
+    pub fn holdings(&self) -> Vec<exchange::Notice> {
+        self.board().holdings()
+    }
+
     /// The targets with what is believed of them.
     pub fn board(&self) -> MutexGuard<'_, Board> {
         self.board.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use common::cancel;
+use common::{cancel, clock::Moment};
 use entry::{body::{Body, Cut}, event::Splitter};
 use fleet::config::{Form, Repeat};
 use http_body_util::{BodyExt, Limited};
@@ -22,6 +22,7 @@
     answer::Fault,
     job::{Job, Reply, Trail},
     sent::Sent,
+    state::ms,
 };
 
 /// Events that may wait for a caller that reads slowly.
@@ -66,7 +67,11 @@
     trail: Trail,
     /// The last event that the caller holds.
     last: Option<u64>,
-    begun: bool,
+    /// When the first event was passed on, and the longest pause since.
+    first: Option<Moment>,
+    latest: Moment,
+    longest_pause: Duration,
+    events: u32,
 }
 
 /// Carries a request out; returns the head of the answer, whose body follows as it comes.
@@ -75,8 +80,16 @@
     let gone = cancel::Token::new();
     let guard = gone.clone().drop_guard();
     let last = job.ask.resume_after;
-    let driver =
-        Driver { job, output: Output::Head(head), trail: Trail::default(), last, begun: false };
+    let driver = Driver {
+        job,
+        output: Output::Head(head),
+        trail: Trail::default(),
+        last,
+        first: None,
+        latest: Moment::default(),
+        longest_pause: Duration::ZERO,
+        events: 0,
+    };
     tokio::spawn(async move { gone.run_until_cancelled(driver.run()).await });
     let response = answered.await.unwrap_or(Err(Fault::Broken))?;
     Ok(response.map(|body| body.guarded(guard)))
@@ -89,6 +102,12 @@
             Ok(outcome) => outcome,
             Err(_elapsed) => Err(Fault::Timeout),
         };
+        if let Some(first) = self.first {
+            info!(job.gateway.log, "stream_ended"; "id" => &job.ask.id, "route" => &job.route().name,
+                "whole" => outcome.is_ok(), "first_ms" => ms(first.since(job.arrived)),
+                "longest_pause_ms" => ms(self.longest_pause), "runs" => self.trail.runs + 1,
+                "events" => self.events, "ms" => job.age_ms());
+        }
         if let Err(fault) = outcome {
             self.fail(fault).await;
         }
@@ -239,7 +258,12 @@
             return true;
         }
         self.last = id.or(self.last);
-        self.begun = true;
+        self.events += 1;
+        let now = Moment::now();
+        if self.first.replace(self.first.unwrap_or(now)).is_some() {
+            self.longest_pause = self.longest_pause.max(now.since(self.latest));
+        }
+        self.latest = now;
         match &self.output {
             Output::Events(parts) => parts.send(Ok(event.0)).await.is_ok(),
             Output::Head(_) | Output::Gone => false,
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -391,6 +391,16 @@
         self.prompts.insert(dispatch.number, prompt);
     }
 
+    /// The parts that each engine is believed to hold, for an instance that has just started.
+    pub fn holdings(&self) -> Vec<Notice> {
+        let engines = self.entries.values().filter(|entry| entry.target.stage.is_some());
+        let holding = |entry: &Entry| Notice::Held {
+            target: entry.target.name.clone(),
+            parts: entry.cache.all(),
+        };
+        engines.map(holding).collect()
+    }
+
     /// Takes in that an own request has ended at its target.
     pub fn end(&mut self, key: Key) {
         if let Some(entry) = self.entries.get_mut(key) {
--- a/crates/placement/src/cache.rs
+++ b/crates/placement/src/cache.rs
@@ -1,12 +1,9 @@
 //! Which parts of prompts a target is believed to hold.
 //!
-//! A part counts only if all parts before it are held, so a part is known by the chain that ends with it. The
-//! least recently used chains yield once the target's memory is full.
+//! A part counts only if all parts before it are held. The least recently used parts yield once the target's memory
+//! is full.
 
-use std::{
-    collections::BTreeMap,
-    hash::{Hash, Hasher},
-};
+use std::collections::BTreeMap;
 
 use common::collections::Map;
 use fleet::exchange::Part;
@@ -19,7 +16,7 @@
 pub struct Cache {
     capacity: u64,
     held: u64,
-    chains: Map<u64, Held>,
+    parts: Map<u64, Held>,
     order: BTreeMap<u64, u64>,
     clock: u64,
 }
@@ -47,7 +44,7 @@
         Cache {
             capacity: (tokens as f64 * USABLE_SHARE) as u64,
             held: 0,
-            chains: Map::default(),
+            parts: Map::default(),
             order: BTreeMap::new(),
             clock: 0,
         }
@@ -64,10 +61,6 @@
         computed.map(|held| held.tokens).sum()
     }
 
-    fn held(&self, parts: &[Part]) -> impl Iterator<Item = &Held> {
-        chains(parts).map_while(|(chain, _)| self.chains.get(&chain))
-    }
-
     /// Notes that a prompt was sent to the target, which will hold all its parts.
     pub fn send(&mut self, parts: &[Part]) {
         self.put(parts, State::Pending);
@@ -78,42 +71,40 @@
         self.put(parts, State::Computed);
     }
 
+    /// All parts that are computed, the least recently used first.
+    pub fn all(&self) -> Vec<Part> {
+        let part = |id: &u64| {
+            let held = self.parts.get(id).filter(|held| held.state == State::Computed)?;
+            Some(Part { id: *id, tokens: u32::try_from(held.tokens).unwrap_or(u32::MAX) })
+        };
+        self.order.values().filter_map(part).collect()
+    }
+
+    fn held(&self, parts: &[Part]) -> impl Iterator<Item = &Held> {
+        parts.iter().map_while(|part| self.parts.get(&part.id))
+    }
+
     fn put(&mut self, parts: &[Part], state: State) {
-        for (chain, part) in chains(parts) {
+        for part in parts {
             self.clock += 1;
-            let tokens = u64::from(part.tokens);
-            let mut held = Held { tokens, used: self.clock, state };
-            if let Some(before) = self.chains.get(&chain) {
+            let mut held = Held { tokens: u64::from(part.tokens), used: self.clock, state };
+            if let Some(before) = self.parts.get(&part.id) {
                 self.order.remove(&before.used);
+                self.held -= before.tokens;
                 if before.state == State::Computed {
                     held.state = State::Computed;
                 }
-            } else {
-                self.held += tokens;
             }
-            self.chains.insert(chain, held);
-            self.order.insert(self.clock, chain);
+            self.held += held.tokens;
+            self.parts.insert(part.id, held);
+            self.order.insert(self.clock, part.id);
         }
         while self.held > self.capacity
-            && let Some((_, chain)) = self.order.pop_first()
+            && let Some((_, id)) = self.order.pop_first()
         {
-            if let Some(evicted) = self.chains.remove(&chain) {
+            if let Some(evicted) = self.parts.remove(&id) {
                 self.held -= evicted.tokens;
             }
         }
     }
 }
-
-/// The parts with the identity of the chain that ends with each.
-fn chains(parts: &[Part]) -> impl Iterator<Item = (u64, &Part)> {
-    parts.iter().scan(0, |chain, part| {
-        let mut hasher = rustc_hash();
-        (*chain, part.id).hash(&mut hasher);
-        *chain = hasher.finish();
-        Some((*chain, part))
-    })
-}
-
-fn rustc_hash() -> impl Hasher {
-    std::hash::BuildHasher::build_hasher(Map::<u64, u64>::default().hasher())
-}
