--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -194,6 +194,12 @@
     pub fn configure(&mut self, config: &config::Config) {
         let engine = |service: &config::Service| Some((service.name.clone(), service.engine?));
         self.engines = config.services.iter().filter_map(engine).collect();
+        for entry in self.entries.values_mut() {
+            // Targets may be known before the configuration is.
+            if let Some(engine) = self.engines.get(&entry.target.service) {
+                entry.cache.resize(engine.kv_tokens);
+            }
+        }
     }
 
     /// Takes in what is known of a target.
--- a/crates/placement/src/cache.rs
+++ b/crates/placement/src/cache.rs
@@ -39,10 +39,9 @@
 
 impl Cache {
     /// An empty cache of a memory of `tokens` tokens.
-    #[allow(clippy::cast_sign_loss, clippy::cast_possible_truncation, reason = "a share of a count")]
     pub fn new(tokens: u64) -> Cache {
         Cache {
-            capacity: (tokens as f64 * USABLE_SHARE) as u64,
+            capacity: usable(tokens),
             held: 0,
             parts: Map::default(),
             order: BTreeMap::new(),
@@ -50,6 +49,12 @@
         }
     }
 
+    /// Takes in the size of the memory, in tokens.
+    pub fn resize(&mut self, tokens: u64) {
+        self.capacity = usable(tokens);
+        self.evict();
+    }
+
     /// Tokens of a prompt that are held, or will be once what was sent before is computed.
     pub fn tokens(&self, parts: &[Part]) -> u64 {
         self.held(parts).map(|held| held.tokens).sum()
@@ -99,6 +104,10 @@
             self.parts.insert(part.id, held);
             self.order.insert(self.clock, part.id);
         }
+        self.evict();
+    }
+
+    fn evict(&mut self) {
         while self.held > self.capacity
             && let Some((_, id)) = self.order.pop_first()
         {
@@ -108,3 +117,8 @@
         }
     }
 }
+
+#[allow(clippy::cast_sign_loss, clippy::cast_possible_truncation, reason = "a share of a count")]
+fn usable(tokens: u64) -> u64 {
+    (tokens as f64 * USABLE_SHARE) as u64
+}
