--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -116,6 +116,24 @@
         Ok(Sent::new(Arc::clone(&self.gateway), plan, number, parts, now))
     }
 
+    /// Chooses anew where a computed prompt is moved to; `false` if there is no target for it.
+    pub(crate) fn choose_receiver(&self, sent: &mut Sent, from: Key, trail: &Trail) -> bool {
+        let now = Moment::now();
+        let mut board = self.gateway.board();
+        let Some(service) = board.entry(from).map(|entry| entry.target.service.clone()) else {
+            return false;
+        };
+        let demand = self.demand(&service, trail);
+        let Some(receiver) = board.receiver(from, &demand, now) else {
+            return false;
+        };
+        if receiver != sent.plan.target {
+            board.redirect(sent.plan.target, receiver, now);
+            sent.plan.target = receiver;
+        }
+        true
+    }
+
     fn demand<'a>(&'a self, service: &'a name::Service, trail: &'a Trail) -> Demand<'a> {
         let route = self.route();
         let remaining = self.remaining();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -154,6 +154,10 @@
                 return Ending::NotRun;
             };
             sent.computed();
+            if !job.choose_receiver(sent, key, &self.trail) {
+                job.release(source.address, &source.handle);
+                return Ending::NotRun;
+            }
             step = Step::Fetch { address: source.address, handle: source.handle.clone() };
             handle = Some(source);
         }
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -407,6 +407,15 @@
         engines.map(holding).collect()
     }
 
+    /// Counts an own request at another target than it was planned for.
+    pub fn redirect(&mut self, from: Key, to: Key, now: Moment) {
+        self.end(from);
+        if let Some(entry) = self.entries.get_mut(to) {
+            entry.backlog.send();
+            entry.health.send(now);
+        }
+    }
+
     /// Takes in that an own request has ended at its target.
     pub fn end(&mut self, key: Key) {
         if let Some(entry) = self.entries.get_mut(key) {
@@ -534,8 +543,33 @@
             .map(|key| self.weigh(key, demand, engine, holder, time))
             .filter(|weighed| weighed.fresh >= MIN_MOVED_TOKENS)
             .min_by(|a, b| a.score.total_cmp(&b.score))?;
-        let from = self.entries[best.key].target.data_centre.clone();
-        let mut receivers: Vec<(Key, f64, f64)> = Vec::with_capacity(decode.len());
+        let receiver = self.choose_receiver(best.key, demand, engine, decode, time)?;
+        best.first_ms += receiver.delay_ms;
+        best.score += receiver.delay_ms + receiver.weight_ms;
+        Some((best, receiver.key))
+    }
+
+    /// The engine that a prompt computed at `from` should be moved to, as things stand now.
+    ///
+    /// Other than the plan that was made before the prompt was computed, this knows which engines leave meanwhile.
+    pub fn receiver(&mut self, from: Key, demand: &Demand<'_>, now: Moment) -> Option<Key> {
+        let engine = *self.engines.get(demand.service)?;
+        let generates = |entry: &Entry| entry.target.stage != Some(Stage::Prefill);
+        let decode = self.usable(demand, now, generates);
+        let time = now.0 as f64;
+        Some(self.choose_receiver(from, demand, &engine, &decode, time)?.key)
+    }
+
+    fn choose_receiver(
+        &mut self,
+        from: Key,
+        demand: &Demand<'_>,
+        engine: &config::Engine,
+        decode: &[Key],
+        time: f64,
+    ) -> Option<Receiver> {
+        let from = self.entries.get(from)?.target.data_centre.clone();
+        let mut receivers: Vec<Receiver> = Vec::with_capacity(decode.len());
         for key in decode {
             let entry = &mut self.entries[*key];
             let far = entry.target.data_centre != from;
@@ -545,14 +579,14 @@
             let running = entry.backlog.running(time) as f64;
             let lacks = demand.prompt_tokens.saturating_sub(entry.cache.tokens(demand.parts));
             let spill = lacks as f64 / SPILL_TOKENS_PER_MS;
-            receivers.push((*key, transfer + wait, running + spill));
+            receivers.push(Receiver {
+                key: *key,
+                delay_ms: transfer + wait,
+                weight_ms: running + spill,
+            });
         }
-        let total = |receiver: &(Key, f64, f64)| receiver.1 + receiver.2;
-        let (target, delay, weight) =
-            receivers.into_iter().min_by(|a, b| total(a).total_cmp(&total(b)))?;
-        best.first_ms += delay;
-        best.score += delay + weight;
-        Some((best, target))
+        let total = |receiver: &Receiver| receiver.delay_ms + receiver.weight_ms;
+        receivers.into_iter().min_by(|a, b| total(a).total_cmp(&total(b)))
     }
 
     fn weigh(
@@ -588,6 +622,16 @@
     }
 }
 
+/// An engine that takes over a computed prompt.
+#[derive(Clone, Copy, Debug)]
+struct Receiver {
+    key: Key,
+    /// Time until it can go on with the prompt, in milliseconds.
+    delay_ms: f64,
+    /// What speaks against it beside that, in milliseconds.
+    weight_ms: f64,
+}
+
 /// The engine that holds most of a prompt's parts.
 #[derive(Clone, Copy, Debug)]
 struct Holder {
