Engines are split between computing prompts and generating, by orders of the log's leader

Cause: six of 18 engines computed prompts at full speed and were busy all the time, while twelve that generated computed the rest at half speed and slowed their streams down to 200 ms a piece.

--- a/crates/daisydrum/src/seeded.rs
+++ b/crates/daisydrum/src/seeded.rs
@@ -7,6 +7,7 @@
 mod follow;
 mod gossip;
 mod listener;
+mod orders;
 mod peers;
 mod reload;
 mod replicas;
--- a/crates/daisydrum/src/seeded/control.rs
+++ b/crates/daisydrum/src/seeded/control.rs
@@ -25,6 +25,7 @@
         directory::{Contact, Directory},
         entry::{bind, spawn},
         listener::{self, Answer, Handler, json, text},
+        orders,
         replicas::Replicas,
     },
 };
@@ -70,6 +71,7 @@
     };
     listener::serve(context, listener, control.clone());
     spawn(context, control.clone().expire());
+    spawn(context, orders::Duty::new(context, directory, &control.replicas).run());
     Ok(Some(control))
 }
 
@@ -139,7 +141,7 @@
             return text(StatusCode::OK, "held already\n");
         }
         let document = Document { version, bytes: body.to_vec() };
-        match self.replicas.offer(&document).await {
+        match self.replicas.offer(document).await {
             Ok(held) => {
                 info!(self.context.log, "config_accepted"; "version" => version, "held" => held);
                 text(StatusCode::OK, "accepted\n")
--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -47,6 +47,8 @@
     followers: Map<name::Instance, Follower>,
     /// Peers' addresses of control instances.
     control: BTreeSet<SocketAddr>,
+    /// Engines that change what they do, by the control instance that says so; the own ones under the own address.
+    changing: Map<SocketAddr, Vec<name::Target>>,
     /// Other instances that serve callers, as control instances tell.
     entries: Map<name::Instance, (Card, Moment)>,
 }
@@ -159,6 +161,22 @@
         (inner.registry.revision(), inner.registry.changed_since(revision).cloned().collect())
     }
 
+    /// Takes in which engines change what they do, as the control instance at `address` says.
+    pub(crate) fn note_changing(&self, address: SocketAddr, targets: Vec<name::Target>) {
+        let mut inner = self.lock();
+        let held = inner.changing.entry(address).or_default();
+        if *held != targets {
+            *held = targets;
+            let revision = inner.registry.bump();
+            self.changed.send_replace(revision);
+        }
+    }
+
+    /// Engines that change what they do, as any control instance says.
+    pub(crate) fn changing(&self) -> Vec<name::Target> {
+        self.lock().changing.values().flatten().cloned().collect()
+    }
+
     /// Takes in which control instances there are.
     pub(crate) fn note_control(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
         let own = self.own.address;
@@ -168,6 +186,7 @@
 
     /// Forgets a control instance that was not reached for long.
     pub(crate) fn forget_control(&self, address: SocketAddr) {
+        self.note_changing(address, Vec::new());
         self.lock().control.remove(&address);
     }
 
@@ -278,6 +297,7 @@
             contact: self.contact() == Contact::Held,
             version: self.version(),
             targets,
+            changing: inner.changing.get(&self.own.address).cloned().unwrap_or_default(),
             control: inner.control.iter().copied().chain(own).collect(),
             entries: entries.map(|follower| follower.card.clone()).collect(),
         }
--- a/crates/daisydrum/src/seeded/entry.rs
+++ b/crates/daisydrum/src/seeded/entry.rs
@@ -121,6 +121,7 @@
             info!(gateway.log, "target_known"; "target" => %target.name, "state" => ?target.state,
                 "stage" => ?target.stage, "address" => %target.address);
         }
+        gateway.set_changing(&directory.changing());
         gateway.set_instances(directory.entries().len() + 1);
         let changed = time::timeout(TRIM_PAUSE, changes.changed()).await;
         if matches!(changed, Ok(Err(_))) {
--- a/crates/daisydrum/src/seeded/follow.rs
+++ b/crates/daisydrum/src/seeded/follow.rs
@@ -91,6 +91,8 @@
                     if pause == FIRST_PAUSE {
                         info!(self.context.log, "control_not_reached"; "address" => %self.address);
                     }
+                    // What it said of engines before may be over.
+                    self.directory.note_changing(self.address, Vec::new());
                     let seed = self.context.seeds.borrow().contains(&self.address);
                     if heard.elapsed() > FORGET_AFTER && !seed {
                         self.directory.forget_control(self.address);
@@ -127,6 +129,7 @@
     async fn take(&mut self, news: News) {
         let now = Moment::now();
         self.directory.merge(news.targets, now);
+        self.directory.note_changing(self.address, news.changing);
         self.directory.note_control(news.control);
         self.directory.note_entries(news.entries, now);
         self.cursor = news.cursor;
--- /dev/null
+++ b/crates/daisydrum/src/seeded/orders.rs
@@ -0,0 +1,317 @@
+//! Gives orders to engines: the leader of the log, once it holds the right and no earlier holder can act any more.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use common::{clock::Moment, collections::Map, name};
+use fleet::{
+    config::Config,
+    registry::{Stage, State, Target},
+};
+use gateway::connection::Connection;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode, header::HOST};
+use platform::engine::{self, Order};
+use roles::split::{self, Change, Engine};
+use slog::{info, warn};
+use tokio::time;
+
+use crate::seeded::{
+    context::Context,
+    directory::{Contact, Directory},
+    replicas::Replicas,
+};
+
+const PAUSE: Duration = Duration::from_millis(250);
+/// Time for which a claim lets its holder give orders, counted from before the claim was made.
+const CLAIM_LIFE: Duration = Duration::from_millis(1_000);
+/// Covers differences of clocks and orders that wait in a connection's buffer until it is given up.
+const TURN_MARGIN: Duration = Duration::from_millis(2_500);
+/// An engine's place in the split counts once it has stood unchanged for this long.
+const SETTLED: Duration = Duration::from_millis(1_500);
+/// Time for all entry instances to hear that an engine takes no new work.
+const DRAIN_TIME: Duration = Duration::from_millis(300);
+/// An order that showed no effect for this long may still be carried out later, but isn't waited for any more.
+const ORDER_LIFE: Duration = Duration::from_secs(14);
+const CALL_LIMIT: Duration = Duration::from_millis(800);
+/// Share of a service's engines that change at the same time.
+const CHANGING_SHARE: f64 = 0.34;
+/// A single engine too many or too few is changed only once that has lasted, since engines come back.
+const PATIENCE: Duration = Duration::from_secs(4);
+
+/// The duty that gives orders.
+pub(crate) struct Duty {
+    context: Context,
+    directory: Directory,
+    replicas: Replicas,
+    /// When this instance became the holder; nothing while it is none.
+    holds_since: Option<Moment>,
+    /// When orders of an earlier holder are over.
+    may_order_at: Moment,
+    /// Orders under way.
+    pending: Map<name::Target, Pending>,
+    /// Since when the split of a service is off.
+    off_since: Map<name::Service, Moment>,
+    seen: Map<name::Target, Seen>,
+}
+
+/// An order under way.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    stage: Stage,
+    at: Moment,
+}
+
+/// Since when an engine is what it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Seen {
+    born_unix_ms: u64,
+    since: Moment,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    /// The engine carries it out, or does already what it says.
+    Taken,
+    /// The engine refused it.
+    Refused,
+    /// It may be carried out, at once or later.
+    Unknown,
+    /// It was not sent.
+    NotSent,
+}
+
+impl Duty {
+    pub(crate) fn new(context: &Context, directory: &Directory, replicas: &Replicas) -> Duty {
+        Duty {
+            context: context.clone(),
+            directory: directory.clone(),
+            replicas: replicas.clone(),
+            holds_since: None,
+            may_order_at: Moment::default(),
+            pending: Map::default(),
+            off_since: Map::default(),
+            seen: Map::default(),
+        }
+    }
+
+    /// Runs until the process ends.
+    pub(crate) async fn run(mut self) {
+        loop {
+            time::sleep(PAUSE).await;
+            let now = Moment::now();
+            let (_, targets) = self.directory.changed_since(0);
+            self.note_targets(&targets, now);
+            if !self.replicas.leads() || self.directory.contact() == Contact::Lost {
+                self.holds_since = None;
+                self.pending.clear();
+                self.publish();
+                continue;
+            }
+            let Some(config) = self.config() else {
+                continue;
+            };
+            let changes = self.wanted(&config, &targets, now);
+            self.publish();
+            if !changes.is_empty() && self.may_order().await {
+                self.carry_out(changes, &targets).await;
+            }
+        }
+    }
+
+    fn config(&self) -> Option<Arc<Config>> {
+        let document = self.directory.document()?;
+        platform::config::decode(&document.bytes).ok().map(Arc::new)
+    }
+
+    fn note_targets(&mut self, targets: &[Target], now: Moment) {
+        for target in targets {
+            let seen = Seen { born_unix_ms: target.born_unix_ms, since: now };
+            let known = self.seen.entry(target.name.clone()).or_insert(seen);
+            if known.born_unix_ms != target.born_unix_ms {
+                *known = seen;
+            }
+            let arrived = |pending: &Pending| target.stage == Some(pending.stage);
+            if self.pending.get(&target.name).is_some_and(arrived) {
+                info!(self.context.log, "order_done"; "target" => %target.name,
+                    "stage" => ?target.stage);
+                self.pending.remove(&target.name);
+            }
+        }
+        self.pending.retain(|_, pending| now.since(pending.at) < ORDER_LIFE);
+        let known = |name: &name::Target| targets.iter().any(|target| target.name == *name);
+        self.seen.retain(|name, _| known(name));
+    }
+
+    /// Tells the entry instances which engines take no new work.
+    fn publish(&self) {
+        let mut changing: Vec<name::Target> = self.pending.keys().cloned().collect();
+        changing.sort();
+        self.directory.note_changing(self.context.card.address, changing);
+    }
+
+    /// The changes that are due, for all services.
+    fn wanted(&mut self, config: &Config, targets: &[Target], now: Moment) -> Vec<Change> {
+        let mut due = Vec::new();
+        for service in config.services.iter().filter(|service| service.engine.is_some()) {
+            let engines = self.engines(&service.name, targets, now);
+            let share = self.context.settings.engines.prompt_share;
+            let wanted = split::computing(engines.len(), share);
+            let computing = engines.iter().filter(|engine| engine.stage == Stage::Prefill).count();
+            let off = computing.abs_diff(wanted);
+            if off == 0 {
+                self.off_since.remove(&service.name);
+                continue;
+            }
+            let since = *self.off_since.entry(service.name.clone()).or_insert(now);
+            if off == 1 && now.since(since) < PATIENCE {
+                continue;
+            }
+            due.extend(split::changes(&engines, wanted, self.limit(engines.len())));
+        }
+        due
+    }
+
+    #[allow(clippy::cast_sign_loss, clippy::cast_possible_truncation, reason = "a share of a count")]
+    fn limit(&self, engines: usize) -> usize {
+        let most = ((engines as f64 * CHANGING_SHARE) as usize).max(1);
+        most.saturating_sub(self.pending.len())
+    }
+
+    /// The engines of a service that have settled, with what they will do once orders under way are carried out.
+    fn engines(&self, service: &name::Service, targets: &[Target], now: Moment) -> Vec<Engine> {
+        let settled = |target: &&Target| {
+            self.seen.get(&target.name).is_some_and(|seen| now.since(seen.since) >= SETTLED)
+        };
+        let of_service = targets.iter().filter(|target| target.service == *service);
+        let ready = of_service.filter(|target| target.state == State::Ready).filter(settled);
+        let engine = |target: &Target| {
+            let pending = self.pending.get(&target.name).map(|pending| pending.stage);
+            Some(Engine {
+                target: target.name.clone(),
+                data_centre: target.data_centre.clone(),
+                stage: pending.or(target.stage)?,
+            })
+        };
+        ready.filter_map(engine).collect()
+    }
+
+    /// Whether this instance holds the right and no earlier holder can act any more.
+    async fn may_order(&mut self) -> bool {
+        if self.holds_since.is_none() {
+            let Ok(grant) = self.replicas.claim().await else {
+                return false;
+            };
+            let now = Moment::now();
+            self.holds_since = Some(now);
+            let turn = Duration::from_millis(self.context.settings.engines.turn_ms);
+            let wait = if grant.previous.is_some() { turn + CLAIM_LIFE + TURN_MARGIN } else { Duration::ZERO };
+            self.may_order_at = now + wait;
+            info!(self.context.log, "orders_claimed"; "fence" => grant.fence,
+                "previous" => grant.previous.map_or_else(String::new, |previous| previous.0));
+        }
+        Moment::now() >= self.may_order_at
+    }
+
+    /// Drains the engines, claims anew and gives the orders side by side.
+    async fn carry_out(&mut self, changes: Vec<Change>, targets: &[Target]) {
+        let at = Moment::now();
+        for change in &changes {
+            self.pending.insert(change.target.clone(), Pending { stage: change.stage, at });
+        }
+        self.publish();
+        time::sleep(DRAIN_TIME).await;
+        let claimed_at = Moment::now();
+        let grant = match self.replicas.claim().await {
+            Ok(grant) if grant.previous.is_none() => grant,
+            Ok(_) | Err(_) => {
+                // Another instance has claimed meanwhile, or none can; begin anew.
+                self.holds_since = None;
+                self.pending.clear();
+                self.publish();
+                return;
+            }
+        };
+        let right = Right {
+            holder: self.context.card.instance.clone(),
+            fence: grant.fence,
+            until: claimed_at + CLAIM_LIFE,
+        };
+        let orders = changes.into_iter().filter_map(|change| {
+            let target = targets.iter().find(|target| target.name == change.target)?;
+            Some(give(right.clone(), change, target.clone()))
+        });
+        for (change, outcome) in futures::future::join_all(orders).await {
+            info!(self.context.log, "order_given"; "target" => %change.target,
+                "stage" => ?change.stage, "fence" => grant.fence, "outcome" => ?outcome);
+            if matches!(outcome, Outcome::Refused | Outcome::NotSent) {
+                self.pending.remove(&change.target);
+            }
+            if outcome == Outcome::Unknown {
+                warn!(self.context.log, "order_unanswered"; "target" => %change.target);
+            }
+        }
+        self.publish();
+    }
+}
+
+/// The right to give orders, as long as it lasts.
+#[derive(Clone, Debug)]
+struct Right {
+    holder: name::Instance,
+    fence: u64,
+    until: Moment,
+}
+
+/// Gives one order: asks the engine how many it has accepted, so that a late copy of this one has no effect.
+async fn give(right: Right, change: Change, target: Target) -> (Change, Outcome) {
+    let outcome = time::timeout(CALL_LIMIT, exchange(&right, &change, &target)).await;
+    (change, outcome.unwrap_or(Outcome::Unknown))
+}
+
+async fn exchange(right: &Right, change: &Change, target: &Target) -> Outcome {
+    let Ok(mut connection) = Connection::open(target.address).await else {
+        return Outcome::NotSent;
+    };
+    let question = request(Method::GET, engine::STATE_PATH, target, Bytes::new());
+    let Ok(response) = connection.send(question).await else {
+        return Outcome::NotSent;
+    };
+    let Ok(body) = response.into_body().collect().await else {
+        return Outcome::NotSent;
+    };
+    let Some(state) = engine::state(&body.to_bytes()) else {
+        return Outcome::NotSent;
+    };
+    if state.busy {
+        return Outcome::Refused;
+    }
+    let order = Order {
+        stage: change.stage,
+        holder: right.holder.clone(),
+        fence: right.fence,
+        orders: state.orders,
+    };
+    let order = request(Method::POST, engine::ORDER_PATH, target, engine::order(&order).into());
+    // Checked last, since the process may have stood still since it claimed.
+    if Moment::now() >= right.until {
+        return Outcome::NotSent;
+    }
+    match connection.send(order).await.map(|response| response.status()) {
+        Ok(StatusCode::ACCEPTED | StatusCode::OK) => Outcome::Taken,
+        Ok(_) => Outcome::Refused,
+        Err(_) => Outcome::Unknown,
+    }
+}
+
+fn request(method: Method, path: &str, target: &Target, body: Bytes) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().expect("invariant: the path is well formed");
+    *request.headers_mut() = engine::order_headers(&target.name);
+    if let Ok(host) = target.address.to_string().parse() {
+        request.headers_mut().insert(HOST, host);
+    }
+    request
+}
--- a/crates/daisydrum/src/seeded/replicas.rs
+++ b/crates/daisydrum/src/seeded/replicas.rs
@@ -11,7 +11,7 @@
 use consensus::{options::Options, status::Role};
 use fleet::{
     exchange,
-    register::{Document, Register},
+    register::{Command, Document, Grant, Register, Reply},
 };
 use replica::{
     client::Client,
@@ -55,16 +55,16 @@
 }
 
 impl Machine for Published {
-    type Command = Document;
-    type Reply = u64;
+    type Command = Command;
+    type Reply = Reply;
     type Query = ();
     type Answer = Option<Document>;
     type Fault = String;
 
-    fn apply(&mut self, _index: u64, command: &Document) -> u64 {
-        let held = self.register.offer(command);
+    fn apply(&mut self, index: u64, command: &Command) -> Reply {
+        let reply = self.register.apply(index, command);
         self.publish();
-        held
+        reply
     }
 
     fn query(&self, _query: &()) -> Option<Document> {
@@ -118,8 +118,33 @@
     /// # Errors
     ///
     /// Returns why no leader took it, or that it may have been taken.
-    pub(crate) async fn offer(&self, document: &Document) -> Result<u64, Failure> {
-        self.client().submit(&name::Branch::from(BRANCH), document, CALL_LIMIT).await
+    pub(crate) async fn offer(&self, document: Document) -> Result<u64, Failure> {
+        match self.submit(&Command::Offer(document)).await? {
+            Reply::Held(version) => Ok(version),
+            Reply::Granted(_) => Err(other_reply()),
+        }
+    }
+
+    /// Claims the right to give orders for this instance.
+    ///
+    /// # Errors
+    ///
+    /// As [`Replicas::offer`].
+    pub(crate) async fn claim(&self) -> Result<Grant, Failure> {
+        match self.submit(&Command::Claim(self.context.card.instance.clone())).await? {
+            Reply::Granted(grant) => Ok(grant),
+            Reply::Held(_) => Err(other_reply()),
+        }
+    }
+
+    /// Whether the own replica leads the log.
+    pub(crate) fn leads(&self) -> bool {
+        let status = self.handle().and_then(Handle::status);
+        status.is_some_and(|status| status.role == Role::Leader)
+    }
+
+    async fn submit(&self, command: &Command) -> Result<Reply, Failure> {
+        self.client().submit(&name::Branch::from(BRANCH), command, CALL_LIMIT).await
     }
 
     /// Reads the newest configuration that was accepted before the call.
@@ -205,3 +230,7 @@
         Client::new(self.context.card.instance.clone(), host, self.peers(addresses))
     }
 }
+
+fn other_reply() -> Failure {
+    Failure::Unknown { reason: String::from("the reply belongs to another command") }
+}
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -72,6 +72,8 @@
     pub version: u64,
     /// Targets that changed.
     pub targets: Vec<Target>,
+    /// Engines that are about to change what they do, and take no new work until then.
+    pub changing: Vec<name::Target>,
     /// All control instances known.
     pub control: Vec<SocketAddr>,
     /// All instances known that serve callers.
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -90,6 +90,12 @@
         self.revision
     }
 
+    /// Counts a change outside the registry that instances have to hear of, and returns the revision.
+    pub fn bump(&mut self) -> u64 {
+        self.revision += 1;
+        self.revision
+    }
+
     /// All targets, those that have gone included.
     pub fn targets(&self) -> impl Iterator<Item = &Target> {
         self.entries.values().map(|entry| &entry.target)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -95,6 +95,11 @@
         self.board().update(target);
     }
 
+    /// Takes in which engines change what they do and take no new work until then.
+    pub fn set_changing(&self, targets: &[name::Target]) {
+        self.board().set_changing(targets);
+    }
+
     /// Takes in how many instances share the fleet.
     pub fn set_instances(&self, instances: usize) {
         self.instances.store(instances.max(1), Ordering::Relaxed);
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -163,6 +163,8 @@
     cache: Cache,
     speed: Speed,
     health: Health,
+    /// Whether it is about to change what it does.
+    changing: bool,
 }
 
 /// The targets of the fleet.
@@ -224,6 +226,7 @@
                     cache: Cache::new(tokens),
                     speed: Speed::default(),
                     health: Health::default(),
+                    changing: false,
                 };
                 if let Some(key) = known {
                     self.entries.remove(key);
@@ -234,6 +237,13 @@
         }
     }
 
+    /// Takes in which engines change what they do; they get no new work until then.
+    pub fn set_changing(&mut self, targets: &[name::Target]) {
+        for entry in self.entries.values_mut() {
+            entry.changing = targets.contains(&entry.target.name);
+        }
+    }
+
     /// A target on the board.
     pub fn entry(&self, key: Key) -> Option<&Entry> {
         self.entries.get(key)
@@ -451,7 +461,7 @@
             .entries
             .iter()
             .filter(|(_, entry)| entry.target.service == *demand.service)
-            .filter(|(_, entry)| entry.target.state == State::Ready && fits(entry))
+            .filter(|(_, entry)| entry.target.state == State::Ready && !entry.changing && fits(entry))
             .filter(|(key, _)| !demand.avoid.contains(key))
             .map(|(key, entry)| (key, entry.health.standing(now)))
             .collect();
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod plan;
 pub mod policy;
 pub mod pool;
+pub mod split;
 pub mod trace;
 pub mod value;
--- a/crates/settings/src/seeded.rs
+++ b/crates/settings/src/seeded.rs
@@ -46,6 +46,9 @@
     /// Bounds on requests that are sent to a target once more.
     #[serde(default)]
     pub retries: Retries,
+    /// Engines of models.
+    #[serde(default)]
+    pub engines: Engines,
     /// Logs.
     #[serde(default)]
     pub log: Log,
@@ -70,6 +73,24 @@
     pub slack: f64,
 }
 
+/// What engines do.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Engines {
+    /// Share of a service's engines that compute prompts for the others.
+    #[schemars(range(min = 0, max = 1))]
+    pub prompt_share: f64,
+    /// Time in which orders of two instances must not take turns, in milliseconds.
+    #[schemars(range(min = 0, max = 60_000))]
+    pub turn_ms: u64,
+}
+
+impl Default for Engines {
+    fn default() -> Engines {
+        Engines { prompt_share: 0.7, turn_ms: 3_000 }
+    }
+}
+
 impl Default for Retries {
     fn default() -> Retries {
         Retries { window_s: 10, ratio: 0.2, slack: 20.0 }
