--- a/crates/daisydrum/src/duty/peers.rs
+++ b/crates/daisydrum/src/duty/peers.rs
@@ -163,12 +163,10 @@
         cause,
     })?;
     let end = context.end.clone();
-    let thread = thread::Builder::new()
-        .name(String::from("peers"))
-        .spawn(move || {
-            let serve = move |stream| run(channel(stream).execute(server.clone().serve()));
-            runtime.block_on(accept(listener, serve, end));
-        })?;
+    let thread = thread::Builder::new().name(String::from("peers")).spawn(move || {
+        let serve = move |stream| run(channel(stream).execute(server.clone().serve()));
+        runtime.block_on(accept(listener, serve, end));
+    })?;
     Ok(thread)
 }
 
--- a/crates/daisydrum/src/lib.rs
+++ b/crates/daisydrum/src/lib.rs
@@ -28,7 +28,9 @@
     let arguments = arguments::Daisydrum::from_env_or_exit();
     let result = match arguments.subcommand {
         arguments::DaisydrumCmd::Run(run) => daemon::run(Path::new(&run.settings)),
-        arguments::DaisydrumCmd::Join(join) => join_path(join.settings).and_then(|path| seeded::run(&path)),
+        arguments::DaisydrumCmd::Join(join) => {
+            join_path(join.settings).and_then(|path| seeded::run(&path))
+        }
         arguments::DaisydrumCmd::Check(check) => daemon::check(Path::new(&check.settings)),
     };
     match result {
--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -7,7 +7,11 @@
     time::Duration,
 };
 
-use common::{clock::{self, Moment}, collections::Map, name};
+use common::{
+    clock::{self, Moment},
+    collections::Map,
+    name,
+};
 use fleet::{
     exchange::{Answer, Card, Cursor, Duty, News, Question},
     register::Document,
@@ -280,7 +284,9 @@
 
     fn has_news(&self, cursor: Cursor, version: u64) -> bool {
         let changed = *self.changed.borrow();
-        cursor.incarnation != self.incarnation || changed > cursor.revision || self.version() > version
+        cursor.incarnation != self.incarnation
+            || changed > cursor.revision
+            || self.version() > version
     }
 
     fn news(&self, from: &Card, cursor: Cursor) -> News {
--- a/crates/daisydrum/src/seeded/entry.rs
+++ b/crates/daisydrum/src/seeded/entry.rs
@@ -169,7 +169,9 @@
             let answer =
                 follow::ask(&context, card.address, &Question::Holdings, LEARN_CALL_LIMIT).await;
             if let Some(Answer::Holdings(notices)) = answer
-                && notices.iter().any(|notice| matches!(notice, Notice::Held { parts, .. } if !parts.is_empty()))
+                && notices
+                    .iter()
+                    .any(|notice| matches!(notice, Notice::Held { parts, .. } if !parts.is_empty()))
             {
                 notices.iter().for_each(|notice| gateway.hear(notice));
                 info!(gateway.log, "holdings_learnt"; "from" => %card.instance);
--- a/crates/daisydrum/src/seeded/orders.rs
+++ b/crates/daisydrum/src/seeded/orders.rs
@@ -173,7 +173,11 @@
         due
     }
 
-    #[allow(clippy::cast_sign_loss, clippy::cast_possible_truncation, reason = "a share of a count")]
+    #[allow(
+        clippy::cast_sign_loss,
+        clippy::cast_possible_truncation,
+        reason = "a share of a count"
+    )]
     fn limit(&self, engines: usize) -> usize {
         let most = ((engines as f64 * CHANGING_SHARE) as usize).max(1);
         most.saturating_sub(self.pending.len())
@@ -206,7 +210,11 @@
             let now = Moment::now();
             self.holds_since = Some(now);
             let turn = Duration::from_millis(self.context.settings.engines.turn_ms);
-            let wait = if grant.previous.is_some() { turn + CLAIM_LIFE + TURN_MARGIN } else { Duration::ZERO };
+            let wait = if grant.previous.is_some() {
+                turn + CLAIM_LIFE + TURN_MARGIN
+            } else {
+                Duration::ZERO
+            };
             self.may_order_at = now + wait;
             info!(self.context.log, "orders_claimed"; "fence" => grant.fence,
                 "previous" => grant.previous.map_or_else(String::new, |previous| previous.0));
--- a/crates/daisydrum/src/seeded/peers.rs
+++ b/crates/daisydrum/src/seeded/peers.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use common::name;
-use control::query::Changes;
 use consensus::{message::Envelope, status::Status};
+use control::query::Changes;
 use fleet::exchange::{self, Answer, Question};
 use gateway::state::Gateway;
 use replica::host::Handle;
--- a/crates/daisydrum/src/seeded/reload.rs
+++ b/crates/daisydrum/src/seeded/reload.rs
@@ -38,7 +38,7 @@
             match check::seeded(&path) {
                 Ok(settings) => {
                     refused = None;
-                    take_seeds(&duty, context::peer_addresses(&settings));
+                    take_seeds(&duty, &context::peer_addresses(&settings));
                 }
                 Err(faults) => {
                     let faults = Faults::from(faults).to_string();
@@ -53,11 +53,11 @@
     Ok(())
 }
 
-fn take_seeds(context: &Context, seeds: Vec<std::net::SocketAddr>) {
+fn take_seeds(context: &Context, seeds: &[std::net::SocketAddr]) {
     let changed = context.seeds.send_if_modified(|held| {
-        let changed = *held != seeds;
+        let changed = held != seeds;
         if changed {
-            held.clone_from(&seeds);
+            *held = seeds.to_vec();
         }
         changed
     });
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -75,7 +75,7 @@
     }
 
     /// Takes the next whole event.
-    pub fn next(&mut self) -> Option<Event> {
+    pub fn take(&mut self) -> Option<Event> {
         let start = self.searched.saturating_sub(3);
         let Some(end) = find_end(&self.buffer[start..]) else {
             self.searched = self.buffer.len();
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -107,7 +107,7 @@
             if splitter.push(&data).is_err() {
                 return Ending::Event(Event::Broken);
             }
-            while let Some(event) = splitter.next() {
+            while let Some(event) = splitter.take() {
                 let kind = event.kind();
                 if kind == Kind::Token {
                     self.start(&head).await;
--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -169,7 +169,9 @@
         let mut places = Set::default();
         for route in &self.routes {
             let name = || route.name.clone();
-            if let Some(share) = route.shares.iter().find(|share| !services.contains(&share.service)) {
+            if let Some(share) =
+                route.shares.iter().find(|share| !services.contains(&share.service))
+            {
                 let service = share.service.clone();
                 return Err(Fault::UnknownService { route: name(), service });
             }
@@ -188,10 +190,9 @@
 
     /// The route of a request: of those of its host, the one with the longest prefix of its path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let fitting = self
-            .routes
-            .iter()
-            .filter(|route| path.starts_with(&route.prefix) && route.host.eq_ignore_ascii_case(host));
+        let fitting = self.routes.iter().filter(|route| {
+            path.starts_with(&route.prefix) && route.host.eq_ignore_ascii_case(host)
+        });
         fitting.max_by_key(|route| route.prefix.len())
     }
 
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -151,7 +151,8 @@
     /// Returns the targets marked.
     pub fn expire(&mut self, since: Moment, now: Moment) -> Vec<name::Target> {
         self.entries.retain(|_, entry| {
-            entry.target.state < State::Lost || now.since(entry.seen).as_millis() < u128::from(GONE_MEMORY_MS)
+            entry.target.state < State::Lost
+                || now.since(entry.seen).as_millis() < u128::from(GONE_MEMORY_MS)
         });
         let silent = |entry: &&Entry| entry.target.state < State::Lost && entry.seen < since;
         let lost: Vec<Target> =
--- /dev/null
+++ b/crates/fleet/tests/registry.rs
@@ -0,0 +1,162 @@
+//! Announcements that come late, twice, in any order and from other writers.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::time::Duration;
+
+use common::{clock::Moment, name};
+use fleet::{
+    exchange,
+    register::{Command, Document, Grant, Register, Reply},
+    registry::{Merge, Registry, Stage, State, Target},
+};
+use proptest::prelude::{Strategy, any, prop_assert_eq, proptest};
+
+const NOW: Moment = Moment(1_000_000);
+
+fn target(name: &str, port: u16, born: u64, sequence: u64, state: State) -> Target {
+    Target {
+        name: name::Target::from(name),
+        service: name::Service::from("engines"),
+        address: format!("10.0.0.1:{port}").parse().unwrap(),
+        data_centre: name::DataCentre::from("suva"),
+        state,
+        stage: Some(Stage::Decode),
+        slots: 64,
+        born_unix_ms: born,
+        sequence,
+    }
+}
+
+fn state(registry: &Registry, name: &str) -> Option<State> {
+    registry.target(&name::Target::from(name)).map(|target| target.state)
+}
+
+#[test]
+fn a_late_announcement_does_not_bring_a_leaving_target_back() {
+    let mut registry = Registry::default();
+    assert_eq!(registry.merge(target("a", 1, 5, 1, State::Ready), NOW), Merge::Changed);
+    assert_eq!(registry.merge(target("a", 1, 5, 3, State::Draining), NOW), Merge::Changed);
+    assert_eq!(registry.merge(target("a", 1, 5, 2, State::Ready), NOW), Merge::Stale);
+    assert_eq!(state(&registry, "a"), Some(State::Draining));
+}
+
+#[test]
+fn a_target_that_has_left_comes_back_only_by_a_later_start() {
+    let mut registry = Registry::default();
+    registry.merge(target("a", 1, 5, 1, State::Ready), NOW);
+    assert_eq!(registry.leave(&name::Target::from("a"), NOW), Merge::Changed);
+    assert_eq!(registry.merge(target("a", 1, 5, 9, State::Ready), NOW), Merge::Stale);
+    assert_eq!(registry.merge(target("a", 1, 6, 1, State::Ready), NOW), Merge::Changed);
+    assert_eq!(state(&registry, "a"), Some(State::Ready));
+}
+
+#[test]
+fn a_new_target_at_an_address_ends_the_one_before_and_a_late_word_of_that_one_changes_nothing() {
+    let mut registry = Registry::default();
+    registry.merge(target("a", 1, 5, 1, State::Ready), NOW);
+    registry.merge(target("b", 1, 6, 1, State::Ready), NOW);
+    assert_eq!(state(&registry, "a"), Some(State::Gone));
+    assert_eq!(registry.merge(target("a", 1, 5, 7, State::Ready), NOW), Merge::Stale);
+    assert_eq!(state(&registry, "b"), Some(State::Ready));
+}
+
+#[test]
+fn another_writer_cannot_move_a_target() {
+    let mut registry = Registry::default();
+    registry.merge(target("a", 1, 5, 1, State::Ready), NOW);
+    let moved =
+        Target { service: name::Service::from("portal"), ..target("a", 1, 5, 2, State::Ready) };
+    assert_eq!(registry.merge(moved, NOW), Merge::Stale);
+    assert_eq!(registry.merge(target("a", 2, 5, 2, State::Ready), NOW), Merge::Stale);
+}
+
+#[test]
+fn a_silent_target_is_lost_until_its_next_announcement() {
+    let mut registry = Registry::default();
+    registry.merge(target("a", 1, 5, 1, State::Ready), NOW);
+    let later = NOW + Duration::from_secs(20);
+    let lost = registry.expire(NOW + Duration::from_secs(1), later);
+    assert_eq!(lost, [name::Target::from("a")]);
+    assert_eq!(registry.merge(target("a", 1, 5, 1, State::Ready), later), Merge::Stale);
+    assert_eq!(registry.merge(target("a", 1, 5, 2, State::Ready), later), Merge::Changed);
+}
+
+#[test]
+fn only_what_matters_to_the_request_path_counts_as_changed() {
+    let mut registry = Registry::default();
+    registry.merge(target("a", 1, 5, 1, State::Ready), NOW);
+    let revision = registry.revision();
+    assert_eq!(registry.merge(target("a", 1, 5, 2, State::Ready), NOW), Merge::Confirmed);
+    assert_eq!(registry.changed_since(revision).count(), 0);
+    assert_eq!(registry.touched_since(revision).count(), 1);
+}
+
+fn announcements() -> impl Strategy<Value = Vec<Target>> {
+    let one = (0_usize..3, 1_u64..4, 1_u64..6, any::<bool>()).prop_map(
+        |(name, born, sequence, leaves)| {
+            let names = ["a", "b", "c"];
+            let state = if leaves && sequence > 3 { State::Draining } else { State::Ready };
+            // One announcement of a target has one content only.
+            let state = if sequence == 5 {
+                State::Draining
+            } else if sequence == 4 {
+                State::Ready
+            } else {
+                state
+            };
+            let port = 1 + u16::try_from(name).unwrap();
+            target(names[name], port, born, sequence, state)
+        },
+    );
+    proptest::collection::vec(one, 1..24)
+}
+
+proptest! {
+    #[test]
+    fn the_order_of_arrival_does_not_matter(announcements in announcements()) {
+        let mut forward = Registry::default();
+        let mut backward = Registry::default();
+        for target in &announcements {
+            forward.merge(target.clone(), NOW);
+        }
+        for target in announcements.iter().rev().chain(&announcements) {
+            backward.merge(target.clone(), NOW);
+        }
+        for name in ["a", "b", "c"] {
+            let name = name::Target::from(name);
+            prop_assert_eq!(forward.target(&name), backward.target(&name));
+        }
+    }
+}
+
+#[test]
+fn the_register_keeps_the_first_content_of_the_highest_version() {
+    let mut register = Register::default();
+    let offer = |version, byte| Command::Offer(Document { version, bytes: vec![byte] });
+    assert_eq!(register.apply(1, &offer(3, 1)), Reply::Held(3));
+    assert_eq!(register.apply(2, &offer(3, 2)), Reply::Held(3));
+    assert_eq!(register.apply(3, &offer(2, 3)), Reply::Held(3));
+    assert_eq!(register.newest().unwrap().bytes, [1]);
+    assert_eq!(register.apply(4, &offer(5, 4)), Reply::Held(5));
+}
+
+#[test]
+fn each_grant_has_a_higher_fence_and_names_the_holder_before() {
+    let mut register = Register::default();
+    let claim = |name: &str| Command::Claim(name::Instance::from(name));
+    let grant = |fence, previous: Option<&str>| {
+        Reply::Granted(Grant { fence, previous: previous.map(name::Instance::from) })
+    };
+    assert_eq!(register.apply(4, &claim("a")), grant(4, None));
+    assert_eq!(register.apply(5, &claim("a")), grant(5, None));
+    assert_eq!(register.apply(9, &claim("b")), grant(9, Some("a")));
+    assert_eq!(register.apply(12, &claim("a")), grant(12, Some("b")));
+}
+
+#[test]
+fn bytes_that_are_no_message_are_none() {
+    assert_eq!(exchange::decode::<exchange::Question>(&[250, 1, 2]), None);
+    let question = exchange::Question::Fetch { above: 4 };
+    assert_eq!(exchange::decode(&exchange::encode(&question)), Some(question));
+}
--- /dev/null
+++ b/crates/fleet/tests/route.rs
@@ -0,0 +1,62 @@
+//! Choice of a route and of its service.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::time::Duration;
+
+use common::name;
+use fleet::config::{Config, Form, Repeat, Route, Share};
+use yare::parameterized;
+
+fn route(name: &str, host: &str, prefix: &str, shares: &[(&str, u64)]) -> Route {
+    let share = |(service, weight): &(&str, u64)| Share {
+        service: name::Service::from(*service),
+        weight: *weight,
+    };
+    Route {
+        name: String::from(name),
+        host: String::from(host),
+        prefix: String::from(prefix),
+        repeat: Repeat::Never,
+        form: Form::Whole,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        rank: 0,
+        attempts: 1,
+        shares: shares.iter().map(share).collect(),
+    }
+}
+
+#[parameterized(
+    longest = { "a.example", "/x/y/z", Some("deep") },
+    shorter = { "a.example", "/x/z", Some("wide") },
+    host_in_capitals = { "A.EXAMPLE", "/x/z", Some("wide") },
+    other_host = { "b.example", "/x/y/z", Some("other") },
+    unknown_host = { "c.example", "/x/y/z", None },
+    no_prefix = { "a.example", "/y/", None },
+    prefix_without_its_slash = { "a.example", "/x", None },
+)]
+fn the_longest_prefix_of_the_host_is_taken(host: &str, path: &str, expected: Option<&str>) {
+    let routes = vec![
+        route("wide", "a.example", "/x/", &[("s", 1)]),
+        route("deep", "a.example", "/x/y/", &[("s", 1)]),
+        route("other", "b.example", "/x/", &[("s", 1)]),
+    ];
+    let config = Config { routes, ..Config::default() };
+    assert_eq!(config.route(host, path).map(|route| route.name.as_str()), expected);
+}
+
+#[test]
+fn services_are_drawn_by_weight_and_those_without_are_left_out() {
+    let route = route("r", "a", "/", &[("a", 90), ("b", 10), ("c", 0)]);
+    let firsts: Vec<String> = (0..100).map(|draw| route.order(draw)[0].0.clone()).collect();
+    assert_eq!(firsts.iter().filter(|first| *first == "a").count(), 90);
+    assert_eq!(firsts.iter().filter(|first| *first == "b").count(), 10);
+    assert!((0..100).all(|draw| route.order(draw).len() == 2));
+}
+
+#[test]
+fn huge_weights_do_not_overflow() {
+    let route = route("r", "a", "/", &[("a", u64::MAX), ("b", u64::MAX)]);
+    assert_eq!(route.order(u64::MAX - 1).len(), 2);
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -78,9 +78,8 @@
     let body = read_body(body, config.limits.body_bytes).await?;
     let timeout = config.routes[route].timeout;
     let patience = ask.patience.map_or(timeout, |patience| patience.min(timeout));
-    let draw = random::mix(ask.id.bytes().fold(0, |hash, byte| {
-        random::mix(hash ^ u64::from(byte))
-    }));
+    let draw =
+        random::mix(ask.id.bytes().fold(0, |hash, byte| random::mix(hash ^ u64::from(byte))));
     Ok(Job {
         gateway: Arc::clone(gateway),
         config,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -51,10 +51,7 @@
 
 impl Gateway {
     /// Makes the state; the receiver gets the notices that other instances should know of.
-    pub fn new(
-        options: Options,
-        log: Logger,
-    ) -> (Arc<Gateway>, mpsc::Receiver<exchange::Notice>) {
+    pub fn new(options: Options, log: Logger) -> (Arc<Gateway>, mpsc::Receiver<exchange::Notice>) {
         let (told, notices) = mpsc::channel(TOLD_NOTICES);
         let gateway = Gateway {
             instance: options.instance,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,7 +6,10 @@
 use std::{sync::Arc, time::Duration};
 
 use common::{cancel, clock::Moment};
-use entry::{body::{Body, Cut}, event::Splitter};
+use entry::{
+    body::{Body, Cut},
+    event::Splitter,
+};
 use fleet::config::{Form, Repeat};
 use http_body_util::{BodyExt, Limited};
 use hyper::{Response, body::Incoming};
@@ -137,9 +140,8 @@
 
     async fn attempt(&mut self, sent: &mut Sent) -> Ending {
         let job = Arc::clone(&self.job);
-        let predicted = Duration::from_secs_f64(
-            (sent.plan.expected_at - job.now_ms()).max(0.0) / 1e3,
-        );
+        let predicted =
+            Duration::from_secs_f64((sent.plan.expected_at - job.now_ms()).max(0.0) / 1e3);
         let overdue = predicted.mul_f64(OVERDUE_FACTOR) + OVERDUE_MARGIN;
         let mut handle = None;
         let mut step = Step::Run;
@@ -234,7 +236,7 @@
             if splitter.push(&bytes).is_err() {
                 break;
             }
-            while let Some(event) = splitter.next() {
+            while let Some(event) = splitter.take() {
                 sent.begun();
                 if !self.pass_on_event(event).await {
                     return Ending::Gone;
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -97,7 +97,8 @@
 
 async fn attempt(job: &Job, sent: &Sent, trail: &mut Trail) -> Attempt {
     let key = sent.plan.target;
-    let repeatable = job.route().repeat == Repeat::Idempotent && trail.runs + 1 < job.route().attempts;
+    let repeatable =
+        job.route().repeat == Repeat::Idempotent && trail.runs + 1 < job.route().attempts;
     let silence = (job.route().target * SILENCE_FACTOR).max(MIN_SILENCE);
     let limit = if repeatable { silence.min(job.remaining()) } else { job.remaining() };
     let rejections = trail.rejections;
--- a/crates/placement/src/backlog.rs
+++ b/crates/placement/src/backlog.rs
@@ -67,7 +67,11 @@
     }
 
     /// Counts a request of another instance that is expected to run for `run_ms` from now.
-    #[allow(clippy::cast_sign_loss, clippy::cast_possible_truncation, reason = "times are positive")]
+    #[allow(
+        clippy::cast_sign_loss,
+        clippy::cast_possible_truncation,
+        reason = "times are positive"
+    )]
     pub fn send_other(&mut self, run_ms: f64, now: f64) {
         self.others.push(Reverse((now + run_ms) as u64));
     }
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -214,8 +214,7 @@
             }
             return;
         }
-        let restarted =
-            |entry: &Entry| entry.target.born_unix_ms != target.born_unix_ms;
+        let restarted = |entry: &Entry| entry.target.born_unix_ms != target.born_unix_ms;
         match known.and_then(|key| self.entries.get_mut(key)) {
             Some(entry) if !restarted(entry) => entry.target = target.clone(),
             _ => {
@@ -461,19 +460,25 @@
             .entries
             .iter()
             .filter(|(_, entry)| entry.target.service == *demand.service)
-            .filter(|(_, entry)| entry.target.state == State::Ready && !entry.changing && fits(entry))
+            .filter(|(_, entry)| {
+                entry.target.state == State::Ready && !entry.changing && fits(entry)
+            })
             .filter(|(key, _)| !demand.avoid.contains(key))
             .map(|(key, entry)| (key, entry.health.standing(now)))
             .collect();
         let repairable = demand.repeat != config::Repeat::Never;
         if repairable
             && demand.avoid.is_empty()
-            && let Some((key, _)) = ready.iter().find(|(_, standing)| *standing == Standing::Probation)
+            && let Some((key, _)) =
+                ready.iter().find(|(_, standing)| *standing == Standing::Probation)
         {
             return vec![*key];
         }
-        let inside: Vec<Key> =
-            ready.iter().filter(|(_, standing)| *standing == Standing::In).map(|(key, _)| *key).collect();
+        let inside: Vec<Key> = ready
+            .iter()
+            .filter(|(_, standing)| *standing == Standing::In)
+            .map(|(key, _)| *key)
+            .collect();
         // Where all are left out, any of them is better than none.
         if inside.is_empty() { ready.into_iter().map(|(key, _)| key).collect() } else { inside }
     }
@@ -545,8 +550,7 @@
         if demand.prompt == Site::AtTarget {
             return None;
         }
-        let prefill =
-            self.usable(demand, now, |entry| entry.target.stage == Some(Stage::Prefill));
+        let prefill = self.usable(demand, now, |entry| entry.target.stage == Some(Stage::Prefill));
         let time = now.0 as f64;
         let mut best = prefill
             .into_iter()
@@ -627,8 +631,19 @@
         };
         let work = prompt_ms * (WORK_WEIGHT + DUTY_WEIGHT * excess);
         let fetch = fetch.map(|holder| holder.key);
-        let pending = cached.saturating_sub(entry.cache.computed_tokens(demand.parts).max(fetch.map_or(0, |_| cached)));
-        Weighed { key, fetch, fresh, pending, prompt_ms, beside_ms, first_ms, score: first_ms + work }
+        let pending = cached.saturating_sub(
+            entry.cache.computed_tokens(demand.parts).max(fetch.map_or(0, |_| cached)),
+        );
+        Weighed {
+            key,
+            fetch,
+            fresh,
+            pending,
+            prompt_ms,
+            beside_ms,
+            first_ms,
+            score: first_ms + work,
+        }
     }
 }
 
--- /dev/null
+++ b/crates/placement/tests/load.rs
@@ -0,0 +1,66 @@
+//! Plays the load of the Association's inspection assistant against a fleet in simulated time.
+
+#[path = "support/fleet.rs"]
+mod fleet_of_engines;
+
+use std::time::Duration;
+
+use fleet_of_engines::{Kind, compare};
+
+/// The requests of the Association, times `factor`.
+fn association(factor: f64) -> [Kind; 3] {
+    let kind = |per_s: f64, subjects, shared, fresh, output, target, timeout| Kind {
+        per_s: per_s * factor,
+        subjects,
+        shared,
+        fresh,
+        output,
+        target: Duration::from_millis(target),
+        timeout: Duration::from_millis(timeout),
+    };
+    [
+        kind(29.9, 135, 13_300, 3_720, 120, 600, 5_000),
+        kind(23.6, 71, 6_300, 2_890, 52, 1_000, 3_000),
+        kind(51.0, 346, 350, 1_110, 172, 1_000, 6_000),
+    ]
+}
+
+const COMPUTING: usize = 12;
+const GENERATING: usize = 6;
+const SECONDS: u64 = 40;
+/// Share of first tokens that users want in time.
+const IN_TIME: f64 = 0.95;
+
+#[test]
+fn at_the_usual_load_nearly_all_first_tokens_are_in_time() {
+    let reports = compare(COMPUTING, GENERATING, &association(1.0), SECONDS);
+    let board = &reports["board"];
+    assert!(board.in_time() >= IN_TIME, "{:.3}", board.in_time());
+    for (policy, report) in reports.iter().filter(|(policy, _)| **policy != "board") {
+        assert!(report.in_time() <= board.in_time(), "{policy} is better: {:.3}", report.in_time());
+    }
+}
+
+#[test]
+fn under_pressure_the_caches_are_kept_and_no_kind_starves() {
+    let reports = compare(COMPUTING, GENERATING, &association(1.8), SECONDS);
+    let board = &reports["board"];
+    for (policy, report) in reports.iter().filter(|(policy, _)| **policy != "board") {
+        assert!(report.in_time() <= board.in_time(), "{policy} is better: {:.3}", report.in_time());
+        assert!(board.read_share() <= report.read_share(), "{policy} reads less");
+    }
+    for kind in 0..board.kinds.len() {
+        let share = board.kind_in_time(kind);
+        assert!(share >= board.in_time() / 4.0, "kind {kind} starves: {share:.3}");
+    }
+}
+
+#[test]
+fn what_cannot_be_in_time_is_refused_and_what_is_taken_is_mostly_in_time() {
+    let reports = compare(COMPUTING, GENERATING, &association(3.0), SECONDS);
+    let board = &reports["board"];
+    let taken: u32 = board.kinds.iter().map(|kind| kind.in_time + kind.late).sum();
+    let in_time: u32 = board.kinds.iter().map(|kind| kind.in_time).sum();
+    assert!(f64::from(in_time) / f64::from(taken) >= 0.75, "{in_time} of {taken}");
+    assert!(board.kinds.iter().map(|kind| kind.refused).sum::<u32>() > 0);
+}
--- /dev/null
+++ b/crates/placement/tests/parts.rs
@@ -0,0 +1,272 @@
+//! The parts of the choice one by one.
+
+#[path = "support/fleet.rs"]
+#[allow(dead_code, reason = "the load tests use the rest")]
+mod fleet_of_engines;
+
+use std::time::Duration;
+
+use common::{clock::Moment, name};
+use fleet::{
+    config::Repeat,
+    exchange::Part,
+    registry::{Stage, State},
+};
+use fleet_of_engines::{board, target};
+use placement::{
+    backlog::Backlog,
+    board::{Board, Demand, Reason, Site, Verdict},
+    cache::Cache,
+    health::{Health, Outcome, Standing},
+    retry,
+};
+
+const NOW: Moment = Moment(1_000_000);
+
+fn parts(ids: &[(u64, u32)]) -> Vec<Part> {
+    ids.iter().map(|(id, tokens)| Part { id: *id, tokens: *tokens }).collect()
+}
+
+fn demand<'a>(service: &'a name::Service, parts: &'a [Part], target_ms: u64) -> Demand<'a> {
+    Demand {
+        service,
+        parts,
+        prompt_tokens: parts.iter().map(|part| u64::from(part.tokens)).sum(),
+        output_tokens: 50,
+        target: Duration::from_millis(target_ms),
+        remaining: Duration::from_secs(5),
+        avoid: &[],
+        repeat: Repeat::Never,
+        prompt: Site::Anywhere,
+    }
+}
+
+#[test]
+fn a_part_counts_only_behind_the_parts_before_it() {
+    let mut cache = Cache::new(100_000);
+    cache.computed(&parts(&[(1, 10), (2, 20)]));
+    assert_eq!(cache.tokens(&parts(&[(1, 10), (2, 20), (3, 30)])), 30);
+    assert_eq!(cache.tokens(&parts(&[(3, 30), (2, 20)])), 0);
+}
+
+#[test]
+fn the_least_recently_used_part_yields() {
+    let mut cache = Cache::new(100);
+    cache.computed(&parts(&[(1, 40)]));
+    cache.computed(&parts(&[(2, 40)]));
+    cache.computed(&parts(&[(1, 40)]));
+    cache.computed(&parts(&[(3, 40)]));
+    assert_eq!(cache.tokens(&parts(&[(1, 40)])), 40);
+    assert_eq!(cache.tokens(&parts(&[(2, 40)])), 0);
+}
+
+#[test]
+fn what_is_being_computed_cannot_be_copied_yet() {
+    let mut cache = Cache::new(100_000);
+    cache.send(&parts(&[(1, 10)]));
+    assert_eq!(
+        (cache.tokens(&parts(&[(1, 10)])), cache.computed_tokens(&parts(&[(1, 10)]))),
+        (10, 0)
+    );
+    cache.computed(&parts(&[(1, 10)]));
+    cache.send(&parts(&[(1, 10)]));
+    assert_eq!(cache.computed_tokens(&parts(&[(1, 10)])), 10);
+}
+
+#[test]
+fn a_memory_whose_size_becomes_known_later_holds_parts_from_then_on() {
+    let mut cache = Cache::new(0);
+    cache.computed(&parts(&[(1, 10)]));
+    assert_eq!(cache.tokens(&parts(&[(1, 10)])), 0);
+    cache.resize(1_000);
+    cache.computed(&parts(&[(1, 10)]));
+    assert_eq!(cache.tokens(&parts(&[(1, 10)])), 10);
+}
+
+#[test]
+fn a_late_prompt_moves_all_behind_it_once() {
+    let mut backlog = Backlog::default();
+    let first = backlog.add_prompt(100.0, 0.0);
+    let second = backlog.add_prompt(100.0, 0.0);
+    backlog.computed(first, 0.0, 200.0);
+    let after_first = backlog.wait_ms(200.0);
+    assert!(after_first > 50.0, "{after_first}");
+    backlog.computed(second, 0.0, 300.0);
+    assert!(backlog.wait_ms(300.0) < 40.0, "{}", backlog.wait_ms(300.0));
+}
+
+#[test]
+fn a_target_that_breaks_off_is_left_out_and_probed_with_a_single_request() {
+    let mut health = Health::default();
+    assert!(!health.observe(Outcome::Broken, 0.0, NOW));
+    assert!(health.observe(Outcome::Broken, 0.0, NOW));
+    assert_eq!(health.standing(NOW), Standing::Out);
+    let later = NOW + Duration::from_millis(1_100);
+    assert_eq!(health.standing(later), Standing::Probation);
+    health.send(later);
+    assert_eq!(health.standing(later), Standing::Out);
+    health.observe(Outcome::Success, 0.0, later);
+    assert_eq!(health.standing(later), Standing::In);
+}
+
+#[test]
+fn errors_that_all_targets_of_a_service_give_leave_none_out() {
+    let mut health = Health::default();
+    for _ in 0..50 {
+        health.observe(Outcome::Error, 0.9, NOW);
+    }
+    assert_eq!(health.standing(NOW), Standing::In);
+}
+
+#[test]
+fn a_target_that_fails_far_more_than_the_others_is_left_out() {
+    let mut health = Health::default();
+    for number in 0..40 {
+        let outcome = if number % 2 == 0 { Outcome::Success } else { Outcome::Error };
+        health.observe(outcome, 0.05, NOW);
+    }
+    assert_ne!(health.standing(NOW), Standing::In);
+}
+
+#[test]
+fn all_instances_together_stay_within_the_bounds_of_repeats() {
+    let bounds = retry::Bounds { window: Duration::from_secs(10), ratio: 0.2, slack: 56.0 };
+    let instances = 8;
+    let mut budgets = vec![retry::Budget::default(); instances];
+    let mut taken = 0;
+    let mut requests = 0;
+    for step in 0..1_000_u64 {
+        let now = NOW + Duration::from_millis(step * 10);
+        for budget in &mut budgets {
+            budget.count(&bounds, now);
+            requests += 1;
+            while budget.take(&bounds, instances, now) {
+                taken += 1;
+            }
+        }
+    }
+    let allowed = 0.2 * f64::from(requests) + 56.0;
+    assert!(f64::from(taken) <= allowed, "{taken} of {allowed}");
+    assert!(f64::from(taken) >= allowed / 2.0, "{taken} of {allowed}");
+}
+
+#[test]
+fn a_budget_is_free_again_after_its_window() {
+    let bounds = retry::Bounds { window: Duration::from_secs(10), ratio: 0.0, slack: 8.0 };
+    let mut budget = retry::Budget::default();
+    let taken = (0..20).filter(|_| budget.take(&bounds, 1, NOW)).count();
+    assert_eq!(taken, 6);
+    assert!(budget.take(&bounds, 1, NOW + Duration::from_secs(11)));
+}
+
+fn engines(stages: &[Stage]) -> Board {
+    let targets: Vec<Holder> = stages
+        .iter()
+        .enumerate()
+        .map(|(number, stage)| Holder(target(number, Some(*stage))))
+        .collect();
+    board(1, &targets)
+}
+
+struct Holder(fleet::registry::Target);
+
+impl AsRef<fleet::registry::Target> for Holder {
+    fn as_ref(&self) -> &fleet::registry::Target {
+        &self.0
+    }
+}
+
+#[test]
+fn a_request_goes_where_its_prompt_is_held() {
+    let mut board = engines(&[Stage::Decode, Stage::Decode, Stage::Decode]);
+    let service = name::Service::from("engines");
+    let shared = parts(&[(1, 13_000), (2, 500)]);
+    let Verdict::Send(first) = board.choose(&demand(&service, &shared, 2_000), NOW) else {
+        panic!("refused");
+    };
+    let (number, _) = board.send(&first, &demand(&service, &shared, 2_000), NOW);
+    let later = Moment(first.expected_at.round() as u64);
+    board.computed(number, later);
+    board.hold(first.target, &shared);
+    board.end(first.target);
+    // By then the engine's time is free again.
+    let later = later + Duration::from_secs(8);
+    let next = parts(&[(1, 13_000), (3, 500)]);
+    let Verdict::Send(second) = board.choose(&demand(&service, &next, 2_000), later) else {
+        panic!("refused");
+    };
+    assert_eq!((second.target, second.fresh), (first.target, 500));
+}
+
+#[test]
+fn parts_are_copied_rather_than_computed_again() {
+    let mut board = engines(&[Stage::Prefill, Stage::Prefill, Stage::Decode]);
+    let service = name::Service::from("engines");
+    let shared = parts(&[(1, 13_000), (2, 3_000)]);
+    let Verdict::Send(first) = board.choose(&demand(&service, &shared, 2_000), NOW) else {
+        panic!("refused");
+    };
+    let computing = first.prefill.expect("long prompts are computed apart");
+    board.hold(computing, &shared);
+    // The engine that holds the parts is busy for a second.
+    let busy = parts(&[(9, 60_000)]);
+    let mut plan = first.clone();
+    plan.prompt_ms = 1_000.0;
+    board.send(&plan, &demand(&service, &busy, 2_000), NOW);
+    let next = parts(&[(1, 13_000), (3, 3_000)]);
+    let Verdict::Send(second) = board.choose(&demand(&service, &next, 2_000), NOW) else {
+        panic!("refused");
+    };
+    assert_ne!(second.prefill, Some(computing));
+    assert_eq!((second.fetch, second.fresh), (Some(computing), 3_000));
+}
+
+#[test]
+fn a_computed_prompt_is_not_moved_to_an_engine_that_leaves_meanwhile() {
+    let mut board = engines(&[Stage::Prefill, Stage::Decode, Stage::Decode]);
+    let service = name::Service::from("engines");
+    let prompt = parts(&[(1, 20_000)]);
+    let Verdict::Send(plan) = board.choose(&demand(&service, &prompt, 2_000), NOW) else {
+        panic!("refused");
+    };
+    let mut leaving = board.entry(plan.target).expect("known").target.clone();
+    leaving.state = State::Draining;
+    leaving.sequence += 1;
+    board.update(&leaving);
+    let from = plan.prefill.expect("long prompts are computed apart");
+    let receiver = board.receiver(from, &demand(&service, &prompt, 2_000), NOW);
+    assert!(receiver.is_some_and(|receiver| receiver != plan.target));
+}
+
+#[test]
+fn an_engine_that_changes_what_it_does_gets_no_new_work() {
+    let mut board = engines(&[Stage::Decode]);
+    let service = name::Service::from("engines");
+    let prompt = parts(&[(1, 100)]);
+    board.set_changing(&[name::Target::from("i-0")]);
+    let Verdict::Refuse(refusal) = board.choose(&demand(&service, &prompt, 1_000), NOW) else {
+        panic!("sent");
+    };
+    assert_eq!(refusal.reason, Reason::NoTarget);
+    board.set_changing(&[]);
+    assert!(matches!(board.choose(&demand(&service, &prompt, 1_000), NOW), Verdict::Send(_)));
+}
+
+#[test]
+fn what_would_be_late_is_refused_with_the_time_to_come_back() {
+    let mut board = engines(&[Stage::Decode]);
+    let service = name::Service::from("engines");
+    let prompt = parts(&[(1, 2_000)]);
+    let Verdict::Send(mut plan) = board.choose(&demand(&service, &prompt, 600), NOW) else {
+        panic!("refused");
+    };
+    plan.prompt_ms = 1_200.0;
+    board.send(&plan, &demand(&service, &prompt, 600), NOW);
+    let Verdict::Refuse(refusal) = board.choose(&demand(&service, &parts(&[(2, 2_000)]), 600), NOW)
+    else {
+        panic!("sent");
+    };
+    assert_eq!(refusal.reason, Reason::TooLate);
+    let pause = refusal.retry_after.as_millis();
+    assert!((500..900).contains(&pause), "{pause} ms");
+}
--- /dev/null
+++ b/crates/placement/tests/support/fleet.rs
@@ -0,0 +1,363 @@
+//! A fleet of engines in simulated time, with several entry instances that choose among them.
+//!
+//! Engines compute prompts in the order of their arrival and keep what they have read. Other than the board they
+//! know the truth: when a prompt is really computed and which parts are really held then.
+
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+use common::{clock::Moment, collections::Map, name, random::Random};
+use fleet::{
+    config::{Config, Engine, Repeat, Service},
+    exchange::{Notice, Part},
+    registry::{Stage, State, Target},
+};
+use placement::{
+    board::{Board, Demand, Key, Plan, Site, Verdict},
+    cache::Cache,
+    speed::{self, Distance, Speed},
+};
+
+const SERVICE: &str = "engines";
+const START_MS: u64 = 1_000_000;
+const KV_TOKENS: u64 = 505_550;
+
+/// How requests choose their engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// The board.
+    Board,
+    /// Any engine that computes prompts.
+    Random,
+    /// The engine with the fewest own requests.
+    LeastOutstanding,
+    /// The engine that the first part is hashed to.
+    Affinity,
+}
+
+/// One kind of request; numbers as in the operators' sheets.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    pub per_s: f64,
+    pub subjects: u64,
+    pub shared: u32,
+    pub fresh: u32,
+    pub output: u64,
+    pub target: Duration,
+    pub timeout: Duration,
+}
+
+/// What callers of one kind got.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Outcome {
+    pub asked: u32,
+    pub in_time: u32,
+    pub late: u32,
+    pub refused: u32,
+}
+
+/// What a run gave.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    pub kinds: Vec<Outcome>,
+    pub read_tokens: u64,
+    pub asked_tokens: u64,
+}
+
+impl Report {
+    pub fn in_time(&self) -> f64 {
+        let asked: u32 = self.kinds.iter().map(|kind| kind.asked).sum();
+        let in_time: u32 = self.kinds.iter().map(|kind| kind.in_time).sum();
+        f64::from(in_time) / f64::from(asked.max(1))
+    }
+
+    pub fn kind_in_time(&self, kind: usize) -> f64 {
+        let outcome = &self.kinds[kind];
+        f64::from(outcome.in_time) / f64::from(outcome.asked.max(1))
+    }
+
+    pub fn read_share(&self) -> f64 {
+        self.read_tokens as f64 / self.asked_tokens.max(1) as f64
+    }
+}
+
+struct Machine {
+    target: Target,
+    cache: Cache,
+    busy_until: f64,
+    outstanding: u32,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival,
+    Done(usize),
+}
+
+/// The machine that computes a prompt, the one it copies parts from, and the board's plan with its number.
+type Choice = (usize, Option<usize>, Option<(Plan, u64)>);
+
+struct Sent {
+    front: usize,
+    machine: usize,
+    plan: Option<(Plan, u64)>,
+    parts: Vec<Part>,
+}
+
+pub struct Fleet {
+    policy: Policy,
+    machines: Vec<Machine>,
+    fronts: Vec<Board>,
+    kinds: Vec<Kind>,
+    random: Random,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sent: Vec<Sent>,
+    report: Report,
+    next_part: u64,
+    order: u64,
+}
+
+impl Fleet {
+    pub fn new(policy: Policy, computing: usize, generating: usize, kinds: &[Kind]) -> Fleet {
+        let stages =
+            (0..computing).map(|_| Stage::Prefill).chain((0..generating).map(|_| Stage::Decode));
+        let machines: Vec<Machine> =
+            stages.enumerate().map(|(number, stage)| machine(number, stage)).collect();
+        let fronts = (0..8).map(|front| board(front, &machines)).collect();
+        Fleet {
+            policy,
+            machines,
+            fronts,
+            kinds: kinds.to_vec(),
+            random: Random::new(7),
+            events: BinaryHeap::new(),
+            sent: Vec::new(),
+            report: Report { kinds: vec![Outcome::default(); kinds.len()], ..Report::default() },
+            next_part: 1 << 40,
+            order: 0,
+        }
+    }
+
+    /// Plays `seconds` of load.
+    pub fn play(mut self, seconds: u64) -> Report {
+        let end = (START_MS + seconds * 1_000) * 1_000;
+        self.push(START_MS * 1_000, Event::Arrival);
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > end {
+                break;
+            }
+            match event {
+                Event::Arrival => {
+                    let total: f64 = self.kinds.iter().map(|kind| kind.per_s).sum();
+                    let gap_us = -(1.0 - self.random.unit()).ln() / total * 1e6;
+                    self.push(at + gap_us as u64, Event::Arrival);
+                    self.arrive(at);
+                }
+                Event::Done(sent) => self.done(sent, at),
+            }
+        }
+        self.report
+    }
+
+    fn push(&mut self, at: u64, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse((at, self.order, event)));
+    }
+
+    fn arrive(&mut self, at: u64) {
+        let total: f64 = self.kinds.iter().map(|kind| kind.per_s).sum();
+        let mut draw = self.random.unit() * total;
+        let mut number = 0;
+        while draw > self.kinds[number].per_s && number + 1 < self.kinds.len() {
+            draw -= self.kinds[number].per_s;
+            number += 1;
+        }
+        let kind = self.kinds[number];
+        let subject = ((number as u64) << 32) | (self.random.word() % kind.subjects);
+        self.next_part += 1;
+        // Sizes vary as much as callers' do: half of the mean to twice the mean.
+        let own = (f64::from(kind.fresh)
+            * (0.5 + 1.5 * self.random.unit() * self.random.unit() * 2.0)) as u32;
+        let parts = vec![
+            Part { id: subject, tokens: kind.shared },
+            Part { id: self.next_part, tokens: own },
+        ];
+        let prompt = u64::from(kind.shared) + u64::from(own);
+        self.report.asked_tokens += prompt;
+        let outcome = &mut self.report.kinds[number];
+        outcome.asked += 1;
+        let front = self.random.below(self.fronts.len());
+        let service = name::Service::from(SERVICE);
+        let demand = Demand {
+            service: &service,
+            parts: &parts,
+            prompt_tokens: prompt,
+            output_tokens: kind.output,
+            target: kind.target,
+            remaining: kind.timeout,
+            avoid: &[],
+            repeat: Repeat::Never,
+            prompt: Site::Anywhere,
+        };
+        let now = Moment(at / 1_000);
+        let time = at as f64 / 1e3;
+        let Some((machine, fetch, plan)) = self.choose(front, &demand, now) else {
+            self.report.kinds[number].refused += 1;
+            return;
+        };
+        let mut held = self.machines[machine].cache.computed_tokens(&parts);
+        let mut moved_ms = 0.0;
+        if let Some(holder) = fetch {
+            let there = self.machines[holder].cache.computed_tokens(&parts);
+            if there > held {
+                moved_ms = speed::transfer_ms(&engine(), there - held, Distance::Near);
+                held = there;
+            }
+        }
+        let machine_state = &mut self.machines[machine];
+        let fresh = prompt - held.min(prompt);
+        self.report.read_tokens += fresh;
+        let prompt_ms = Speed::default().prompt_ms(machine_state.target.stage, fresh, held);
+        let done = machine_state.busy_until.max(time) + prompt_ms + moved_ms;
+        machine_state.busy_until = done;
+        machine_state.outstanding += 1;
+        let hand_over = if machine_state.target.stage == Some(Stage::Prefill) {
+            speed::transfer_ms(&engine(), prompt, Distance::Near)
+        } else {
+            0.0
+        };
+        let first_ms = done - time + hand_over + speed::first_step_ms();
+        let outcome = &mut self.report.kinds[number];
+        if first_ms <= kind.target.as_secs_f64() * 1e3 {
+            outcome.in_time += 1;
+        } else {
+            outcome.late += 1;
+        }
+        self.sent.push(Sent { front, machine, plan, parts });
+        self.push((done * 1e3) as u64, Event::Done(self.sent.len() - 1));
+    }
+
+    fn choose(&mut self, front: usize, demand: &Demand<'_>, now: Moment) -> Option<Choice> {
+        let computing: Vec<usize> = (0..self.machines.len())
+            .filter(|number| self.machines[*number].target.stage == Some(Stage::Prefill))
+            .collect();
+        match self.policy {
+            Policy::Random => Some((computing[self.random.below(computing.len())], None, None)),
+            Policy::LeastOutstanding => {
+                let least =
+                    computing.into_iter().min_by_key(|number| self.machines[*number].outstanding);
+                Some((least?, None, None))
+            }
+            Policy::Affinity => {
+                let hash = common::random::mix(demand.parts[0].id);
+                Some((computing[usize::try_from(hash % computing.len() as u64).ok()?], None, None))
+            }
+            Policy::Board => {
+                let Verdict::Send(plan) = self.fronts[front].choose(demand, now) else {
+                    return None;
+                };
+                let (number, notices) = self.fronts[front].send(&plan, demand, now);
+                self.tell(front, &notices, now);
+                let computes = self.number(front, plan.prefill.unwrap_or(plan.target));
+                let fetch = plan.fetch.map(|key| self.number(front, key));
+                Some((computes, fetch, Some((plan, number))))
+            }
+        }
+    }
+
+    fn done(&mut self, sent: usize, at: u64) {
+        let Sent { front, machine, parts, .. } = &self.sent[sent];
+        let (front, machine, parts) = (*front, *machine, parts.clone());
+        let now = Moment(at / 1_000);
+        self.machines[machine].cache.computed(&parts);
+        self.machines[machine].outstanding -= 1;
+        let Some((plan, number)) = self.sent[sent].plan.clone() else {
+            return;
+        };
+        let board = &mut self.fronts[front];
+        let mut notices: Vec<Notice> = board.computed(number, now).into_iter().collect();
+        for key in [Some(plan.target), plan.prefill].into_iter().flatten() {
+            notices.extend(board.hold(key, &parts));
+        }
+        board.end(plan.target);
+        let target = self.number(front, plan.target);
+        self.machines[target].cache.computed(&parts);
+        self.tell(front, &notices, now);
+    }
+
+    fn tell(&mut self, from: usize, notices: &[Notice], now: Moment) {
+        for (number, board) in self.fronts.iter_mut().enumerate() {
+            if number != from {
+                notices.iter().for_each(|notice| board.hear(notice, now));
+            }
+        }
+    }
+
+    fn number(&self, front: usize, key: Key) -> usize {
+        let name = &self.fronts[front].entry(key).expect("the target is known").target.name;
+        self.machines.iter().position(|machine| machine.target.name == *name).expect("it exists")
+    }
+}
+
+pub fn engine() -> Engine {
+    Engine {
+        slots: 64,
+        kv_tokens: KV_TOKENS,
+        kv_token_bytes: 327_680,
+        link_mbps: 3_800_000,
+        handle_life: Duration::from_secs(5),
+    }
+}
+
+pub fn target(number: usize, stage: Option<Stage>) -> Target {
+    Target {
+        name: name::Target(format!("i-{number}")),
+        service: name::Service::from(SERVICE),
+        address: format!("10.0.0.{}:80", number + 1).parse().expect("an address"),
+        data_centre: name::DataCentre::from("suva"),
+        state: State::Ready,
+        stage,
+        slots: 64,
+        born_unix_ms: 1,
+        sequence: 1,
+    }
+}
+
+pub fn board(seed: u64, machines: &[impl AsRef<Target>]) -> Board {
+    let mut board = Board::new(name::DataCentre::from("suva"), seed);
+    let service =
+        Service { name: name::Service::from(SERVICE), connections: 370, engine: Some(engine()) };
+    board.configure(&Config { version: 1, services: vec![service], ..Config::default() });
+    for machine in machines {
+        board.update(machine.as_ref());
+    }
+    board
+}
+
+impl AsRef<Target> for Machine {
+    fn as_ref(&self) -> &Target {
+        &self.target
+    }
+}
+
+fn machine(number: usize, stage: Stage) -> Machine {
+    let target = target(number, Some(stage));
+    Machine { target, cache: Cache::new(KV_TOKENS), busy_until: 0.0, outstanding: 0 }
+}
+
+/// Names of the policies with what each gave, for a table.
+pub fn compare(
+    computing: usize,
+    generating: usize,
+    kinds: &[Kind],
+    seconds: u64,
+) -> Map<&'static str, Report> {
+    let policies = [
+        ("board", Policy::Board),
+        ("random", Policy::Random),
+        ("least outstanding", Policy::LeastOutstanding),
+        ("affinity", Policy::Affinity),
+    ];
+    let run =
+        |(name, policy)| (name, Fleet::new(policy, computing, generating, kinds).play(seconds));
+    policies.into_iter().map(run).collect()
+}
--- a/crates/roles/src/split.rs
+++ b/crates/roles/src/split.rs
@@ -3,6 +3,8 @@
 //! Answers a load whose prompts are long and whose answers are short: an engine that generates computes prompts at
 //! half speed and holds up its streams meanwhile, so most engines compute prompts and few generate.
 
+use std::cmp::{Ordering, Reverse};
+
 use common::{collections::Map, name};
 use fleet::registry::Stage;
 
@@ -50,9 +52,9 @@
     while changes.len() < limit {
         let computing = engines.iter().filter(|engine| engine.stage == Stage::Prefill).count();
         let (from, to) = match computing.cmp(&wanted) {
-            std::cmp::Ordering::Less => (Stage::Decode, Stage::Prefill),
-            std::cmp::Ordering::Greater => (Stage::Prefill, Stage::Decode),
-            std::cmp::Ordering::Equal => break,
+            Ordering::Less => (Stage::Decode, Stage::Prefill),
+            Ordering::Greater => (Stage::Prefill, Stage::Decode),
+            Ordering::Equal => break,
         };
         let Some(position) = candidate(&engines, from) else {
             break;
@@ -70,8 +72,8 @@
         *counts.entry(&engine.data_centre).or_default() += 1;
     }
     let fitting = engines.iter().enumerate().filter(|(_, engine)| engine.stage == stage);
-    fitting
-        .rev()
-        .max_by_key(|(_, engine)| (counts.get(&engine.data_centre).copied(), &engine.data_centre))
-        .map(|(position, _)| position)
+    let first = fitting.min_by_key(|(_, engine)| {
+        (Reverse(counts.get(&engine.data_centre).copied()), &engine.data_centre)
+    });
+    first.map(|(position, _)| position)
 }
--- /dev/null
+++ b/crates/roles/tests/split.rs
@@ -0,0 +1,51 @@
+//! How many engines compute prompts, and which one changes next.
+
+use common::name;
+use fleet::registry::Stage;
+use roles::split::{self, Engine};
+use yare::parameterized;
+
+fn engines(places: &[(&str, Stage)]) -> Vec<Engine> {
+    let engine = |(number, (place, stage)): (usize, &(&str, Stage))| Engine {
+        target: name::Target(format!("i-{number:02}")),
+        data_centre: name::DataCentre::from(*place),
+        stage: *stage,
+    };
+    places.iter().enumerate().map(engine).collect()
+}
+
+#[parameterized(
+    usual = { 18, 0.7, 13 },
+    small = { 9, 0.7, 6 },
+    two_generate = { 3, 0.9, 1 },
+    none_is_left = { 2, 0.7, 0 },
+    one = { 1, 0.7, 0 },
+    no_share = { 10, 0.0, 1 },
+)]
+fn the_wanted_number_leaves_enough_that_generate(engines: usize, share: f64, computing: usize) {
+    assert_eq!(split::computing(engines, share), computing);
+}
+
+#[test]
+fn changes_take_from_the_data_centre_that_has_most() {
+    let fleet = engines(&[
+        ("suva", Stage::Decode),
+        ("suva", Stage::Decode),
+        ("suva", Stage::Decode),
+        ("nadi", Stage::Decode),
+        ("nadi", Stage::Prefill),
+    ]);
+    let changes = split::changes(&fleet, 3, 10);
+    let names: Vec<&str> = changes.iter().map(|change| change.target.as_ref()).collect();
+    assert_eq!(names, ["i-00", "i-01"]);
+    assert!(changes.iter().all(|change| change.stage == Stage::Prefill));
+}
+
+#[test]
+fn changes_go_both_ways_and_stop_at_the_limit() {
+    let fleet = engines(&[("suva", Stage::Prefill); 6]);
+    let changes = split::changes(&fleet, 2, 3);
+    assert_eq!(changes.len(), 3);
+    assert!(changes.iter().all(|change| change.stage == Stage::Decode));
+    assert!(split::changes(&fleet, 6, 3).is_empty());
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -46,7 +46,10 @@
         report("callers", "the instance has nothing to do; expected `callers` or `control`");
     }
     if settings.callers.is_some() && settings.readiness.is_none() {
-        report("readiness", "is missing; an instance with `callers` says there whether it is ready");
+        report(
+            "readiness",
+            "is missing; an instance with `callers` says there whether it is ready",
+        );
     }
     if settings.control.is_some() && settings.data_folder.is_none() {
         report("data_folder", "is missing; an instance with `control` keeps state on a disk");
