--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -8,7 +8,10 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming};
 use placement::{
-    board::{Demand, Key, Reason, Refusal, Site, Verdict},
+    board::{
+        Key,
+        demand::{Demand, Reason, Refusal, Site, Verdict},
+    },
     health::Outcome,
 };
 use platform::request::{Ask, Leg, Step};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! The request path of the fleet: takes callers' requests in, puts them to targets and passes the answers back.
 //!
 //! [`state::Gateway`] holds what all requests share, [`listener`] the connections of callers, [`serve`] routes a
-//! request, [`whole`] and [`stream`] carry it out, [`connection`] and [`pool`] reach the targets.
+//! request, `whole` and `stream` carry it out, [`connection`] and [`pool`] reach the targets.
 
 pub mod answer;
 pub mod connection;
--- a/crates/gateway/src/sent.rs
+++ b/crates/gateway/src/sent.rs
@@ -5,7 +5,7 @@
 use common::{clock::Moment, name};
 use fleet::exchange::Part;
 use placement::{
-    board::{Key, Plan},
+    board::{Key, demand::Plan},
     health::Outcome,
 };
 use slog::info;
--- /dev/null
+++ b/crates/placement/src/board/notices.rs
@@ -0,0 +1,167 @@
+//! What the instances tell each other of the prompts that they send.
+
+use std::time::Duration;
+
+use common::clock::Moment;
+use fleet::exchange::{self, Notice, Part};
+
+use crate::{
+    backlog::Mark,
+    board::{
+        Board, Entry, Key,
+        demand::{Demand, Plan},
+    },
+    speed,
+};
+
+/// Prompts that are remembered until they are known to be computed; above that the old ones are forgotten.
+const MAX_PROMPTS: usize = 4_096;
+/// A prompt is computed or given up well within this time.
+const PROMPT_LIFE: Duration = Duration::from_secs(10);
+
+/// A prompt that was sent and is not known to be computed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Prompt {
+    key: Key,
+    mark: Mark,
+    wait_ms: f64,
+    prompt_ms: f64,
+    beside_ms: f64,
+    at: Moment,
+}
+
+impl Board {
+    /// Counts a plan as sent; returns the number of its prompt and what other instances are told of it.
+    pub fn send(&mut self, plan: &Plan, demand: &Demand<'_>, now: Moment) -> (u64, Vec<Notice>) {
+        let number = self.random.word();
+        if let Some(entry) = self.entries.get_mut(plan.target) {
+            entry.backlog.send();
+            entry.health.send(now);
+        }
+        if demand.parts.is_empty() {
+            return (number, Vec::new());
+        }
+        let computing = plan.prefill.unwrap_or(plan.target);
+        let mut dispatches = Vec::new();
+        if let Some(entry) = self.entries.get(computing) {
+            let output = if plan.prefill.is_some() { 0 } else { demand.output_tokens };
+            let dispatch = exchange::Dispatch {
+                number,
+                target: entry.target.name.clone(),
+                prompt_us: microseconds(plan.prompt_ms),
+                beside_us: microseconds(plan.beside_ms),
+                output: u32::try_from(output).unwrap_or(u32::MAX),
+                parts: demand.parts.to_vec(),
+            };
+            self.count_prompt(computing, &dispatch, now);
+            dispatches.push(dispatch);
+        }
+        if plan.prefill.is_some()
+            && let Some(entry) = self.entries.get(plan.target)
+        {
+            // The parts arrive there only once they are computed.
+            dispatches.push(exchange::Dispatch {
+                number: 0,
+                target: entry.target.name.clone(),
+                prompt_us: 0,
+                beside_us: 0,
+                output: u32::try_from(demand.output_tokens).unwrap_or(u32::MAX),
+                parts: Vec::new(),
+            });
+        }
+        (number, dispatches.into_iter().map(Notice::Sent).collect())
+    }
+
+    /// Takes in a notice of another instance.
+    pub fn hear(&mut self, notice: &Notice, now: Moment) {
+        match notice {
+            Notice::Sent(dispatch) => self.hear_dispatch(dispatch, now),
+            Notice::Computed { number } => drop(self.computed(*number, now)),
+            Notice::Withdrawn { number } => drop(self.withdraw(*number, now)),
+            Notice::Held { target, parts } => {
+                if let Some(key) = self.names.get(target).copied() {
+                    self.hold(key, parts);
+                }
+            }
+        }
+    }
+
+    /// Takes in that a prompt is computed; returns what other instances are told of it.
+    pub fn computed(&mut self, number: u64, now: Moment) -> Option<Notice> {
+        let prompt = self.prompts.remove(&number)?;
+        let entry = self.entries.get_mut(prompt.key)?;
+        entry.backlog.computed(prompt.mark, prompt.beside_ms, now.0 as f64);
+        // Only a prompt that hardly waited shows the speed of the engine itself.
+        if prompt.wait_ms < prompt.prompt_ms / 4.0 {
+            let taken_ms = now.since(prompt.at).as_secs_f64() * 1e3;
+            entry.speed.observe(prompt.wait_ms + prompt.prompt_ms + prompt.beside_ms, taken_ms);
+        }
+        Some(Notice::Computed { number })
+    }
+
+    /// Takes in that a target holds the parts of a prompt; returns what other instances are told of it.
+    pub fn hold(&mut self, key: Key, parts: &[Part]) -> Option<Notice> {
+        let entry = self.entries.get_mut(key).filter(|_| !parts.is_empty())?;
+        entry.cache.computed(parts);
+        Some(Notice::Held { target: entry.target.name.clone(), parts: parts.to_vec() })
+    }
+
+    /// Takes back a prompt that will not be computed; returns what other instances are told of it.
+    pub fn withdraw(&mut self, number: u64, now: Moment) -> Option<Notice> {
+        let prompt = self.prompts.remove(&number)?;
+        let entry = self.entries.get_mut(prompt.key)?;
+        entry.backlog.withdraw(prompt.prompt_ms, now.0 as f64);
+        Some(Notice::Withdrawn { number })
+    }
+
+    fn hear_dispatch(&mut self, dispatch: &exchange::Dispatch, now: Moment) {
+        let Some(key) = self.names.get(&dispatch.target).copied() else {
+            return;
+        };
+        if !dispatch.parts.is_empty() {
+            self.count_prompt(key, dispatch, now);
+        }
+        if dispatch.output > 0
+            && let Some(entry) = self.entries.get_mut(key)
+        {
+            let time = now.0 as f64;
+            let running = entry.backlog.running(time);
+            let output_ms = speed::output_ms(u64::from(dispatch.output), running);
+            entry.backlog.send_other(entry.backlog.wait_ms(time) + output_ms, time);
+        }
+    }
+
+    /// Counts a prompt at the target that computes it.
+    fn count_prompt(&mut self, key: Key, dispatch: &exchange::Dispatch, now: Moment) {
+        let forgotten = |prompt: &Prompt| now.since(prompt.at) > PROMPT_LIFE;
+        if self.prompts.len() >= MAX_PROMPTS {
+            self.prompts.retain(|_, prompt| !forgotten(prompt));
+        }
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        let time = now.0 as f64;
+        let prompt_ms = f64::from(dispatch.prompt_us) / 1e3;
+        let wait_ms = entry.backlog.wait_ms(time);
+        let mark = entry.backlog.add_prompt(prompt_ms, time);
+        entry.cache.send(&dispatch.parts);
+        let beside_ms = f64::from(dispatch.beside_us) / 1e3;
+        let prompt = Prompt { key, mark, wait_ms, prompt_ms, beside_ms, at: now };
+        self.prompts.insert(dispatch.number, prompt);
+    }
+
+    /// The parts that each engine is believed to hold, for an instance that has just started.
+    pub fn holdings(&self) -> Vec<Notice> {
+        let engines = self.entries.values().filter(|entry| entry.target.stage.is_some());
+        let holding = |entry: &Entry| Notice::Held {
+            target: entry.target.name.clone(),
+            parts: entry.cache.all(),
+        };
+        engines.map(holding).collect()
+    }
+}
+
+#[allow(clippy::cast_sign_loss, clippy::cast_possible_truncation, reason = "saturates")]
+fn microseconds(ms: f64) -> u32 {
+    (ms * 1e3) as u32
+}
--- a/crates/placement/tests/parts.rs
+++ b/crates/placement/tests/parts.rs
@@ -15,7 +15,10 @@
 use fleet_of_engines::{board, target};
 use placement::{
     backlog::Backlog,
-    board::{Board, Demand, Reason, Site, Verdict},
+    board::{
+        Board,
+        demand::{Demand, Reason, Site, Verdict},
+    },
     cache::Cache,
     health::{Health, Outcome, Standing},
     retry,
--- a/crates/placement/tests/support/fleet.rs
+++ b/crates/placement/tests/support/fleet.rs
@@ -12,7 +12,10 @@
     registry::{Stage, State, Target},
 };
 use placement::{
-    board::{Board, Demand, Key, Plan, Site, Verdict},
+    board::{
+        Board, Key,
+        demand::{Demand, Plan, Site, Verdict},
+    },
     cache::Cache,
     speed::{self, Distance, Speed},
 };
