Instances that find each other from seeds: tests with real daemons; a stop closes connections only after their next answer

Cause: connections that were opened after SIGTERM were closed at once, before their first request was read, although the balancer still sent callers there (test an_instance_that_stops_says_so_and_cuts_nothing, red before).

--- a/crates/daisydrum/src/seeded.rs
+++ b/crates/daisydrum/src/seeded.rs
@@ -41,7 +41,7 @@
         reload::start(&context, path.to_path_buf())?;
         info!(context.log, "started"; "instance" => %context.card.instance,
             "data_centre" => %context.card.data_centre, "peers" => %context.card.address,
-            "seeds" => format!("{:?}", context.seeds.borrow()));
+            "seeds" => format!("{:?}", *context.seeds.borrow()));
         signals.wait().await;
         info!(context.log, "stopping"; "instance" => %context.card.instance);
         context.stop.cancel();
--- /dev/null
+++ b/crates/daisydrum/tests/seeded/leaving.rs
@@ -0,0 +1,93 @@
+//! Targets that leave, engines that change what they do, and instances that stop.
+
+use platform_standin::{
+    call,
+    runner::{Manner, Runner},
+};
+use rustix::process::Signal;
+
+use crate::fleet::{Fleet, until};
+
+#[tokio::test]
+async fn a_leaving_target_gets_nothing_once_that_is_acknowledged() {
+    let fleet = Fleet::start("seeded-drain");
+    fleet.declare(3).await;
+    let control = fleet.control_addresses();
+    let stays = Runner::start("stays", "portal", None, 0, control.clone()).await;
+    let leaves = Runner::start("leaves", "portal", None, 0, control.clone()).await;
+    fleet.until_ready().await;
+    let callers = fleet.entries[0].callers();
+    until("both serve", async || {
+        call::ask(callers, "/lodge/1", "a").await;
+        !stays.runs().is_empty() && !leaves.runs().is_empty()
+    })
+    .await;
+    assert!(leaves.drain(control[1]).await);
+    let before = leaves.runs().len();
+    for number in 0..20 {
+        assert_eq!(call::ask(callers, "/lodge/1", &format!("d{number}")).await.status, Some(200));
+    }
+    assert_eq!(leaves.runs().len(), before);
+}
+
+#[tokio::test]
+async fn engines_are_split_by_one_holder_with_rising_fences() {
+    let fleet = Fleet::start("seeded-split");
+    fleet.declare(3).await;
+    let control = fleet.control_addresses();
+    let mut engines = Vec::new();
+    for number in 0..6 {
+        let name = format!("engine-{number}");
+        engines.push(Runner::start(&name, "engines", Some("decode"), 4, control.clone()).await);
+    }
+    until("most engines compute prompts", async || {
+        engines.iter().filter(|engine| engine.stage() == Some("prefill")).count() == 4
+    })
+    .await;
+    let orders: Vec<serde_json::Value> = engines.iter().flat_map(Runner::orders).collect();
+    assert_eq!(orders.len(), 4, "{orders:?}");
+    let holder = &orders[0]["holder"];
+    assert!(orders.iter().all(|order| order["holder"] == *holder), "{orders:?}");
+    assert!(orders.iter().all(|order| order["fence"].as_u64().is_some_and(|fence| fence > 0)));
+    fleet.until_ready().await;
+    let stream = call::ask_stream(fleet.entries[0].callers(), "/summary/1", "s").await;
+    assert_eq!(call::events(&stream.body), [1, 2, 3, 4], "{stream:?}");
+}
+
+#[tokio::test]
+async fn an_instance_that_stops_says_so_and_cuts_nothing() {
+    let mut fleet = Fleet::start("seeded-stop");
+    fleet.declare(3).await;
+    let control = fleet.control_addresses();
+    let _engine = Runner::start("engine", "engines", Some("decode"), 60, control.clone()).await;
+    fleet.until_ready().await;
+    let (callers, readiness) = (fleet.entries[0].callers(), fleet.entries[0].readiness());
+    let running = tokio::spawn(call::ask_stream(callers, "/summary/1", "s1"));
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    fleet.entries[0].signal(Signal::TERM);
+    until("it isn't ready", async || !call::is_ready(readiness).await).await;
+    // Callers whose balancer has not noticed yet are still served.
+    let late = call::ask_stream(callers, "/summary/1", "s2").await;
+    assert_eq!(call::events(&late.body).len(), 60);
+    let stream = running.await.unwrap();
+    assert!(stream.whole, "{stream:?}");
+    assert_eq!(call::events(&stream.body).len(), 60);
+    assert_eq!(fleet.entries[0].ended().await, Some(0));
+}
+
+#[tokio::test]
+async fn a_restarted_instance_is_ready_only_with_the_newest_configuration() {
+    let mut fleet = Fleet::start("seeded-restart");
+    fleet.declare(3).await;
+    let control = fleet.control_addresses();
+    let portal = Runner::start("portal", "portal", None, 0, control.clone()).await;
+    portal.set_manner(Manner::Serve);
+    fleet.until_ready().await;
+    fleet.entries[0].kill();
+    let mut without_lodging = call::config(8);
+    without_lodging["routes"].as_array_mut().unwrap().truncate(3);
+    assert_eq!(call::declare(control[0], &without_lodging).await, Some(200));
+    fleet.entries[0].start();
+    fleet.until_ready().await;
+    assert_eq!(call::ask(fleet.entries[0].callers(), "/lodge/1", "l").await.status, Some(404));
+}
--- /dev/null
+++ b/crates/daisydrum/tests/seeded/main.rs
@@ -0,0 +1,9 @@
+//! Real daemons that find each other from seeds, with stand-ins of the operators' platform.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod control;
+mod fleet;
+mod leaving;
+mod path;
+mod reload;
--- /dev/null
+++ b/crates/daisydrum/tests/seeded/path.rs
@@ -0,0 +1,159 @@
+//! The way of requests: kinds, failures of targets, refusals.
+
+use hyper::Method;
+use platform_standin::{
+    call,
+    runner::{Manner, Runner},
+};
+
+use crate::fleet::{Fleet, until};
+
+/// A fleet with a configuration in force and these targets.
+async fn serving(name: &str, engines: usize, portals: usize) -> (Fleet, Vec<Runner>, Vec<Runner>) {
+    let fleet = Fleet::start(name);
+    fleet.declare(3).await;
+    let control = fleet.control_addresses();
+    let mut runners = Vec::new();
+    for number in 0..engines {
+        let name = format!("engine-{number}");
+        runners.push(Runner::start(&name, "engines", Some("decode"), 8, control.clone()).await);
+    }
+    let mut plain = Vec::new();
+    for number in 0..portals {
+        plain.push(
+            Runner::start(&format!("portal-{number}"), "portal", None, 0, control.clone()).await,
+        );
+    }
+    fleet.until_ready().await;
+    let callers = fleet.entries[0].callers();
+    until("all targets are known", async || {
+        let known = |runner: &Runner| {
+            fleet.entries[0].log().contains(&format!("state=Ready target={}", runner.name))
+                || fleet.entries[0].log().contains(&format!("target={}", runner.name))
+        };
+        let _served = call::ask(callers, "/none/", "warm").await;
+        runners.iter().chain(&plain).all(known)
+    })
+    .await;
+    (fleet, runners, plain)
+}
+
+fn ran(runners: &[Runner], id: &str) -> usize {
+    runners.iter().flat_map(Runner::runs).filter(|run| run.id == id).count()
+}
+
+#[tokio::test]
+async fn each_kind_is_served_and_unknown_places_are_told_apart() {
+    let (fleet, engines, portals) = serving("seeded-kinds", 2, 2).await;
+    let callers = fleet.entries[0].callers();
+    let stream = call::ask_stream(callers, "/summary/1", "s1").await;
+    assert_eq!((stream.status, stream.whole), (Some(200), true));
+    assert_eq!(call::events(&stream.body), (1..=8).collect::<Vec<u64>>());
+    assert!(stream.signature.is_some_and(|signature| signature.ends_with(".s1")));
+    let lodged = call::ask(callers, "/lodge/1", "l1").await;
+    assert_eq!((lodged.status, lodged.body.as_str()), (Some(200), "done"));
+    assert_eq!((ran(&engines, "s1"), ran(&portals, "l1")), (1, 1));
+    assert_eq!(call::ask(callers, "/nothing/", "n1").await.status, Some(404));
+    let nameless = call::call(callers, Method::POST, "/lodge/1", &[], "body").await;
+    assert_eq!(nameless.status, Some(400));
+    let large = "x".repeat(70_000);
+    let headers = [("x-request-id", "big")];
+    let answer = call::call(callers, Method::POST, "/lodge/1", &headers, &large).await;
+    assert_eq!(answer.status, Some(413));
+    assert_eq!(ran(&portals, "big"), 0);
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_goes_on_at_another_engine_with_each_event_once() {
+    let (fleet, engines, _portals) = serving("seeded-resumed", 2, 1).await;
+    let callers = fleet.entries[0].callers();
+    for (number, engine) in engines.iter().enumerate() {
+        engine.set_manner(Manner::Break(3));
+        engines[1 - number].set_manner(Manner::Serve);
+        let id = format!("r{number}");
+        let stream = call::ask_stream(callers, "/summary/1", &id).await;
+        assert_eq!(call::events(&stream.body), (1..=8).collect::<Vec<u64>>(), "{stream:?}");
+        assert!(stream.whole);
+    }
+    let resumed =
+        engines.iter().flat_map(Runner::runs).filter(|run| run.resumed_after == Some(3)).count();
+    assert!(resumed >= 1, "no stream was resumed");
+}
+
+#[tokio::test]
+async fn a_stream_that_may_not_be_resumed_is_cut_where_it_broke_and_runs_once() {
+    let (fleet, engines, _portals) = serving("seeded-cut", 2, 1).await;
+    let callers = fleet.entries[0].callers();
+    engines.iter().for_each(|engine| engine.set_manner(Manner::Break(3)));
+    let stream = call::ask_stream(callers, "/draft/1", "d1").await;
+    assert!(!stream.whole, "{stream:?}");
+    assert_eq!(call::events(&stream.body), [1, 2, 3]);
+    assert_eq!(ran(&engines, "d1"), 1);
+}
+
+#[tokio::test]
+async fn a_call_that_may_not_be_repeated_runs_once_and_is_no_promise() {
+    let (fleet, _engines, portals) = serving("seeded-once", 1, 2).await;
+    let callers = fleet.entries[0].callers();
+    portals.iter().for_each(|portal| portal.set_manner(Manner::Break(0)));
+    let answer = call::ask(callers, "/lodge/1", "l1").await;
+    assert_eq!(answer.status, Some(502));
+    assert_eq!(ran(&portals, "l1"), 1);
+    // A lookup may be repeated: both targets ran it before it failed.
+    let answer = call::ask(callers, "/lookup/1", "k1").await;
+    assert_eq!(answer.status, Some(502));
+    assert_eq!(ran(&portals, "k1"), 2);
+}
+
+#[tokio::test]
+async fn a_failure_of_a_target_is_passed_on_as_it_is() {
+    let (fleet, _engines, portals) = serving("seeded-failure", 1, 1).await;
+    portals[0].set_manner(Manner::Fail);
+    let answer = call::ask(fleet.entries[0].callers(), "/lodge/1", "l1").await;
+    assert_eq!((answer.status, answer.body.as_str()), (Some(500), "failed"));
+    assert!(answer.signature.is_some());
+}
+
+#[tokio::test]
+async fn a_refused_request_is_sent_elsewhere_and_refused_at_once_where_all_refuse() {
+    let (fleet, _engines, portals) = serving("seeded-shed", 1, 2).await;
+    let callers = fleet.entries[0].callers();
+    portals[0].set_manner(Manner::Shed);
+    for number in 0..4 {
+        let answer = call::ask(callers, "/lodge/1", &format!("l{number}")).await;
+        assert_eq!(answer.status, Some(200));
+    }
+    portals[1].set_manner(Manner::Shed);
+    let started = std::time::Instant::now();
+    let answer = call::ask(callers, "/lodge/1", "refused").await;
+    assert_eq!(answer.status, Some(503));
+    assert!(
+        answer.retry_after.is_some_and(|pause| pause.parse::<f64>().is_ok_and(|pause| pause > 0.0))
+    );
+    assert!(started.elapsed() < std::time::Duration::from_secs(2), "held back");
+    assert_eq!(ran(&portals, "refused"), 0);
+}
+
+#[tokio::test]
+async fn an_engine_that_says_nothing_is_given_up_for_another() {
+    let (fleet, engines, _portals) = serving("seeded-mute", 2, 1).await;
+    let callers = fleet.entries[0].callers();
+    engines[0].set_manner(Manner::Mute);
+    for number in 0..3 {
+        let stream = call::ask_stream(callers, "/summary/1", &format!("m{number}")).await;
+        assert_eq!(call::events(&stream.body), (1..=8).collect::<Vec<u64>>(), "{stream:?}");
+    }
+}
+
+#[tokio::test]
+async fn before_any_configuration_requests_are_refused_as_not_run() {
+    let mut fleet = Fleet::new("seeded-empty");
+    fleet.add_entry();
+    let callers = fleet.entries[0].callers();
+    let readiness = fleet.entries[0].readiness();
+    until("the instance answers", async || {
+        call::ask(callers, "/lodge/1", "early").await.status == Some(503)
+    })
+    .await;
+    assert!(!call::is_ready(readiness).await);
+}
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,10 +1,14 @@
 //! The callers' listener: accepts connections, and at a stop lets them end.
 
-use std::{sync::Arc, time::Duration};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use common::cancel;
 use fleet::config::Limits;
-use hyper::{server::conn::http1, service::service_fn};
+use hyper::{
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::{debug, warn};
 use tokio::{
@@ -23,9 +27,9 @@
 /// When a listener ends.
 #[derive(Clone, Debug)]
 pub struct Stops {
-    /// Cancelled when open connections end with their answers; new ones are still taken.
+    /// Cancelled when connections end with their next answer; new ones are still taken.
     pub drain: cancel::Token,
-    /// Cancelled when no new connection is taken.
+    /// Cancelled when no new connection is taken and idle ones are closed.
     pub close: cancel::Token,
 }
 
@@ -59,7 +63,18 @@
     }
     let limits = gateway.config().map_or_else(Limits::default, |config| config.limits);
     let log = gateway.log.clone();
-    let service = service_fn(move |request| serve::serve(Arc::clone(&gateway), request));
+    let drain = stops.drain.clone();
+    let service = service_fn(move |request| {
+        let answer = serve::serve(Arc::clone(&gateway), request);
+        let drain = drain.clone();
+        async move {
+            let mut answer = answer.await?;
+            if drain.is_cancelled() {
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(answer)
+        }
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_time.max(limits.head_time))
@@ -68,7 +83,7 @@
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = stops.drain.cancelled() => {
+        () = stops.close.cancelled() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
