--- a/crates/daisydrum/src/seeded.rs
+++ b/crates/daisydrum/src/seeded.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod follow;
 mod gossip;
+mod holdings;
 mod listener;
 mod orders;
 mod peers;
--- a/crates/daisydrum/src/seeded/entry.rs
+++ b/crates/daisydrum/src/seeded/entry.rs
@@ -1,12 +1,8 @@
 //! The duty that serves callers: joins the request path with what is known of the fleet.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use common::clock;
-use fleet::exchange::{Answer, Notice, Question};
 use gateway::{
     listener::{self, Stops},
     state::{Gateway, Options},
@@ -17,7 +13,7 @@
 
 use crate::{
     error::Fault,
-    seeded::{context::Context, directory::Directory, follow, gossip, listener as page},
+    seeded::{context::Context, directory::Directory, gossip, holdings, listener as page},
     signal,
 };
 
@@ -25,10 +21,6 @@
 const REROUTE_TIME: Duration = Duration::from_millis(2_600);
 /// Time before the end of `stop_s` at which what is left is cut, so that the process ends by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
-/// Time after the start in which the other instances are asked what the engines hold.
-const LEARN_LIMIT: Duration = Duration::from_secs(10);
-const LEARN_PAUSE: Duration = Duration::from_millis(100);
-const LEARN_CALL_LIMIT: Duration = Duration::from_millis(500);
 const TRIM_PAUSE: Duration = Duration::from_secs(1);
 
 /// The running duty.
@@ -72,7 +64,7 @@
     let listener = bind(callers, "callers").await?;
     let stops = Stops { drain: context.stop.clone(), close: common::cancel::Token::new() };
     let callers = tokio::spawn(listener::run(listener, Arc::clone(&gateway), stops.clone()));
-    spawn(context, learn_holdings(context.clone(), directory.clone(), Arc::clone(&gateway)));
+    spawn(context, holdings::learn(context.clone(), directory.clone(), Arc::clone(&gateway)));
     page::start_readiness(context, readiness, Arc::clone(&gateway)).await?;
     Ok(Some(Entry { gateway, stops, callers }))
 }
@@ -156,31 +148,6 @@
     }
 }
 
-/// Asks another entry instance what the engines hold; an instance that knows nothing of it has all prompts computed
-/// anew.
-async fn learn_holdings(context: Context, directory: Directory, gateway: Arc<Gateway>) {
-    let started = Instant::now();
-    while started.elapsed() < LEARN_LIMIT {
-        time::sleep(LEARN_PAUSE).await;
-        if gateway.board().is_empty() || gateway.version() == 0 {
-            continue;
-        }
-        for card in directory.entries() {
-            let answer =
-                follow::ask(&context, card.address, &Question::Holdings, LEARN_CALL_LIMIT).await;
-            if let Some(Answer::Holdings(notices)) = answer
-                && notices
-                    .iter()
-                    .any(|notice| matches!(notice, Notice::Held { parts, .. } if !parts.is_empty()))
-            {
-                notices.iter().for_each(|notice| gateway.hear(notice));
-                info!(gateway.log, "holdings_learnt"; "from" => %card.instance);
-                return;
-            }
-        }
-    }
-}
-
 async fn trim(gateway: Arc<Gateway>) {
     loop {
         time::sleep(TRIM_PAUSE).await;
--- /dev/null
+++ b/crates/daisydrum/src/seeded/holdings.rs
@@ -0,0 +1,100 @@
+//! Learns what the engines hold after a start: an instance that knows nothing of it has all prompts computed anew.
+//!
+//! Other entry instances are asked first. Where all have just started, the one with the smallest name asks the
+//! engines, and the others learn from it.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use fleet::{
+    exchange::{Answer, Notice, Part, Question},
+    registry::Target,
+};
+use gateway::{connection::Connection, state::Gateway};
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, header::HOST};
+use platform::engine;
+use slog::info;
+use tokio::time;
+
+use crate::seeded::{context::Context, directory::Directory, follow};
+
+const PAUSE: Duration = Duration::from_millis(60);
+const CALL_LIMIT: Duration = Duration::from_millis(400);
+/// Time for each instance with a smaller name to learn before this one asks the engines itself.
+const TURN: Duration = Duration::from_millis(250);
+/// Longest wait for others, however many there are.
+const MAX_TURNS: usize = 4;
+
+/// Learns what the engines hold, once.
+pub(crate) async fn learn(context: Context, directory: Directory, gateway: Arc<Gateway>) {
+    while gateway.board().is_empty() || gateway.version() == 0 {
+        time::sleep(PAUSE).await;
+    }
+    if context.settings.founding {
+        // The engines start with the fleet and hold nothing.
+        gateway.set_holdings_known();
+        return;
+    }
+    let began = Instant::now();
+    loop {
+        if ask_instances(&context, &directory, &gateway).await {
+            break;
+        }
+        let smaller = |card: &fleet::exchange::Card| card.instance < context.card.instance;
+        let ahead = directory.entries().iter().filter(|card| smaller(card)).count();
+        if began.elapsed() >= TURN * u32::try_from(ahead.min(MAX_TURNS)).unwrap_or_default() {
+            ask_engines(&directory, &gateway).await;
+            break;
+        }
+        time::sleep(PAUSE).await;
+    }
+    gateway.set_holdings_known();
+}
+
+async fn ask_instances(context: &Context, directory: &Directory, gateway: &Gateway) -> bool {
+    for card in directory.entries() {
+        let answer = follow::ask(context, card.address, &Question::Holdings, CALL_LIMIT).await;
+        if let Some(Answer::Holdings(notices)) = answer {
+            notices.iter().for_each(|notice| gateway.hear(notice));
+            info!(gateway.log, "holdings_learnt"; "from" => %card.instance);
+            return true;
+        }
+    }
+    false
+}
+
+async fn ask_engines(directory: &Directory, gateway: &Gateway) {
+    let (_, targets) = directory.changed_since(0);
+    let engines = targets.into_iter().filter(|target| target.stage.is_some());
+    let lists = futures::future::join_all(engines.map(ask_engine)).await;
+    let mut tokens: u64 = 0;
+    for notice in lists.into_iter().flatten() {
+        if let Notice::Held { parts, .. } = &notice {
+            tokens += parts.iter().map(|part| u64::from(part.tokens)).sum::<u64>();
+        }
+        gateway.hear(&notice);
+    }
+    info!(gateway.log, "holdings_learnt"; "from" => "engines", "tokens" => tokens);
+}
+
+/// What one engine holds; nothing if it doesn't say so in time, in which case its parts are computed anew.
+async fn ask_engine(target: Target) -> Option<Notice> {
+    let list = time::timeout(CALL_LIMIT, read_list(&target)).await.ok()??;
+    Some(Notice::Held { target: target.name, parts: list })
+}
+
+async fn read_list(target: &Target) -> Option<Vec<Part>> {
+    let mut connection = Connection::open(target.address).await.ok()?;
+    let request = Request::builder()
+        .uri(engine::HOLDINGS_PATH)
+        .header(HOST, target.address.to_string())
+        .body(Full::<Bytes>::default())
+        .ok()?;
+    let response = connection.send(request).await.ok()?;
+    let body = response.into_body().collect().await.ok()?;
+    engine::holdings(&body.to_bytes())
+}
--- a/crates/daisydrum/src/seeded/listener.rs
+++ b/crates/daisydrum/src/seeded/listener.rs
@@ -94,10 +94,11 @@
 }
 
 impl Readiness {
-    /// An instance is ready once it knows a configuration and a target, until it is told to stop.
+    /// An instance is ready once it knows a configuration, a target and what the engines hold, until it is told to
+    /// stop.
     fn is_ready(&self) -> bool {
         let stopping = self.context.stop.is_cancelled();
-        !stopping && self.gateway.version() > 0 && !self.gateway.board().is_empty()
+        !stopping && self.gateway.version() > 0 && self.gateway.are_holdings_known()
     }
 }
 
--- a/crates/daisydrum/src/seeded/peers.rs
+++ b/crates/daisydrum/src/seeded/peers.rs
@@ -126,10 +126,10 @@
 
     async fn exchange(self, _context: context::Context, question: Vec<u8>) -> Vec<u8> {
         let answer = match exchange::decode::<Question>(&question) {
-            Some(Question::Holdings) => match &self.gateway {
-                Some(gateway) => Answer::Holdings(gateway.holdings()),
-                None => Answer::Refused,
-            },
+            Some(Question::Holdings) => {
+                let holdings = self.gateway.as_ref().and_then(|gateway| gateway.holdings());
+                holdings.map_or(Answer::Refused, Answer::Holdings)
+            }
             Some(question) => self.directory.answer(question).await,
             None => Answer::Refused,
         };
--- a/crates/daisydrum/src/seeded/replicas.rs
+++ b/crates/daisydrum/src/seeded/replicas.rs
@@ -34,6 +34,10 @@
 const FOLDER: &str = "fleet";
 /// Entries are whole configurations of up to megabytes, so few are kept for replicas that lag.
 const RETAINED_ENTRIES: u64 = 16;
+/// Control instances stand in one region, where a round trip takes a few milliseconds.
+const HEARTBEAT: Duration = Duration::from_millis(80);
+const ELECTION_MIN: Duration = Duration::from_millis(320);
+const ELECTION_MAX: Duration = Duration::from_millis(600);
 const OPEN_PAUSE: Duration = Duration::from_millis(250);
 const CONTACT_PAUSE: Duration = Duration::from_millis(100);
 /// Operators turn to another instance after a second.
@@ -202,7 +206,13 @@
             origin: if founds { Origin::Founder } else { Origin::Learner },
             peers: self.peers(seeds),
             growth: Growth::Itself,
-            options: Options { retained_entries: RETAINED_ENTRIES, ..Options::default() },
+            options: Options {
+                retained_entries: RETAINED_ENTRIES,
+                heartbeat: HEARTBEAT,
+                election_min: ELECTION_MIN,
+                election_max: ELECTION_MAX,
+                ..Options::default()
+            },
             runtime: runtime.clone(),
             logger: context.log.clone(),
             end: context.end.clone(),
--- a/crates/daisydrum/tests/seeded/control.rs
+++ b/crates/daisydrum/tests/seeded/control.rs
@@ -99,11 +99,10 @@
     other_content["routes"][0]["timeout_ms"] = json!(77);
     assert_eq!(call::declare(control, &other_content).await, Some(200));
     assert_eq!(call::declare(control, &call::config(2)).await, Some(200));
-    let body = call::call(control, hyper::Method::GET, "/-/config", &[], "").await.body;
+    let body = call::read(control).await.body;
     let held: serde_json::Value = serde_json::from_str(&body).unwrap();
     assert_eq!(held, call::config(3));
-    let cut = call::call(control, hyper::Method::PUT, "/-/config", &[], "{\"version\": 12, ").await;
-    assert_eq!(cut.status, Some(400));
+    assert_eq!(call::declare_text(control, "{\"version\": 12, ").await, Some(400));
 }
 
 #[tokio::test]
@@ -125,7 +124,7 @@
     let mut seen = Vec::new();
     for control in fleet.control_addresses() {
         until("the version is read", async || call::read_version(control).await == Ok(2)).await;
-        seen.push(call::call(control, hyper::Method::GET, "/-/config", &[], "").await.body);
+        seen.push(call::read(control).await.body);
     }
     assert!(seen.windows(2).all(|pair| pair[0] == pair[1]));
 }
--- a/crates/daisydrum/tests/seeded/path.rs
+++ b/crates/daisydrum/tests/seeded/path.rs
@@ -57,8 +57,7 @@
     let nameless = call::call(callers, Method::POST, "/lodge/1", &[], "body").await;
     assert_eq!(nameless.status, Some(400));
     let large = "x".repeat(70_000);
-    let headers = [("x-request-id", "big")];
-    let answer = call::call(callers, Method::POST, "/lodge/1", &headers, &large).await;
+    let answer = call::send(callers, "/lodge/1", "big", &large).await;
     assert_eq!(answer.status, Some(413));
     assert_eq!(ran(&portals, "big"), 0);
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -46,6 +46,7 @@
     budgets: Mutex<Map<name::Service, retry::Budget>>,
     retries: retry::Bounds,
     instances: AtomicUsize,
+    holdings_known: AtomicBool,
     told: mpsc::Sender<exchange::Notice>,
 }
 
@@ -62,6 +63,7 @@
             budgets: Mutex::default(),
             retries: options.retries,
             instances: AtomicUsize::new(1),
+            holdings_known: AtomicBool::new(false),
             told,
         };
         (Arc::new(gateway), notices)
@@ -107,9 +109,20 @@
         self.board().hear(notice, Moment::now());
     }
 
-    /// What the engines are believed to hold, for an instance that has just started.
-    pub fn holdings(&self) -> Vec<exchange::Notice> {
-        self.board().holdings()
+    /// What the engines are believed to hold, for an instance that has just started; nothing before this one has
+    /// learnt it itself.
+    pub fn holdings(&self) -> Option<Vec<exchange::Notice>> {
+        self.are_holdings_known().then(|| self.board().holdings())
+    }
+
+    /// Whether the board knows what the engines hold.
+    pub fn are_holdings_known(&self) -> bool {
+        self.holdings_known.load(Ordering::Acquire)
+    }
+
+    /// Notes that the board knows what the engines hold.
+    pub fn set_holdings_known(&self) {
+        self.holdings_known.store(true, Ordering::Release);
     }
 
     /// The targets with what is believed of them.
