A request whose failure can't be repaired uses a kept connection only to a target heard from just now

Cause: lodgements and drafts were written into kept connections to targets that had gone dark, and failed after two seconds as possibly run.

--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -108,6 +108,11 @@
         /// Number of the dispatch.
         number: u64,
     },
+    /// No connection to a target could be made; others check theirs before they rely on them.
+    Unreached {
+        /// The target.
+        target: name::Target,
+    },
     /// A target holds the parts of a prompt, which can be copied from there.
     Held {
         /// The target.
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -14,7 +14,7 @@
 use wire::socket;
 
 /// Longest time for a connection to be made; round trips take a few milliseconds.
-const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+const CONNECT_LIMIT: Duration = Duration::from_millis(200);
 /// Bytes of an answer that are read ahead of the caller at most.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// A connection that was idle longer may have been closed by its target.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -20,6 +20,7 @@
 use crate::{
     answer::Fault,
     connection::{self, Connection},
+    pool::{Need, Origin},
     sent::{Place, Sent},
     state::{Gateway, ms},
 };
@@ -169,6 +170,12 @@
             && self.remaining() > RETURN_TIME
     }
 
+    /// Whether another run would be allowed if the next one fails.
+    fn may_run_again_after_next(&self, trail: &Trail) -> bool {
+        let route = self.route();
+        route.repeat != Repeat::Never && trail.runs + 1 < route.attempts
+    }
+
     /// Sends the request to a target and waits for the head of the answer.
     pub(crate) async fn call(
         &self,
@@ -181,8 +188,10 @@
         let Some(place) = sent.place(key) else {
             return Reply::NotRun;
         };
+        let repairable = step == Step::Prefill || self.may_run_again_after_next(trail);
+        let need = if repairable { Need::Repairable } else { Need::Proof };
         loop {
-            let (connection, origin) = match self.gateway.pool.take(place.address).await {
+            let (connection, origin) = match self.gateway.pool.take(place.address, need).await {
                 Ok(taken) => taken,
                 Err(fault) => return self.not_connected(sent, key, &place, &fault),
             };
@@ -201,7 +210,7 @@
             let request = self.request(&leg);
             match self.exchange(sent, key, connection, request).await {
                 // The target had closed a kept connection before any byte left.
-                Err(connection::Fault::NotSent(_)) if origin == crate::pool::Origin::Kept => {
+                Err(connection::Fault::NotSent(_)) if origin == Origin::Kept => {
                     trail.arrivals = trail.arrivals.saturating_sub(1);
                 }
                 Err(fault) => {
@@ -233,7 +242,7 @@
     ) -> Reply {
         debug!(self.gateway.log, "target_not_reached"; "id" => &self.ask.id,
             "target" => %place.name, "fault" => %fault);
-        sent.judge(key, Outcome::Broken);
+        sent.judge(key, Outcome::Unreached);
         Reply::NotRun
     }
 
@@ -245,6 +254,9 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Reply, connection::Fault> {
         let response = connection.send(request).await?;
+        if let Some(place) = sent.place(key) {
+            self.gateway.pool.heard(place.address);
+        }
         let (status, headers) = (response.status(), response.headers());
         if !platform::answer::is_for(headers, &self.ask.id) {
             // An extra answer to an earlier request; the one to this request can't be told apart any more.
@@ -273,7 +285,7 @@
         let path = platform::engine::handle_path(handle);
         let host = address.to_string();
         tokio::spawn(async move {
-            let Ok((mut connection, _)) = pool.take(address).await else {
+            let Ok((mut connection, _)) = pool.take(address, Need::Repairable).await else {
                 return;
             };
             let request = Request::builder()
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,8 +2,8 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
 };
 
 use common::collections::Map;
@@ -16,10 +16,32 @@
 /// Longest time for a target to be ready again after an answer.
 const SETTLE_LIMIT: Duration = Duration::from_millis(500);
 
+/// A target that answered within this time is taken to be reached over a kept connection, too.
+const PROOF_LIFE: Duration = Duration::from_millis(400);
+
 /// Idle connections by address; clones share them.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
-    idle: Arc<Mutex<Map<SocketAddr, Vec<Connection>>>>,
+    targets: Arc<Mutex<Map<SocketAddr, Kept>>>,
+}
+
+/// What is kept for one target.
+#[derive(Debug, Default)]
+struct Kept {
+    idle: Vec<Connection>,
+    /// When it answered last or took a new connection.
+    heard: Option<Instant>,
+    /// Whether another instance could not reach it since.
+    suspect: bool,
+}
+
+/// How sure a request must be that its connection still reaches the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// A failure can be repaired: any kept connection will do.
+    Repairable,
+    /// A failure can't be repaired: the target must have been heard from just now, else a new connection is made.
+    Proof,
 }
 
 /// Whether a connection was used before.
@@ -37,11 +59,30 @@
     /// # Errors
     ///
     /// Returns the fault of a new connection.
-    pub async fn take(&self, address: SocketAddr) -> Result<(Connection, Origin), Fault> {
-        if let Some(connection) = self.take_idle(address) {
+    pub async fn take(
+        &self,
+        address: SocketAddr,
+        need: Need,
+    ) -> Result<(Connection, Origin), Fault> {
+        if let Some(connection) = self.take_idle(address, need) {
             return Ok((connection, Origin::Kept));
         }
-        Ok((Connection::open(address).await?, Origin::New))
+        let connection = Connection::open(address).await?;
+        self.heard(address);
+        Ok((connection, Origin::New))
+    }
+
+    /// Notes that a target has answered.
+    pub fn heard(&self, address: SocketAddr) {
+        let mut targets = self.lock();
+        let kept = targets.entry(address).or_default();
+        kept.heard = Some(Instant::now());
+        kept.suspect = false;
+    }
+
+    /// Notes that another instance could not reach a target: the next request makes a new connection.
+    pub fn suspect(&self, address: SocketAddr) {
+        self.lock().entry(address).or_default().suspect = true;
     }
 
     /// Keeps a connection for later once its answer is taken whole.
@@ -51,36 +92,49 @@
             if time::timeout(SETTLE_LIMIT, connection.settle()).await != Ok(true) {
                 return;
             }
-            let mut idle = pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
-            let kept = idle.entry(address).or_default();
-            if kept.len() < MAX_IDLE {
-                kept.push(connection);
+            let mut targets = pool.lock();
+            let idle = &mut targets.entry(address).or_default().idle;
+            if idle.len() < MAX_IDLE {
+                idle.push(connection);
             }
         });
     }
 
     /// Closes what is kept for a target, after it broke off or went silent.
     pub fn clear(&self, address: SocketAddr) {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+        self.lock().remove(&address);
     }
 
     /// Closes connections that were idle for too long.
     pub fn trim(&self) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        for kept in idle.values_mut() {
-            kept.retain(Connection::is_fresh);
+        let mut targets = self.lock();
+        for kept in targets.values_mut() {
+            kept.idle.retain(Connection::is_fresh);
         }
-        idle.retain(|_, kept| !kept.is_empty());
+        targets.retain(|_, kept| !kept.idle.is_empty() || kept.is_proven());
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let kept = idle.get_mut(&address)?;
-        while let Some(connection) = kept.pop() {
+    fn take_idle(&self, address: SocketAddr, need: Need) -> Option<Connection> {
+        let mut targets = self.lock();
+        let kept = targets.get_mut(&address)?;
+        if kept.suspect || (need == Need::Proof && !kept.is_proven()) {
+            return None;
+        }
+        while let Some(connection) = kept.idle.pop() {
             if connection.is_fresh() {
                 return Some(connection);
             }
         }
         None
     }
+
+    fn lock(&self) -> MutexGuard<'_, Map<SocketAddr, Kept>> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Kept {
+    fn is_proven(&self) -> bool {
+        self.heard.is_some_and(|heard| heard.elapsed() < PROOF_LIFE)
+    }
 }
--- a/crates/gateway/src/sent.rs
+++ b/crates/gateway/src/sent.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use common::{clock::Moment, name};
-use fleet::exchange::Part;
+use fleet::exchange::{Notice, Part};
 use placement::{
     board::{Key, demand::Plan},
     health::Outcome,
@@ -84,9 +84,12 @@
         let Some(place) = self.place(key) else {
             return;
         };
-        if outcome == Outcome::Broken {
+        if matches!(outcome, Outcome::Broken | Outcome::Unreached) {
             self.gateway.pool.clear(place.address);
         }
+        if outcome == Outcome::Unreached {
+            self.gateway.tell([Notice::Unreached { target: place.name.clone() }]);
+        }
         if left_out {
             metrics::counter!("daisydrum_targets_left_out_total").increment(1);
             info!(self.gateway.log, "target_left_out"; "target" => %place.name,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -106,6 +106,13 @@
 
     /// Takes in a notice of another instance.
     pub fn hear(&self, notice: &exchange::Notice) {
+        if let exchange::Notice::Unreached { target } = notice {
+            let address = self.board().address(target);
+            if let Some(address) = address {
+                self.pool.suspect(address);
+            }
+            return;
+        }
         self.board().hear(notice, Moment::now());
     }
 
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -8,6 +8,8 @@
 pub mod demand;
 mod notices;
 
+use std::net::SocketAddr;
+
 use common::{clock::Moment, collections::Map, name, random::Random};
 use fleet::{
     config,
@@ -120,6 +122,12 @@
         self.entries.get(key)
     }
 
+    /// Where a target takes calls.
+    pub fn address(&self, target: &name::Target) -> Option<SocketAddr> {
+        let key = self.names.get(target)?;
+        Some(self.entries.get(*key)?.target.address)
+    }
+
     /// Targets on the board.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/placement/src/board/notices.rs
+++ b/crates/placement/src/board/notices.rs
@@ -78,6 +78,8 @@
             Notice::Sent(dispatch) => self.hear_dispatch(dispatch, now),
             Notice::Computed { number } => drop(self.computed(*number, now)),
             Notice::Withdrawn { number } => drop(self.withdraw(*number, now)),
+            // The receiver's own connections show whether it reaches the target.
+            Notice::Unreached { .. } => {}
             Notice::Held { target, parts } => {
                 if let Some(key) = self.names.get(target).copied() {
                     self.hold(key, parts);
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -26,8 +26,10 @@
     Error,
     /// It refused without running the request.
     Refusal,
-    /// The connection could not be made, broke off or stayed silent.
+    /// The connection broke off or stayed silent.
     Broken,
+    /// No connection could be made.
+    Unreached,
 }
 
 /// Health of one target.
@@ -89,8 +91,11 @@
             }
         }
         // An answered error or refusal shows that the target is alive.
-        if outcome == Outcome::Broken {
-            self.in_row += 1;
+        match outcome {
+            Outcome::Broken => self.in_row += 1,
+            // Nothing runs at the address, or nothing gets there.
+            Outcome::Unreached => self.in_row = MAX_IN_ROW,
+            Outcome::Success | Outcome::Error | Outcome::Refusal => {}
         }
         let excessive = self.answers >= MIN_ANSWERS && self.failing > usual + MAX_EXCESS;
         if self.in_row < MAX_IN_ROW && !excessive && self.out_until.is_none() {
