--- a/crates/placement/src/board/choice.rs
+++ b/crates/placement/src/board/choice.rs
@@ -23,7 +23,7 @@
 const FREE_DUTY: f64 = 0.15;
 /// Weight of a prompt at a generating engine for each unit of time share above that: every running stream waits
 /// while a chunk of a prompt is computed.
-const DUTY_WEIGHT: f64 = 10.0;
+const DUTY_WEIGHT: f64 = 25.0;
 /// Tokens that a generating engine newly holds weigh a millisecond for each so many, since others yield to them.
 const SPILL_TOKENS_PER_MS: f64 = 200.0;
 /// Time for an engine's answer to arrive.
