--- a/crates/gateway/src/sent.rs
+++ b/crates/gateway/src/sent.rs
@@ -1,6 +1,6 @@
 //! A request that was sent to a target, counted there until it ends however it ends.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use common::{clock::Moment, name};
 use fleet::exchange::{Notice, Part};
@@ -9,8 +9,16 @@
     health::Outcome,
 };
 use slog::info;
+use tokio::time;
 
-use crate::state::{Gateway, ms};
+use crate::{
+    connection::Connection,
+    state::{Gateway, ms},
+};
+
+const FIRST_REACH_PAUSE: Duration = Duration::from_millis(250);
+/// Targets and zones come back after seconds; a try costs one packet.
+const MAX_REACH_PAUSE: Duration = Duration::from_secs(1);
 
 /// A request that was sent to a target; its end is counted when this is dropped.
 #[derive(Debug)]
@@ -87,8 +95,9 @@
         if matches!(outcome, Outcome::Broken | Outcome::Unreached) {
             self.gateway.pool.clear(place.address);
         }
-        if outcome == Outcome::Unreached {
+        if outcome == Outcome::Unreached && left_out {
             self.gateway.tell([Notice::Unreached { target: place.name.clone() }]);
+            tokio::spawn(reach_again(Arc::clone(&self.gateway), key, place.address));
         }
         if left_out {
             metrics::counter!("daisydrum_targets_left_out_total").increment(1);
@@ -98,6 +107,25 @@
     }
 }
 
+/// Tries to connect to a target that could not be reached, so that no request has to.
+async fn reach_again(gateway: Arc<Gateway>, key: Key, address: SocketAddr) {
+    let mut pause = FIRST_REACH_PAUSE;
+    loop {
+        time::sleep(pause).await;
+        if gateway.board().entry(key).is_none() {
+            return;
+        }
+        if let Ok(connection) = Connection::open(address).await {
+            gateway.board().reach(key);
+            gateway.pool.heard(address);
+            gateway.pool.put(address, connection);
+            info!(gateway.log, "target_reached"; "address" => %address);
+            return;
+        }
+        pause = (pause * 2).min(MAX_REACH_PAUSE);
+    }
+}
+
 impl Drop for Sent {
     fn drop(&mut self) {
         let mut board = self.gateway.board();
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -160,6 +160,13 @@
         }
     }
 
+    /// Takes in that a connection to a target was made again.
+    pub fn reach(&mut self, key: Key) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.health.reach();
+        }
+    }
+
     /// Takes in how an exchange went; returns whether the target is left out from now on.
     pub fn judge(&mut self, key: Key, outcome: Outcome, now: Moment) -> bool {
         let Some(service) = self.entries.get(key).map(|entry| entry.target.service.clone()) else {
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -42,6 +42,8 @@
     out_until: Option<Moment>,
     /// When a single request was sent to see whether the target works again.
     probed: Option<Moment>,
+    /// Whether no connection to it could be made since the last one.
+    unreached: bool,
 }
 
 /// Whether a target is used.
@@ -58,6 +60,9 @@
 impl Health {
     /// Whether the target is used now.
     pub fn standing(&self, now: Moment) -> Standing {
+        if self.unreached {
+            return Standing::Out;
+        }
         match self.out_until {
             None => Standing::In,
             Some(until) if now < until => Standing::Out,
@@ -75,9 +80,21 @@
         }
     }
 
+    /// Takes in that a connection to the target was made again.
+    pub fn reach(&mut self) {
+        if std::mem::replace(&mut self.unreached, false) {
+            *self = Health { answers: self.answers, failing: self.failing, ..Health::default() };
+        }
+    }
+
     /// Takes in an outcome; `usual` is the share of failures of the whole service. Returns whether the target is
     /// left out from now on and was not before.
     pub fn observe(&mut self, outcome: Outcome, usual: f64, now: Moment) -> bool {
+        if outcome == Outcome::Unreached {
+            // Connections are tried without requests until one is made.
+            return !std::mem::replace(&mut self.unreached, true);
+        }
+        self.unreached = false;
         let failed = outcome != Outcome::Success;
         self.answers = self.answers.saturating_add(1);
         self.failing += ANSWER_WEIGHT * (f64::from(u8::from(failed)) - self.failing);
@@ -91,11 +108,8 @@
             }
         }
         // An answered error or refusal shows that the target is alive.
-        match outcome {
-            Outcome::Broken => self.in_row += 1,
-            // Nothing runs at the address, or nothing gets there.
-            Outcome::Unreached => self.in_row = MAX_IN_ROW,
-            Outcome::Success | Outcome::Error | Outcome::Refusal => {}
+        if outcome == Outcome::Broken {
+            self.in_row += 1;
         }
         let excessive = self.answers >= MIN_ANSWERS && self.failing > usual + MAX_EXCESS;
         if self.in_row < MAX_IN_ROW && !excessive && self.out_until.is_none() {
--- a/crates/placement/tests/parts.rs
+++ b/crates/placement/tests/parts.rs
@@ -112,6 +112,16 @@
     assert_eq!(health.standing(later), Standing::In);
 }
 
+#[test]
+fn a_target_that_is_not_reached_gets_no_request_until_a_connection_is_made() {
+    let mut health = Health::default();
+    assert!(health.observe(Outcome::Unreached, 0.0, NOW));
+    assert!(!health.observe(Outcome::Unreached, 0.0, NOW));
+    assert_eq!(health.standing(NOW + Duration::from_secs(60)), Standing::Out);
+    health.reach();
+    assert_eq!(health.standing(NOW + Duration::from_secs(60)), Standing::In);
+}
+
 #[test]
 fn errors_that_all_targets_of_a_service_give_leave_none_out() {
     let mut health = Health::default();
