--- a/crates/daisydrum/src/seeded/control.rs
+++ b/crates/daisydrum/src/seeded/control.rs
@@ -138,6 +138,8 @@
         };
         let version = config.version;
         if self.directory.version() >= version {
+            info!(self.context.log, "config_held"; "version" => version,
+                "held" => self.directory.version());
             return text(StatusCode::OK, "held already\n");
         }
         let document = Document { version, bytes: body.to_vec() };
