--- a/crates/daisydrum/src/seeded.rs
+++ b/crates/daisydrum/src/seeded.rs
@@ -1,5 +1,6 @@
 //! Runs an instance that finds the others from seeds: it serves callers, or keeps state and hears targets.
 
+mod archive;
 mod context;
 mod control;
 mod directory;
--- /dev/null
+++ b/crates/daisydrum/src/seeded/archive.rs
@@ -0,0 +1,72 @@
+//! The targets known, kept on the control instance's disk, so that a restart of all instances at once finds them
+//! before they have announced themselves again.
+//!
+//! What is kept may be old: a target that has left since refuses requests by name, and one that doesn't announce
+//! itself again is lost after the usual time.
+
+use std::{
+    fs::{self, File},
+    io::{self, Write},
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use common::clock::Moment;
+use fleet::{
+    exchange,
+    registry::{State, Target},
+};
+use slog::{info, warn};
+use tokio::time;
+
+use crate::seeded::{context::Context, directory::Directory, entry::spawn};
+
+const FILE: &str = "targets";
+const TEMPORARY: &str = "targets.new";
+/// Changes come in bursts when a service is replaced.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Takes the kept targets in and keeps the file up to date from then on.
+pub(crate) fn start(context: &Context, directory: &Directory) {
+    let Some(folder) = context.settings.data_folder.clone().map(PathBuf::from) else {
+        return;
+    };
+    match load(&folder) {
+        Ok(targets) => {
+            info!(context.log, "targets_loaded"; "targets" => targets.len());
+            directory.merge(targets, Moment::now());
+        }
+        Err(cause) => info!(context.log, "targets_not_loaded"; "cause" => %cause),
+    }
+    spawn(context, keep(context.clone(), directory.clone(), folder));
+}
+
+async fn keep(context: Context, directory: Directory, folder: PathBuf) {
+    let mut changes = directory.changes();
+    while changes.changed().await.is_ok() {
+        time::sleep(PAUSE).await;
+        changes.mark_unchanged();
+        let (_, mut targets) = directory.changed_since(0);
+        targets.retain(|target| target.state == State::Ready);
+        let folder = folder.clone();
+        // The disk may stand still for seconds, which must not hold anything else up.
+        let saved = tokio::task::spawn_blocking(move || save(&folder, &targets)).await;
+        if let Ok(Err(cause)) = saved {
+            warn!(context.log, "targets_not_saved"; "cause" => %cause);
+        }
+    }
+}
+
+fn load(folder: &Path) -> io::Result<Vec<Target>> {
+    let bytes = fs::read(folder.join(FILE))?;
+    exchange::decode(&bytes).ok_or_else(|| io::Error::from(io::ErrorKind::InvalidData))
+}
+
+fn save(folder: &Path, targets: &[Target]) -> io::Result<()> {
+    let temporary = folder.join(TEMPORARY);
+    let mut file = File::create(&temporary)?;
+    file.write_all(&exchange::encode(&targets))?;
+    file.sync_all()?;
+    fs::rename(&temporary, folder.join(FILE))?;
+    File::open(folder)?.sync_all()
+}
--- a/crates/daisydrum/src/seeded/control.rs
+++ b/crates/daisydrum/src/seeded/control.rs
@@ -21,6 +21,7 @@
 use crate::{
     error::Fault,
     seeded::{
+        archive,
         context::Context,
         directory::{Contact, Directory},
         entry::{bind, spawn},
@@ -69,6 +70,7 @@
         replicas: Replicas::start(context, directory, runtime),
         metrics: metric::install(),
     };
+    archive::start(context, directory);
     listener::serve(context, listener, control.clone());
     spawn(context, control.clone().expire());
     spawn(context, orders::Duty::new(context, directory, &control.replicas).run());
--- a/crates/daisydrum/tests/seeded/fleet.rs
+++ b/crates/daisydrum/tests/seeded/fleet.rs
@@ -123,6 +123,13 @@
         .await;
     }
 
+    /// Whether a control instance keeps a target on its disk.
+    pub fn are_targets_kept(&self) -> bool {
+        let file = |number| self.data_folder(number).join("targets");
+        (1..=self.control.len())
+            .any(|number| fs::read(file(number)).is_ok_and(|bytes| bytes.len() > 1))
+    }
+
     pub async fn until_ready(&self) {
         for entry in &self.entries {
             let readiness = entry.readiness();
--- a/crates/daisydrum/tests/seeded/leaving.rs
+++ b/crates/daisydrum/tests/seeded/leaving.rs
@@ -91,3 +91,23 @@
     fleet.until_ready().await;
     assert_eq!(call::ask(fleet.entries[0].callers(), "/lodge/1", "l").await.status, Some(404));
 }
+
+#[tokio::test]
+async fn a_restart_of_all_instances_finds_the_targets_before_they_announce_themselves() {
+    let mut fleet = Fleet::start("seeded-archive");
+    fleet.declare(3).await;
+    let control = fleet.control_addresses();
+    let portal = Runner::start("portal", "portal", None, 0, control.clone()).await;
+    fleet.until_ready().await;
+    until("the targets are kept", async || fleet.are_targets_kept()).await;
+    portal.stop_announcing();
+    for daemon in fleet.control.iter_mut().chain(&mut fleet.entries) {
+        daemon.kill();
+    }
+    for daemon in fleet.control.iter_mut().chain(&mut fleet.entries) {
+        daemon.start();
+    }
+    fleet.until_ready().await;
+    let answer = call::ask(fleet.entries[0].callers(), "/lodge/1", "l").await;
+    assert_eq!(answer.status, Some(200));
+}
