--- a/crates/daisyctl/src/arguments.rs
+++ b/crates/daisyctl/src/arguments.rs
@@ -16,6 +16,13 @@
             /// `table` or `json`.
             optional --output output: Format
         }
+        /// Shows one request's way through the logs of any number of instances.
+        cmd explain {
+            /// Identity of the request as its caller sent it.
+            required id: String
+            /// Files of logs; standard input where none is named.
+            repeated file: String
+        }
         /// Checks a folder of declarations.
         cmd check {
             /// Folder of the tree, for example `examples/venture`.
--- a/crates/daisyctl/src/command.rs
+++ b/crates/daisyctl/src/command.rs
@@ -6,6 +6,7 @@
 pub mod diff;
 pub mod dissolve;
 pub mod drain;
+pub mod explain;
 pub mod export;
 pub mod get;
 pub mod hash_key;
@@ -50,6 +51,7 @@
         }
         DaisyctlCmd::Replica(arguments) => replica::run(&arguments),
         DaisyctlCmd::HashKey(_) => hash_key::run(),
+        DaisyctlCmd::Explain(arguments) => explain::run(&arguments),
         DaisyctlCmd::Trace(arguments) => trace::run(&arguments),
     }
 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -15,7 +15,7 @@
     health::Outcome,
 };
 use platform::request::{Ask, Leg, Step};
-use slog::debug;
+use slog::info;
 
 use crate::{
     answer::Fault,
@@ -116,8 +116,9 @@
         let (number, told) = board.send(&plan, &demand, now);
         drop(board);
         self.gateway.tell(told);
-        let parts = self.ask.parts.clone();
-        Ok(Sent::new(Arc::clone(&self.gateway), plan, number, parts, now))
+        let sent = Sent::new(Arc::clone(&self.gateway), plan, number, &self.ask, now);
+        sent.log_place(&self.route().name, trail.runs + trail.rejections + 1, self.remaining());
+        Ok(sent)
     }
 
     /// Chooses anew where a computed prompt is moved to; `false` if there is no target for it.
@@ -214,7 +215,7 @@
                     trail.arrivals = trail.arrivals.saturating_sub(1);
                 }
                 Err(fault) => {
-                    debug!(self.gateway.log, "attempt_failed"; "id" => &self.ask.id,
+                    info!(self.gateway.log, "attempt_failed"; "id" => &self.ask.id,
                         "target" => %place.name, "fault" => %fault);
                     sent.judge(key, Outcome::Broken);
                     trail.avoid.push(key);
@@ -240,7 +241,7 @@
         place: &Place,
         fault: &connection::Fault,
     ) -> Reply {
-        debug!(self.gateway.log, "target_not_reached"; "id" => &self.ask.id,
+        info!(self.gateway.log, "target_not_reached"; "id" => &self.ask.id,
             "target" => %place.name, "fault" => %fault);
         sent.judge(key, Outcome::Unreached);
         Reply::NotRun
@@ -260,11 +261,13 @@
         let (status, headers) = (response.status(), response.headers());
         if !platform::answer::is_for(headers, &self.ask.id) {
             // An extra answer to an earlier request; the one to this request can't be told apart any more.
+            info!(self.gateway.log, "answer_of_another_request"; "id" => &self.ask.id);
             sent.judge(key, Outcome::Error);
             return Ok(Reply::Broken);
         }
         if platform::answer::is_not_run(status, headers) {
             let other = platform::answer::is_other_target(status);
+            info!(self.gateway.log, "target_refused"; "id" => &self.ask.id, "status" => status.as_u16());
             sent.judge(key, if other { Outcome::Broken } else { Outcome::Refusal });
             return Ok(Reply::NotRun);
         }
--- a/crates/gateway/src/sent.rs
+++ b/crates/gateway/src/sent.rs
@@ -8,7 +8,8 @@
     board::{Key, demand::Plan},
     health::Outcome,
 };
-use slog::info;
+use platform::request::Ask;
+use slog::{debug, info};
 use tokio::time;
 
 use crate::{
@@ -27,6 +28,8 @@
     pub(crate) plan: Plan,
     /// Number of its prompt.
     number: u64,
+    /// Identity of the caller's attempt, for logs.
+    id: String,
     parts: Vec<Part>,
     at: Moment,
     begun: bool,
@@ -44,10 +47,11 @@
         gateway: Arc<Gateway>,
         plan: Plan,
         number: u64,
-        parts: Vec<Part>,
+        ask: &Ask,
         at: Moment,
     ) -> Sent {
-        Sent { gateway, plan, number, parts, at, begun: false }
+        let (id, parts) = (ask.id.clone(), ask.parts.clone());
+        Sent { gateway, plan, number, id, parts, at, begun: false }
     }
 
     pub(crate) fn place(&self, key: Key) -> Option<Place> {
@@ -56,6 +60,22 @@
         Some(Place { name: target.name.clone(), address: target.address })
     }
 
+    /// Writes down where the request goes and what that was decided by.
+    pub(crate) fn log_place(&self, route: &str, run: u32, left: Duration) {
+        let name = |key| self.place(key).map_or_else(String::new, |place| place.name.0);
+        debug!(self.gateway.log, "request_placed"; "id" => &self.id, "route" => route, "run" => run,
+            "target" => name(self.plan.target),
+            "prefill" => self.plan.prefill.map_or_else(String::new, name),
+            "fetch" => self.plan.fetch.map_or_else(String::new, name),
+            "fresh_tokens" => self.plan.fresh, "pending_tokens" => self.plan.pending,
+            "prompt_ms" => format!("{:.0}", self.plan.prompt_ms),
+            "predicted_ms" => self.predicted_ms(), "left_ms" => ms(left));
+    }
+
+    fn predicted_ms(&self) -> String {
+        format!("{:.0}", self.plan.expected_at - self.at.0 as f64)
+    }
+
     /// Notes that the prompt is computed.
     pub(crate) fn computed(&self) {
         let now = Moment::now();
@@ -64,14 +84,8 @@
             return;
         }
         self.gateway.tell(notice);
-        let name = |key| self.place(key).map_or_else(String::new, |place| place.name.0);
-        let predicted_ms = self.plan.expected_at - self.at.0 as f64;
-        info!(self.gateway.log, "prompt_computed"; "target" => name(self.plan.target),
-            "prefill" => self.plan.prefill.map_or_else(String::new, name),
-            "fetch" => self.plan.fetch.map_or_else(String::new, name),
-            "fresh_tokens" => self.plan.fresh, "pending_tokens" => self.plan.pending,
-            "prompt_ms" => format!("{:.0}", self.plan.prompt_ms),
-            "predicted_ms" => format!("{predicted_ms:.0}"), "ms" => ms(now.since(self.at)));
+        debug!(self.gateway.log, "prompt_computed"; "id" => &self.id,
+            "predicted_ms" => self.predicted_ms(), "ms" => ms(now.since(self.at)));
     }
 
     /// Notes that the first event has come, after which the prompt's parts can be copied.
@@ -102,7 +116,7 @@
         if left_out {
             metrics::counter!("daisydrum_targets_left_out_total").increment(1);
             info!(self.gateway.log, "target_left_out"; "target" => %place.name,
-                "address" => %place.address, "outcome" => ?outcome);
+                "address" => %place.address, "outcome" => ?outcome, "id" => &self.id);
         }
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -33,10 +33,11 @@
 ) -> Result<Response<Body>, Infallible> {
     let arrived = Moment::now();
     let (head, body) = request.into_parts();
+    let id = platform::request::identity(&head.headers);
     let answer = match prepare(&gateway, head, body, arrived).await {
         Ok(job) => carry_out(Arc::new(job)).await,
         Err(fault) => {
-            info!(gateway.log, "request_rejected"; "fault" => %fault,
+            info!(gateway.log, "request_rejected"; "id" => id, "fault" => %fault,
                 "status" => fault.status().as_u16(), "config" => gateway.version());
             Err(fault)
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -15,7 +15,7 @@
 use hyper::{Response, body::Incoming};
 use placement::health::Outcome;
 use platform::request::Step;
-use slog::info;
+use slog::{debug, info};
 use tokio::{
     sync::{mpsc, oneshot},
     time,
@@ -106,7 +106,7 @@
             Err(_elapsed) => Err(Fault::Timeout),
         };
         if let Some(first) = self.first {
-            info!(job.gateway.log, "stream_ended"; "id" => &job.ask.id, "route" => &job.route().name,
+            debug!(job.gateway.log, "stream_ended"; "id" => &job.ask.id, "route" => &job.route().name,
                 "whole" => outcome.is_ok(), "first_ms" => ms(first.since(job.arrived)),
                 "longest_pause_ms" => ms(self.longest_pause), "runs" => self.trail.runs + 1,
                 "events" => self.events, "ms" => job.age_ms());
@@ -150,6 +150,8 @@
             let computed = time::timeout(overdue, prefill(&job, sent, key, &mut self.trail)).await;
             let Ok(Some(source)) = computed else {
                 if computed.is_err() {
+                    info!(job.gateway.log, "prompt_overdue"; "id" => &job.ask.id,
+                        "limit_ms" => ms(overdue));
                     sent.judge(key, Outcome::Broken);
                 }
                 self.trail.avoid.push(key);
@@ -167,6 +169,7 @@
         let key = sent.plan.target;
         let called = job.call(sent, key, &mut self.trail, step, self.last);
         let Ok(reply) = time::timeout(limit, called).await else {
+            info!(job.gateway.log, "answer_overdue"; "id" => &job.ask.id, "limit_ms" => ms(limit));
             sent.judge(key, Outcome::Broken);
             self.trail.avoid.push(key);
             return Ending::Broken;
@@ -244,6 +247,8 @@
             }
             limit = self.pause_limit();
         }
+        info!(self.job.gateway.log, "stream_broke_off"; "id" => &self.job.ask.id,
+            "last_event" => ?self.last, "limit_ms" => ms(limit), "ms" => self.job.age_ms());
         sent.judge(key, Outcome::Broken);
         self.trail.avoid.push(key);
         Ending::Broken
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -9,6 +9,7 @@
 use hyper::{Response, StatusCode, body::Incoming, http::response};
 use placement::health::Outcome;
 use platform::request::Step;
+use slog::info;
 use tokio::time;
 
 use crate::{
@@ -16,6 +17,7 @@
     connection::Connection,
     job::{Job, Reply, Trail},
     sent::Sent,
+    state::ms,
 };
 
 /// Largest answer that is held until it is whole, in bytes.
@@ -103,6 +105,7 @@
     let limit = if repeatable { silence.min(job.remaining()) } else { job.remaining() };
     let rejections = trail.rejections;
     let Ok(attempt) = time::timeout(limit, exchange(job, sent, trail)).await else {
+        info!(job.gateway.log, "answer_overdue"; "id" => &job.ask.id, "limit_ms" => ms(limit));
         sent.judge(key, Outcome::Broken);
         trail.avoid.push(key);
         trail.runs += 1;
--- a/crates/settings/src/instance.rs
+++ b/crates/settings/src/instance.rs
@@ -98,11 +98,14 @@
 pub struct Log {
     /// Least level that is written.
     pub level: Level,
+    /// Most lines of the level `debug` in a second; the rest is left out and counted. Others are always written.
+    #[schemars(range(min = 0, max = 1_000_000))]
+    pub details_per_s: u64,
 }
 
 impl Default for Log {
     fn default() -> Log {
-        Log { level: Level::Info }
+        Log { level: Level::Info, details_per_s: 400 }
     }
 }
 
