A configuration is fetched from one control instance at a time, and decoded once for orders

The test of the split of engines asks for the share that its numbers come from, which was the default before.

--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -34,6 +34,7 @@
     asked: watch::Sender<u64>,
     document: watch::Sender<Option<Arc<Document>>>,
     contact: watch::Sender<Contact>,
+    fetch: Arc<tokio::sync::Mutex<()>>,
 }
 
 /// Whether the own replica is in contact with the log's leader.
@@ -74,9 +75,15 @@
             asked: watch::Sender::new(0),
             document: watch::Sender::new(None),
             contact: watch::Sender::new(Contact::Lost),
+            fetch: Arc::default(),
         }
     }
 
+    /// Held while a configuration is fetched: copies of one that come side by side would share a thin link.
+    pub(crate) async fn fetch_turn(&self) -> tokio::sync::MutexGuard<'_, ()> {
+        self.fetch.lock().await
+    }
+
     /// The newest configuration known as the operator sent it.
     pub(crate) fn document(&self) -> Option<Arc<Document>> {
         self.document.borrow().clone()
--- a/crates/daisydrum/src/seeded/follow.rs
+++ b/crates/daisydrum/src/seeded/follow.rs
@@ -19,6 +19,8 @@
 const CONTROL_WAIT: Duration = Duration::from_millis(400);
 /// Time beyond the wait after which a connection counts as silent.
 const SILENCE: Duration = Duration::from_millis(700);
+/// A configuration of a megabyte takes a second over a link of 10 Mbit/s; another instance is asked after this.
+const FETCH_LIMIT: Duration = Duration::from_millis(1_500);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 const MANAGE_PAUSE: Duration = Duration::from_millis(250);
@@ -122,6 +124,19 @@
         }
     }
 
+    /// Fetches a configuration unless another one that is as new has come meanwhile.
+    async fn fetch(&self, version: u64) {
+        let _turn = self.directory.fetch_turn().await;
+        let above = self.directory.version();
+        if above >= version {
+            return;
+        }
+        let answer = self.ask(&Question::Fetch { above }, FETCH_LIMIT).await;
+        if let Some(Answer::Document(Some(document))) = answer {
+            self.directory.adopt(document);
+        }
+    }
+
     async fn ask(&self, question: &Question, limit: Duration) -> Option<Answer> {
         ask(&self.context, self.address, question, limit).await
     }
@@ -140,10 +155,7 @@
         let held = self.directory.version();
         let trusted = news.contact || held > 0 || self.started.elapsed() > CAREFUL_START;
         if news.version > held && trusted {
-            let answer = self.ask(&Question::Fetch { above: held }, ENTRY_WAIT).await;
-            if let Some(Answer::Document(Some(document))) = answer {
-                self.directory.adopt(document);
-            }
+            self.fetch(news.version).await;
         }
     }
 }
--- a/crates/daisydrum/src/seeded/orders.rs
+++ b/crates/daisydrum/src/seeded/orders.rs
@@ -53,6 +53,8 @@
     /// Since when the split of a service is off.
     off_since: Map<name::Service, Moment>,
     seen: Map<name::Target, Seen>,
+    /// The configuration decoded last.
+    config: Option<Arc<Config>>,
 }
 
 /// An order under way.
@@ -93,6 +95,7 @@
             pending: Map::default(),
             off_since: Map::default(),
             seen: Map::default(),
+            config: None,
         }
     }
 
@@ -120,9 +123,13 @@
         }
     }
 
-    fn config(&self) -> Option<Arc<Config>> {
+    /// The newest configuration, decoded once.
+    fn config(&mut self) -> Option<Arc<Config>> {
         let document = self.directory.document()?;
-        platform::config::decode(&document.bytes).ok().map(Arc::new)
+        if self.config.as_ref().is_none_or(|config| config.version != document.version) {
+            self.config = platform::config::decode(&document.bytes).ok().map(Arc::new);
+        }
+        self.config.clone()
     }
 
     fn note_targets(&mut self, targets: &[Target], now: Moment) {
--- a/crates/daisydrum/tests/seeded/fleet.rs
+++ b/crates/daisydrum/tests/seeded/fleet.rs
@@ -154,7 +154,7 @@
         let settings = format!(
             "{{ \"name\": \"{name}\", \"data_centre\": \"suva\", {settings}\n  \
              \"peers_listen\": \"{host}:{PEERS_PORT}\", \"seeds\": [{}], \"announcement_ms\": 200,\n  \
-             \"engines\": {{ \"turn_ms\": 200 }}, \"stop_s\": 8 }}",
+             \"engines\": {{ \"turn_ms\": 200, \"prompt_share\": 0.7 }}, \"stop_s\": 8 }}",
             seeds.join(", ")
         );
         let file = self.folder.path().join(format!("{name}.jsonc"));
