--- a/crates/daisydrum/tests/seeded/path.rs
+++ b/crates/daisydrum/tests/seeded/path.rs
@@ -178,3 +178,23 @@
         assert_eq!(call::ask(entry.callers(), "/more/5999/x", "m").await.status, Some(200));
     }
 }
+
+#[tokio::test]
+async fn a_broken_stream_goes_on_although_other_engines_have_ended_unnoticed() {
+    let (fleet, mut engines, _portals) = serving("seeded-ended", 4, 1).await;
+    let callers = fleet.entries[0].callers();
+    engines.iter().for_each(|engine| engine.set_manner(Manner::Break(3)));
+    let running = tokio::spawn(call::ask_stream(callers, "/summary/1", "s"));
+    until("an engine runs it", async || ran(&engines, "s") == 1).await;
+    let running_at =
+        engines.iter().position(|engine| !engine.runs().is_empty()).expect("one runs it");
+    // Of the other three, two end without a word and one serves.
+    let others: Vec<usize> = (0..4).filter(|number| *number != running_at).collect();
+    engines[others[0]].set_manner(Manner::Serve);
+    for number in others[1..].iter().rev() {
+        drop(engines.remove(*number));
+    }
+    let stream = running.await.expect("the call ends");
+    assert_eq!(call::events(&stream.body), (1..=8).collect::<Vec<u64>>(), "{stream:?}");
+    assert!(stream.whole);
+}
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -66,6 +66,14 @@
         }
     }
 
+    /// When the first token of a refused request would have been expected at best.
+    pub fn expected(&self) -> Option<Duration> {
+        match self {
+            Fault::Refused(refusal) => refusal.expected,
+            _ => None,
+        }
+    }
+
     /// The answer.
     pub fn response(&self) -> Response<Body> {
         let mut response = Response::new(Body::whole(Bytes::from(format!("{self}\n"))));
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -27,6 +27,8 @@
 
 /// Rejections by targets after which a request is refused; each draws on the fleet's budget.
 const MAX_REJECTIONS: u32 = 3;
+/// Targets that can't be reached after which a request is refused; each costs a fifth of a second at most.
+const MAX_UNREACHED: u32 = 5;
 /// Requests that were refused once come back with less than this share of their route's time.
 const FRESH_SHARE: f64 = 0.9;
 /// Time that an answer needs on its way back to the caller.
@@ -68,6 +70,10 @@
     arrivals: u32,
     /// Whether the request is counted for the budget of repeats.
     counted: bool,
+    /// Requests sent to targets that the budget of repeats has covered, the first one included.
+    covered: u32,
+    /// Connections that could not be made.
+    unreached: u32,
 }
 
 /// A head that came back, or why none did.
@@ -91,7 +97,7 @@
 
     /// Chooses a target and counts the request there.
     pub(crate) fn place(&self, trail: &mut Trail) -> Result<Sent, Fault> {
-        if trail.rejections >= MAX_REJECTIONS {
+        if trail.rejections >= MAX_REJECTIONS || trail.unreached >= MAX_UNREACHED {
             return Err(self.full());
         }
         let now = Moment::now();
@@ -110,10 +116,12 @@
         if !counted {
             self.gateway.count_request(&service);
         }
-        if trail.arrivals > 0 && !self.gateway.take_repeat(&service) {
+        // A request that reached no target has used nothing of the budget.
+        if trail.arrivals >= trail.covered.max(1) && !self.gateway.take_repeat(&service) {
             return Err(self.full());
         }
         let (number, told) = board.send(&plan, &demand, now);
+        trail.covered = trail.arrivals + 1;
         drop(board);
         self.gateway.tell(told);
         let sent = Sent::new(Arc::clone(&self.gateway), plan, number, &self.ask, now);
@@ -160,7 +168,7 @@
 
     fn full(&self) -> Fault {
         let retry_after = FULL_RETRY.min(self.remaining() / 3);
-        Fault::Refused(Refusal { reason: Reason::TargetsFull, retry_after })
+        Fault::Refused(Refusal { reason: Reason::TargetsFull, retry_after, expected: None })
     }
 
     /// Whether another run is allowed after one that failed.
@@ -194,7 +202,11 @@
         loop {
             let (connection, origin) = match self.gateway.pool.take(place.address, need).await {
                 Ok(taken) => taken,
-                Err(fault) => return self.not_connected(sent, key, &place, &fault),
+                Err(fault) => {
+                    trail.avoid.push(key);
+                    trail.unreached += 1;
+                    return self.not_connected(sent, key, &place, &fault);
+                }
             };
             if step != Step::Prefill {
                 trail.arrivals += 1;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -61,7 +61,9 @@
         Err(fault) => info!(gateway.log, "request_failed"; "id" => &ask.id,
             "route" => &job.route().name, "status" => fault.status().as_u16(), "fault" => %fault,
             "ms" => job.age_ms(), "retry_after_ms" => fault.retry_after().map_or(0, ms),
-            "left_ms" => ms(job.remaining()), "config" => job.config.version),
+            "expected_ms" => fault.expected().map_or(0, ms), "target_ms" => ms(job.route().target),
+            "prompt_tokens" => ask.prompt_tokens, "left_ms" => ms(job.remaining()),
+            "config" => job.config.version),
     }
     answer
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -30,7 +30,8 @@
 
 /// Events that may wait for a caller that reads slowly.
 const QUEUED_EVENTS: usize = 32;
-/// A first event or computed prompt is overdue after this many times the predicted time, and a fixed time.
+/// A first event or computed prompt is overdue after this many times the predicted time, and a fixed time. Sooner,
+/// prompts are computed twice whenever the engines are busy.
 const OVERDUE_FACTOR: f64 = 3.0;
 const OVERDUE_MARGIN: Duration = Duration::from_millis(600);
 /// A stream that may be resumed counts as silent after this many of its longest pauses.
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -103,7 +103,6 @@
         job.route().repeat == Repeat::Idempotent && trail.runs + 1 < job.route().attempts;
     let silence = (job.route().target * SILENCE_FACTOR).max(MIN_SILENCE);
     let limit = if repeatable { silence.min(job.remaining()) } else { job.remaining() };
-    let rejections = trail.rejections;
     let Ok(attempt) = time::timeout(limit, exchange(job, sent, trail)).await else {
         info!(job.gateway.log, "answer_overdue"; "id" => &job.ask.id, "limit_ms" => ms(limit));
         sent.judge(key, Outcome::Broken);
@@ -112,12 +111,7 @@
         return Attempt::Broken;
     };
     match &attempt {
-        Attempt::NotRun => {
-            if trail.rejections == rejections {
-                trail.avoid.push(key);
-                trail.rejections += 1;
-            }
-        }
+        Attempt::NotRun => {}
         Attempt::Answer(_) | Attempt::Failure(_) | Attempt::Broken => trail.runs += 1,
     }
     attempt
--- a/crates/placement/src/board/choice.rs
+++ b/crates/placement/src/board/choice.rs
@@ -57,13 +57,15 @@
             let reason =
                 if demand.avoid.is_empty() { Reason::NoTarget } else { Reason::TargetsFull };
             let retry_after = NO_TARGET_RETRY.min(demand.remaining / 4);
-            return Verdict::Refuse(Refusal { reason, retry_after });
+            return Verdict::Refuse(Refusal { reason, retry_after, expected: None });
         };
         match late_by(&plan, demand, now) {
             Some(excess) => {
                 let longest = (demand.remaining / 3).max(MIN_RETRY);
                 let retry_after = excess.clamp(MIN_RETRY, longest);
-                Verdict::Refuse(Refusal { reason: Reason::TooLate, retry_after })
+                let first_ms = (plan.expected_at - now.0 as f64).max(0.0);
+                let expected = Some(Duration::from_secs_f64(first_ms / 1e3));
+                Verdict::Refuse(Refusal { reason: Reason::TooLate, retry_after, expected })
             }
             None => Verdict::Send(plan),
         }
@@ -89,13 +91,11 @@
         {
             return vec![*key];
         }
-        let inside: Vec<Key> = ready
-            .iter()
-            .filter(|(_, standing)| *standing == Standing::In)
-            .map(|(key, _)| *key)
-            .collect();
-        // Where all are left out, any of them is better than none.
-        if inside.is_empty() { ready.into_iter().map(|(key, _)| key).collect() } else { inside }
+        // Where all are left out, those that may work again are better than none.
+        let Some(best) = ready.iter().map(|(_, standing)| *standing).min() else {
+            return Vec::new();
+        };
+        ready.into_iter().filter(|(_, standing)| *standing == best).map(|(key, _)| key).collect()
     }
 
     fn choose_plain(&mut self, demand: &Demand<'_>, now: Moment) -> Option<Plan> {
--- a/crates/placement/src/board/demand.rs
+++ b/crates/placement/src/board/demand.rs
@@ -76,6 +76,8 @@
     pub reason: Reason,
     /// When it is worth asking again.
     pub retry_after: Duration,
+    /// When its first token would be expected at best; nothing if no target could take it.
+    pub expected: Option<Duration>,
 }
 
 /// Why a request is refused.
