--- a/crates/daisydrum/src/daemon.rs
+++ b/crates/daisydrum/src/daemon.rs
@@ -92,7 +92,8 @@
     Ok(Directory::new(&loaded.tree)?)
 }
 
-fn level(level: instance::Level) -> Level {
+/// The level of log lines that settings name.
+pub(crate) fn level(level: instance::Level) -> Level {
     match level {
         instance::Level::Debug => Level::Debug,
         instance::Level::Info => Level::Info,
--- a/crates/daisydrum/src/seeded.rs
+++ b/crates/daisydrum/src/seeded.rs
@@ -16,12 +16,12 @@
 
 use std::path::Path;
 
-use settings::{check, error::Faults, instance};
-use slog::{Level, info};
+use settings::{check, error::Faults};
+use slog::info;
 use telemetry::log;
 use tokio::runtime::{self, Runtime};
 
-use crate::{error::Fault, seeded::context::Context, signal};
+use crate::{daemon, error::Fault, seeded::context::Context, signal};
 
 /// Runs an instance until it is told to stop.
 ///
@@ -30,7 +30,7 @@
 /// Returns a [`Fault`] when the instance can't start.
 pub fn run(path: &Path) -> Result<(), Fault> {
     let settings = check::seeded(path).map_err(Faults::from)?;
-    let log = log::start_limited(level(settings.log.level), settings.log.details_per_s);
+    let log = log::start_limited(daemon::level(settings.log.level), settings.log.details_per_s);
     let runtime = runtime()?;
     runtime.block_on(async {
         let mut signals = signal::Stop::new()?;
@@ -60,12 +60,3 @@
 fn runtime() -> Result<Runtime, Fault> {
     Ok(runtime::Builder::new_current_thread().enable_all().build()?)
 }
-
-fn level(level: instance::Level) -> Level {
-    match level {
-        instance::Level::Debug => Level::Debug,
-        instance::Level::Info => Level::Info,
-        instance::Level::Warning => Level::Warning,
-        instance::Level::Error => Level::Error,
-    }
-}
--- a/crates/daisydrum/src/seeded/control.rs
+++ b/crates/daisydrum/src/seeded/control.rs
@@ -31,7 +31,6 @@
     },
 };
 
-const METRICS_PATH: &str = "/metrics";
 /// Largest configuration, in bytes.
 const MAX_CONFIG_BYTES: usize = 8 * 1024 * 1024;
 const MAX_ANNOUNCEMENT_BYTES: usize = 64 * 1024;
@@ -80,7 +79,7 @@
 impl Handler for Control {
     async fn handle(&self, request: Request<Incoming>) -> Answer {
         let path = request.uri().path();
-        if path == METRICS_PATH {
+        if path == listener::METRICS_PATH {
             return text(StatusCode::OK, self.metrics.render());
         }
         match call::decode(request.method(), path) {
--- a/crates/daisydrum/src/seeded/listener.rs
+++ b/crates/daisydrum/src/seeded/listener.rs
@@ -21,7 +21,8 @@
     seeded::{context::Context, entry},
 };
 
-const METRICS_PATH: &str = "/metrics";
+/// Path of the metrics at each of the listeners.
+pub(crate) const METRICS_PATH: &str = "/metrics";
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Callers of these listeners keep connections for seconds between calls.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
--- a/crates/daisydrum/tests/seeded/path.rs
+++ b/crates/daisydrum/tests/seeded/path.rs
@@ -161,15 +161,7 @@
 async fn a_large_configuration_comes_into_force_everywhere() {
     let mut fleet = Fleet::start("seeded-large");
     fleet.add_entry();
-    let mut config = call::config(3);
-    let route = config["routes"][3].clone();
-    let routes = config["routes"].as_array_mut().expect("routes");
-    for number in 0..6_000 {
-        let mut more = route.clone();
-        more["name"] = serde_json::json!(format!("more-{number}"));
-        more["path_prefix"] = serde_json::json!(format!("/more/{number}/"));
-        routes.push(more);
-    }
+    let config = call::large_config(3, 6_000);
     let control = fleet.control_addresses();
     until("it is accepted", async || call::declare(control[0], &config).await == Some(200)).await;
     let _portal = Runner::start("portal", "portal", None, 0, control).await;
