--- a/crates/daisydrum/src/seeded/context.rs
+++ b/crates/daisydrum/src/seeded/context.rs
@@ -33,9 +33,10 @@
 impl Context {
     pub(crate) fn new(settings: Seeded, log: Logger) -> Context {
         let duty = if settings.control.is_some() { Duty::Control } else { Duty::Entry };
+        let address = settings.peers_address.unwrap_or(settings.peers_listen);
         let card = Card {
-            instance: name::Instance(settings.peers_listen.to_string()),
-            address: settings.peers_listen,
+            instance: name::Instance(address.to_string()),
+            address,
             data_centre: name::DataCentre(settings.data_centre.clone()),
             duty,
         };
--- a/crates/daisydrum/src/seeded/gossip.rs
+++ b/crates/daisydrum/src/seeded/gossip.rs
@@ -29,7 +29,7 @@
     gateway: &Arc<Gateway>,
     notices: mpsc::Receiver<Notice>,
 ) -> Result<(), Fault> {
-    let address = context.card.address;
+    let address = context.settings.peers_listen;
     let socket = UdpSocket::bind(address).await.map_err(|cause| Fault::Listen {
         address,
         purpose: "datagrams of other instances",
--- a/crates/daisydrum/src/seeded/peers.rs
+++ b/crates/daisydrum/src/seeded/peers.rs
@@ -152,7 +152,7 @@
     entry: Option<&Entry>,
     control: Option<&Control>,
 ) -> Result<(), Fault> {
-    let socket = bind(context.card.address, "other instances").await?;
+    let socket = bind(context.settings.peers_listen, "other instances").await?;
     let server = Server {
         context: context.clone(),
         directory: directory.clone(),
--- a/crates/daisydrum/tests/seeded/control.rs
+++ b/crates/daisydrum/tests/seeded/control.rs
@@ -3,11 +3,11 @@
 use platform_standin::call;
 use serde_json::json;
 
-use crate::fleet::{Fleet, Start, until};
+use crate::fleet::{self, Start, until};
 
 #[tokio::test]
 async fn the_seeds_found_one_log_in_any_order_and_all_instances_read_the_same() {
-    let mut fleet = Fleet::new("seeded-founding");
+    let mut fleet = fleet::new("seeded-founding");
     // The later a seed starts, the later the log begins; none begins one of its own.
     fleet.add_control(Start::First);
     fleet.add_control(Start::First);
@@ -30,7 +30,7 @@
 
 #[tokio::test]
 async fn an_instance_at_a_new_place_is_taken_in_and_then_one_may_be_lost() {
-    let mut fleet = Fleet::start("seeded-growth");
+    let mut fleet = fleet::start("seeded-growth");
     fleet.declare(3).await;
     let fourth = fleet.add_control(Start::Later);
     let address = fleet.control[fourth].control();
@@ -48,7 +48,7 @@
 
 #[tokio::test]
 async fn an_instance_with_an_empty_disk_is_caught_up_before_another_is_lost() {
-    let mut fleet = Fleet::start("seeded-wiped");
+    let mut fleet = fleet::start("seeded-wiped");
     fleet.declare(3).await;
     fleet.control[1].kill();
     fleet.wipe(1);
@@ -75,7 +75,7 @@
 
 #[tokio::test]
 async fn all_control_instances_killed_at_once_come_back_with_what_was_accepted() {
-    let mut fleet = Fleet::start("seeded-killed");
+    let mut fleet = fleet::start("seeded-killed");
     fleet.declare(7).await;
     for control in &mut fleet.control {
         control.kill();
@@ -89,7 +89,7 @@
 
 #[tokio::test]
 async fn an_invalid_configuration_is_refused_and_the_one_in_force_stays() {
-    let fleet = Fleet::start("seeded-invalid");
+    let fleet = fleet::start("seeded-invalid");
     fleet.declare(3).await;
     let control = fleet.control[0].control();
     let mut unknown = call::config(9);
@@ -107,7 +107,7 @@
 
 #[tokio::test]
 async fn two_operators_with_one_version_get_one_content() {
-    let fleet = Fleet::start("seeded-race");
+    let fleet = fleet::start("seeded-race");
     fleet.declare(1).await;
     let contents: Vec<serde_json::Value> = (0..2)
         .map(|number| {
--- a/crates/daisydrum/tests/seeded/leaving.rs
+++ b/crates/daisydrum/tests/seeded/leaving.rs
@@ -6,11 +6,11 @@
 };
 use rustix::process::Signal;
 
-use crate::fleet::{Fleet, until};
+use crate::fleet::{self, until};
 
 #[tokio::test]
 async fn a_leaving_target_gets_nothing_once_that_is_acknowledged() {
-    let fleet = Fleet::start("seeded-drain");
+    let fleet = fleet::start("seeded-drain");
     fleet.declare(3).await;
     let control = fleet.control_addresses();
     let stays = Runner::start("stays", "portal", None, 0, control.clone()).await;
@@ -32,7 +32,7 @@
 
 #[tokio::test]
 async fn engines_are_split_by_one_holder_with_rising_fences() {
-    let fleet = Fleet::start("seeded-split");
+    let fleet = fleet::start("seeded-split");
     fleet.declare(3).await;
     let control = fleet.control_addresses();
     let mut engines = Vec::new();
@@ -44,7 +44,8 @@
         engines.iter().filter(|engine| engine.stage() == Some("prefill")).count() == 4
     })
     .await;
-    let orders: Vec<serde_json::Value> = engines.iter().flat_map(Runner::orders).collect();
+    let orders: Vec<serde_json::Value> =
+        engines.iter().flat_map(Runner::orders).map(|order| order.body).collect();
     assert_eq!(orders.len(), 4, "{orders:?}");
     let holder = &orders[0]["holder"];
     assert!(orders.iter().all(|order| order["holder"] == *holder), "{orders:?}");
@@ -56,7 +57,7 @@
 
 #[tokio::test]
 async fn an_instance_that_stops_says_so_and_cuts_nothing() {
-    let mut fleet = Fleet::start("seeded-stop");
+    let mut fleet = fleet::start("seeded-stop");
     fleet.declare(3).await;
     let control = fleet.control_addresses();
     let _engine = Runner::start("engine", "engines", Some("decode"), 60, control.clone()).await;
@@ -77,7 +78,7 @@
 
 #[tokio::test]
 async fn a_restarted_instance_is_ready_only_with_the_newest_configuration() {
-    let mut fleet = Fleet::start("seeded-restart");
+    let mut fleet = fleet::start("seeded-restart");
     fleet.declare(3).await;
     let control = fleet.control_addresses();
     let portal = Runner::start("portal", "portal", None, 0, control.clone()).await;
@@ -94,7 +95,7 @@
 
 #[tokio::test]
 async fn a_restart_of_all_instances_finds_the_targets_before_they_announce_themselves() {
-    let mut fleet = Fleet::start("seeded-archive");
+    let mut fleet = fleet::start("seeded-archive");
     fleet.declare(3).await;
     let control = fleet.control_addresses();
     let portal = Runner::start("portal", "portal", None, 0, control.clone()).await;
--- a/crates/daisydrum/tests/seeded/path.rs
+++ b/crates/daisydrum/tests/seeded/path.rs
@@ -6,11 +6,11 @@
     runner::{Manner, Runner},
 };
 
-use crate::fleet::{Fleet, until};
+use crate::fleet::{self, Fleet, until};
 
 /// A fleet with a configuration in force and these targets.
 async fn serving(name: &str, engines: usize, portals: usize) -> (Fleet, Vec<Runner>, Vec<Runner>) {
-    let fleet = Fleet::start(name);
+    let fleet = fleet::start(name);
     fleet.declare(3).await;
     let control = fleet.control_addresses();
     let mut runners = Vec::new();
@@ -146,7 +146,7 @@
 
 #[tokio::test]
 async fn before_any_configuration_requests_are_refused_as_not_run() {
-    let mut fleet = Fleet::new("seeded-empty");
+    let mut fleet = fleet::new("seeded-empty");
     fleet.add_entry();
     let callers = fleet.entries[0].callers();
     let readiness = fleet.entries[0].readiness();
@@ -159,7 +159,7 @@
 
 #[tokio::test]
 async fn a_large_configuration_comes_into_force_everywhere() {
-    let mut fleet = Fleet::start("seeded-large");
+    let mut fleet = fleet::start("seeded-large");
     fleet.add_entry();
     let config = call::large_config(3, 6_000);
     let control = fleet.control_addresses();
--- a/crates/daisydrum/tests/seeded/reload.rs
+++ b/crates/daisydrum/tests/seeded/reload.rs
@@ -4,11 +4,11 @@
 
 use rustix::process::Signal;
 
-use crate::fleet::{Fleet, until};
+use crate::fleet::{self, until};
 
 #[tokio::test]
 async fn changed_seeds_are_taken_in_and_unreadable_settings_keep_the_old_ones() {
-    let fleet = Fleet::start("seeded-reload");
+    let fleet = fleet::start("seeded-reload");
     let entry = &fleet.entries[0];
     until("it has started", async || entry.log().contains("event=\"started\"")).await;
     let file = entry.settings_file();
@@ -26,7 +26,7 @@
 
 #[tokio::test]
 async fn a_file_that_changes_without_a_signal_is_noticed() {
-    let fleet = Fleet::start("seeded-noticed");
+    let fleet = fleet::start("seeded-noticed");
     let entry = &fleet.entries[0];
     until("it has started", async || entry.log().contains("event=\"started\"")).await;
     let file = entry.settings_file();
--- /dev/null
+++ b/crates/daisydrum/tests/soak.rs
@@ -0,0 +1,22 @@
+//! Short seeded runs of real processes under faults, and every seed that ever broke a promise.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::{path::Path, time::Duration};
+
+use soak::run::{self, Options};
+use yare::parameterized;
+
+#[parameterized(
+    first = { 1 },
+    second = { 2 },
+)]
+fn a_seeded_run_keeps_every_promise(seed: u64) {
+    let options = Options { length: Duration::from_secs(8), ..Options::new(seed) };
+    let logs = run::log_folder(Path::new(env!("CARGO_TARGET_TMPDIR")), seed);
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let binary = Path::new(env!("CARGO_BIN_EXE_daisydrum"));
+    let report = runtime.block_on(run::play(binary, options, &logs)).unwrap();
+    assert!(report.breaches.is_empty(), "{}", run::describe(seed, &report));
+    assert!(report.history.attempts.len() > 100, "{} attempts", report.history.attempts.len());
+}
--- a/crates/settings/src/seeded.rs
+++ b/crates/settings/src/seeded.rs
@@ -31,6 +31,10 @@
     /// Where the other instances connect; all instances use the same port.
     #[schemars(extend("format" = "ip-port"))]
     pub peers_listen: SocketAddr,
+    /// Where the other instances reach this one, if that is not `peers_listen` but a proxy before it.
+    #[serde(default)]
+    #[schemars(extend("format" = "ip-port"))]
+    pub peers_address: Option<SocketAddr>,
     /// Control addresses of instances to ask first.
     pub seeds: Vec<SocketAddr>,
     /// Folder for all files of the instance; needed with `control`.
--- /dev/null
+++ b/crates/soak/examples/soak.rs
@@ -0,0 +1,96 @@
+//! Plays seeded runs side by side: `cargo run --release -p soak --example soak -- --seeds 50`.
+
+#![allow(clippy::print_stdout, reason = "the report is the product of this example")]
+
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+    sync::atomic::{AtomicU64, Ordering},
+    thread,
+    time::Duration,
+};
+
+use soak::{
+    audit,
+    plan::Size,
+    run::{self, Options},
+};
+use tokio::runtime::Runtime;
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Plays seeded runs under faults and reports broken promises.
+        cmd soak {
+            /// First seed; a fresh one by default.
+            optional --first first: u64
+            /// Number of seeds; 1 by default.
+            optional --seeds seeds: u64
+            /// Runs side by side; 4 by default.
+            optional --jobs jobs: usize
+            /// Length of the faults, in seconds; 15 by default.
+            optional --length-s length_s: u64
+            /// Instances that serve callers; 3 by default.
+            optional --entries entries: usize
+            /// The daemon; target/release/daisydrum by default.
+            optional --binary binary: PathBuf
+            /// Where logs of failed runs are kept; target/soak by default.
+            optional --logs logs: PathBuf
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = flags::Soak::from_env_or_exit();
+    let first = flags.first.unwrap_or_else(|| common::clock::unix_ns() % 1_000_000);
+    let seeds = flags.seeds.unwrap_or(1);
+    let entries = flags.entries.unwrap_or(3);
+    let length = Duration::from_secs(flags.length_s.unwrap_or(15));
+    let binary = flags.binary.unwrap_or_else(|| PathBuf::from("target/release/daisydrum"));
+    let logs = flags.logs.unwrap_or_else(|| PathBuf::from("target/soak"));
+    let (next, failed) = (AtomicU64::new(first), AtomicU64::new(0));
+    let play = || {
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= first + seeds {
+                return;
+            }
+            let options = Options::new(seed);
+            let options = Options { size: Size { entries, ..options.size }, length, ..options };
+            if !is_kept(&binary, options, &run::log_folder(&logs, seed)) {
+                failed.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    };
+    thread::scope(|scope| {
+        for _ in 0..flags.jobs.unwrap_or(4) {
+            scope.spawn(play);
+        }
+    });
+    let failed = failed.into_inner();
+    println!("{seeds} runs, {failed} with a broken promise or not played");
+    if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Plays one run and prints what it showed; whether every promise was kept.
+fn is_kept(binary: &Path, options: Options, logs: &Path) -> bool {
+    let seed = options.seed;
+    let played =
+        Runtime::new().and_then(|runtime| runtime.block_on(run::play(binary, options, logs)));
+    match played {
+        Ok(report) if report.breaches.is_empty() => {
+            println!("seed {seed} kept every promise: {:?}", audit::served(&report.history));
+            true
+        }
+        Ok(report) => {
+            print!("{}", run::describe(seed, &report));
+            println!("  served: {:?}; logs in {}", audit::served(&report.history), logs.display());
+            false
+        }
+        Err(error) => {
+            println!("seed {seed} could not be played: {error}");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/audit.rs
@@ -0,0 +1,203 @@
+//! Checks the promises on what was seen.
+
+use std::{collections::BTreeMap, fmt, time::Duration};
+
+use derive_more::Display;
+use platform_standin::call;
+
+use crate::{
+    history::{Attempt, Content, History, Kind},
+    operator::APPLY_LIMIT,
+};
+
+/// Events of every stream of the stand-ins.
+pub const EVENTS: u64 = 8;
+/// Body of every plain answer of the stand-ins.
+pub const BODY: &str = "done";
+/// Time beyond a deadline after which an answer counts as held back; the operators' bound is 0.5 s on machines of
+/// their own, and these processes share one with others.
+const LATE_MARGIN: Duration = Duration::from_secs(2);
+/// Orders of a process that has just gone on after a freeze are not judged, the operators' bound.
+const THAW_SLACK: Duration = Duration::from_millis(300);
+
+/// A promise.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Promise {
+    /// A request that may not be repeated runs once at most.
+    Once,
+    /// No attempt runs on more targets than its route allows.
+    Attempts,
+    /// A request that was refused has not run.
+    Refusal,
+    /// A successful answer is one target's whole answer to this request.
+    Whole,
+    /// Every event of a stream comes once, in order.
+    Order,
+    /// A proper request isn't called improper.
+    Denial,
+    /// Every request is answered by its deadline.
+    Deadline,
+    /// No read shows an older configuration than one that was acknowledged.
+    Newest,
+    /// Orders come from one holder at a time.
+    Holder,
+    /// Service comes back once faults are over.
+    Recovery,
+    /// Processes end only when they are asked to, and then do.
+    End,
+}
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    /// The promise.
+    pub promise: Promise,
+    /// What was seen.
+    pub detail: String,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.promise, self.detail)
+    }
+}
+
+/// Checks all promises; returns those that were broken.
+pub fn audit(history: &History) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    let mut report = |promise, detail| breaches.push(Breach { promise, detail });
+    let mut runs: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for (target, run) in &history.runs {
+        runs.entry(run.id.as_str()).or_default().push(target);
+    }
+    for attempt in &history.attempts {
+        let targets = runs.get(attempt.id.as_str()).map_or(&[][..], Vec::as_slice);
+        check_runs(attempt, targets, &mut report);
+        check_answer(attempt, &mut report);
+        if is_late(attempt, history) {
+            let waited = attempt.ended - attempt.sent;
+            report(Promise::Deadline, format!("{} waited {waited:?}", describe(attempt)));
+        }
+    }
+    check_reads(history, &mut report);
+    for what in &history.refused {
+        report(Promise::Denial, what.clone());
+    }
+    check_orders(history, &mut report);
+    for what in &history.unrecovered {
+        report(Promise::Recovery, what.clone());
+    }
+    for what in &history.ends {
+        report(Promise::End, what.clone());
+    }
+    breaches
+}
+
+fn check_runs(attempt: &Attempt, targets: &[&str], report: &mut impl FnMut(Promise, String)) {
+    let (count, kind) = (targets.len(), attempt.kind);
+    if count > kind.runs() {
+        let promise = if kind.runs() == 1 { Promise::Once } else { Promise::Attempts };
+        report(promise, format!("{} ran at {targets:?}", describe(attempt)));
+    }
+    if is_promise(attempt.answer.status) && count > 0 {
+        report(Promise::Refusal, format!("{} ran at {targets:?}", describe(attempt)));
+    }
+}
+
+fn check_answer(attempt: &Attempt, report: &mut impl FnMut(Promise, String)) {
+    let answer = &attempt.answer;
+    match answer.status {
+        Some(200) => {}
+        Some(status) if (300..500).contains(&status) && !is_promise(Some(status)) => {
+            return report(Promise::Denial, describe(attempt));
+        }
+        _ => return,
+    }
+    let signed = answer.signature.as_ref().is_some_and(|signature| {
+        signature.rsplit_once('.').is_some_and(|(_target, id)| id == attempt.id)
+    });
+    if !signed {
+        report(Promise::Whole, format!("{} signed {:?}", describe(attempt), answer.signature));
+    }
+    if !attempt.kind.is_stream() {
+        if answer.whole && answer.body != BODY {
+            report(Promise::Whole, format!("{} body {:?}", describe(attempt), answer.body));
+        }
+        return;
+    }
+    let events = call::events(&answer.body);
+    let in_order = events.iter().copied().eq(1..=events.len() as u64);
+    if !in_order || (answer.whole && events.len() as u64 != EVENTS) {
+        report(Promise::Order, format!("{} events {events:?}", describe(attempt)));
+    }
+}
+
+fn is_late(attempt: &Attempt, history: &History) -> bool {
+    let limit = attempt.kind.deadline() + LATE_MARGIN;
+    let disturbed = history.disturbances.iter().any(|disturbance| {
+        disturbance.entry == attempt.entry
+            && disturbance.from < attempt.ended
+            && attempt.sent < disturbance.until
+    });
+    !disturbed && attempt.ended - attempt.sent > limit
+}
+
+fn check_reads(history: &History, report: &mut impl FnMut(Promise, String)) {
+    for read in &history.reads {
+        if read.content == Content::Other {
+            report(Promise::Newest, format!("{read:?} is not what was sent"));
+        }
+        let due = history.acknowledgements.iter().filter(|ack| ack.at + APPLY_LIMIT < read.sent);
+        let newest = due.max_by_key(|ack| ack.version);
+        if let Some(ack) = newest.filter(|ack| ack.version > read.version) {
+            let detail = format!("control {} showed {read:?} after {ack:?}", read.control);
+            report(Promise::Newest, detail);
+        }
+    }
+}
+
+fn check_orders(history: &History, report: &mut impl FnMut(Promise, String)) {
+    let thawed =
+        |at: Duration| history.thaws.iter().any(|thaw| *thaw <= at && at - *thaw < THAW_SLACK);
+    let mut holders: BTreeMap<u64, &str> = BTreeMap::new();
+    let mut newest: BTreeMap<&str, u64> = BTreeMap::new();
+    for order in history.orders.iter().filter(|order| !thawed(order.at)) {
+        let holder = holders.entry(order.fence).or_insert(&order.holder);
+        if *holder != order.holder {
+            report(Promise::Holder, format!("{order:?} has the number of {holder}"));
+        }
+        let newest = newest.entry(&order.target).or_default();
+        if order.fence < *newest {
+            report(Promise::Holder, format!("{order:?} came after number {newest}"));
+        }
+        *newest = order.fence.max(*newest);
+    }
+}
+
+/// Whether a status promises that the request has not run.
+fn is_promise(status: Option<u16>) -> bool {
+    matches!(status, Some(408 | 421 | 429 | 503))
+}
+
+fn describe(attempt: &Attempt) -> String {
+    let Attempt { id, kind, entry, sent, ended, answer } = attempt;
+    format!(
+        "{kind} {id} at entry {entry} from {sent:?} to {ended:?} got {:?}{}",
+        answer.status,
+        if answer.whole { "" } else { " cut" }
+    )
+}
+
+/// Attempts by kind and whether they were served whole, for the report of a run.
+pub fn served(history: &History) -> BTreeMap<String, (usize, usize)> {
+    let mut table: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+    for kind in Kind::ALL {
+        table.insert(kind.to_string(), (0, 0));
+    }
+    for attempt in &history.attempts {
+        let row = table.entry(attempt.kind.to_string()).or_default();
+        row.1 += 1;
+        row.0 += usize::from(attempt.answer.status == Some(200) && attempt.answer.whole);
+    }
+    table
+}
--- /dev/null
+++ b/crates/soak/src/fleet.rs
@@ -0,0 +1,356 @@
+//! Daemons on loopback addresses of their own, which all use the same ports.
+
+use std::{
+    fs, io,
+    net::{IpAddr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
+    time::{Duration, Instant},
+};
+
+use rustix::process::{Pid, Signal};
+use standin::{harness::folder::Folder, proxy::Proxy};
+
+const CONTROL_PORT: u16 = 8_144;
+const CALLERS_PORT: u16 = 8_149;
+const READINESS_PORT: u16 = 8_141;
+const PEERS_PORT: u16 = 7_380;
+/// Added to the third part of an address, for the proxy before it.
+const PROXIED: u8 = 100;
+/// Conditions are waited for this long, on machines under load, too.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+/// Numbers the fleets of this process, each of which has loopback addresses of its own.
+static FLEETS: AtomicU8 = AtomicU8::new(0);
+
+/// How the instances of a fleet reach each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Links {
+    /// At their own addresses.
+    Direct,
+    /// Through a proxy before each.
+    Proxied,
+}
+
+/// Daemons of one fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    binary: PathBuf,
+    links: Links,
+    folder: Folder,
+    network: [u8; 3],
+    seeds: Vec<SocketAddr>,
+    /// Instances that keep state; the first three are the seeds.
+    pub control: Vec<Daemon>,
+    /// Instances that serve callers.
+    pub entries: Vec<Daemon>,
+}
+
+/// A daemon's process; killed when dropped.
+#[derive(Debug)]
+pub struct Daemon {
+    /// Its name.
+    pub name: String,
+    binary: PathBuf,
+    file: PathBuf,
+    settings: String,
+    address: IpAddr,
+    /// Starts so far; each has a log of its own.
+    starts: u32,
+    child: Option<Child>,
+}
+
+/// Whether a process starts with the fleet or later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// With the fleet, all of whose disks are empty.
+    First,
+    /// Later.
+    Later,
+}
+
+impl Fleet {
+    /// Settings of a fleet of which nothing runs yet; the first three control instances are the seeds.
+    pub fn new(binary: &Path, name: &str, links: Links) -> Fleet {
+        let process = std::process::id();
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let network = [127, 1 + u8::try_from(process % 200).unwrap_or(1), number + 1];
+        let mut fleet = Fleet {
+            binary: binary.to_path_buf(),
+            links,
+            folder: Folder::new(name),
+            network,
+            seeds: Vec::new(),
+            control: Vec::new(),
+            entries: Vec::new(),
+        };
+        fleet.seeds =
+            (1..=3).map(|host| SocketAddr::new(fleet.peers_host(host), CONTROL_PORT)).collect();
+        fleet
+    }
+
+    /// Three control instances and one that serves callers.
+    pub fn start(binary: &Path, name: &str) -> Fleet {
+        let mut fleet = Fleet::new(binary, name, Links::Direct);
+        for _ in 0..3 {
+            fleet.add_control(Start::First);
+        }
+        fleet.add_entry();
+        fleet
+    }
+
+    /// Starts the proxies before the control instances and the entries, in this order.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error when an address can't be listened on.
+    pub async fn proxies(&self) -> io::Result<Vec<Proxy>> {
+        let mut proxies = Vec::new();
+        for daemon in self.control.iter().chain(&self.entries) {
+            let listen = SocketAddr::new(self.peers_host(host_number(daemon.address)), PEERS_PORT);
+            let upstream = SocketAddr::new(daemon.address, PEERS_PORT);
+            proxies.push(Proxy::start_on(listen, upstream).await?);
+        }
+        Ok(proxies)
+    }
+
+    /// Adds a control instance; returns its number.
+    pub fn add_control(&mut self, start: Start) -> usize {
+        let number = self.control.len() + 1;
+        let host = self.host(u8::try_from(number).unwrap());
+        let settings = format!(
+            "\"control\": \"{host}:{CONTROL_PORT}\", \"data_folder\": \"{}\", \"founding\": {},",
+            self.data_folder(number).display(),
+            start == Start::First
+        );
+        let daemon = self.daemon(&format!("control-{number}"), host, &settings);
+        self.control.push(daemon);
+        number - 1
+    }
+
+    /// Adds an instance that serves callers; returns its number.
+    pub fn add_entry(&mut self) -> usize {
+        let number = self.entries.len() + 101;
+        let host = self.host(u8::try_from(number).unwrap());
+        let settings = format!(
+            "\"callers\": \"{host}:{CALLERS_PORT}\", \"readiness\": \"{host}:{READINESS_PORT}\","
+        );
+        let daemon = self.daemon(&format!("entry-{number}"), host, &settings);
+        self.entries.push(daemon);
+        self.entries.len() - 1
+    }
+
+    /// Empties the disk of a control instance that doesn't run; it won't found anything any more.
+    pub fn wipe(&mut self, control: usize) {
+        fs::remove_dir_all(self.data_folder(control + 1)).unwrap();
+        let daemon = &mut self.control[control];
+        daemon.settings = daemon.settings.replace("\"founding\": true", "\"founding\": false");
+        fs::write(&daemon.file, &daemon.settings).unwrap();
+    }
+
+    /// Where operators and targets connect, by control instance.
+    pub fn control_addresses(&self) -> Vec<SocketAddr> {
+        self.control.iter().map(Daemon::control).collect()
+    }
+
+    /// Accepts a configuration at any control instance.
+    pub async fn declare(&self, version: u64) {
+        self.declare_config(&platform_standin::call::config(version)).await;
+    }
+
+    /// Accepts this configuration at any control instance.
+    pub async fn declare_config(&self, config: &serde_json::Value) {
+        until("a configuration is accepted", async || {
+            for control in self.control_addresses() {
+                if platform_standin::call::declare(control, config).await == Some(200) {
+                    return true;
+                }
+            }
+            false
+        })
+        .await;
+    }
+
+    /// Whether a control instance keeps a target on its disk.
+    pub fn are_targets_kept(&self) -> bool {
+        let file = |number| self.data_folder(number).join("targets");
+        (1..=self.control.len())
+            .any(|number| fs::read(file(number)).is_ok_and(|bytes| bytes.len() > 1))
+    }
+
+    /// Waits until all instances that serve callers say that they are ready.
+    pub async fn until_ready(&self) {
+        for entry in &self.entries {
+            let readiness = entry.readiness();
+            until("an instance is ready", async || {
+                platform_standin::call::is_ready(readiness).await
+            })
+            .await;
+        }
+    }
+
+    fn host(&self, host: u8) -> IpAddr {
+        let [a, b, c] = self.network;
+        IpAddr::from([a, b, c, host])
+    }
+
+    /// The address at which other instances reach a host.
+    fn peers_host(&self, host: u8) -> IpAddr {
+        let [a, b, c] = self.network;
+        match self.links {
+            Links::Direct => self.host(host),
+            Links::Proxied => IpAddr::from([a, b, c + PROXIED, host]),
+        }
+    }
+
+    fn data_folder(&self, number: usize) -> PathBuf {
+        self.folder.path().join(format!("data-{number}"))
+    }
+
+    fn daemon(&self, name: &str, host: IpAddr, settings: &str) -> Daemon {
+        let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let settings = format!(
+            "{{ \"name\": \"{name}\", \"data_centre\": \"suva\", {settings}\n  \
+             \"peers_listen\": \"{host}:{PEERS_PORT}\", \"peers_address\": \"{}:{PEERS_PORT}\", \"seeds\": [{}], \"announcement_ms\": 200,\n  \
+             \"engines\": {{ \"turn_ms\": 200, \"prompt_share\": 0.7 }}, \"stop_s\": 8 }}",
+            self.peers_host(host_number(host)),
+            seeds.join(", ")
+        );
+        let file = self.folder.path().join(format!("{name}.jsonc"));
+        fs::write(&file, &settings).unwrap();
+        let (name, binary) = (name.to_owned(), self.binary.clone());
+        let mut daemon =
+            Daemon { name, binary, file, settings, address: host, starts: 0, child: None };
+        daemon.start();
+        daemon
+    }
+}
+
+impl Daemon {
+    /// Starts the process.
+    pub fn start(&mut self) {
+        self.starts += 1;
+        let log = fs::File::create(self.log_file(self.starts)).unwrap();
+        let child = Command::new(&self.binary)
+            .args(["join", "--settings"])
+            .arg(&self.file)
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.child = Some(child);
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Whether the process was started and has not ended.
+    pub fn runs(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| child.try_wait().is_ok_and(|end| end.is_none()))
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().unwrap().id();
+        rustix::process::kill_process(Pid::from_raw(i32::try_from(id).unwrap()).unwrap(), signal)
+            .unwrap();
+    }
+
+    /// Waits until the process has ended; its exit code.
+    pub async fn ended(&mut self) -> Option<i32> {
+        self.ended_within(PATIENCE).await.expect("the process ends")
+    }
+
+    /// Waits until the process has ended; its exit code, or nothing if it still runs after `limit`.
+    pub async fn ended_within(&mut self, limit: Duration) -> Option<Option<i32>> {
+        let deadline = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.child.as_mut().unwrap().try_wait().unwrap() {
+                self.child = None;
+                return Some(status.code());
+            }
+            if Instant::now() >= deadline {
+                return None;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// The file of its settings.
+    pub fn settings_file(&self) -> &Path {
+        &self.file
+    }
+
+    /// What it has logged since its last start.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.log_file(self.starts)).unwrap()
+    }
+
+    /// Copies the logs of all its starts into a folder.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error.
+    pub fn keep_logs(&self, folder: &Path) -> io::Result<()> {
+        fs::create_dir_all(folder)?;
+        for start in 1..=self.starts {
+            let name = format!("{}.{start}.log", self.name);
+            fs::copy(self.log_file(start), folder.join(name))?;
+        }
+        Ok(())
+    }
+
+    fn log_file(&self, start: u32) -> PathBuf {
+        self.file.with_extension(format!("{start}.log"))
+    }
+
+    /// Where operators and targets connect.
+    pub fn control(&self) -> SocketAddr {
+        SocketAddr::new(self.address, CONTROL_PORT)
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.address, CALLERS_PORT)
+    }
+
+    /// Where the balancer asks whether it takes callers.
+    pub fn readiness(&self) -> SocketAddr {
+        SocketAddr::new(self.address, READINESS_PORT)
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn host_number(address: IpAddr) -> u8 {
+    match address {
+        IpAddr::V4(address) => address.octets()[3],
+        IpAddr::V6(_) => 0,
+    }
+}
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// Panics with `what` when it doesn't hold in time.
+pub async fn until(what: &str, condition: impl AsyncFn() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while Instant::now() < deadline {
+        if condition().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("waited too long until {what}");
+}
--- /dev/null
+++ b/crates/soak/src/operator.rs
@@ -0,0 +1,100 @@
+//! An operator that changes the configuration again and again, and one that reads it.
+
+use std::{net::SocketAddr, time::Duration};
+
+use common::{cancel, random::Random};
+use platform_standin::call;
+use tokio::time::{self, Instant};
+
+use crate::history::{Acknowledgement, Content, Read};
+
+/// Pause between two changes.
+const CHANGE_PAUSE: Duration = Duration::from_millis(800);
+/// Pause between two reads.
+const READ_PAUSE: Duration = Duration::from_millis(120);
+/// An instance that does not answer within this time is left for another one.
+const ANSWER_LIMIT: Duration = Duration::from_secs(1);
+/// A change without a clear answer is given up after this time; it may or may not be in force.
+const CHANGE_LIMIT: Duration = Duration::from_secs(6);
+/// Time after an acknowledgement until the version is in force everywhere, the operators' bound.
+pub const APPLY_LIMIT: Duration = Duration::from_secs(2);
+/// The version that is in force before the faults begin.
+pub const FIRST_VERSION: u64 = 1;
+
+/// What happened to the changes.
+#[derive(Debug, Default)]
+pub struct Changes {
+    /// Those that were acknowledged.
+    pub acknowledgements: Vec<Acknowledgement>,
+    /// Valid ones that were refused.
+    pub refused: Vec<String>,
+}
+
+/// Changes the configuration until the token is cancelled.
+pub async fn change(
+    control: Vec<SocketAddr>,
+    seed: u64,
+    start: Instant,
+    token: cancel::Token,
+) -> Changes {
+    let mut random = Random::new(seed);
+    let mut changes = Changes::default();
+    let mut version = FIRST_VERSION;
+    while !token.is_cancelled() {
+        time::sleep(CHANGE_PAUSE.mul_f64(2.0 * random.unit())).await;
+        // Versions need not follow each other.
+        version += 1 + random.below(3) as u64;
+        let config = call::distinct_config(version);
+        let deadline = Instant::now() + CHANGE_LIMIT;
+        while Instant::now() < deadline {
+            let address = control[random.below(control.len())];
+            let answer = time::timeout(ANSWER_LIMIT, call::declare(address, &config)).await;
+            match answer.ok().flatten() {
+                Some(200) => {
+                    let at = start.elapsed();
+                    changes.acknowledgements.push(Acknowledgement { version, at });
+                    break;
+                }
+                Some(status) if (400..500).contains(&status) && status != 429 && status != 408 => {
+                    changes.refused.push(format!("version {version} got {status}"));
+                    break;
+                }
+                _ => time::sleep(READ_PAUSE).await,
+            }
+        }
+    }
+    changes
+}
+
+/// Reads the configuration until the token is cancelled.
+pub async fn read(
+    control: Vec<SocketAddr>,
+    seed: u64,
+    start: Instant,
+    token: cancel::Token,
+) -> Vec<Read> {
+    let mut random = Random::new(seed);
+    let mut reads = Vec::new();
+    while !token.is_cancelled() {
+        time::sleep(READ_PAUSE).await;
+        let number = random.below(control.len());
+        reads.extend(read_one(&control, number, start).await);
+    }
+    reads
+}
+
+/// Reads the configuration from one instance; nothing if it shows none.
+pub async fn read_one(control: &[SocketAddr], number: usize, start: Instant) -> Option<Read> {
+    let sent = start.elapsed();
+    let answer = call::read(control[number]).await;
+    if answer.status != Some(200) || !answer.whole {
+        return None;
+    }
+    let (version, content) = match call::version_of(&answer.body) {
+        Some(version) if call::is_distinct_config(&answer.body, version) => {
+            (version, Content::AsSent)
+        }
+        version => (version.unwrap_or_default(), Content::Other),
+    };
+    Some(Read { control: number, sent, version, content })
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,194 @@
+//! One seeded run: callers and operators beside faults, then a calm time in which everything must come back.
+
+use std::{io, path::Path, time::Duration};
+
+use common::cancel;
+use platform_standin::call;
+use tokio::time::{self, Instant};
+
+use crate::{
+    audit::{self, Breach},
+    callers::Caller,
+    history::{History, Kind},
+    operator,
+    plan::{self, Event, Size},
+    scene::{Ending, Scene},
+};
+
+/// Pause before it is looked again whether a process has stopped.
+const STOP_PAUSE: Duration = Duration::from_millis(100);
+/// Time after the last fault in which everything must work again: the operators' bound, and as much again, since
+/// these processes share a machine with others.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(24);
+
+/// What a run is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Decides the faults and the callers' choices.
+    pub seed: u64,
+    /// Processes and targets.
+    pub size: Size,
+    /// Callers.
+    pub callers: usize,
+    /// How long faults begin.
+    pub length: Duration,
+}
+
+impl Options {
+    /// A run of a small fleet.
+    pub fn new(seed: u64) -> Options {
+        let size = Size { control: 3, entries: 3, engines: 4, portals: 2 };
+        Options { seed, size, callers: 6, length: Duration::from_secs(15) }
+    }
+}
+
+/// What a run showed.
+#[derive(Debug)]
+pub struct Report {
+    /// Broken promises.
+    pub breaches: Vec<Breach>,
+    /// The faults.
+    pub events: Vec<Event>,
+    /// What was seen.
+    pub history: History,
+}
+
+/// Plays one run; logs are kept in `logs` where a promise was broken.
+///
+/// # Errors
+///
+/// Returns the operating system's error when the run can't be set up.
+pub async fn play(binary: &Path, options: Options, logs: &Path) -> io::Result<Report> {
+    let Options { seed, size, callers, length } = options;
+    let events = plan::draw(seed, size, length);
+    let mut scene = Scene::start(binary, &format!("soak-{seed}"), size).await?;
+    scene.fleet.declare_config(&call::distinct_config(operator::FIRST_VERSION)).await;
+    scene.fleet.until_ready().await;
+    let start = scene.started();
+    let begin = start.elapsed();
+    let (load, control) = (cancel::Token::new(), scene.fleet.control_addresses());
+    let calls: Vec<_> = (0..callers)
+        .map(|number| {
+            let name = format!("{seed}-{number}");
+            let caller = Caller::new(&name, scene.entries(), seed ^ number as u64, start);
+            tokio::spawn(caller.run(load.clone()))
+        })
+        .collect();
+    let changes = tokio::spawn(operator::change(control.clone(), seed, start, load.clone()));
+    let reads = tokio::spawn(operator::read(control.clone(), seed, start, load.clone()));
+
+    let shifted = events.iter().map(|event| Event { at: event.at + begin, ..*event });
+    suffer(&mut scene, shifted.collect()).await?;
+    scene.note_ends();
+    recover(&mut scene, seed).await;
+    load.cancel();
+    for call in calls {
+        scene.history.attempts.extend(call.await.map_err(io::Error::other)?);
+    }
+    let changes = changes.await.map_err(io::Error::other)?;
+    scene.history.acknowledgements = changes.acknowledgements;
+    scene.history.refused = changes.refused;
+    scene.history.reads.extend(reads.await.map_err(io::Error::other)?);
+    read_back(&mut scene, seed).await;
+    scene.note_ends();
+    scene.stop().await;
+
+    let breaches = audit::audit(&scene.history);
+    if !breaches.is_empty() {
+        for daemon in scene.fleet.control.iter().chain(&scene.fleet.entries) {
+            daemon.keep_logs(logs)?;
+        }
+    }
+    let history = std::mem::take(&mut scene.history);
+    Ok(Report { breaches, events, history })
+}
+
+/// Plays all faults until the last one is over.
+async fn suffer(scene: &mut Scene, events: Vec<Event>) -> io::Result<()> {
+    let start = scene.started();
+    let mut due: Vec<(Duration, Event, bool)> =
+        events.into_iter().map(|event| (event.at, event, false)).collect();
+    while let Some(next) = (0..due.len()).min_by_key(|index| due[*index].0) {
+        let (at, event, begun) = due.swap_remove(next);
+        time::sleep_until(start + at).await;
+        if !begun {
+            scene.begin(&event).await;
+            due.push((at + event.lasts, event, true));
+        } else if scene.end(&event).await? == Ending::Later {
+            due.push((start.elapsed() + STOP_PAUSE, event, true));
+        }
+    }
+    Ok(())
+}
+
+/// Waits until every instance serves every kind of request.
+async fn recover(scene: &mut Scene, seed: u64) {
+    let start = scene.started();
+    let deadline = Instant::now() + RECOVERY_LIMIT;
+    let mut caller = Caller::new(&format!("{seed}-recovery"), scene.entries(), seed, start);
+    for entry in 0..scene.entries().len() {
+        for kind in Kind::ALL {
+            while !caller.is_served(entry, kind).await {
+                if Instant::now() > deadline {
+                    scene.history.unrecovered.push(format!("{kind} at entry {entry}"));
+                    break;
+                }
+                time::sleep(STOP_PAUSE).await;
+            }
+        }
+    }
+    scene.history.attempts.extend(caller.into_attempts());
+}
+
+/// Reads the configuration from every control instance, and checks that every entry obeys it.
+async fn read_back(scene: &mut Scene, seed: u64) {
+    let (start, control) = (scene.started(), scene.fleet.control_addresses());
+    let deadline = Instant::now() + RECOVERY_LIMIT;
+    // An acknowledgement may still be due at the other instances.
+    time::sleep(operator::APPLY_LIMIT).await;
+    let mut newest = 0;
+    for number in 0..control.len() {
+        loop {
+            if let Some(read) = operator::read_one(&control, number, start).await {
+                newest = newest.max(read.version);
+                scene.history.reads.push(read);
+                break;
+            }
+            if Instant::now() > deadline {
+                scene.history.unrecovered.push(format!("reads at control {number}"));
+                break;
+            }
+            time::sleep(STOP_PAUSE).await;
+        }
+    }
+    for (entry, address) in scene.entries().into_iter().enumerate() {
+        let path = format!("/only-{newest}/1");
+        let mut status = None;
+        while status != Some(200) && Instant::now() < deadline {
+            let id = format!("{seed}-only-{entry}-{}", start.elapsed().as_micros());
+            status = call::ask(address, &path, &id).await.status;
+        }
+        if status != Some(200) {
+            let what = format!("entry {entry} answered {status:?} on a route of version {newest}");
+            scene.history.unrecovered.push(what);
+        }
+    }
+}
+
+/// The plan and the broken promises of a run, for people.
+pub fn describe(seed: u64, report: &Report) -> String {
+    let mut text = format!("seed {seed}\n");
+    for event in &report.events {
+        let Event { at, lasts, victim, fault } = event;
+        text.push_str(&format!("  {at:>8.1?} for {lasts:.1?}: {fault} {victim}\n"));
+    }
+    for breach in &report.breaches {
+        text.push_str(&format!("  BROKEN {breach}\n"));
+    }
+    text
+}
+
+/// The folder in which logs of a run are kept.
+pub fn log_folder(root: &Path, seed: u64) -> std::path::PathBuf {
+    root.join(format!("soak-{seed}"))
+}
--- /dev/null
+++ b/crates/soak/src/scene.rs
@@ -0,0 +1,295 @@
+//! The processes and targets of a run, and what faults do to them.
+
+use std::{io, net::SocketAddr, path::Path, time::Duration};
+
+use platform_standin::runner::{Manner, Options, Runner};
+use rustix::process::Signal;
+use standin::proxy::{Conditions, Flow, Proxy};
+use tokio::{net::TcpListener, time::Instant};
+
+use crate::{
+    audit::EVENTS,
+    fleet::{Daemon, Fleet, Links, Start},
+    history::{Disturbance, History, Order},
+    plan::{Event, Fault, Size, Victim},
+};
+
+/// Delay of a slow link; more than any answer of a stand-in takes.
+const DELAY: Duration = Duration::from_millis(150);
+/// Events of a stream before a target breaks it off.
+const EVENTS_BEFORE_BREAK: u64 = 3;
+/// Time after its own limit in which a process that is asked to stop must have ended.
+const STOP_LIMIT: Duration = Duration::from_secs(12);
+
+/// A target with the proxy before it.
+#[derive(Debug)]
+struct Target {
+    runner: Option<Runner>,
+    proxy: Option<Proxy>,
+    /// Targets that had its place before.
+    generation: u32,
+}
+
+/// The processes and targets of a run.
+#[derive(Debug)]
+pub struct Scene {
+    /// The processes.
+    pub fleet: Fleet,
+    /// What was seen.
+    pub history: History,
+    size: Size,
+    proxies: Vec<Proxy>,
+    targets: Vec<Target>,
+    start: Instant,
+}
+
+/// Whether the end of a fault has to wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The fault is over.
+    Over,
+    /// The process hasn't stopped yet.
+    Later,
+}
+
+impl Scene {
+    /// Starts all processes and targets.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error when an address can't be listened on.
+    pub async fn start(binary: &Path, name: &str, size: Size) -> io::Result<Scene> {
+        let mut fleet = Fleet::new(binary, name, Links::Proxied);
+        for _ in 0..size.control {
+            fleet.add_control(Start::First);
+        }
+        for _ in 0..size.entries {
+            fleet.add_entry();
+        }
+        let proxies = fleet.proxies().await?;
+        let targets = Vec::new();
+        let start = Instant::now();
+        let mut scene = Scene { fleet, history: History::default(), size, proxies, targets, start };
+        for number in 0..size.engines + size.portals {
+            let target = Target { runner: None, proxy: None, generation: 0 };
+            scene.targets.push(target);
+            scene.start_target(number).await?;
+        }
+        Ok(scene)
+    }
+
+    /// From when times are counted.
+    pub fn started(&self) -> Instant {
+        self.start
+    }
+
+    /// Where callers connect.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.fleet.entries.iter().map(Daemon::callers).collect()
+    }
+
+    /// Begins a fault.
+    pub async fn begin(&mut self, event: &Event) {
+        let fault = event.fault;
+        if let Victim::Entry(entry) = event.victim
+            && matches!(fault, Fault::Kill | Fault::Stop | Fault::Freeze)
+        {
+            let from = self.start.elapsed();
+            // Its end is set when the process is back.
+            self.history.disturbances.push(Disturbance { entry, from, until: Duration::MAX });
+        }
+        match fault {
+            Fault::Kill | Fault::Wipe => self.daemon(event.victim).kill(),
+            Fault::Stop => self.daemon(event.victim).signal(Signal::TERM),
+            Fault::Freeze => self.daemon(event.victim).signal(Signal::STOP),
+            Fault::Delay => {
+                self.set(event.victim, Conditions { latency: DELAY, ..Conditions::default() });
+            }
+            Fault::CutTowards => {
+                self.set(event.victim, Conditions { upstream: Flow::Cut, ..Conditions::default() });
+            }
+            Fault::CutBack => {
+                let conditions = Conditions { downstream: Flow::Cut, ..Conditions::default() };
+                self.set(event.victim, conditions);
+            }
+            Fault::Refuse => {
+                self.set(event.victim, Conditions { refuses: true, ..Conditions::default() });
+            }
+            Fault::Reset => self.with_proxy(event.victim, Proxy::reset_open),
+            Fault::Silence => self.with_proxy(event.victim, Proxy::silence_open),
+            Fault::Shed => self.set_manner(event.victim, Manner::Shed),
+            Fault::BreakOff => {
+                let plain =
+                    matches!(event.victim, Victim::Target(number) if number >= self.size.engines);
+                let after = if plain { 0 } else { EVENTS_BEFORE_BREAK };
+                self.set_manner(event.victim, Manner::Break(after));
+            }
+            Fault::Fail => self.set_manner(event.victim, Manner::Fail),
+            Fault::Mute => self.set_manner(event.victim, Manner::Mute),
+            Fault::Replace => self.end_target(event.victim),
+            Fault::Leave => self.announce_leave(event.victim).await,
+        }
+    }
+
+    /// Ends a fault that began.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error when a target can't be started.
+    pub async fn end(&mut self, event: &Event) -> io::Result<Ending> {
+        match event.fault {
+            Fault::Kill => self.daemon(event.victim).start(),
+            Fault::Wipe => {
+                if let Victim::Control(number) = event.victim {
+                    self.fleet.wipe(number);
+                    self.fleet.control[number].start();
+                }
+            }
+            Fault::Stop => {
+                let overdue = self.start.elapsed() > event.at + event.lasts + STOP_LIMIT;
+                let daemon = self.daemon(event.victim);
+                if daemon.runs() && !overdue {
+                    return Ok(Ending::Later);
+                }
+                let code = daemon.ended_within(Duration::ZERO).await;
+                if code != Some(Some(0)) {
+                    let what = format!("{} was asked to stop and ended with {code:?}", daemon.name);
+                    daemon.kill();
+                    self.history.ends.push(what);
+                }
+                self.daemon(event.victim).start();
+            }
+            Fault::Freeze => {
+                self.daemon(event.victim).signal(Signal::CONT);
+                if matches!(event.victim, Victim::Control(_)) {
+                    self.history.thaws.push(self.start.elapsed());
+                }
+            }
+            Fault::Delay | Fault::CutTowards | Fault::CutBack | Fault::Refuse => {
+                self.set(event.victim, Conditions::default());
+            }
+            Fault::Reset | Fault::Silence => {}
+            Fault::Shed | Fault::BreakOff | Fault::Fail | Fault::Mute => {
+                self.set_manner(event.victim, Manner::Serve);
+            }
+            Fault::Replace | Fault::Leave => {
+                if let Victim::Target(number) = event.victim {
+                    self.end_target(event.victim);
+                    self.start_target(number).await?;
+                }
+            }
+        }
+        if let Victim::Entry(entry) = event.victim {
+            let until = self.start.elapsed();
+            let open = self.history.disturbances.iter_mut();
+            let open = open.filter(|other| other.entry == entry && other.until == Duration::MAX);
+            open.for_each(|disturbance| disturbance.until = until);
+        }
+        Ok(Ending::Over)
+    }
+
+    /// Notes processes that have ended by themselves.
+    pub fn note_ends(&mut self) {
+        let daemons = self.fleet.control.iter_mut().chain(&mut self.fleet.entries);
+        for daemon in daemons {
+            if !daemon.runs() {
+                self.history.ends.push(format!("{} ended by itself", daemon.name));
+            }
+        }
+    }
+
+    /// Asks all processes to stop, and collects what the targets saw.
+    pub async fn stop(&mut self) {
+        let daemons = || self.fleet.control.iter().chain(&self.fleet.entries);
+        daemons().for_each(|daemon| daemon.signal(Signal::TERM));
+        for daemon in self.fleet.control.iter_mut().chain(&mut self.fleet.entries) {
+            let code = daemon.ended_within(STOP_LIMIT).await;
+            if code != Some(Some(0)) {
+                let what = format!("{} was asked to stop and ended with {code:?}", daemon.name);
+                self.history.ends.push(what);
+            }
+        }
+        for number in 0..self.targets.len() {
+            self.end_target(Victim::Target(number));
+        }
+    }
+
+    fn daemon(&mut self, victim: Victim) -> &mut Daemon {
+        match victim {
+            Victim::Control(number) => &mut self.fleet.control[number],
+            Victim::Entry(number) => &mut self.fleet.entries[number],
+            Victim::Target(_) => unreachable!("targets are no processes"),
+        }
+    }
+
+    fn with_proxy(&self, victim: Victim, act: impl Fn(&Proxy)) {
+        let proxy = match victim {
+            Victim::Control(number) => self.proxies.get(number),
+            Victim::Entry(number) => self.proxies.get(self.size.control + number),
+            Victim::Target(number) => self.targets[number].proxy.as_ref(),
+        };
+        proxy.into_iter().for_each(act);
+    }
+
+    fn set(&self, victim: Victim, conditions: Conditions) {
+        self.with_proxy(victim, |proxy| proxy.set(conditions));
+    }
+
+    fn set_manner(&self, victim: Victim, manner: Manner) {
+        if let Victim::Target(number) = victim {
+            let runner = self.targets[number].runner.as_ref();
+            runner.into_iter().for_each(|runner| runner.set_manner(manner));
+        }
+    }
+
+    async fn announce_leave(&self, victim: Victim) {
+        let Victim::Target(number) = victim else {
+            return;
+        };
+        if let Some(runner) = &self.targets[number].runner {
+            // Its next announcements say the same where this one isn't taken.
+            let _acknowledged = runner.drain(self.fleet.control[0].control()).await;
+        }
+    }
+
+    async fn start_target(&mut self, number: usize) -> io::Result<()> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let proxy = Proxy::start(listener.local_addr()?).await?;
+        let target = &mut self.targets[number];
+        target.generation += 1;
+        let is_engine = number < self.size.engines;
+        let runner = Runner::start_with(Options {
+            name: format!("target-{number}-{}", target.generation),
+            service: String::from(if is_engine { "engines" } else { "portal" }),
+            stage: is_engine.then_some("decode"),
+            events: if is_engine { EVENTS } else { 0 },
+            control: self.fleet.control_addresses(),
+            listener,
+            announced: proxy.address(),
+        });
+        target.runner = Some(runner);
+        target.proxy = Some(proxy);
+        Ok(())
+    }
+
+    /// Ends a target and keeps what it saw.
+    fn end_target(&mut self, victim: Victim) {
+        let Victim::Target(number) = victim else {
+            return;
+        };
+        let target = &mut self.targets[number];
+        target.proxy = None;
+        let Some(runner) = target.runner.take() else {
+            return;
+        };
+        let name = runner.name.clone();
+        let runs = runner.runs().into_iter().map(|run| (name.clone(), run));
+        self.history.runs.extend(runs);
+        for order in runner.orders() {
+            let at = order.at.saturating_duration_since(self.start.into_std());
+            let holder = order.body["holder"].as_str().unwrap_or_default().to_owned();
+            let fence = order.body["fence"].as_u64().unwrap_or_default();
+            self.history.orders.push(Order { target: name.clone(), at, holder, fence });
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/audit.rs
@@ -0,0 +1,151 @@
+//! Each promise is seen to be broken where it is.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::time::Duration;
+
+use platform_standin::{call::Answer, runner::Run};
+use soak::{
+    audit::{self, Promise},
+    history::{Acknowledgement, Attempt, Content, Disturbance, History, Kind, Order, Read},
+};
+use yare::parameterized;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// An attempt that was answered well.
+fn attempt(kind: Kind) -> Attempt {
+    let events = (1..=audit::EVENTS).map(|event| format!("id: {event}\ndata: piece\n\n"));
+    let body = if kind.is_stream() { events.collect() } else { String::from(audit::BODY) };
+    let answer = Answer {
+        status: Some(200),
+        body,
+        whole: true,
+        retry_after: None,
+        signature: Some(String::from("target-1.a")),
+    };
+    let (id, sent) = (String::from("a"), SECOND);
+    Attempt { id, kind, entry: 0, sent, ended: SECOND * 2, answer }
+}
+
+fn answered(kind: Kind, change: impl FnOnce(&mut Answer)) -> History {
+    let mut attempt = attempt(kind);
+    change(&mut attempt.answer);
+    History { attempts: vec![attempt], ..History::default() }
+}
+
+fn ran(kind: Kind, status: u16, targets: &[&str]) -> History {
+    let mut history = answered(kind, |answer| answer.status = Some(status));
+    let run = || Run { id: String::from("a"), resumed_after: None };
+    history.runs = targets.iter().map(|target| ((*target).to_owned(), run())).collect();
+    history
+}
+
+fn waited(kind: Kind, seconds: u32, disturbances: Vec<Disturbance>) -> History {
+    let mut attempt = attempt(kind);
+    attempt.ended = attempt.sent + SECOND * seconds;
+    History { attempts: vec![attempt], disturbances, ..History::default() }
+}
+
+fn orders(orders: &[(&str, u64)], thaws: Vec<Duration>) -> History {
+    let order = |(holder, fence): &(&str, u64)| Order {
+        target: String::from("target-1"),
+        at: SECOND,
+        holder: (*holder).to_owned(),
+        fence: *fence,
+    };
+    History { orders: orders.iter().map(order).collect(), thaws, ..History::default() }
+}
+
+fn read(version: u64, sent: Duration, content: Content) -> History {
+    History {
+        acknowledgements: vec![Acknowledgement { version: 5, at: SECOND }],
+        reads: vec![Read { control: 0, sent, version, content }],
+        ..History::default()
+    }
+}
+
+fn disturbance(entry: usize) -> Disturbance {
+    Disturbance { entry, from: SECOND * 2, until: SECOND * 3 }
+}
+
+#[parameterized(
+    whole_stream = { answered(Kind::Draft, |_| {}), None },
+    whole_call = { answered(Kind::Lodge, |_| {}), None },
+    cut_stream_in_order = { answered(Kind::Draft, |answer| {
+        answer.whole = false;
+        answer.body = String::from("id: 1\ndata: x\n\nid: 2\n");
+    }), None },
+    no_answer = { answered(Kind::Lodge, |answer| *answer = Answer::default()), None },
+    once = { ran(Kind::Lodge, 200, &["target-1"]), None },
+    twice = { ran(Kind::Lodge, 200, &["target-1", "target-2"]), Some(Promise::Once) },
+    twice_at_one_target = { ran(Kind::Draft, 502, &["target-1", "target-1"]), Some(Promise::Once) },
+    repeated = { ran(Kind::Lookup, 200, &["target-1", "target-2"]), None },
+    repeated_too_often = {
+        ran(Kind::Summary, 200, &["target-1", "target-2", "target-3"]), Some(Promise::Attempts)
+    },
+    refused_and_ran = { ran(Kind::Lookup, 503, &["target-1"]), Some(Promise::Refusal) },
+    refused = { ran(Kind::Lookup, 503, &[]), None },
+    failed = { ran(Kind::Lodge, 502, &["target-1"]), None },
+    denied = { ran(Kind::Lookup, 404, &[]), Some(Promise::Denial) },
+    unsigned = { answered(Kind::Lodge, |answer| answer.signature = None), Some(Promise::Whole) },
+    of_another = {
+        answered(Kind::Lodge, |answer| answer.signature = Some(String::from("target-1.b"))),
+        Some(Promise::Whole)
+    },
+    other_body = {
+        answered(Kind::Lodge, |answer| answer.body.push('x')), Some(Promise::Whole)
+    },
+    event_twice = {
+        answered(Kind::Draft, |answer| {
+            answer.body = answer.body.replace("id: 4\n", "id: 3\n");
+        }),
+        Some(Promise::Order)
+    },
+    event_missing = {
+        answered(Kind::Draft, |answer| answer.body = answer.body.replace("id: 4\n", "")),
+        Some(Promise::Order)
+    },
+    short_but_whole = {
+        answered(Kind::Draft, |answer| answer.body = String::from("id: 1\ndata: x\n\n")),
+        Some(Promise::Order)
+    },
+    in_time = { waited(Kind::Lodge, 4, Vec::new()), None },
+    late = { waited(Kind::Lodge, 6, Vec::new()), Some(Promise::Deadline) },
+    late_but_disturbed = { waited(Kind::Lodge, 6, vec![disturbance(0)]), None },
+    late_beside_another = {
+        waited(Kind::Lodge, 6, vec![disturbance(1)]), Some(Promise::Deadline)
+    },
+    newest_read = { read(5, SECOND * 9, Content::AsSent), None },
+    newer_read = { read(6, SECOND * 9, Content::AsSent), None },
+    older_read_at_once = { read(4, SECOND * 2, Content::AsSent), None },
+    older_read = { read(4, SECOND * 4, Content::AsSent), Some(Promise::Newest) },
+    other_content = { read(5, SECOND * 2, Content::Other), Some(Promise::Newest) },
+    holders_in_turn = { orders(&[("a", 1), ("a", 1), ("b", 2)], Vec::new()), None },
+    shared_number = { orders(&[("a", 1), ("b", 1)], Vec::new()), Some(Promise::Holder) },
+    older_number = { orders(&[("b", 2), ("a", 1)], Vec::new()), Some(Promise::Holder) },
+    older_number_after_thaw = { orders(&[("b", 2), ("a", 1)], vec![SECOND]), None },
+    not_back = {
+        History { unrecovered: vec![String::from("x")], ..History::default() },
+        Some(Promise::Recovery)
+    },
+    ended = {
+        History { ends: vec![String::from("x")], ..History::default() }, Some(Promise::End)
+    },
+    change_refused = {
+        History { refused: vec![String::from("x")], ..History::default() }, Some(Promise::Denial)
+    },
+)]
+fn breaches(history: History, expected: Option<Promise>) {
+    let promises: Vec<Promise> =
+        audit::audit(&history).into_iter().map(|breach| breach.promise).collect();
+    assert_eq!(promises, Vec::from_iter(expected));
+}
+
+#[test]
+fn attempts_are_counted_by_kind() {
+    let mut history = answered(Kind::Lodge, |_| {});
+    history.attempts.push(Attempt { answer: Answer::default(), ..attempt(Kind::Lodge) });
+    let served = audit::served(&history);
+    assert_eq!((served["lodge"], served["draft"]), ((1, 2), (0, 0)));
+}
--- a/crates/standin/src/harness/daemon.rs
+++ b/crates/standin/src/harness/daemon.rs
@@ -5,6 +5,7 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    thread,
     time::Duration,
 };
 
@@ -17,6 +18,8 @@
 use crate::http;
 
 const ANSWER_LIMIT: Duration = Duration::from_secs(2);
+/// Lines of its log that a daemon of a failed test prints; enough for a minute of a small cluster.
+const PRINTED_LINES: usize = 400;
 
 /// Settings of an instance on free loopback addresses, without peers or replicas.
 pub fn settings(name: &str, data_centre: &str, tree: &Path) -> instance::Instance {
@@ -181,8 +184,15 @@
 }
 
 impl Drop for Daemon {
+    /// Prints the end of its log when the test has failed.
     fn drop(&mut self) {
         self.kill();
+        if thread::panicking() {
+            let log = self.log();
+            let skipped = log.lines().count().saturating_sub(PRINTED_LINES);
+            eprintln!("log of {} ({skipped} lines before it):", self.settings.name);
+            log.lines().skip(skipped).for_each(|line| eprintln!("{line}"));
+        }
     }
 }
 
