Copy a computed prompt whose handle has lapsed, in place of computing it again beside streams

So the second placement found nothing to copy, and every stream of the engine waited 0.8 s.

The engine that has computed a prompt now counts as holding its parts at once, and the second placement copies them. The test fails without the change (no fetch) and passes with it.

--- a/crates/daisydrum/tests/seeded/path.rs
+++ b/crates/daisydrum/tests/seeded/path.rs
@@ -144,6 +144,28 @@
     }
 }
 
+#[tokio::test]
+async fn a_computed_prompt_whose_handle_has_lapsed_is_fetched_and_not_computed_again() {
+    let (fleet, mut engines, _portals) = serving("seeded-lapsed", 1, 1).await;
+    let control = fleet.control_addresses();
+    let computing = Runner::start("computing", "engines", Some("prefill"), 8, control).await;
+    until("the engine that computes is known", async || {
+        fleet.entries[0].log().contains("target=computing")
+    })
+    .await;
+    engines[0].set_manner(Manner::Lapse);
+    let other = Runner::start("other", "engines", Some("decode"), 8, fleet.control_addresses());
+    engines.push(other.await);
+    engines[1].set_manner(Manner::Lapse);
+    until("the second engine is known", async || fleet.entries[0].log().contains("target=other"))
+        .await;
+    let stream = call::ask_stream(fleet.entries[0].callers(), "/summary/1", "lapsed").await;
+    assert_eq!(call::events(&stream.body), (1..=8).collect::<Vec<u64>>(), "{stream:?}");
+    let runs = engines.iter().flat_map(Runner::runs).filter(|run| run.id == "lapsed");
+    let fetches: Vec<Option<String>> = runs.map(|run| run.fetched_from).collect();
+    assert_eq!(fetches, [Some(computing.address.to_string())]);
+}
+
 #[tokio::test]
 async fn before_any_configuration_requests_are_refused_as_not_run() {
     let mut fleet = fleet::new("seeded-empty");
--- a/crates/gateway/src/sent.rs
+++ b/crates/gateway/src/sent.rs
@@ -88,16 +88,24 @@
             "predicted_ms" => self.predicted_ms(), "ms" => ms(now.since(self.at)));
     }
 
+    /// Notes that the prompt is computed apart: its parts can be copied from there, also once the handle has lapsed.
+    pub(crate) fn computed_at(&self, key: Key) {
+        self.computed();
+        self.hold(key);
+    }
+
     /// Notes that the first event has come, after which the prompt's parts can be copied.
     pub(crate) fn begun(&mut self) {
         if std::mem::replace(&mut self.begun, true) {
             return;
         }
         self.computed();
-        for key in [Some(self.plan.target), self.plan.prefill].into_iter().flatten() {
-            let notice = self.gateway.board().hold(key, &self.parts);
-            self.gateway.tell(notice);
-        }
+        self.hold(self.plan.target);
+    }
+
+    fn hold(&self, key: Key) {
+        let notice = self.gateway.board().hold(key, &self.parts);
+        self.gateway.tell(notice);
     }
 
     /// Takes in how the exchange with a target went.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -158,7 +158,7 @@
                 self.trail.avoid.push(key);
                 return Ending::NotRun;
             };
-            sent.computed();
+            sent.computed_at(key);
             if !job.choose_receiver(sent, key, &self.trail) {
                 job.release(source.address, &source.handle);
                 return Ending::NotRun;
--- a/crates/placement/tests/support/fleet.rs
+++ b/crates/placement/tests/support/fleet.rs
@@ -23,6 +23,11 @@
 const SERVICE: &str = "engines";
 const START_MS: u64 = 1_000_000;
 const KV_TOKENS: u64 = 505_550;
+/// Longest pause between two events of a stream that is still on time, from the operators' sheet.
+const GAP_MS: f64 = 250.0;
+
+/// Streams that run at an engine beside another, for the time that one takes.
+const STREAMS: u64 = 30;
 
 /// How requests choose their engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,8 +91,19 @@
 struct Machine {
     target: Target,
     cache: Cache,
+    /// Since when it has been computing prompts without a break.
+    busy_from: f64,
     busy_until: f64,
     outstanding: u32,
+    /// Streams that it generates.
+    streams: Vec<Stream>,
+}
+
+struct Stream {
+    kind: usize,
+    from: f64,
+    until: f64,
+    in_time: bool,
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -220,6 +236,9 @@
         let fresh = prompt - held.min(prompt);
         self.report.read_tokens += fresh;
         let prompt_ms = Speed::default().prompt_ms(machine_state.target.stage, fresh, held);
+        if machine_state.busy_until < time {
+            machine_state.busy_from = time;
+        }
         let done = machine_state.busy_until.max(time) + prompt_ms + moved_ms;
         machine_state.busy_until = done;
         machine_state.outstanding += 1;
@@ -230,15 +249,37 @@
         };
         let first_ms = done - time + hand_over + speed::first_step_ms();
         let outcome = &mut self.report.kinds[number];
-        if first_ms <= kind.target.as_secs_f64() * 1e3 {
+        let in_time = first_ms <= kind.target.as_secs_f64() * 1e3;
+        if in_time {
             outcome.in_time += 1;
         } else {
             outcome.late += 1;
         }
+        let generates = plan.as_ref().map_or(machine, |(plan, _)| self.number(front, plan.target));
+        let from = time + first_ms;
+        let until = from + speed::output_ms(kind.output, STREAMS);
+        self.machines[generates].streams.push(Stream { kind: number, from, until, in_time });
+        if self.machines[machine].target.stage != Some(Stage::Prefill) {
+            self.stall(machine);
+        }
         self.sent.push(Sent { front, machine, plan, parts });
         self.push((done * 1e3) as u64, Event::Done(self.sent.len() - 1));
     }
 
+    /// Streams are late whose engine computes prompts for longer than their longest pause.
+    fn stall(&mut self, machine: usize) {
+        let Machine { busy_from, busy_until, streams, .. } = &mut self.machines[machine];
+        streams.retain(|stream| stream.until > *busy_from);
+        for stream in streams.iter_mut().filter(|stream| stream.in_time) {
+            let stalled = busy_until.min(stream.until) - busy_from.max(stream.from);
+            if stalled > GAP_MS {
+                stream.in_time = false;
+                self.report.kinds[stream.kind].in_time -= 1;
+                self.report.kinds[stream.kind].late += 1;
+            }
+        }
+    }
+
     fn choose(&mut self, front: usize, demand: &Demand<'_>, now: Moment) -> Option<Choice> {
         let computing: Vec<usize> = (0..self.machines.len())
             .filter(|number| self.machines[*number].target.stage == Some(Stage::Prefill))
@@ -344,7 +385,14 @@
 
 fn machine(number: usize, stage: Stage) -> Machine {
     let target = target(number, Some(stage));
-    Machine { target, cache: Cache::new(KV_TOKENS), busy_until: 0.0, outstanding: 0 }
+    Machine {
+        target,
+        cache: Cache::new(KV_TOKENS),
+        busy_from: 0.0,
+        busy_until: 0.0,
+        outstanding: 0,
+        streams: Vec::new(),
+    }
 }
 
 /// Names of the policies with what each gave, for a table.
