Compute a prompt at another engine when the first one is not reached or overdue

A call that did not reach its engine doesn't count. One that may have reached it counts as an attempt and draws on the budget of repeats, as the operators count it, so a request that may be repeated has its prompt computed at another engine while it has attempts left; others leave it to the engine that generates, as before. Two of the three tests failed before (prompt computed where it was generated); the third guards requests with one attempt.

--- a/crates/daisydrum/tests/seeded/path.rs
+++ b/crates/daisydrum/tests/seeded/path.rs
@@ -1,10 +1,13 @@
 //! The way of requests: kinds, failures of targets, refusals.
 
+use std::net::SocketAddr;
+
 use hyper::Method;
 use platform_standin::{
     call,
-    runner::{Manner, Runner},
+    runner::{Manner, Options, Runner},
 };
+use tokio::net::TcpListener;
 
 use crate::fleet::{self, Fleet, until};
 
@@ -166,6 +169,69 @@
     assert_eq!(fetches, [Some(computing.address.to_string())]);
 }
 
+/// An engine that computes prompts and is known to the fleet; it takes calls at `announced`.
+async fn computing(fleet: &Fleet, name: &str, announced: Option<SocketAddr>) -> Runner {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let announced = announced.unwrap_or_else(|| listener.local_addr().unwrap());
+    let runner = Runner::start_with(Options {
+        name: name.to_owned(),
+        service: String::from("engines"),
+        stage: Some("prefill"),
+        events: 8,
+        control: fleet.control_addresses(),
+        listener,
+        announced,
+    });
+    until("the engine is known", async || {
+        fleet.entries[0].log().contains(&format!("target={name}"))
+    })
+    .await;
+    runner
+}
+
+/// Where the runs of a request took over computed prompts.
+fn taken_from(runners: &[Runner], id: &str) -> Vec<String> {
+    let runs = runners.iter().flat_map(Runner::runs).filter(|run| run.id == id);
+    runs.map(|run| run.taken_from.unwrap_or_default()).collect()
+}
+
+#[tokio::test]
+async fn a_prompt_whose_engine_is_not_reached_is_computed_at_another_one() {
+    let (fleet, engines, _portals) = serving("seeded-unreached", 1, 1).await;
+    let free = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    // The first of equals is chosen first.
+    let _dead = computing(&fleet, "dead", Some(free)).await;
+    let alive = computing(&fleet, "alive", None).await;
+    let stream = call::ask_stream(fleet.entries[0].callers(), "/draft/1", "d1").await;
+    assert_eq!(call::events(&stream.body), (1..=8).collect::<Vec<u64>>(), "{stream:?}");
+    assert!(fleet.entries[0].log().contains("target_not_reached"), "the dead one was not tried");
+    assert_eq!(taken_from(&engines, "d1"), [format!("{}/hd1", alive.address)]);
+}
+
+#[tokio::test]
+async fn a_prompt_that_is_overdue_is_computed_at_another_engine_within_the_attempts() {
+    let (fleet, engines, _portals) = serving("seeded-overdue", 1, 1).await;
+    let mute = computing(&fleet, "mute", None).await;
+    mute.set_manner(Manner::Mute);
+    let alive = computing(&fleet, "alive", None).await;
+    let stream = call::ask_stream(fleet.entries[0].callers(), "/summary/1", "s1").await;
+    assert_eq!(call::events(&stream.body), (1..=8).collect::<Vec<u64>>(), "{stream:?}");
+    assert!(fleet.entries[0].log().contains("prompt_overdue"), "the mute one was not tried");
+    assert_eq!(taken_from(&engines, "s1"), [format!("{}/hs1", alive.address)]);
+}
+
+#[tokio::test]
+async fn a_prompt_that_may_be_computed_once_is_left_to_the_engine_that_generates() {
+    let (fleet, engines, _portals) = serving("seeded-once-computed", 1, 1).await;
+    let mute = computing(&fleet, "mute", None).await;
+    mute.set_manner(Manner::Mute);
+    let _alive = computing(&fleet, "alive", None).await;
+    let stream = call::ask_stream(fleet.entries[0].callers(), "/draft/1", "d1").await;
+    assert_eq!(call::events(&stream.body), (1..=8).collect::<Vec<u64>>(), "{stream:?}");
+    assert!(fleet.entries[0].log().contains("prompt_overdue"), "the mute one was not tried");
+    assert_eq!(taken_from(&engines, "d1"), [""]);
+}
+
 #[tokio::test]
 async fn before_any_configuration_requests_are_refused_as_not_run() {
     let mut fleet = fleet::new("seeded-empty");
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -9,8 +9,8 @@
 use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming};
 use placement::{
     board::{
-        Key,
-        demand::{Demand, Reason, Refusal, Site, Verdict},
+        Board, Key,
+        demand::{Demand, Plan, Reason, Refusal, Site, Verdict},
     },
     health::Outcome,
 };
@@ -64,7 +64,7 @@
     pub(crate) runs: u32,
     /// Rejections by targets that did not run it.
     pub(crate) rejections: u32,
-    /// Calls that only computed the prompt.
+    /// Calls that only compute the prompt and that an engine may have taken.
     pub(crate) prefills: u32,
     /// Requests sent to targets, for the budget of repeats.
     arrivals: u32,
@@ -73,7 +73,14 @@
     /// Requests sent to targets that the budget of repeats has covered, the first one included.
     covered: u32,
     /// Connections that could not be made.
-    unreached: u32,
+    pub(crate) unreached: u32,
+}
+
+impl Trail {
+    /// Attempts that are used up: the first call that only computes the prompt is none, further ones are.
+    fn attempts(&self) -> u32 {
+        self.runs + self.prefills.saturating_sub(1)
+    }
 }
 
 /// A head that came back, or why none did.
@@ -108,20 +115,24 @@
             return Err(self.full());
         };
         let counted = std::mem::replace(&mut trail.counted, true);
-        let demand = self.demand(&service, trail);
-        let plan = match board.choose(&demand, now) {
-            Verdict::Send(plan) => plan,
-            Verdict::Refuse(refusal) => return Err(Fault::Refused(refusal)),
-        };
+        let mut demand = self.demand(&service, trail);
+        let mut plan = self.choose(&mut board, &demand, now)?;
         if !counted {
             self.gateway.count_request(&service);
         }
         // A request that reached no target has used nothing of the budget.
-        if trail.arrivals >= trail.covered.max(1) && !self.gateway.take_repeat(&service) {
+        let mut covered = trail.covered.max(1);
+        let run = trail.arrivals + 1;
+        let again = plan.prefill.is_some() && trail.prefills > 0;
+        if again && !self.cover(&service, &mut covered, run + 1) {
+            demand.prompt = Site::AtTarget;
+            plan = self.choose(&mut board, &demand, now)?;
+        }
+        if !self.cover(&service, &mut covered, run) {
             return Err(self.full());
         }
         let (number, told) = board.send(&plan, &demand, now);
-        trail.covered = trail.arrivals + 1;
+        trail.covered = covered;
         drop(board);
         self.gateway.tell(told);
         let sent = Sent::new(Arc::clone(&self.gateway), plan, number, &self.ask, now);
@@ -129,6 +140,24 @@
         Ok(sent)
     }
 
+    fn choose(&self, board: &mut Board, demand: &Demand<'_>, now: Moment) -> Result<Plan, Fault> {
+        match board.choose(demand, now) {
+            Verdict::Send(plan) => Ok(plan),
+            Verdict::Refuse(refusal) => Err(Fault::Refused(refusal)),
+        }
+    }
+
+    /// Takes repeats out of the budget until `arrivals` requests to targets are covered; `false` if it has too few.
+    fn cover(&self, service: &name::Service, covered: &mut u32, arrivals: u32) -> bool {
+        while *covered < arrivals {
+            if !self.gateway.take_repeat(service) {
+                return false;
+            }
+            *covered += 1;
+        }
+        true
+    }
+
     /// Chooses anew where a computed prompt is moved to; `false` if there is no target for it.
     pub(crate) fn choose_receiver(&self, sent: &mut Sent, from: Key, trail: &Trail) -> bool {
         let now = Moment::now();
@@ -162,7 +191,7 @@
             remaining,
             avoid: &trail.avoid,
             repeat: route.repeat,
-            prompt: if trail.prefills > 0 { Site::AtTarget } else { Site::Anywhere },
+            prompt: if self.may_compute_apart(trail) { Site::Anywhere } else { Site::AtTarget },
         }
     }
 
@@ -171,18 +200,25 @@
         Fault::Refused(Refusal { reason: Reason::TargetsFull, retry_after, expected: None })
     }
 
+    /// Whether the prompt may be computed apart: once, or once more for each attempt that is left beside a run.
+    fn may_compute_apart(&self, trail: &Trail) -> bool {
+        let route = self.route();
+        trail.prefills == 0
+            || (route.repeat != Repeat::Never && trail.runs + trail.prefills < route.attempts)
+    }
+
     /// Whether another run is allowed after one that failed.
     pub(crate) fn may_run_again(&self, trail: &Trail) -> bool {
         let route = self.route();
         route.repeat != Repeat::Never
-            && trail.runs < route.attempts
+            && trail.attempts() < route.attempts
             && self.remaining() > RETURN_TIME
     }
 
     /// Whether another run would be allowed if the next one fails.
-    fn may_run_again_after_next(&self, trail: &Trail) -> bool {
+    pub(crate) fn may_run_again_after_next(&self, trail: &Trail) -> bool {
         let route = self.route();
-        route.repeat != Repeat::Never && trail.runs + 1 < route.attempts
+        route.repeat != Repeat::Never && trail.attempts() + 1 < route.attempts
     }
 
     /// Sends the request to a target and waits for the head of the answer.
@@ -208,7 +244,8 @@
                     return self.not_connected(sent, key, &place, &fault);
                 }
             };
-            if step != Step::Prefill {
+            // The first call that only computes the prompt is no repeat of the run that follows.
+            if step != Step::Prefill || trail.prefills > 1 {
                 trail.arrivals += 1;
             }
             let fetch = sent.plan.fetch.filter(|_| !matches!(step, Step::Fetch { .. }));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -147,6 +147,7 @@
         let mut handle = None;
         let mut step = Step::Run;
         if let Some(key) = sent.plan.prefill {
+            let unreached = self.trail.unreached;
             self.trail.prefills += 1;
             let computed = time::timeout(overdue, prefill(&job, sent, key, &mut self.trail)).await;
             let Ok(Some(source)) = computed else {
@@ -155,6 +156,9 @@
                         "limit_ms" => ms(overdue));
                     sent.judge(key, Outcome::Broken);
                 }
+                if self.trail.unreached > unreached {
+                    self.trail.prefills -= 1;
+                }
                 self.trail.avoid.push(key);
                 return Ending::NotRun;
             };
@@ -196,8 +200,8 @@
     }
 
     fn may_resume(&self) -> bool {
-        let route = self.job.route();
-        route.repeat == Repeat::Resume && self.trail.runs + 1 < route.attempts
+        let job = &self.job;
+        job.route().repeat == Repeat::Resume && job.may_run_again_after_next(&self.trail)
     }
 
     async fn pass_on(
