Export stages, targets, budgets, configuration and log as metrics; end without a reader of logs

The test that nothing waits for a reader of logs that has stopped reading found a fault: requests were answered, but the process didn't end at SIGTERM, since slog-async's drain joins its thread, which was blocked in the pipe (red: "waited too long until the process ends", after 43 s).

The writer's thread is now given 0.3 s at the end. Dropped lines are counted as a metric and told in a line. A second call of metric::install returns the same page in place of a panic, which a process with both duties met.

--- a/crates/daisydrum/src/seeded/control.rs
+++ b/crates/daisydrum/src/seeded/control.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use common::{clock::Moment, name};
+use consensus::status::Role;
 use fleet::{
     register::Document,
     registry::{Merge, State},
@@ -14,6 +15,7 @@
     announcement,
     call::{self, Call},
 };
+use replica::host::Handle;
 use slog::{info, warn};
 use telemetry::metric;
 use tokio::{runtime, time};
@@ -169,11 +171,22 @@
     }
 
     /// Marks silent targets as lost, but not while this instance may be the one that is cut off.
+    /// Publishes how far the own replica is.
+    fn publish(&self) {
+        metrics::gauge!("daisydrum_config_version").set(self.directory.version() as f64);
+        if let Some(status) = self.replicas.handle().and_then(Handle::status) {
+            let leads = f64::from(u8::from(status.role == Role::Leader));
+            metrics::gauge!("daisydrum_log_leads").set(leads);
+            metrics::gauge!("daisydrum_log_committed_entries").set(status.commit as f64);
+        }
+    }
+
     async fn expire(self) {
         let announcement = Duration::from_millis(self.context.settings.announcement_ms);
         let silence = announcement * LOST_AFTER_ANNOUNCEMENTS;
         loop {
             time::sleep(EXPIRE_PAUSE).await;
+            self.publish();
             let now = Moment::now();
             if self.directory.contact() == Contact::Lost {
                 self.directory.refresh(now);
--- a/crates/daisydrum/src/seeded/entry.rs
+++ b/crates/daisydrum/src/seeded/entry.rs
@@ -5,6 +5,7 @@
 use common::clock;
 use gateway::{
     listener::{self, Stops},
+    metric,
     state::{Gateway, Options},
 };
 use placement::retry;
@@ -152,5 +153,6 @@
     loop {
         time::sleep(TRIM_PAUSE).await;
         gateway.pool.trim();
+        metric::publish(&gateway);
     }
 }
--- a/crates/daisydrum/tests/seeded/main.rs
+++ b/crates/daisydrum/tests/seeded/main.rs
@@ -5,5 +5,6 @@
 mod control;
 mod fleet;
 mod leaving;
+mod metrics;
 mod path;
 mod reload;
--- /dev/null
+++ b/crates/daisydrum/tests/seeded/metrics.rs
@@ -0,0 +1,119 @@
+//! What operators can watch.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    process::{Command, Stdio},
+};
+
+use hyper::Method;
+use platform_standin::{call, runner::Runner};
+use rustix::process::{Pid, Signal, WaitOptions};
+
+use crate::fleet::{self, until};
+
+/// The page of metrics at an address, without histograms' buckets.
+async fn page(address: SocketAddr) -> BTreeMap<String, f64> {
+    let answer = call::call(address, Method::GET, "/metrics", &[], "").await;
+    assert_eq!(answer.status, Some(200));
+    let lines = answer.body.lines().filter(|line| !line.starts_with('#'));
+    let pairs = lines.filter_map(|line| line.rsplit_once(' '));
+    pairs.map(|(name, value)| (name.to_owned(), value.parse().unwrap())).collect()
+}
+
+#[tokio::test]
+async fn requests_stages_targets_and_configurations_are_counted() {
+    let fleet = fleet::start("seeded-metrics");
+    fleet.declare(3).await;
+    let control = fleet.control_addresses();
+    let _engine = Runner::start("engine", "engines", Some("decode"), 8, control.clone()).await;
+    let _portal = Runner::start("portal", "portal", None, 0, control).await;
+    fleet.until_ready().await;
+    let entry = &fleet.entries[0];
+    until("both targets are known", async || {
+        ["engine", "portal"].iter().all(|name| entry.log().contains(&format!("target={name}")))
+    })
+    .await;
+    assert_eq!(call::ask_stream(entry.callers(), "/summary/1", "s1").await.status, Some(200));
+    assert_eq!(call::ask(entry.callers(), "/lodge/1", "l1").await.status, Some(200));
+    assert_eq!(call::ask(entry.callers(), "/nothing/", "n1").await.status, Some(404));
+    until("the state is published", async || {
+        page(entry.readiness()).await.get("daisydrum_targets{standing=\"in\"}") == Some(&2.0)
+    })
+    .await;
+    let shown = page(entry.readiness()).await;
+    for (name, value) in [
+        ("daisydrum_requests_total{status=\"200\"}", 2.0),
+        ("daisydrum_requests_total{status=\"404\"}", 1.0),
+        ("daisydrum_stage_seconds_count{stage=\"prompt\"}", 1.0),
+        ("daisydrum_stage_seconds_count{stage=\"first_event\"}", 1.0),
+        ("daisydrum_stage_seconds_count{stage=\"longest_pause\"}", 1.0),
+        ("daisydrum_stage_seconds_count{stage=\"answer\"}", 1.0),
+        ("daisydrum_targets{standing=\"out\"}", 0.0),
+        ("daisydrum_targets{standing=\"probation\"}", 0.0),
+        ("daisydrum_config_version", 3.0),
+    ] {
+        assert_eq!(shown.get(name), Some(&value), "{name} in {shown:#?}");
+    }
+    assert!(shown["daisydrum_config_age_seconds"] < 60.0);
+    // Three quarters of a fifth of the one request, and of the slack of 20 that the settings default to.
+    let left = shown["daisydrum_repeats_left{service=\"engines\"}"];
+    assert!((15.0..16.0).contains(&left), "{left}");
+}
+
+#[tokio::test]
+async fn one_control_instance_says_that_it_leads_and_all_how_far_their_log_is() {
+    let fleet = fleet::start("seeded-log-metrics");
+    fleet.declare(3).await;
+    until("one leads and all have the configuration", async || {
+        let mut leaders = 0.0;
+        for control in fleet.control_addresses() {
+            let shown = page(control).await;
+            let of = |name: &str| shown.get(name).copied().unwrap_or_default();
+            leaders += of("daisydrum_log_leads");
+            if of("daisydrum_log_committed_entries") < 1.0 || of("daisydrum_config_version") < 3.0 {
+                return false;
+            }
+        }
+        leaders == 1.0
+    })
+    .await;
+}
+
+/// Lines that fill a pipe and the ring before it several times over.
+const LINES: usize = 6_000;
+
+#[tokio::test]
+async fn a_reader_of_logs_that_stops_reading_holds_no_request_back() {
+    let mut fleet = fleet::start("seeded-unread");
+    fleet.declare(3).await;
+    let _portal = Runner::start("portal", "portal", None, 0, fleet.control_addresses()).await;
+    fleet.until_ready().await;
+    let entry = &mut fleet.entries[0];
+    entry.kill();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_daisydrum"))
+        .args(["join", "--settings"])
+        .arg(entry.settings_file())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let (callers, readiness) = (entry.callers(), entry.readiness());
+    until("the instance is ready", async || call::is_ready(readiness).await).await;
+    let mut connection = call::Connection::open(callers).await.unwrap();
+    for number in 0..LINES {
+        let id = format!("unread-{number}");
+        let answer = connection.post("/nothing/", &call::plain_headers(&id), "").await;
+        assert_eq!(answer.status, Some(404), "request {number}");
+    }
+    let id = Pid::from_raw(i32::try_from(child.id()).unwrap()).unwrap();
+    rustix::process::kill_process(id, Signal::TERM).unwrap();
+    until("the process ends", async || matches!(wait(id), Some(0))).await;
+    drop(child.stderr.take());
+}
+
+/// Exit code of a child that has ended.
+fn wait(id: Pid) -> Option<i32> {
+    let status = rustix::process::waitpid(Some(id), WaitOptions::NOHANG).ok()??;
+    status.1.exit_status()
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer;
 pub mod connection;
 pub mod listener;
+pub mod metric;
 pub mod pool;
 pub mod serve;
 pub mod state;
--- a/crates/gateway/src/sent.rs
+++ b/crates/gateway/src/sent.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     connection::Connection,
+    metric,
     state::{Gateway, ms},
 };
 
@@ -84,8 +85,10 @@
             return;
         }
         self.gateway.tell(notice);
+        let took = now.since(self.at);
+        metric::observe(metric::Stage::Prompt, took);
         debug!(self.gateway.log, "prompt_computed"; "id" => &self.id,
-            "predicted_ms" => self.predicted_ms(), "ms" => ms(now.since(self.at)));
+            "predicted_ms" => self.predicted_ms(), "ms" => ms(took));
     }
 
     /// Notes that the prompt is computed apart: its parts can be copied from there, also once the handle has lapsed.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -42,6 +42,8 @@
     /// Takes log lines.
     pub log: Logger,
     config: watch::Sender<Option<Arc<Config>>>,
+    /// Since when the configuration is in force.
+    adopted: Mutex<Moment>,
     board: Mutex<Board>,
     budgets: Mutex<Map<name::Service, retry::Budget>>,
     retries: retry::Bounds,
@@ -59,6 +61,7 @@
             pool: Pool::default(),
             log,
             config: watch::Sender::new(None),
+            adopted: Mutex::default(),
             board: Mutex::new(Board::new(options.data_centre, options.seed)),
             budgets: Mutex::default(),
             retries: options.retries,
@@ -86,9 +89,27 @@
         }
         self.board().configure(&config);
         self.config.send_replace(Some(Arc::new(config)));
+        *self.adopted.lock().unwrap_or_else(PoisonError::into_inner) = Moment::now();
         true
     }
 
+    /// Version in force and for how long it is; nothing before one is known.
+    pub(crate) fn config_age(&self) -> Option<(u64, Duration)> {
+        let version = self.config.borrow().as_ref()?.version;
+        let adopted = *self.adopted.lock().unwrap_or_else(PoisonError::into_inner);
+        Some((version, Moment::now().since(adopted)))
+    }
+
+    /// Repeats that are left to this instance, by service.
+    pub(crate) fn repeats_left(&self, now: Moment) -> Vec<(name::Service, f64)> {
+        let instances = self.instances.load(Ordering::Relaxed);
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let left = |(service, budget): (&name::Service, &mut retry::Budget)| {
+            (service.clone(), budget.left(&self.retries, instances, now))
+        };
+        budgets.iter_mut().map(left).collect()
+    }
+
     /// Takes in what is known of a target.
     pub fn update(&self, target: &Target) {
         self.board().update(target);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -24,6 +24,7 @@
 use crate::{
     answer::Fault,
     job::{Job, Reply, Trail},
+    metric::{self, Stage},
     sent::Sent,
     state::ms,
 };
@@ -107,6 +108,8 @@
             Err(_elapsed) => Err(Fault::Timeout),
         };
         if let Some(first) = self.first {
+            metric::observe(Stage::FirstEvent, first.since(job.arrived));
+            metric::observe(Stage::LongestPause, self.longest_pause);
             debug!(job.gateway.log, "stream_ended"; "id" => &job.ask.id, "route" => &job.route().name,
                 "whole" => outcome.is_ok(), "first_ms" => ms(first.since(job.arrived)),
                 "longest_pause_ms" => ms(self.longest_pause), "runs" => self.trail.runs + 1,
@@ -172,6 +175,7 @@
         }
         let limit = if self.may_resume() { overdue } else { job.remaining() };
         let key = sent.plan.target;
+        let called_at = Moment::now();
         let called = job.call(sent, key, &mut self.trail, step, self.last);
         let Ok(reply) = time::timeout(limit, called).await else {
             info!(job.gateway.log, "answer_overdue"; "id" => &job.ask.id, "limit_ms" => ms(limit));
@@ -181,6 +185,9 @@
         };
         match reply {
             Reply::Head(response, connection) => {
+                if handle.is_some() {
+                    metric::observe(Stage::Transfer, Moment::now().since(called_at));
+                }
                 let ending = self.pass_on(sent, response, limit).await;
                 if matches!(ending, Ending::Complete | Ending::Answered)
                     && let Some(place) = sent.place(key)
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use common::clock::Moment;
 use entry::body::Body;
 use fleet::config::Repeat;
 use http_body_util::{BodyExt, Limited};
@@ -16,6 +17,7 @@
     answer::Fault,
     connection::Connection,
     job::{Job, Reply, Trail},
+    metric::{self, Stage},
     sent::Sent,
     state::ms,
 };
@@ -67,10 +69,13 @@
 
 /// Carries a request out and returns the answer.
 pub(crate) async fn run(job: &Job) -> Result<Response<Body>, Fault> {
-    match time::timeout(job.remaining(), attempts(job)).await {
-        Ok(answer) => answer,
-        Err(_elapsed) => Err(Fault::Timeout),
+    let Ok(answer) = time::timeout(job.remaining(), attempts(job)).await else {
+        return Err(Fault::Timeout);
+    };
+    if answer.is_ok() {
+        metric::observe(Stage::Answer, Moment::now().since(job.arrived));
     }
+    answer
 }
 
 async fn attempts(job: &Job) -> Result<Response<Body>, Fault> {
--- a/crates/placement/src/board.rs
+++ b/crates/placement/src/board.rs
@@ -20,7 +20,7 @@
 use crate::{
     backlog::Backlog,
     cache::Cache,
-    health::{Health, Outcome},
+    health::{Health, Outcome, Standing},
     speed::Speed,
 };
 
@@ -138,6 +138,11 @@
         self.entries.is_empty()
     }
 
+    /// Whether each target is used now.
+    pub fn standings(&self, now: Moment) -> Vec<Standing> {
+        self.entries.values().map(|entry| entry.health.standing(now)).collect()
+    }
+
     /// Whether a service has a target that takes work.
     pub fn serves(&self, service: &name::Service) -> bool {
         let ready = |entry: &Entry| entry.target.state == State::Ready;
--- a/crates/placement/src/retry.rs
+++ b/crates/placement/src/retry.rs
@@ -38,9 +38,7 @@
 
     /// Takes a repeat out of the budget; `false` if none is left among `instances`.
     pub fn take(&mut self, bounds: &Bounds, instances: usize, now: Moment) -> bool {
-        self.trim(bounds, now);
-        let left = self.left(bounds, instances);
-        if left < 1.0 {
+        if self.left(bounds, instances, now) < 1.0 {
             return false;
         }
         self.repeats.push_back(now);
@@ -48,7 +46,8 @@
     }
 
     /// Repeats that are left in this window.
-    pub fn left(&self, bounds: &Bounds, instances: usize) -> f64 {
+    pub fn left(&mut self, bounds: &Bounds, instances: usize, now: Moment) -> f64 {
+        self.trim(bounds, now);
         let own = bounds.slack / instances.max(1) as f64;
         let allowed = USED_SHARE * (bounds.ratio * self.requests.len() as f64 + own);
         allowed - self.repeats.len() as f64
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -2,14 +2,24 @@
 
 use std::{
     io,
-    sync::{Mutex, PoisonError},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+        mpsc,
+    },
+    thread,
+    time::Duration,
 };
 
 use slog::{Drain, Level, Logger, o};
-use slog_async::{Async, OverflowStrategy};
+use slog_async::{AsyncCore, AsyncGuard};
 use slog_logfmt::Logfmt;
 
 const RING_LINES: usize = 4_096;
+/// Longest wait of a process that ends for its last lines to be written.
+const FLUSH_LIMIT: Duration = Duration::from_millis(300);
+/// Event of the line that tells how many lines found the ring full.
+const DROPPED: &str = "log_lines_dropped";
 /// Event of the line that tells how many lines were left out.
 const LEFT_OUT: &str = "log_lines_left_out";
 
@@ -25,15 +35,70 @@
 /// in a line, while lines of the other levels are always written.
 pub fn start_limited(level: Level, details_per_s: u64) -> Logger {
     let drain = Logfmt::new(io::stderr()).set_prefix(prefix).print_msg(false).build().fuse();
-    let drain = Async::new(drain)
-        .chan_size(RING_LINES)
-        .overflow_strategy(OverflowStrategy::DropAndReport)
-        .build()
-        .filter_level(level)
-        .fuse();
+    let drain = Writer::new(drain).filter_level(level).fuse();
     Logger::root(Limit::new(drain, details_per_s).fuse(), o!())
 }
 
+/// Hands lines to the thread that writes them, and drops those that find the ring full.
+struct Writer {
+    ring: AsyncCore,
+    /// Only taken when this is dropped; the mutex makes it safe to share with code that unwinds.
+    guard: Mutex<Option<AsyncGuard>>,
+    /// Lines dropped since the last that was taken.
+    dropped: AtomicU64,
+}
+
+impl Writer {
+    fn new(drain: impl Drain<Ok = (), Err = slog::Never> + Send + 'static) -> Writer {
+        let (ring, guard) =
+            AsyncCore::custom(drain).chan_size(RING_LINES).blocking(false).build_with_guard();
+        Writer { ring, guard: Mutex::new(Some(guard)), dropped: AtomicU64::new(0) }
+    }
+}
+
+impl Drain for Writer {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(
+        &self,
+        record: &slog::Record<'_>,
+        values: &slog::OwnedKVList,
+    ) -> Result<(), slog::Never> {
+        if self.ring.log(record, values).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            metrics::counter!("daisydrum_log_lines_dropped_total").increment(1);
+            return Ok(());
+        }
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            let place = slog::record_static!(Level::Warning, "");
+            let count = slog::b!("count" => dropped);
+            let message = format_args!("{DROPPED}");
+            // It is counted again with the next line if it finds the ring full, too.
+            if self.ring.log(&slog::Record::new(&place, &message, count), values).is_err() {
+                self.dropped.fetch_add(dropped, Ordering::Relaxed);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Writer {
+    /// Waits for the lines that are left, but not for a reader that has stopped reading.
+    fn drop(&mut self) {
+        let guard = self.guard.get_mut().unwrap_or_else(PoisonError::into_inner).take();
+        let (end, ended) = mpsc::channel();
+        let flush = thread::Builder::new().name(String::from("log flush")).spawn(move || {
+            drop(guard);
+            let _waiting = end.send(());
+        });
+        if flush.is_ok() {
+            let _in_time = ended.recv_timeout(FLUSH_LIMIT);
+        }
+    }
+}
+
 /// Passes a bounded number of details on in each second.
 #[derive(Debug)]
 pub struct Limit<D> {
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -1,11 +1,15 @@
 //! Metrics in the Prometheus text form.
 
+use std::sync::OnceLock;
+
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 /// Upper bounds of histogram buckets, in seconds.
 const BUCKETS_S: [f64; 14] =
     [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 0.82, 1.5, 5.0, 20.0, 60.0];
 
+static PAGE: OnceLock<Page> = OnceLock::new();
+
 /// Renders the metrics of the process.
 #[derive(Clone, Debug)]
 pub struct Page(PrometheusHandle);
@@ -18,12 +22,12 @@
     }
 }
 
-/// Makes `metrics` record for the whole process.
-///
-/// # Panics
-///
-/// Panics when called twice in a process.
+/// Makes `metrics` record for the whole process; later calls return the same page.
 pub fn install() -> Page {
+    PAGE.get_or_init(record).clone()
+}
+
+fn record() -> Page {
     let recorder = PrometheusBuilder::new()
         .set_buckets(&BUCKETS_S)
         .expect("invariant: there is at least one bucket")
