Space large answers to instances that start, and ask others in an order of one's own

The log shows that after 33 of 70 entry instances had lost power and come back at 10.2 s, they needed until 10.6 to 22.1 s to become ready: all asked the same few instances in the same order what the engines hold, an answer of several hundred kilobytes, and 10 of 30 learnt from one. Over links of 10 Mbit/s these were choked for seconds, and their requests and those of the others with them.

Each instance now asks those of its data centre first, in a random order; one answers every half second and sends others elsewhere at once (Answer::Later), which also keeps those from asking the engines themselves.

--- a/crates/daisydrum/src/seeded/follow.rs
+++ b/crates/daisydrum/src/seeded/follow.rs
@@ -120,7 +120,7 @@
         };
         match self.ask(&question, wait + SILENCE).await? {
             Answer::News(news) => Some(news),
-            Answer::Document(_) | Answer::Holdings(_) | Answer::Refused => None,
+            Answer::Document(_) | Answer::Holdings(_) | Answer::Later | Answer::Refused => None,
         }
     }
 
--- a/crates/daisydrum/src/seeded/holdings.rs
+++ b/crates/daisydrum/src/seeded/holdings.rs
@@ -9,8 +9,10 @@
 };
 
 use bytes::Bytes;
+use common::{clock, random::Random};
 use fleet::{
     exchange::{Answer, Notice, Part, Question},
+    lesson,
     registry::Target,
 };
 use gateway::{connection::Connection, state::Gateway};
@@ -23,7 +25,8 @@
 use crate::seeded::{context::Context, directory::Directory, follow};
 
 const PAUSE: Duration = Duration::from_millis(60);
-const CALL_LIMIT: Duration = Duration::from_millis(400);
+/// An answer of several hundred kilobytes takes 0.4 s over a link of 10 Mbit/s.
+const CALL_LIMIT: Duration = Duration::from_millis(700);
 /// Time for each instance with a smaller name to learn before this one asks the engines itself.
 const TURN: Duration = Duration::from_millis(250);
 /// Longest wait for others, however many there are.
@@ -41,8 +44,13 @@
     }
     let began = Instant::now();
     loop {
-        if ask_instances(&context, &directory, &gateway).await {
-            break;
+        match ask_instances(&context, &directory, &gateway).await {
+            Lesson::Learnt => break,
+            Lesson::Later => {
+                time::sleep(PAUSE).await;
+                continue;
+            }
+            Lesson::None => {}
         }
         let smaller = |card: &fleet::exchange::Card| card.instance < context.card.instance;
         let ahead = directory.entries().iter().filter(|card| smaller(card)).count();
@@ -55,16 +63,31 @@
     gateway.set_holdings_known();
 }
 
-async fn ask_instances(context: &Context, directory: &Directory, gateway: &Gateway) -> bool {
-    for card in directory.entries() {
-        let answer = follow::ask(context, card.address, &Question::Holdings, CALL_LIMIT).await;
-        if let Some(Answer::Holdings(notices)) = answer {
-            notices.iter().for_each(|notice| gateway.hear(notice));
-            info!(gateway.log, "holdings_learnt"; "from" => %card.instance);
-            return true;
+/// What asking all other instances gave.
+enum Lesson {
+    /// One of them said what the engines hold.
+    Learnt,
+    /// One of them knows but tells others now.
+    Later,
+    /// None of them knows.
+    None,
+}
+
+async fn ask_instances(context: &Context, directory: &Directory, gateway: &Gateway) -> Lesson {
+    let mut random = Random::new(clock::unix_ns());
+    let mut lesson = Lesson::None;
+    for card in lesson::order(directory.entries(), &context.card.data_centre, &mut random) {
+        match follow::ask(context, card.address, &Question::Holdings, CALL_LIMIT).await {
+            Some(Answer::Holdings(notices)) => {
+                notices.iter().for_each(|notice| gateway.hear(notice));
+                info!(gateway.log, "holdings_learnt"; "from" => %card.instance);
+                return Lesson::Learnt;
+            }
+            Some(Answer::Later) => lesson = Lesson::Later,
+            Some(Answer::News(_) | Answer::Document(_) | Answer::Refused) | None => {}
         }
     }
-    false
+    lesson
 }
 
 async fn ask_engines(directory: &Directory, gateway: &Gateway) {
--- a/crates/daisydrum/src/seeded/peers.rs
+++ b/crates/daisydrum/src/seeded/peers.rs
@@ -1,11 +1,14 @@
 //! The listener for other instances.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
-use common::name;
+use common::{clock::Moment, name};
 use consensus::{message::Envelope, status::Status};
 use control::query::Changes;
-use fleet::exchange::{self, Answer, Question};
+use fleet::{
+    exchange::{self, Answer, Question},
+    lesson,
+};
 use gateway::state::Gateway;
 use replica::host::Handle;
 use tarpc::{context, server::Channel};
@@ -34,9 +37,23 @@
     directory: Directory,
     replicas: Option<Replicas>,
     gateway: Option<Arc<Gateway>>,
+    /// Spaces the answers on what the engines hold.
+    turn: Arc<Mutex<lesson::Turn>>,
 }
 
 impl Server {
+    fn holdings(&self) -> Answer {
+        let Some(gateway) = self.gateway.as_ref().filter(|other| other.are_holdings_known()) else {
+            return Answer::Refused;
+        };
+        let mut turn = self.turn.lock().unwrap_or_else(PoisonError::into_inner);
+        if turn.take(Moment::now()) {
+            Answer::Holdings(gateway.board().holdings())
+        } else {
+            Answer::Later
+        }
+    }
+
     fn held(&self, branch: &name::Branch) -> Option<&Handle> {
         self.replicas.as_ref().filter(|_| branch.0 == BRANCH)?.handle()
     }
@@ -126,10 +143,7 @@
 
     async fn exchange(self, _context: context::Context, question: Vec<u8>) -> Vec<u8> {
         let answer = match exchange::decode::<Question>(&question) {
-            Some(Question::Holdings) => {
-                let holdings = self.gateway.as_ref().and_then(|gateway| gateway.holdings());
-                holdings.map_or(Answer::Refused, Answer::Holdings)
-            }
+            Some(Question::Holdings) => self.holdings(),
             Some(question) => self.directory.answer(question).await,
             None => Answer::Refused,
         };
@@ -158,6 +172,7 @@
         directory: directory.clone(),
         replicas: control.map(|control| control.replicas.clone()),
         gateway: entry.map(|entry| Arc::clone(&entry.gateway)),
+        turn: Arc::default(),
     };
     let serve =
         move |stream| listener::run(listener::channel(stream).execute(server.clone().serve()));
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -89,6 +89,8 @@
     Holdings(Vec<Notice>),
     /// The configuration, or nothing if none is newer.
     Document(Option<Document>),
+    /// The answer is large and another instance gets it now; to be asked again, or elsewhere.
+    Later,
     /// The question could not be read, or the instance does not answer it.
     Refused,
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -137,12 +137,6 @@
         self.board().hear(notice, Moment::now());
     }
 
-    /// What the engines are believed to hold, for an instance that has just started; nothing before this one has
-    /// learnt it itself.
-    pub fn holdings(&self) -> Option<Vec<exchange::Notice>> {
-        self.are_holdings_known().then(|| self.board().holdings())
-    }
-
     /// Whether the board knows what the engines hold.
     pub fn are_holdings_known(&self) -> bool {
         self.holdings_known.load(Ordering::Acquire)
