Soak: reads that aren't waited for, and longer faults of instances that keep state

The reader waited for an instance that was frozen or cut off before it read again, and no fault lasted much longer than the two seconds after which an older read counts.

Reads now start every 250 ms whatever became of the others, and faults of control instances last up to 6 s.

--- a/crates/daisydrum/src/seeded/control.rs
+++ b/crates/daisydrum/src/seeded/control.rs
@@ -170,7 +170,6 @@
         }
     }
 
-    /// Marks silent targets as lost, but not while this instance may be the one that is cut off.
     /// Publishes how far the own replica is.
     fn publish(&self) {
         metrics::gauge!("daisydrum_config_version").set(self.directory.version() as f64);
@@ -181,6 +180,7 @@
         }
     }
 
+    /// Marks silent targets as lost, but not while this instance may be the one that is cut off.
     async fn expire(self) {
         let announcement = Duration::from_millis(self.context.settings.announcement_ms);
         let silence = announcement * LOST_AFTER_ANNOUNCEMENTS;
--- a/crates/daisydrum/tests/soak.rs
+++ b/crates/daisydrum/tests/soak.rs
@@ -8,11 +8,13 @@
 use yare::parameterized;
 
 #[parameterized(
-    first = { 1 },
-    second = { 2 },
+    first = { 1, 8 },
+    second = { 2, 8 },
+    // One that keeps state hears nothing for five seconds while the configuration changes.
+    cut_off_beside_changes = { 236, 15 },
 )]
-fn a_seeded_run_keeps_every_promise(seed: u64) {
-    let options = Options { length: Duration::from_secs(8), ..Options::new(seed) };
+fn a_seeded_run_keeps_every_promise(seed: u64, length_s: u64) {
+    let options = Options { length: Duration::from_secs(length_s), ..Options::new(seed) };
     let logs = run::log_folder(Path::new(env!("CARGO_TARGET_TMPDIR")), seed);
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let binary = Path::new(env!("CARGO_BIN_EXE_daisydrum"));
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -4,14 +4,17 @@
 
 use common::{cancel, random::Random};
 use platform_standin::call;
-use tokio::time::{self, Instant};
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
+};
 
 use crate::history::{Acknowledgement, Content, Read};
 
 /// Pause between two changes.
 const CHANGE_PAUSE: Duration = Duration::from_millis(800);
 /// Pause between two reads.
-const READ_PAUSE: Duration = Duration::from_millis(120);
+const READ_PAUSE: Duration = Duration::from_millis(250);
 /// An instance that does not answer within this time is left for another one.
 const ANSWER_LIMIT: Duration = Duration::from_secs(1);
 /// A change without a clear answer is given up after this time; it may or may not be in force.
@@ -66,20 +69,25 @@
     changes
 }
 
-/// Reads the configuration until the token is cancelled.
-pub async fn read(
-    control: Vec<SocketAddr>,
-    seed: u64,
-    start: Instant,
-    token: cancel::Token,
-) -> Vec<Read> {
-    let mut random = Random::new(seed);
+/// Reads the configuration from all instances until the token is cancelled.
+///
+/// A read is not waited for before the next one: those that a frozen instance answers once it goes on show whether it
+/// knows that it may be behind.
+pub async fn read(control: Vec<SocketAddr>, start: Instant, token: cancel::Token) -> Vec<Read> {
+    let mut under_way = JoinSet::new();
     let mut reads = Vec::new();
     while !token.is_cancelled() {
+        for number in 0..control.len() {
+            let control = control.clone();
+            under_way.spawn(async move { read_one(&control, number, start).await });
+        }
         time::sleep(READ_PAUSE).await;
-        let number = random.below(control.len());
-        reads.extend(read_one(&control, number, start).await);
+        while let Some(ended) = under_way.try_join_next() {
+            reads.extend(ended.ok().flatten());
+        }
     }
+    let left = under_way.join_all().await;
+    reads.extend(left.into_iter().flatten());
     reads
 }
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -47,7 +47,7 @@
     /// Its process is frozen.
     #[display("freeze")]
     Freeze,
-    /// Bytes to it, or to it and back, are slow.
+    /// Bytes to it and back are slow.
     #[display("delay")]
     Delay,
     /// What others send it is held.
@@ -129,6 +129,9 @@
 const PAUSE: Duration = Duration::from_millis(700);
 /// Longest fault.
 const MAX_LASTS: Duration = Duration::from_millis(3_500);
+/// Longest fault of an instance that keeps state: long enough for others to change the configuration and for the bound
+/// on older reads to pass.
+const MAX_CONTROL_LASTS: Duration = Duration::from_secs(6);
 const MIN_LASTS: Duration = Duration::from_millis(300);
 /// One plan in so many kills all instances that keep state at one moment.
 const ALL_KILLED_ONE_IN: usize = 4;
@@ -153,8 +156,14 @@
         if at >= length {
             break;
         }
-        let lasts = MIN_LASTS + (MAX_LASTS - MIN_LASTS).mul_f64(random.unit().powi(2));
         let (victim, fault) = draw_one(&mut random, size);
+        let lasts = match victim {
+            Victim::Control(_) => (MAX_CONTROL_LASTS - MIN_LASTS).mul_f64(random.unit()),
+            Victim::Entry(_) | Victim::Target(_) => {
+                (MAX_LASTS - MIN_LASTS).mul_f64(random.unit().powi(2))
+            }
+        };
+        let lasts = MIN_LASTS + lasts;
         let event = Event { at, lasts, victim, fault };
         if events.iter().all(|other| is_allowed(&event, other)) {
             events.push(event);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -75,7 +75,7 @@
         })
         .collect();
     let changes = tokio::spawn(operator::change(control.clone(), seed, start, load.clone()));
-    let reads = tokio::spawn(operator::read(control.clone(), seed, start, load.clone()));
+    let reads = tokio::spawn(operator::read(control.clone(), start, load.clone()));
 
     let shifted = events.iter().map(|event| Event { at: event.at + begin, ..*event });
     suffer(&mut scene, shifted.collect()).await?;
