Write the last log lines also while another thread holds the logger

The lines were flushed when the last copy of the logger was dropped, but threads of the runtime may hold one until after main has returned, and then the process ends first.

The end of main now drops the guard of the writer's thread itself.

--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -23,39 +23,40 @@
 /// Event of the line that tells how many lines were left out.
 const LEFT_OUT: &str = "log_lines_left_out";
 
-/// Starts the thread that writes log lines and returns the root logger.
+/// Starts the thread that writes log lines and returns the root logger, with at most `details_per_s` lines of the level
+/// debug in a second; the rest is left out and counted in a line, while lines of the other levels are always written.
 ///
 /// Lines that find the ring full are dropped and counted in a later line, so that a slow terminal never
-/// delays a request.
-pub fn start(level: Level) -> Logger {
-    start_limited(level, u64::MAX)
-}
-
-/// As [`start`], with at most `details_per_s` lines of the level debug in a second; the rest is left out and counted
-/// in a line, while lines of the other levels are always written.
-pub fn start_limited(level: Level, details_per_s: u64) -> Logger {
+/// delays a request. The last lines are written once the [`Flush`] is dropped.
+pub fn start_limited(level: Level, details_per_s: u64) -> (Logger, Flush) {
     let drain = Logfmt::new(io::stderr()).set_prefix(prefix).print_msg(false).build().fuse();
-    let drain = Writer::new(drain).filter_level(level).fuse();
-    Logger::root(Limit::new(drain, details_per_s).fuse(), o!())
+    let (writer, flush) = Writer::new(drain);
+    let drain = writer.filter_level(level).fuse();
+    (Logger::root(Limit::new(drain, details_per_s).fuse(), o!()), flush)
 }
 
 /// Hands lines to the thread that writes them, and drops those that find the ring full.
-struct Writer {
+pub struct Writer {
     ring: AsyncCore,
-    /// Only taken when this is dropped; the mutex makes it safe to share with code that unwinds.
-    guard: Mutex<Option<AsyncGuard>>,
     /// Lines dropped since the last that was taken.
     dropped: AtomicU64,
 }
 
 impl Writer {
-    fn new(drain: impl Drain<Ok = (), Err = slog::Never> + Send + 'static) -> Writer {
+    /// Starts the thread that gives lines to `drain`.
+    pub fn new(drain: impl Drain<Ok = (), Err = slog::Never> + Send + 'static) -> (Writer, Flush) {
         let (ring, guard) =
             AsyncCore::custom(drain).chan_size(RING_LINES).blocking(false).build_with_guard();
-        Writer { ring, guard: Mutex::new(Some(guard)), dropped: AtomicU64::new(0) }
+        (Writer { ring, dropped: AtomicU64::new(0) }, Flush(Some(guard)))
     }
 }
 
+/// Has the lines that are left written when it is dropped, also while other threads still hold the logger.
+///
+/// Waits for them for a bounded time, not for a reader that has stopped reading.
+#[must_use = "the last lines are written when it is dropped"]
+pub struct Flush(Option<AsyncGuard>);
+
 impl Drain for Writer {
     type Ok = ();
     type Err = slog::Never;
@@ -84,10 +85,9 @@
     }
 }
 
-impl Drop for Writer {
-    /// Waits for the lines that are left, but not for a reader that has stopped reading.
+impl Drop for Flush {
     fn drop(&mut self) {
-        let guard = self.guard.get_mut().unwrap_or_else(PoisonError::into_inner).take();
+        let guard = self.0.take();
         let (end, ended) = mpsc::channel();
         let flush = thread::Builder::new().name(String::from("log flush")).spawn(move || {
             drop(guard);
