--- a/crates/daisyctl/tests/repository.rs
+++ b/crates/daisyctl/tests/repository.rs
@@ -18,25 +18,6 @@
     [concat!("/wo", "rk"), concat!("/ro", "ot"), concat!("/tm", "p")];
 /// Names of what is not part of the repository.
 const IGNORED: [&str; 5] = [".git", "target", "data", "journal", "spans.jsonl"];
-/// Names that the operators' platform gives things; only its adapter and the deploy files know them.
-const PLATFORM_WORDS: [&str; 16] = [
-    "x-request-id",
-    "x-deadline-ms",
-    "x-prompt-prefix",
-    "x-token-count",
-    "x-expect-instance",
-    "x-serving-stage",
-    "x-server-stamp",
-    "x-not-run",
-    "x-kv-",
-    "kv-fetch",
-    "heartbeat_addr",
-    "traffic_split",
-    "path_prefix",
-    "cold_remaining_ms",
-    "/-/",
-    "expected_revision",
-];
 /// Beginnings of names of working notes, which are no part of the repository.
 const NOTES: [&str; 4] = ["note", "todo", "scratch", "draft"];
 /// Repeats the users' house style, which they ask for word for word.
@@ -87,17 +68,6 @@
     assert_eq!(path_faults("src/a.rs", &path).len(), 1);
 }
 
-#[test]
-fn only_the_adapter_knows_the_platform() {
-    let root = root();
-    let mut files = Vec::new();
-    collect(&root.join("crates"), &mut files);
-    let own = Path::new(file!()).file_name();
-    let foreign = files.iter().filter(|file| file.file_name() != own);
-    let faults: Vec<String> = foreign.flat_map(|file| platform_faults(file)).collect();
-    assert!(faults.is_empty(), "{faults:#?}");
-}
-
 #[test]
 fn no_working_notes_lie_in_the_repository() {
     let mut files = Vec::new();
@@ -121,16 +91,6 @@
     !name.ends_with(".rs") && NOTES.iter().any(|note| name.starts_with(note))
 }
 
-fn platform_faults(file: &Path) -> Vec<String> {
-    let text = fs::read_to_string(file).unwrap_or_default();
-    let knows = |line: &&str| {
-        let line = line.to_ascii_lowercase();
-        PLATFORM_WORDS.iter().any(|word| line.contains(word))
-    };
-    let lines = text.lines().filter(knows);
-    lines.map(|line| format!("{}: knows the platform: {line}", file.display())).collect()
-}
-
 fn style_faults(file: &Path) -> Vec<String> {
     let Ok(text) = fs::read_to_string(file) else {
         return Vec::new();
--- a/crates/daisydrum/src/duty/peers.rs
+++ b/crates/daisydrum/src/duty/peers.rs
@@ -1,12 +1,14 @@
 //! The peers' listener: serves the calls of other daemons.
 
 use std::{
+    future,
     thread::{self, JoinHandle},
     time::Duration,
 };
 
 use common::{cancel, name};
 use consensus::{message::Envelope, status::Status};
+use control::query::Changes;
 use futures::{Stream, StreamExt};
 use replica::host::{Handle, Host};
 use spread::node::Node;
@@ -48,32 +50,67 @@
     >,
 >;
 
-/// Answers the calls of other daemons; cloned for each connection.
-#[derive(Clone, Debug)]
-pub struct Server {
-    /// Who this daemon is.
-    pub identity: peer::Identity,
-    /// The replicas kept here.
-    pub replicas: Host,
-    /// The declarations in force here.
-    pub spread: Node,
-    /// The table of targets and instances.
-    pub membership: membership::Handle,
-    /// What callers offer to this daemon.
-    pub counter: Counter,
+/// What an instance answers to others, beside the calls of its replicas' logs.
+///
+/// An instance that lacks a duty answers with nothing.
+pub trait Parts: Clone + Send + Sync + 'static {
+    /// Who the instance is.
+    fn identity(&self) -> peer::Identity;
+
+    /// The replica that it keeps of a branch's log.
+    fn replica(&self, branch: &name::Branch) -> Option<&Handle>;
+
+    /// What is newer of a branch's declarations.
+    fn pull(&self, have: Have, _wait_ms: u64) -> impl Future<Output = Update> + Send {
+        future::ready(Update {
+            branch: have.branch,
+            version: 0,
+            age_ms: None,
+            changes: Changes::None,
+        })
+    }
+
+    /// The declarations in force.
+    fn in_force(&self) -> Vec<Have> {
+        Vec::new()
+    }
+
+    /// Its side of a gossip of targets and instances.
+    fn gossip(&self, _message: Vec<u8>) -> impl Future<Output = Vec<u8>> + Send {
+        future::ready(Vec::new())
+    }
+
+    /// Its data centre's summary for another's.
+    fn summary(&self, _summary: Vec<u8>) -> impl Future<Output = Vec<u8>> + Send {
+        future::ready(Vec::new())
+    }
+
+    /// The answer to a question of an instance of a fleet found from seeds.
+    fn exchange(&self, _question: Vec<u8>) -> impl Future<Output = Vec<u8>> + Send {
+        future::ready(Vec::new())
+    }
+
+    /// What callers have offered to it.
+    fn offered(&self) -> peer::Counts {
+        peer::Counts::default()
+    }
 }
 
-impl Peer for Server {
+/// Answers the calls of other instances; cloned for each connection.
+#[derive(Clone, Debug)]
+pub struct Server<P>(pub P);
+
+impl<P: Parts> Peer for Server<P> {
     async fn identify(self, _context: context::Context) -> peer::Identity {
-        self.identity
+        self.0.identity()
     }
 
     async fn pull(self, _context: context::Context, have: Have, wait_ms: u64) -> Update {
-        self.spread.answer(have, wait_ms).await
+        self.0.pull(have, wait_ms).await
     }
 
     async fn in_force(self, _context: context::Context) -> Vec<Have> {
-        self.spread.in_force()
+        self.0.in_force()
     }
 
     async fn log_step(
@@ -83,7 +120,7 @@
         from: name::Instance,
         envelopes: Vec<Envelope>,
     ) {
-        if let Some(replica) = self.replicas.replica(&branch) {
+        if let Some(replica) = self.0.replica(&branch) {
             replica.receive(from, envelopes);
         }
     }
@@ -94,7 +131,7 @@
         branch: name::Branch,
         command: Vec<u8>,
     ) -> Outcome {
-        match self.replicas.replica(&branch) {
+        match self.0.replica(&branch) {
             Some(replica) => replica.submit(command).await,
             None => Outcome::NotLeader { leader: None },
         }
@@ -106,14 +143,14 @@
         branch: name::Branch,
         query: Vec<u8>,
     ) -> Outcome {
-        match self.replicas.replica(&branch) {
+        match self.0.replica(&branch) {
             Some(replica) => replica.query(query).await,
             None => Outcome::NotLeader { leader: None },
         }
     }
 
     async fn standing(self, _context: context::Context, branch: name::Branch) -> Standing {
-        self.replicas.replica(&branch).map_or(Standing::Absent, Handle::standing)
+        self.0.replica(&branch).map_or(Standing::Absent, Handle::standing)
     }
 
     async fn change_members(
@@ -122,29 +159,74 @@
         branch: name::Branch,
         wish: Wish,
     ) -> Outcome {
-        match self.replicas.replica(&branch) {
+        match self.0.replica(&branch) {
             Some(replica) => replica.change_members(wish).await,
             None => Outcome::NotLeader { leader: None },
         }
     }
 
     async fn replica(self, _context: context::Context, branch: name::Branch) -> Option<Status> {
-        self.replicas.replica(&branch).and_then(Handle::status)
+        self.0.replica(&branch).and_then(Handle::status)
     }
 
     async fn gossip(self, _context: context::Context, message: Vec<u8>) -> Vec<u8> {
-        self.membership.exchange(message).await
+        self.0.gossip(message).await
     }
 
     async fn summary(self, _context: context::Context, summary: Vec<u8>) -> Vec<u8> {
-        self.membership.exchange_summary(summary).await
+        self.0.summary(summary).await
     }
 
-    async fn exchange(self, _context: context::Context, _question: Vec<u8>) -> Vec<u8> {
-        Vec::new()
+    async fn exchange(self, _context: context::Context, question: Vec<u8>) -> Vec<u8> {
+        self.0.exchange(question).await
     }
 
     async fn offered(self, _context: context::Context) -> peer::Counts {
+        self.0.offered()
+    }
+}
+
+/// The duties of an instance that is told all others.
+#[derive(Clone, Debug)]
+pub struct Duties {
+    /// Who this daemon is.
+    pub identity: peer::Identity,
+    /// The replicas kept here.
+    pub replicas: Host,
+    /// The declarations in force here.
+    pub spread: Node,
+    /// The table of targets and instances.
+    pub membership: membership::Handle,
+    /// What callers offer to this daemon.
+    pub counter: Counter,
+}
+
+impl Parts for Duties {
+    fn identity(&self) -> peer::Identity {
+        self.identity.clone()
+    }
+
+    fn replica(&self, branch: &name::Branch) -> Option<&Handle> {
+        self.replicas.replica(branch)
+    }
+
+    async fn pull(&self, have: Have, wait_ms: u64) -> Update {
+        self.spread.answer(have, wait_ms).await
+    }
+
+    fn in_force(&self) -> Vec<Have> {
+        self.spread.in_force()
+    }
+
+    async fn gossip(&self, message: Vec<u8>) -> Vec<u8> {
+        self.membership.exchange(message).await
+    }
+
+    async fn summary(&self, summary: Vec<u8>) -> Vec<u8> {
+        self.membership.exchange_summary(summary).await
+    }
+
+    fn offered(&self) -> peer::Counts {
         self.counter.read()
     }
 }
@@ -154,7 +236,7 @@
 /// # Errors
 ///
 /// Returns a [`Fault`] when the address can't be listened on.
-pub fn start(context: &Context, server: Server) -> Result<JoinHandle<()>, Fault> {
+pub fn start(context: &Context, duties: Duties) -> Result<JoinHandle<()>, Fault> {
     let address = context.settings.peers_listen;
     let runtime = context.runtime.clone();
     let listener = runtime.block_on(TcpListener::bind(address)).map_err(|cause| Fault::Listen {
@@ -164,7 +246,7 @@
     })?;
     let end = context.end.clone();
     let thread = thread::Builder::new().name(String::from("peers")).spawn(move || {
-        let serve = move |stream| run(channel(stream).execute(server.clone().serve()));
+        let serve = move |stream| run(channel(stream).execute(Server(duties.clone()).serve()));
         runtime.block_on(accept(listener, serve, end));
     })?;
     Ok(thread)
--- a/crates/daisydrum/src/seeded/peers.rs
+++ b/crates/daisydrum/src/seeded/peers.rs
@@ -3,23 +3,17 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use common::{clock::Moment, name};
-use consensus::{message::Envelope, status::Status};
-use control::query::Changes;
 use fleet::{
     exchange::{self, Answer, Question},
     lesson,
 };
 use gateway::state::Gateway;
 use replica::host::Handle;
-use tarpc::{context, server::Channel};
-use wire::{
-    log::{Outcome, Standing, Wish},
-    peer::{self, Peer},
-    spread::{Have, Update},
-};
+use tarpc::server::Channel;
+use wire::peer::{self, Peer};
 
 use crate::{
-    duty::peers as listener,
+    duty::peers::{self, Parts, Server},
     error::Fault,
     seeded::{
         context::Context,
@@ -30,9 +24,9 @@
     },
 };
 
-/// Answers the calls of other instances; cloned for each connection.
+/// The duties of an instance that finds the others from seeds. Branches of a tree are kept by others.
 #[derive(Clone)]
-struct Server {
+struct Duties {
     context: Context,
     directory: Directory,
     replicas: Option<Replicas>,
@@ -41,7 +35,7 @@
     turn: Arc<Mutex<lesson::Turn>>,
 }
 
-impl Server {
+impl Duties {
     fn holdings(&self) -> Answer {
         let Some(gateway) = self.gateway.as_ref().filter(|other| other.are_holdings_known()) else {
             return Answer::Refused;
@@ -53,14 +47,10 @@
             Answer::Later
         }
     }
-
-    fn held(&self, branch: &name::Branch) -> Option<&Handle> {
-        self.replicas.as_ref().filter(|_| branch.0 == BRANCH)?.handle()
-    }
 }
 
-impl Peer for Server {
-    async fn identify(self, _context: context::Context) -> peer::Identity {
+impl Parts for Duties {
+    fn identity(&self) -> peer::Identity {
         peer::Identity {
             version: peer::VERSION,
             instance: self.context.card.instance.clone(),
@@ -68,80 +58,11 @@
         }
     }
 
-    async fn pull(self, _context: context::Context, have: Have, _wait_ms: u64) -> Update {
-        // Branches of a tree are kept by instances that are started with one.
-        Update { branch: have.branch, version: 0, age_ms: None, changes: Changes::None }
-    }
-
-    async fn in_force(self, _context: context::Context) -> Vec<Have> {
-        Vec::new()
-    }
-
-    async fn log_step(
-        self,
-        _context: context::Context,
-        branch: name::Branch,
-        from: name::Instance,
-        envelopes: Vec<Envelope>,
-    ) {
-        if let Some(replica) = self.held(&branch) {
-            replica.receive(from, envelopes);
-        }
-    }
-
-    async fn submit(
-        self,
-        _context: context::Context,
-        branch: name::Branch,
-        command: Vec<u8>,
-    ) -> Outcome {
-        match self.held(&branch) {
-            Some(replica) => replica.submit(command).await,
-            None => Outcome::NotLeader { leader: None },
-        }
-    }
-
-    async fn query(
-        self,
-        _context: context::Context,
-        branch: name::Branch,
-        query: Vec<u8>,
-    ) -> Outcome {
-        match self.held(&branch) {
-            Some(replica) => replica.query(query).await,
-            None => Outcome::NotLeader { leader: None },
-        }
-    }
-
-    async fn standing(self, _context: context::Context, branch: name::Branch) -> Standing {
-        self.held(&branch).map_or(Standing::Absent, Handle::standing)
-    }
-
-    async fn change_members(
-        self,
-        _context: context::Context,
-        branch: name::Branch,
-        wish: Wish,
-    ) -> Outcome {
-        match self.held(&branch) {
-            Some(replica) => replica.change_members(wish).await,
-            None => Outcome::NotLeader { leader: None },
-        }
-    }
-
-    async fn replica(self, _context: context::Context, branch: name::Branch) -> Option<Status> {
-        self.held(&branch).and_then(Handle::status)
-    }
-
-    async fn gossip(self, _context: context::Context, _message: Vec<u8>) -> Vec<u8> {
-        Vec::new()
-    }
-
-    async fn summary(self, _context: context::Context, _summary: Vec<u8>) -> Vec<u8> {
-        Vec::new()
+    fn replica(&self, branch: &name::Branch) -> Option<&Handle> {
+        self.replicas.as_ref().filter(|_| branch.0 == BRANCH)?.handle()
     }
 
-    async fn exchange(self, _context: context::Context, question: Vec<u8>) -> Vec<u8> {
+    async fn exchange(&self, question: Vec<u8>) -> Vec<u8> {
         let answer = match exchange::decode::<Question>(&question) {
             Some(Question::Holdings) => self.holdings(),
             Some(question) => self.directory.answer(question).await,
@@ -149,10 +70,6 @@
         };
         exchange::encode(&answer)
     }
-
-    async fn offered(self, _context: context::Context) -> peer::Counts {
-        peer::Counts::default()
-    }
 }
 
 /// Starts to serve peers.
@@ -167,7 +84,7 @@
     control: Option<&Control>,
 ) -> Result<(), Fault> {
     let socket = bind(context.settings.peers_listen, "other instances").await?;
-    let server = Server {
+    let duties = Duties {
         context: context.clone(),
         directory: directory.clone(),
         replicas: control.map(|control| control.replicas.clone()),
@@ -175,7 +92,7 @@
         turn: Arc::default(),
     };
     let serve =
-        move |stream| listener::run(listener::channel(stream).execute(server.clone().serve()));
-    spawn(context, listener::accept(socket, serve, context.end.clone()));
+        move |stream| peers::run(peers::channel(stream).execute(Server(duties.clone()).serve()));
+    spawn(context, peers::accept(socket, serve, context.end.clone()));
     Ok(())
 }
--- a/crates/daisydrum/tests/seeded/reload.rs
+++ b/crates/daisydrum/tests/seeded/reload.rs
@@ -4,20 +4,27 @@
 
 use rustix::process::Signal;
 
-use crate::fleet::{self, until};
+use crate::fleet::{self, Fleet, until};
 
-#[tokio::test]
-async fn changed_seeds_are_taken_in_and_unreadable_settings_keep_the_old_ones() {
-    let fleet = fleet::start("seeded-reload");
+/// A fleet whose entry instance runs, and whose file of settings then names one seed less.
+async fn with_fewer_seeds(name: &str) -> Fleet {
+    let fleet = fleet::start(name);
     let entry = &fleet.entries[0];
     until("it has started", async || entry.log().contains("event=\"started\"")).await;
     let file = entry.settings_file();
     let settings = fs::read_to_string(file).unwrap();
     let seed = fleet.control[0].control().to_string();
     fs::write(file, settings.replace(&format!("\"{seed}\", "), "")).unwrap();
+    fleet
+}
+
+#[tokio::test]
+async fn changed_seeds_are_taken_in_and_unreadable_settings_keep_the_old_ones() {
+    let fleet = with_fewer_seeds("seeded-reload").await;
+    let entry = &fleet.entries[0];
     entry.signal(Signal::HUP);
     until("the seeds are taken in", async || entry.log().contains("settings_reloaded")).await;
-    fs::write(file, "{ \"name\": 7 }").unwrap();
+    fs::write(entry.settings_file(), "{ \"name\": 7 }").unwrap();
     entry.signal(Signal::HUP);
     until("the settings are refused", async || entry.log().contains("settings_refused")).await;
     fleet.declare(3).await;
@@ -26,12 +33,7 @@
 
 #[tokio::test]
 async fn a_file_that_changes_without_a_signal_is_noticed() {
-    let fleet = fleet::start("seeded-noticed");
+    let fleet = with_fewer_seeds("seeded-noticed").await;
     let entry = &fleet.entries[0];
-    until("it has started", async || entry.log().contains("event=\"started\"")).await;
-    let file = entry.settings_file();
-    let settings = fs::read_to_string(file).unwrap();
-    let seed = fleet.control[0].control().to_string();
-    fs::write(file, settings.replace(&format!("\"{seed}\", "), "")).unwrap();
     until("the seeds are taken in", async || entry.log().contains("settings_reloaded")).await;
 }
--- a/crates/placement/examples/policies.rs
+++ b/crates/placement/examples/policies.rs
@@ -6,33 +6,10 @@
 #[allow(dead_code, reason = "the tests use the rest")]
 mod fleet_of_engines;
 
-use std::time::Duration;
-
-use fleet_of_engines::{Kind, compare};
+use fleet_of_engines::{association, compare};
 
 const SECONDS: u64 = 60;
 
-/// Requests a second, subjects, shared and fresh tokens, output tokens, target and timeout in milliseconds.
-const KINDS: [(f64, u64, u32, u32, u64, u64, u64); 3] = [
-    (29.9, 135, 13_300, 3_720, 120, 600, 5_000),
-    (23.6, 71, 6_300, 2_890, 52, 1_000, 3_000),
-    (51.0, 346, 350, 1_110, 172, 1_000, 6_000),
-];
-
-fn kinds(factor: f64) -> Vec<Kind> {
-    let kind =
-        |(per_s, subjects, shared, fresh, output, target, timeout): (_, _, _, _, _, _, _)| Kind {
-            per_s: per_s * factor,
-            subjects,
-            shared,
-            fresh,
-            output,
-            target: Duration::from_millis(target),
-            timeout: Duration::from_millis(timeout),
-        };
-    KINDS.into_iter().map(kind).collect()
-}
-
 fn main() {
     println!("| fleet | load | policy | in time | by kind | tokens computed of those asked for |");
     println!("|---|---|---|---|---|---|");
@@ -42,7 +19,7 @@
     ];
     for (fleet, computing, generating, scale) in fleets {
         for load in [1.0, 1.4, 1.8] {
-            let reports = compare(computing, generating, &kinds(load * scale), SECONDS);
+            let reports = compare(computing, generating, &association(load * scale), SECONDS);
             let mut names: Vec<_> = reports.keys().collect();
             names.sort();
             for name in names {
--- a/crates/placement/tests/load.rs
+++ b/crates/placement/tests/load.rs
@@ -3,29 +3,9 @@
 #[path = "support/fleet.rs"]
 mod fleet_of_engines;
 
-use std::time::Duration;
-
-use fleet_of_engines::{Fleet, Kind, Policy, compare};
+use fleet_of_engines::{Fleet, Policy, association, compare};
 use roles::split;
 
-/// The requests of the Association, times `factor`.
-fn association(factor: f64) -> [Kind; 3] {
-    let kind = |per_s: f64, subjects, shared, fresh, output, target, timeout| Kind {
-        per_s: per_s * factor,
-        subjects,
-        shared,
-        fresh,
-        output,
-        target: Duration::from_millis(target),
-        timeout: Duration::from_millis(timeout),
-    };
-    [
-        kind(29.9, 135, 13_300, 3_720, 120, 600, 5_000),
-        kind(23.6, 71, 6_300, 2_890, 52, 1_000, 3_000),
-        kind(51.0, 346, 350, 1_110, 172, 1_000, 6_000),
-    ]
-}
-
 const COMPUTING: usize = 12;
 const GENERATING: usize = 6;
 const SECONDS: u64 = 40;
--- a/crates/placement/tests/support/fleet.rs
+++ b/crates/placement/tests/support/fleet.rs
@@ -54,6 +54,24 @@
     pub timeout: Duration,
 }
 
+/// The requests of the Association's inspection assistant, times `factor`.
+pub fn association(factor: f64) -> [Kind; 3] {
+    let kind = |per_s: f64, subjects, shared, fresh, output, target, timeout| Kind {
+        per_s: per_s * factor,
+        subjects,
+        shared,
+        fresh,
+        output,
+        target: Duration::from_millis(target),
+        timeout: Duration::from_millis(timeout),
+    };
+    [
+        kind(29.9, 135, 13_300, 3_720, 120, 600, 5_000),
+        kind(23.6, 71, 6_300, 2_890, 52, 1_000, 3_000),
+        kind(51.0, 346, 350, 1_110, 172, 1_000, 6_000),
+    ]
+}
+
 /// What callers of one kind got.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Outcome {
