--- a/crates/daisydrum/tests/seeded/control.rs
+++ b/crates/daisydrum/tests/seeded/control.rs
@@ -3,7 +3,7 @@
 use platform_standin::client;
 use serde_json::json;
 
-use crate::fleet::{self, Start, until};
+use crate::fleet::{self, Fleet, Start, until};
 
 #[tokio::test]
 async fn seeds_started_one_after_another_found_one_log_and_read_the_same_version() {
@@ -78,6 +78,42 @@
     fleet.declare(4).await;
 }
 
+#[tokio::test]
+async fn two_instances_replaced_for_good_do_not_cost_the_quorum_when_a_disk_is_lost() {
+    let mut fleet = fleet::start("seeded-replaced");
+    fleet.add_control(Start::Later);
+    fleet.declare(3).await;
+    let mut running = vec![0, 1, 2, 3];
+    for gone in [1, 2] {
+        until_members(&fleet, &running).await;
+        fleet.control[gone].kill();
+        running.retain(|number| *number != gone);
+        running.push(fleet.add_control(Start::Later));
+    }
+    until_members(&fleet, &running).await;
+    let lost = running[3];
+    fleet.control[lost].kill();
+    fleet.wipe(lost);
+    fleet.control[lost].start();
+    fleet.declare(4).await;
+    until_members(&fleet, &running).await;
+}
+
+#[tokio::test]
+async fn an_instance_that_was_taken_for_gone_votes_again_when_it_returns() {
+    let mut fleet = fleet::start("seeded-returned");
+    fleet.add_control(Start::Later);
+    fleet.declare(3).await;
+    until_members(&fleet, &[0, 1, 2, 3]).await;
+    fleet.control[3].kill();
+    until_members(&fleet, &[0, 1, 2]).await;
+    fleet.declare(4).await;
+    fleet.control[3].start();
+    until_members(&fleet, &[0, 1, 2, 3]).await;
+    fleet.control[0].kill();
+    fleet.declare(5).await;
+}
+
 #[tokio::test]
 async fn an_accepted_configuration_survives_a_kill_of_all_control_instances() {
     let mut fleet = fleet::start("seeded-killed");
@@ -134,3 +170,23 @@
     }
     assert!(seen.windows(2).all(|pair| pair[0] == pair[1]));
 }
+
+/// Waits until exactly these instances are members of the log, all of them voters.
+async fn until_members(fleet: &Fleet, running: &[usize]) {
+    until("the running instances are the voters", async || {
+        running.iter().all(|number| {
+            let log = fleet.control[*number].log();
+            let Some(last) = log.lines().rev().find(|line| line.contains("members changed")) else {
+                return false;
+            };
+            let votes = |other: &usize| {
+                let host = fleet.control[*other].control().ip();
+                last.contains(&format!("{host}:"))
+            };
+            last.matches(":voter").count() == running.len()
+                && !last.contains(":learner")
+                && running.iter().all(votes)
+        })
+    })
+    .await;
+}
