Remove voters that are silent for good, and let them join again

Cause: a control instance that was replaced at a new address stayed a voter. Two replacements made six voters of which four ran; a lost disk or a power loss then left three, and a quorum is four. The class: membership that only grows, so that losses one after the other add up although each was made good.

Change: a leader removes the member that has been silent for longest, from 3 s on, one at a time, while more than 2f + 1 voters stay (tolerated_losses, from the platform's own figure). Its own pauses don't count as silence. A replica that has no leader asks to join for as long as it runs, so one that was taken for gone returns with its identity and its log.

No quorum is weakened: each change is of one member; the floor keeps an entry on more than f disks.

--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -1,6 +1,6 @@
 //! Leader: proposals, heartbeats, commit index and check-quorum.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 use common::{clock::Moment, collections::Map};
 
@@ -26,6 +26,9 @@
     pub(super) round: u64,
     pub(super) reads: VecDeque<Read>,
     pub(super) leadership_transfer: Option<LeadershipTransfer>,
+    /// Since when this leader has run without a pause: messages that arrived during a pause are yet to be handled.
+    running_since: Moment,
+    last_tick: Moment,
     next_heartbeat: Moment,
     next_quorum_check: Moment,
 }
@@ -49,6 +52,8 @@
         self.role = Role::Leader;
         self.leader = Some(self.hard.id);
         self.leader_state = State {
+            running_since: now,
+            last_tick: now,
             next_quorum_check: now + self.options.election_timeout_min,
             ..State::default()
         };
@@ -98,6 +103,10 @@
 
     /// Checks the quorum, aborts an overdue leadership transfer and sends heartbeats.
     pub(super) fn tick_leader(&mut self, now: Moment) {
+        if now.since(self.leader_state.last_tick) >= self.options.election_timeout_min {
+            self.leader_state.running_since = now;
+        }
+        self.leader_state.last_tick = now;
         if now >= self.leader_state.next_quorum_check {
             self.leader_state.next_quorum_check = now + self.options.election_timeout_min;
             if !self.has_quorum_contact(now) {
@@ -121,6 +130,16 @@
         })
     }
 
+    /// Time for which a peer has not replied while this leader ran; none if this replica does not lead or `peer` is no
+    /// other member.
+    pub fn silence(&self, peer: Id, now: Moment) -> Option<Duration> {
+        if self.role != Role::Leader {
+            return None;
+        }
+        let peer = self.leader_state.peers.get(&peer)?;
+        Some(now.since(peer.last_contact.max(self.leader_state.running_since)))
+    }
+
     /// Sends entries, or else a heartbeat, to every peer.
     pub(super) fn broadcast(&mut self, now: Moment) {
         self.leader_state.next_heartbeat = now + self.options.heartbeat_interval;
--- a/crates/consensus/src/reconfiguration.rs
+++ b/crates/consensus/src/reconfiguration.rs
@@ -2,6 +2,8 @@
 //!
 //! A replacement in progress is recorded in the configuration ([`Member::replaces`]), so a later leader continues it.
 
+use std::time::Duration;
+
 use common::name;
 
 use crate::{
@@ -9,6 +11,18 @@
     status::Status,
 };
 
+/// When a leader removes members that don't reply.
+///
+/// A member that is gone for good would count for the quorum forever. One that returns asks to join again, with its
+/// identity and its log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Removal {
+    /// Time without a reply after which a member is removed.
+    pub after: Duration,
+    /// Number of voters below which none is removed: `2f + 1`, so that an entry on a quorum outlives `f` disks.
+    pub min_voters: usize,
+}
+
 /// The next change that a leader should propose to continue a replacement, if any.
 ///
 /// A learner that lags by at most `max_promotion_lag` entries is promoted, then the member that it replaces is removed.
@@ -35,6 +49,30 @@
         .map(|member| Change::Promote(member.id))
 }
 
+/// The change that removes the member that has not replied for longest, if that is long enough.
+///
+/// `silence` tells for how long a member has not replied to this leader. Fewer voters need a smaller quorum, so the
+/// removal of one that doesn't reply never costs the log its quorum.
+pub fn remove_silent(
+    status: &Status,
+    silence: impl Fn(Id) -> Option<Duration>,
+    removal: &Removal,
+) -> Option<Change> {
+    let config = &status.config;
+    if !status.settled {
+        return None;
+    }
+    let spare_voter = config.voters().count() > removal.min_voters;
+    config
+        .members()
+        .iter()
+        .filter(|member| member.id != status.id && (spare_voter || !member.voter))
+        .filter_map(|member| Some((silence(member.id)?, member.id)))
+        .filter(|(silence, _)| *silence >= removal.after)
+        .max()
+        .map(|(_, id)| Change::Remove(id))
+}
+
 /// The change with which a replica that lost its state, and so has a new identity, replaces its instance's old replica.
 ///
 /// First removes a learner of the instance that was never promoted. Returns none if `id` is a member, if this replica
--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+use std::time::Duration;
+
 use common::clock::Moment;
 use consensus::{
     effect::{Effect, Event, HardState, InitialState, OperationId, Proposal, Refusal},
@@ -10,7 +12,7 @@
     message::{AppendOutcome, AppendReply, Body, ElectionCause, Envelope},
     node::Node,
     options::Options,
-    reconfiguration,
+    reconfiguration::{self, Removal},
     status::Role,
 };
 use expect_test::expect;
@@ -278,3 +280,45 @@
     assert!(!driver.receive(2, term, reply(0, 1)).contains(&Effect::Readable(OperationId(1), 1)));
     assert!(driver.receive(2, term, reply(1, 1)).contains(&Effect::Readable(OperationId(1), 1)));
 }
+
+#[test]
+fn a_silent_voter_is_removed_only_above_the_floor_and_not_because_the_leader_paused() {
+    let removal = Removal { after: Duration::from_millis(2_000), min_voters: 3 };
+    let mut driver = Driver::new(start(4, 0, &[]), Options::default());
+    driver.step(Event::Tick);
+    for voter in [2, 3] {
+        driver.receive(voter, 1, Body::PreVoteReply { granted: true });
+    }
+    for voter in [2, 3] {
+        driver.receive(voter, 1, Body::VoteReply { granted: true });
+    }
+    let removed = |driver: &Driver| {
+        let silence = |id| driver.node.silence(id, driver.now);
+        reconfiguration::remove_silent(&driver.node.status(), silence, &removal)
+    };
+    // The leader was paused: replies may wait to be handled.
+    driver.now = Moment(13_000);
+    driver.accept(2, 1);
+    driver.accept(3, 1);
+    driver.step(Event::Tick);
+    assert_eq!(removed(&driver), None);
+    for _ in 0..10 {
+        driver.now = Moment(driver.now.0 + 200);
+        driver.accept(2, 1);
+        driver.accept(3, 1);
+        driver.step(Event::Tick);
+    }
+    let change = Change::Remove(Id(4));
+    assert_eq!(removed(&driver), Some(change.clone()));
+    driver.step(Event::Change(OperationId(1), change));
+    driver.accept(2, 2);
+    let status = driver.node.status();
+    assert_eq!((status.config.voters().count(), status.settled), (3, true));
+    // Three voters are the fewest: the next one that is silent stays.
+    for _ in 0..20 {
+        driver.now = Moment(driver.now.0 + 200);
+        driver.accept(2, 2);
+        driver.step(Event::Tick);
+    }
+    assert_eq!(removed(&driver), None);
+}
--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -1,6 +1,6 @@
 //! A deterministic simulation of replicas, their network and their clients.
 
-use std::{cmp::Reverse, collections::BinaryHeap};
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use common::{clock::Moment, random::Random};
 use consensus::{
@@ -9,8 +9,8 @@
     member::{Change, Config, Id, Member},
     message::Envelope,
     options::Options,
-    reconfiguration,
-    status::Role,
+    reconfiguration::{self, Removal},
+    status::{Role, Status},
 };
 
 use crate::{
@@ -25,6 +25,8 @@
 const RECONFIGURE_MS: u64 = 150;
 const RECOVERY_MS: u64 = 60_000;
 const COMPACT_ENTRIES: u64 = 25;
+/// Shorter than most faults, so that replicas are removed and return.
+const REMOVAL: Removal = Removal { after: Duration::from_millis(1_500), min_voters: 3 };
 
 pub struct Cluster {
     plan: Plan,
@@ -362,15 +364,28 @@
     }
 
     fn next_change(&self, host: usize) -> Option<Change> {
-        let status = self.hosts[host].node.as_ref()?.status();
+        let leader = self.hosts[host].node.as_ref()?;
+        let status = leader.status();
         if status.role != Role::Leader {
             return None;
         }
-        let joining = self.hosts.iter().find(|host| status.config.member(host.id).is_none());
-        let joining = joining.map(|host| reconfiguration::rejoin(&status, host.id, &host.instance));
-        joining
-            .flatten()
+        let silence = |id| leader.silence(id, self.now);
+        self.join(&status)
             .or_else(|| reconfiguration::next_change(&status, self.options.max_promotion_lag))
+            .or_else(|| reconfiguration::remove_silent(&status, silence, &REMOVAL))
+    }
+
+    /// The change with which the first replica that runs and is no member joins.
+    fn join(&self, status: &Status) -> Option<Change> {
+        let asks = |number: &usize| {
+            let host = &self.hosts[*number];
+            let reaches = !self.inbound_cut[*number] && !self.outbound_cut[*number];
+            host.node.is_some() && host.paused_until <= self.now && reaches
+        };
+        let mut hosts = (0..self.hosts.len()).filter(asks).map(|number| &self.hosts[number]);
+        let host = hosts.find(|host| status.config.member(host.id).is_none())?;
+        reconfiguration::rejoin(status, host.id, &host.instance)
+            .or_else(|| reconfiguration::add(status, host.id, &host.instance))
     }
 
     fn inject(&mut self, fault: Fault) -> Result<(), Violation> {
@@ -384,10 +399,14 @@
                 self.crash(at, fault.lasts_ms);
                 self.wipe(at);
             }
-            Kind::Wipe => {}
+            Kind::Replace if self.is_fully_replicated() => {
+                self.crash(at, fault.lasts_ms);
+                self.wipe(at);
+                self.hosts[at].instance = format!("instance-{}", self.hosts[at].id).as_str().into();
+            }
+            Kind::Wipe | Kind::Replace => {}
             Kind::Pause => {
-                self.hosts[at].paused_until =
-                    self.now + std::time::Duration::from_millis(fault.lasts_ms);
+                self.hosts[at].paused_until = self.now + Duration::from_millis(fault.lasts_ms);
             }
             Kind::Isolate => (self.inbound_cut[at], self.outbound_cut[at]) = (true, true),
             Kind::CutInbound => self.inbound_cut[at] = true,
--- a/crates/consensus/tests/support/plan.rs
+++ b/crates/consensus/tests/support/plan.rs
@@ -34,6 +34,8 @@
     Blackout,
     /// The process is killed and its disk is lost. Skipped while another replica is being replaced.
     Wipe,
+    /// The instance is gone for good, and a replica on a new instance starts. Skipped like [`Kind::Wipe`].
+    Replace,
     /// The process stops for a while.
     Pause,
     /// The replica neither receives nor sends messages.
@@ -71,6 +73,7 @@
         3 => Just(Kind::Crash),
         2 => Just(Kind::Blackout),
         3 => Just(Kind::Wipe),
+        3 => Just(Kind::Replace),
         2 => Just(Kind::Pause),
         1 => Just(Kind::Isolate),
         1 => Just(Kind::CutInbound),
--- a/crates/daisydrum/src/seeded/replicas.rs
+++ b/crates/daisydrum/src/seeded/replicas.rs
@@ -8,7 +8,7 @@
 };
 
 use common::name;
-use consensus::{options::Options, status::Role};
+use consensus::{options::Options, reconfiguration::Removal, status::Role};
 use fleet::{
     exchange,
     register::{Command, Document, Grant, Register, Reply},
@@ -39,6 +39,11 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(80);
 const ELECTION_TIMEOUT_MIN: Duration = Duration::from_millis(320);
 const ELECTION_TIMEOUT_MAX: Duration = Duration::from_millis(600);
+/// Time without a reply after which a control instance loses its vote. Shorter than the time that a replacement has
+/// before another instance may be lost, so that those that are gone never add up.
+const REMOVE_AFTER: Duration = Duration::from_secs(3);
+/// Fewest voters that removals leave.
+const MIN_VOTERS: usize = 3;
 /// Delay after the replica could not be opened.
 const OPEN_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Time between two reads of the replica's status.
@@ -210,7 +215,7 @@
             folder: Path::new(&folder).join(FOLDER),
             bootstrap: if is_founder { Bootstrap::Founder } else { Bootstrap::Learner },
             peers: self.peers(seeds),
-            join_policy: JoinPolicy::Automatic,
+            join_policy: JoinPolicy::Automatic(self.removal()),
             options: Options {
                 retained_entries: RETAINED_ENTRIES,
                 heartbeat_interval: HEARTBEAT_INTERVAL,
@@ -224,6 +229,11 @@
         }
     }
 
+    fn removal(&self) -> Removal {
+        let lost = self.context.settings.tolerated_losses;
+        Removal { after: REMOVE_AFTER, min_voters: (2 * lost + 1).max(MIN_VOTERS) }
+    }
+
     fn peers(&self, addresses: Vec<SocketAddr>) -> Vec<transport::Peer> {
         let others =
             addresses.into_iter().filter(|address| *address != self.context.identity.address);
--- a/crates/replica/src/bootstrap.rs
+++ b/crates/replica/src/bootstrap.rs
@@ -95,15 +95,21 @@
     Answer { instance: peer.instance.clone(), standing }
 }
 
-/// Asks the other replicas to add this one, until it is a member.
+/// Asks the other replicas to add this one while it is no member or has no leader.
+///
+/// A replica that was removed while it didn't reply still finds itself in its own log, but gets no messages.
 pub(crate) async fn join(settings: Settings, id: Id, status: Arc<Mutex<Option<Status>>>) {
     let change = Change::Join { id, instance: settings.instance.clone() };
     loop {
         let pause = settings.end.run_until_cancelled(tokio::time::sleep(JOIN_PAUSE)).await;
-        let known = status.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        if pause.is_none() || known.is_some_and(|status| status.config.member(id).is_some()) {
+        if pause.is_none() {
             return;
         }
+        let known = status.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if known.is_some_and(|status| status.leader.is_some() && status.config.member(id).is_some())
+        {
+            continue;
+        }
         for peer in &settings.peers {
             if let Some(leader) = request_join(&settings, &peer.link, &change).await
                 && settings.peers.iter().all(|peer| peer.instance != leader)
--- a/crates/replica/src/host.rs
+++ b/crates/replica/src/host.rs
@@ -17,6 +17,7 @@
     message::Envelope,
     node::Node,
     options::Options,
+    reconfiguration::Removal,
     status::Status,
 };
 use slog::{Logger, info, o};
@@ -52,8 +53,8 @@
 pub enum JoinPolicy {
     /// An operator, as the replacement of another replica.
     Manual,
-    /// The leader, as soon as a replica asks to join.
-    Automatic,
+    /// The leader, as soon as a replica asks to join. It also removes members that don't reply.
+    Automatic(Removal),
 }
 
 /// Settings of a replica.
--- a/crates/replica/src/worker.rs
+++ b/crates/replica/src/worker.rs
@@ -367,24 +367,38 @@
     ) -> Option<Change> {
         match self.join_policy {
             JoinPolicy::Manual => None,
-            JoinPolicy::Automatic => reconfiguration::add(status, id, instance),
+            JoinPolicy::Automatic(_) => reconfiguration::add(status, id, instance),
         }
     }
 
-    /// Proposes the next membership change of a replacement in progress.
+    /// Proposes the next membership change: of a replacement in progress, or the removal of a silent member.
     fn continue_reconfiguration(&mut self) {
         let status = self.node.status();
         if status.role != Role::Leader {
             return;
         }
-        if let Some(change) = reconfiguration::next_change(&status, self.options.max_promotion_lag)
-        {
+        let change = reconfiguration::next_change(&status, self.options.max_promotion_lag)
+            .or_else(|| self.remove_silent(&status));
+        if let Some(change) = change {
             let (responder, _unread) = tokio::sync::oneshot::channel();
             let operation = self.state.pending.propose(responder);
             self.step(Event::Change(operation, change));
         }
     }
 
+    /// The removal of a member that doesn't reply, if the policy allows it.
+    fn remove_silent(&self, status: &Status) -> Option<Change> {
+        let JoinPolicy::Automatic(removal) = self.join_policy else {
+            return None;
+        };
+        let now = Moment::now();
+        let silence = |id| self.node.silence(id, now);
+        let change = reconfiguration::remove_silent(status, silence, &removal)?;
+        info!(self.logger, "silent member removed"; "change" => ?change,
+            "after_ms" => removal.after.as_millis());
+        Some(change)
+    }
+
     /// Publishes the node's status, and logs when it starts or stops leading.
     fn publish(&mut self) {
         let status = self.node.status();
--- a/crates/settings/src/seeded.rs
+++ b/crates/settings/src/seeded.rs
@@ -43,6 +43,11 @@
     /// Whether the fleet starts for the first time, in which case the seeds create the replicated log.
     #[serde(default)]
     pub founding: bool,
+    /// Number of instances with `control` whose disks may be lost at the same time; at least `2 * tolerated_losses + 1`
+    /// keep their vote when instances don't reply.
+    #[serde(default = "Seeded::default_tolerated_losses")]
+    #[schemars(range(min = 0, max = 50))]
+    pub tolerated_losses: usize,
     /// Usual time between announcements of a target, in milliseconds.
     #[serde(default = "Seeded::default_announcement_ms")]
     #[schemars(range(min = 10, max = 60_000))]
@@ -103,6 +108,10 @@
 }
 
 impl Seeded {
+    fn default_tolerated_losses() -> usize {
+        1
+    }
+
     fn default_announcement_ms() -> u64 {
         1_000
     }
