Ask every known control instance to join, not only the first seeds

What callers would see: a control instance that starts, or returns after its vote was removed, while the three seeds of its settings are gone never joins the log. It counts as a machine but not as a voter, and the next loss costs the quorum.

Cause: the replica asked the seeds that its settings had named when it opened its folder; later seeds and instances learnt from others were not asked. The class: a list of addresses copied at the start. Looked for elsewhere: the client of the log builds its list for each call, subscriptions follow the seeds.

Change: the replica asks its peers and all control instances that the directory knows.

--- a/crates/daisydrum/src/component/replica.rs
+++ b/crates/daisydrum/src/component/replica.rs
@@ -11,6 +11,7 @@
     transport,
 };
 use settings::instance;
+use tokio::sync::watch;
 
 use crate::{context::Context, error::Error, replicated_logs::Logs};
 
@@ -49,6 +50,7 @@
             folder,
             bootstrap: bootstrap(settings.start),
             peers: others.cloned().collect(),
+            contacts: watch::Sender::default().subscribe(),
             join_policy: host::JoinPolicy::Manual,
             options: Options::default(),
             runtime: context.runtime.clone(),
--- a/crates/daisydrum/src/seeded/replicas.rs
+++ b/crates/daisydrum/src/seeded/replicas.rs
@@ -20,7 +20,7 @@
     transport,
 };
 use slog::warn;
-use tokio::{runtime, time};
+use tokio::{runtime, sync::watch, time};
 use wire::log::Error;
 
 use crate::seeded::{
@@ -101,6 +101,8 @@
     context: Context,
     directory: Directory,
     handle: Arc<OnceLock<Handle>>,
+    /// Control instances that are known now.
+    contacts: watch::Sender<Vec<name::Instance>>,
 }
 
 impl Replicas {
@@ -115,6 +117,7 @@
             context: context.clone(),
             directory: directory.clone(),
             handle: Arc::default(),
+            contacts: watch::Sender::default(),
         };
         spawn(context, replicas.clone().open(runtime.clone()));
         spawn(context, replicas.clone().watch());
@@ -200,6 +203,12 @@
             let addresses =
                 members.filter_map(|member| member.instance.0.parse::<SocketAddr>().ok());
             self.directory.add_control_instances(addresses);
+            self.contacts.send_replace(
+                self.addresses()
+                    .iter()
+                    .map(|address| name::Instance(address.to_string()))
+                    .collect(),
+            );
             time::sleep(CONTACT_INTERVAL).await;
         }
     }
@@ -215,6 +224,7 @@
             folder: Path::new(&folder).join(FOLDER),
             bootstrap: if is_founder { Bootstrap::Founder } else { Bootstrap::Learner },
             peers: self.peers(seeds),
+            contacts: self.contacts.subscribe(),
             join_policy: JoinPolicy::Automatic(self.removal()),
             options: Options {
                 retained_entries: RETAINED_ENTRIES,
@@ -247,13 +257,18 @@
 
     /// Builds a client that reaches all control instances known now.
     fn client(&self) -> Client {
+        let own = self.handle().map(|handle| (name::Branch::from(BRANCH), handle.clone()));
+        let host = Host::new(own.into_iter().collect());
+        Client::new(self.context.identity.instance.clone(), host, self.peers(self.addresses()))
+    }
+
+    /// Addresses of all control instances known now.
+    fn addresses(&self) -> Vec<SocketAddr> {
         let mut addresses = self.directory.control_addresses();
         addresses.extend(self.context.seeds.borrow().iter().copied());
         addresses.sort_unstable();
         addresses.dedup();
-        let own = self.handle().map(|handle| (name::Branch::from(BRANCH), handle.clone()));
-        let host = Host::new(own.into_iter().collect());
-        Client::new(self.context.identity.instance.clone(), host, self.peers(addresses))
+        addresses
     }
 }
 
--- a/crates/daisydrum/tests/seeded/control.rs
+++ b/crates/daisydrum/tests/seeded/control.rs
@@ -1,5 +1,7 @@
 //! The replicated configuration: founding, growth, lost disks and invalid declarations.
 
+use std::fs;
+
 use platform_standin::client;
 use serde_json::json;
 
@@ -114,6 +116,31 @@
     fleet.declare(5).await;
 }
 
+#[tokio::test]
+async fn an_instance_whose_seeds_are_all_gone_joins_once_it_knows_others() {
+    let mut fleet = fleet::start("seeded-seedless");
+    fleet.declare(3).await;
+    let late = fleet.add_control(Start::Later);
+    until("the instance has a disk", async || fleet.control[late].log().contains("replica opened"))
+        .await;
+    fleet.control[late].kill();
+    fleet.wipe(late);
+    let file = fleet.control[late].settings_file().to_path_buf();
+    let settings = fs::read_to_string(&file).unwrap();
+    let mut without_seeds = settings.clone();
+    for seed in &fleet.control_addresses()[..3] {
+        without_seeds = without_seeds.replace(&format!("\"{seed}\""), "\"127.0.0.9:8144\"");
+    }
+    fs::write(&file, without_seeds).unwrap();
+    fleet.control[late].start();
+    until("the seeds are not reached", async || {
+        fleet.control[late].log().contains("control_not_reached")
+    })
+    .await;
+    fs::write(&file, settings).unwrap();
+    until_members(&fleet, &[0, 1, 2, late]).await;
+}
+
 #[tokio::test]
 async fn an_accepted_configuration_survives_a_kill_of_all_control_instances() {
     let mut fleet = fleet::start("seeded-killed");
--- a/crates/replica/examples/figures/cluster.rs
+++ b/crates/replica/examples/figures/cluster.rs
@@ -25,7 +25,7 @@
     tokio_serde::formats::Bincode,
 };
 use telemetry::log as logger;
-use tokio::runtime::Runtime;
+use tokio::{runtime::Runtime, sync::watch};
 use tokio_util::codec::LengthDelimitedCodec;
 use wire::{
     link::{self, Link},
@@ -101,6 +101,7 @@
             folder: self.folder.join(number.to_string()),
             bootstrap: Bootstrap::Founder,
             peers: peers(&self.addresses, Some(number)),
+            contacts: watch::Sender::default().subscribe(),
             join_policy: host::JoinPolicy::Manual,
             options: self.options,
             runtime: runtime.handle().clone(),
--- a/crates/replica/src/bootstrap.rs
+++ b/crates/replica/src/bootstrap.rs
@@ -110,8 +110,10 @@
         {
             continue;
         }
-        for peer in &settings.peers {
-            if let Some(leader) = request_join(&settings, &peer.link, &change).await
+        let contacts = settings.contacts.borrow().clone();
+        for link in links(&settings.peers, &contacts, &settings.instance) {
+            if let Some(leader) = request_join(&settings, &link, &change).await
+                && !contacts.contains(&leader)
                 && settings.peers.iter().all(|peer| peer.instance != leader)
                 && let Ok(address) = leader.0.parse()
             {
@@ -121,6 +123,18 @@
     }
 }
 
+/// Connections to the peers, and to those contacts that are no peers.
+fn links(peers: &[Peer], contacts: &[name::Instance], own: &name::Instance) -> Vec<Arc<Link>> {
+    let known = |contact: &&name::Instance| {
+        peers.iter().any(|peer| peer.instance == **contact) || *contact == own
+    };
+    let others = contacts
+        .iter()
+        .filter(|contact| !known(contact))
+        .filter_map(|contact| Some(Arc::new(Link::new(contact.0.parse().ok()?))));
+    peers.iter().map(|peer| Arc::clone(&peer.link)).chain(others).collect()
+}
+
 /// Sends a request to join. Returns the leader if the replica names another one. Failures are ignored, since the
 /// request is repeated.
 async fn request_join(settings: &Settings, link: &Link, change: &Change) -> Option<name::Instance> {
--- a/crates/replica/src/host.rs
+++ b/crates/replica/src/host.rs
@@ -22,7 +22,10 @@
 };
 use slog::{Logger, info, o};
 use store::{entry::Recovery, folder::Disk, log::Log};
-use tokio::{runtime, sync::oneshot};
+use tokio::{
+    runtime,
+    sync::{oneshot, watch},
+};
 use wire::log::{Change, Outcome, State};
 
 use crate::{
@@ -70,6 +73,8 @@
     pub bootstrap: Bootstrap,
     /// The other instances that keep a replica of the branch.
     pub peers: Vec<Peer>,
+    /// Further instances, named by their addresses, that may keep a replica of the branch.
+    pub contacts: watch::Receiver<Vec<name::Instance>>,
     /// Who adds replicas on instances without one.
     pub join_policy: JoinPolicy,
     /// Timeouts and limits of the consensus node.
