Keep leaders in office when replicas' disks are slow

What callers would see: no configuration accepted or read, no lease granted, for as long as disks are slower than the election timeout, although all replicas run and reach each other.

Cause: a reply to a heartbeat waited for all writes before it, so a slow disk looked like a lost replica and the leader's check of its quorum failed. And a candidate gave up its campaign after one election timeout, while its own vote and those of others were still on their way to the disks. The class: liveness that is judged by durability.

Change: a follower replies at once with what is durable, and again once the entries are. Election timeouts double with each campaign without a result, up to eight times.

Ruled out in the simulation: loss, delays (none in these runs), votes for two candidates (terms that were led follow each other).

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -36,6 +36,8 @@
     last_leader_contact: Option<Moment>,
     election_deadline: Moment,
     votes: Set<Id>,
+    /// Campaigns without a result since a leader was known.
+    failed_campaigns: u32,
     /// Number of the write that makes this candidate's vote for itself durable; only then is it counted.
     vote_write: u64,
     leader_state: leader::State,
@@ -98,6 +100,7 @@
             last_leader_contact: None,
             election_deadline,
             votes: Set::default(),
+            failed_campaigns: 0,
             vote_write: 0,
             leader_state: leader::State::default(),
             incoming_snapshot: None,
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -10,6 +10,9 @@
     status::Role,
 };
 
+/// Most doublings of the election timeout.
+const MAX_BACKOFF_DOUBLINGS: u32 = 3;
+
 impl Node {
     /// Adopts a newer term; returns whether the message is to be handled.
     pub(super) fn adopt_term(&mut self, envelope: &Envelope, now: Moment) -> bool {
@@ -61,9 +64,12 @@
         self.reset_election(now);
     }
 
-    /// Sets a new random election deadline.
+    /// Sets a new random election deadline, later after each campaign without a result: where disks are slow, votes
+    /// take longer than the election timeout.
     pub(super) fn reset_election(&mut self, now: Moment) {
-        self.election_deadline = now + self.options.election_timeout(&mut self.random);
+        let doublings = self.failed_campaigns.min(MAX_BACKOFF_DOUBLINGS);
+        let timeout = self.options.election_timeout(&mut self.random) * 2_u32.pow(doublings);
+        self.election_deadline = now + timeout;
     }
 
     /// Asks the other voters whether they would vote for this replica.
@@ -72,6 +78,9 @@
         if !self.log.config().is_voter(self.hard.id) {
             return;
         }
+        if self.role == Role::Candidate {
+            self.failed_campaigns += 1;
+        }
         self.role = Role::PreCandidate;
         self.leader = None;
         self.votes = Set::default();
@@ -140,6 +149,7 @@
     /// Follows the sender of a message from the leader of the current term.
     pub(super) fn record_leader_contact(&mut self, from: Id, now: Moment) {
         assert!(self.role != Role::Leader, "invariant: a term has at most one leader");
+        self.failed_campaigns = 0;
         self.become_follower(Some(from), now);
         self.last_leader_contact = Some(now);
     }
--- a/crates/consensus/src/node/follower.rs
+++ b/crates/consensus/src/node/follower.rs
@@ -13,11 +13,19 @@
     pub(super) fn handle_append(&mut self, from: Id, append: Append, now: Moment) {
         self.record_leader_contact(from, now);
         let outcome = self.append_matching(append.previous, append.entries, append.commit);
-        self.send(
-            from,
-            Body::AppendReply(AppendReply { round: append.round, outcome }),
-            Timing::AfterSync,
-        );
+        if let AppendOutcome::Accepted { match_index } = outcome
+            && match_index > self.durable_index
+        {
+            // The leader must not take a replica for lost because its disk is slow.
+            let durable = AppendOutcome::Accepted { match_index: self.durable_index };
+            self.reply_to_append(from, append.round, durable, Timing::Immediate);
+            return self.reply_to_append(from, append.round, outcome, Timing::AfterSync);
+        }
+        self.reply_to_append(from, append.round, outcome, Timing::Immediate);
+    }
+
+    fn reply_to_append(&mut self, to: Id, round: u64, outcome: AppendOutcome, timing: Timing) {
+        self.send(to, Body::AppendReply(AppendReply { round, outcome }), timing);
     }
 
     /// Appends the entries if the log contains the one before them, and advances the commit index.
--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -50,6 +50,7 @@
     /// Becomes the leader and appends an empty entry of the new term.
     pub(super) fn become_leader(&mut self, now: Moment) {
         self.role = Role::Leader;
+        self.failed_campaigns = 0;
         self.leader = Some(self.hard.id);
         self.leader_state = State {
             running_since: now,
--- a/crates/consensus/tests/schedules.rs
+++ b/crates/consensus/tests/schedules.rs
@@ -19,6 +19,7 @@
 use action::Bug;
 use checker::Violation;
 use cluster::Cluster;
+use plan::Plan;
 use proptest::{
     prelude::*,
     strategy::ValueTree,
@@ -67,6 +68,19 @@
     }
 }
 
+#[test]
+fn disks_slower_than_the_election_timeout_stop_no_progress() {
+    for seed in 0..20 {
+        for (replicas, sync_ms) in [(2, 1_200), (3, 1_200), (5, 1_200), (3, 2_400)] {
+            let plan = Plan { sync_ms, ..Plan::without_faults(seed, replicas) };
+            let mut cluster = Cluster::new(plan, Bug::None);
+            cluster.run_without_faults(30_000).unwrap();
+            let committed = cluster.checker.last();
+            assert!(committed >= 30, "{committed} in 30 s; seed {seed}, {replicas}, {sync_ms} ms");
+        }
+    }
+}
+
 #[test]
 #[ignore = "takes minutes; run by hand with a seed in DAISYDRUM_SEED"]
 fn no_schedule_of_a_long_run_violates_safety_or_stops_progress() {
--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -113,6 +113,12 @@
         if recovered { Ok(()) } else { Err(Violation::NoProgress) }
     }
 
+    /// Runs for a time without faults.
+    pub fn run_without_faults(&mut self, length_ms: u64) -> Result<(), Violation> {
+        self.faults_ended = true;
+        self.run_until(length_ms, |_| false).map(|_| ())
+    }
+
     fn run_until(
         &mut self,
         end_ms: u64,
--- a/crates/consensus/tests/support/plan.rs
+++ b/crates/consensus/tests/support/plan.rs
@@ -48,6 +48,13 @@
     Transfer,
 }
 
+impl Plan {
+    /// A plan with a fast network and fast disks, without faults.
+    pub fn without_faults(seed: u64, replicas: usize) -> Plan {
+        Plan { seed, replicas, loss: 0, duplicates: 0, delay_ms: 5, sync_ms: 5, faults: Vec::new() }
+    }
+}
+
 /// Faults begin before this time.
 pub const FAULTS_MS: u64 = 15_000;
 
