Fetch configurations past a control instance that stops responding

Cause: an entry instance fetches a configuration from one control instance at a time. One that announces a version and then stops, without a reset, held the lock for the whole timeout of 1.5 s, and several of them added up. The class: a lock held across a wait for a peer that may never respond.

Change: after 400 ms the next control instance is asked beside it. Fetches are still one at a time while they are answered, so a slow link isn't shared.

Ruled out: the order of versions (install keeps the highest), the trust in a control instance without contact (only for the first configuration of a start).

--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -83,8 +83,8 @@
         }
     }
 
-    /// Acquires the lock that is held while a configuration is fetched: concurrent fetches of the same configuration
-    /// would share the bandwidth of a slow link.
+    /// Acquires the lock that is held while a configuration is fetched, unless that takes long: concurrent fetches of the
+    /// same configuration would share the bandwidth of a slow link.
     pub(crate) async fn lock_fetch(&self) -> tokio::sync::MutexGuard<'_, ()> {
         self.fetch_lock.lock().await
     }
--- a/crates/daisydrum/src/seeded/subscription.rs
+++ b/crates/daisydrum/src/seeded/subscription.rs
@@ -3,6 +3,7 @@
 
 use std::{
     net::SocketAddr,
+    pin::pin,
     time::{Duration, Instant},
 };
 
@@ -23,6 +24,8 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(700);
 /// Longest wait for a configuration, after which another instance is asked: a megabyte takes a second at 10 Mbit/s.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which an unanswered fetch no longer holds up the next one from another control instance.
+const FETCH_HEDGE_DELAY: Duration = Duration::from_millis(400);
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(50);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Time between two checks whether each control instance has a subscription.
@@ -131,12 +134,20 @@
 
     /// Fetches a configuration unless one of this version or a newer one has arrived meanwhile.
     async fn fetch(&self, version: u64) {
-        let _guard = self.directory.lock_fetch().await;
+        let turn = self.directory.lock_fetch().await;
         let above = self.directory.version();
         if above >= version {
             return;
         }
-        let answer = self.ask(&Question::Fetch { above }, FETCH_TIMEOUT).await;
+        let question = Question::Fetch { above };
+        let mut fetch = pin!(self.ask(&question, FETCH_TIMEOUT));
+        let answer = match time::timeout(FETCH_HEDGE_DELAY, &mut fetch).await {
+            Ok(answer) => answer,
+            Err(_elapsed) => {
+                drop(turn);
+                fetch.await
+            }
+        };
         if let Some(Answer::Document(Some(document))) = answer {
             self.directory.install(document);
         }
--- a/crates/daisydrum/tests/seeded/main.rs
+++ b/crates/daisydrum/tests/seeded/main.rs
@@ -8,3 +8,4 @@
 mod metrics;
 mod path;
 mod reload;
+mod spread;
--- /dev/null
+++ b/crates/daisydrum/tests/seeded/spread.rs
@@ -0,0 +1,162 @@
+//! The spread of configurations to entry instances, past a control instance that stops responding.
+
+use std::{
+    future,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use common::{cancel, name};
+use daisydrum::component::peers::{self, Handler, Server};
+use fleet::exchange::{self, Answer, Cursor, Identity, Kind, Question, Update};
+use replica::host::Handle;
+use tarpc::server::Channel;
+use tokio::{net::TcpListener, time};
+use wire::{
+    link::Link,
+    peer::{self, Peer, PeerClient},
+};
+
+use crate::fleet as fleets;
+
+/// A control instance that announces a version and never responds to a request for it.
+#[derive(Clone)]
+struct Unresponsive {
+    identity: Identity,
+    version: Arc<AtomicU64>,
+    /// Requests for the configuration that arrived, and those whose sender gave up.
+    requested: Arc<AtomicU64>,
+    abandoned: Arc<AtomicU64>,
+}
+
+/// Counts when it is dropped.
+struct Abandoned(Arc<AtomicU64>);
+
+impl Drop for Abandoned {
+    fn drop(&mut self) {
+        self.0.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+impl Unresponsive {
+    /// Starts to listen on the peers' port of `address`.
+    async fn start(address: SocketAddr) -> Unresponsive {
+        let standin = Unresponsive {
+            identity: Identity {
+                instance: name::Instance(address.to_string()),
+                address,
+                data_centre: name::DataCentre::from("suva"),
+                kind: Kind::Control,
+            },
+            version: Arc::default(),
+            requested: Arc::default(),
+            abandoned: Arc::default(),
+        };
+        let listener = TcpListener::bind(address).await.unwrap();
+        let handler = standin.clone();
+        let serve = move |stream| {
+            peers::execute(peers::channel(stream).execute(Server(handler.clone()).serve()))
+        };
+        tokio::spawn(peers::accept(listener, serve, cancel::Token::new()));
+        standin
+    }
+
+    /// Makes itself known to a control instance, which tells the entry instances.
+    async fn introduce(&self, control: SocketAddr) {
+        let from = self.identity.clone();
+        let question =
+            Question::Follow { from, cursor: Cursor::default(), version: 0, wait_ms: 100 };
+        let call = async |client: &PeerClient, context| {
+            client.exchange(context, exchange::encode(&question)).await
+        };
+        Link::new(control).call(Duration::from_secs(10), call).await.unwrap();
+    }
+
+    fn update(&self) -> Answer {
+        Answer::Update(Update {
+            cursor: Cursor { incarnation: 1, revision: 0 },
+            contact: true,
+            version: self.version.load(Ordering::SeqCst),
+            targets: Vec::new(),
+            changing: Vec::new(),
+            control: Vec::new(),
+            entries: Vec::new(),
+        })
+    }
+}
+
+impl Handler for Unresponsive {
+    fn identity(&self) -> peer::Identity {
+        peer::Identity {
+            version: peer::VERSION,
+            instance: self.identity.instance.clone(),
+            data_centre: self.identity.data_centre.clone(),
+        }
+    }
+
+    fn replica(&self, _branch: &name::Branch) -> Option<&Handle> {
+        None
+    }
+
+    async fn exchange(&self, question: Vec<u8>) -> Vec<u8> {
+        let answer = match exchange::decode(&question) {
+            Some(Question::Follow { version, .. }) => {
+                for _ in 0..20 {
+                    if self.version.load(Ordering::SeqCst) > version {
+                        break;
+                    }
+                    time::sleep(Duration::from_millis(20)).await;
+                }
+                self.update()
+            }
+            Some(Question::Fetch { .. }) => {
+                let _abandoned = Abandoned(Arc::clone(&self.abandoned));
+                self.requested.fetch_add(1, Ordering::SeqCst);
+                future::pending().await
+            }
+            Some(Question::Holdings) | None => Answer::Refused,
+        };
+        exchange::encode(&answer)
+    }
+}
+
+#[tokio::test]
+async fn a_control_instance_that_sends_no_configuration_does_not_delay_the_others() {
+    let fleet = fleets::start("seeded-unresponsive");
+    fleet.declare(3).await;
+    let peers_address = |host: u8| {
+        let std::net::IpAddr::V4(address) = fleet.control[0].control().ip() else {
+            panic!("the fleet uses IPv4");
+        };
+        let [a, b, c, _] = address.octets();
+        SocketAddr::from(([a, b, c, host], 7_380))
+    };
+    let standin = Unresponsive::start(peers_address(200)).await;
+    standin.introduce(peers_address(1)).await;
+    // One of the rounds is enough: the machine may be slow in the others.
+    for version in 4..12 {
+        let requested = standin.requested.load(Ordering::SeqCst);
+        standin.version.store(version, Ordering::SeqCst);
+        fleets::until("the configuration is requested", async || {
+            standin.requested.load(Ordering::SeqCst) > requested
+        })
+        .await;
+        let abandoned = standin.abandoned.load(Ordering::SeqCst);
+        fleet.declare(version).await;
+        fleets::until("the version is in force", async || {
+            let log = fleet.entries[0].log();
+            log.lines().any(|line| {
+                line.contains("config_in_force") && line.contains(&format!("version={version}"))
+            })
+        })
+        .await;
+        if standin.abandoned.load(Ordering::SeqCst) == abandoned {
+            return;
+        }
+    }
+    panic!("each version came into force only after the unanswered request was abandoned");
+}
