Ask to join concurrently, so that instances that are gone delay nothing

A replica asked its contacts one after the other, up to two seconds for each that is gone; with the three seeds gone it would take longer than the time that a replacement has. No test shows it as a failure, only as a delay of a later join.

--- a/crates/replica/src/bootstrap.rs
+++ b/crates/replica/src/bootstrap.rs
@@ -14,7 +14,10 @@
     member::{Config, Id, Member},
     status::Status,
 };
-use futures::future;
+use futures::{
+    future,
+    stream::{FuturesUnordered, StreamExt},
+};
 use wire::{
     link::Link,
     log::{Change, Outcome, State},
@@ -111,15 +114,24 @@
             continue;
         }
         let contacts = settings.contacts.borrow().clone();
-        for link in links(&settings.peers, &contacts, &settings.instance) {
-            if let Some(leader) = request_join(&settings, &link, &change).await
-                && !contacts.contains(&leader)
-                && settings.peers.iter().all(|peer| peer.instance != leader)
-                && let Ok(address) = leader.0.parse()
-            {
-                request_join(&settings, &Link::new(address), &change).await;
+        let links = links(&settings.peers, &contacts, &settings.instance);
+        let asked = |leader: &name::Instance| {
+            contacts.contains(leader) || settings.peers.iter().any(|peer| peer.instance == *leader)
+        };
+        // Concurrently and with a limit: instances that are gone must not delay the request to the leader.
+        let round = async {
+            let mut requests: FuturesUnordered<_> =
+                links.iter().map(|link| request_join(&settings, link, &change)).collect();
+            while let Some(leader) = requests.next().await {
+                if let Some(leader) = leader.filter(|leader| !asked(leader))
+                    && let Ok(address) = leader.0.parse()
+                {
+                    request_join(&settings, &Link::new(address), &change).await;
+                }
             }
-        }
+        };
+        // The next round repeats what is left.
+        let _elapsed = tokio::time::timeout(CALL_LIMIT, round).await;
     }
 }
 
