Wait in the metrics test for a publication that follows the requests

Gauges are published once a second; the test waited until two targets were counted, which a round before the requests may have published already, and then read a figure that only a later round writes. Every value is checked as before.

--- a/crates/daisydrum/tests/seeded/metrics.rs
+++ b/crates/daisydrum/tests/seeded/metrics.rs
@@ -38,9 +38,10 @@
     assert_eq!(client::post_stream(entry.callers(), "/summary/1", "s1").await.status, Some(200));
     assert_eq!(client::post_plain(entry.callers(), "/lodge/1", "l1").await.status, Some(200));
     assert_eq!(client::post_plain(entry.callers(), "/nothing/", "n1").await.status, Some(404));
-    until("the state is published", async || {
-        read_metrics(entry.readiness()).await.get("daisydrum_targets{standing=\"in\"}")
-            == Some(&2.0)
+    until("the state is published after the requests", async || {
+        let metrics = read_metrics(entry.readiness()).await;
+        metrics.get("daisydrum_targets{standing=\"in\"}") == Some(&2.0)
+            && metrics.contains_key("daisydrum_repeats_left{service=\"engines\"}")
     })
     .await;
     let metrics = read_metrics(entry.readiness()).await;
