Give up the vote of a control instance that is asked to stop

What operators would see: after a planned replacement the old instance still counts for the quorum until it has been silent for 3 s. Where two machines may be lost and five keep state, the loss of two in that time leaves three of six: no leader, and none can be removed any more.

Cause: a leader learns of a stop only by the silence that follows. The class: what an instance knows about itself is not told.

Change: on SIGTERM a control instance hands the lead to the voter that lacks the fewest entries, asks the leader to remove it while more than 2f + 1 voters stay, and stops after half a second at most. When it starts again it joins with its identity and its log, as one that was taken for gone does.

Test: each of four instances in turn, the leader among them, leaves before any silence is noticed and votes again. It fails on the code before ('silent member removed' instead of 'vote_given_up').

--- a/crates/consensus/src/reconfiguration.rs
+++ b/crates/consensus/src/reconfiguration.rs
@@ -73,6 +73,19 @@
         .map(|(_, id)| Change::Remove(id))
 }
 
+/// The change by which a member that stops leaves; none if too few voters would stay.
+pub fn leave(status: &Status, id: Id, removal: &Removal) -> Option<Change> {
+    let config = &status.config;
+    let spare = !config.is_voter(id) || config.voters().count() > removal.min_voters;
+    (status.settled && config.member(id).is_some() && spare).then_some(Change::Remove(id))
+}
+
+/// The voter that should lead after this leader: the one that lacks the fewest entries.
+pub fn successor(status: &Status) -> Option<Id> {
+    let voters = status.lags.iter().filter(|lag| status.config.is_voter(lag.id));
+    voters.min_by_key(|lag| lag.entries).map(|lag| lag.id)
+}
+
 /// The change with which a replica that lost its state, and so has a new identity, replaces its instance's old replica.
 ///
 /// First removes a learner of the instance that was never promoted. Returns none if `id` is a member, if this replica
--- a/crates/daisydrum/src/component/replica.rs
+++ b/crates/daisydrum/src/component/replica.rs
@@ -55,6 +55,7 @@
             options: Options::default(),
             runtime: context.runtime.clone(),
             logger: context.log.clone(),
+            stop: context.stop.clone(),
             end: context.end.clone(),
         };
         let started = host::start(options, State::new(branch.clone()))?;
--- a/crates/daisydrum/src/seeded.rs
+++ b/crates/daisydrum/src/seeded.rs
@@ -49,6 +49,9 @@
         signals.wait().await;
         info!(context.log, "stopping"; "instance" => %context.identity.instance);
         context.stop.cancel();
+        if let Some(control) = control {
+            control.replicas.leave().await;
+        }
         if let Some(entry) = entry {
             entry.stop(&context, &mut signals).await;
         }
--- a/crates/daisydrum/src/seeded/replicas.rs
+++ b/crates/daisydrum/src/seeded/replicas.rs
@@ -19,7 +19,7 @@
     state_machine::StateMachine,
     transport,
 };
-use slog::warn;
+use slog::{info, warn};
 use tokio::{runtime, sync::watch, time};
 use wire::log::Error;
 
@@ -48,6 +48,8 @@
 const OPEN_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Time between two reads of the replica's status.
 const CONTACT_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest delay of a stop to give up the vote.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for a call to the log; operators try another instance after a second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -153,6 +155,18 @@
         }
     }
 
+    /// Gives up the vote of this instance's replica, so that the log does not count on it while it is stopped.
+    pub(crate) async fn leave(&self) {
+        let Some(status) = self.handle().and_then(Handle::status) else {
+            return;
+        };
+        let left = self.client().leave(&name::Branch::from(BRANCH), status.id, LEAVE_TIMEOUT).await;
+        match left {
+            Ok(()) => info!(self.context.log, "vote_given_up"),
+            Err(failure) => info!(self.context.log, "vote_kept"; "failure" => %failure),
+        }
+    }
+
     /// Whether this instance's replica is the leader.
     pub(crate) fn is_leader(&self) -> bool {
         let status = self.handle().and_then(Handle::status);
@@ -235,6 +249,7 @@
             },
             runtime: runtime.clone(),
             logger: context.log.clone(),
+            stop: context.stop.clone(),
             end: context.end.clone(),
         }
     }
--- a/crates/daisydrum/tests/seeded/control.rs
+++ b/crates/daisydrum/tests/seeded/control.rs
@@ -3,6 +3,7 @@
 use std::fs;
 
 use platform_standin::client;
+use rustix::process::Signal;
 use serde_json::json;
 
 use crate::fleet::{self, Fleet, Start, until};
@@ -116,6 +117,27 @@
     fleet.declare(5).await;
 }
 
+#[tokio::test]
+async fn an_instance_that_is_asked_to_stop_gives_up_its_vote_and_gets_it_back() {
+    let mut fleet = fleet::start("seeded-stopped");
+    fleet.add_control(Start::Later);
+    fleet.declare(3).await;
+    let all = [0, 1, 2, 3];
+    // One of them leads.
+    for stopped in all {
+        until_members(&fleet, &all).await;
+        fleet.control[stopped].signal(Signal::TERM);
+        assert_eq!(fleet.control[stopped].wait_for_exit().await, Some(0));
+        let rest: Vec<usize> = all.into_iter().filter(|number| *number != stopped).collect();
+        until_members(&fleet, &rest).await;
+        assert!(fleet.control[stopped].log().contains("vote_given_up"));
+        assert!(rest.iter().all(|number| !fleet.control[*number].log().contains("silent member")));
+        fleet.control[stopped].start();
+    }
+    until_members(&fleet, &all).await;
+    fleet.declare(4).await;
+}
+
 #[tokio::test]
 async fn an_instance_whose_seeds_are_all_gone_joins_once_it_knows_others() {
     let mut fleet = fleet::start("seeded-seedless");
--- a/crates/replica/examples/figures/cluster.rs
+++ b/crates/replica/examples/figures/cluster.rs
@@ -106,6 +106,7 @@
             options: self.options,
             runtime: runtime.handle().clone(),
             logger: logger::discard(),
+            stop: end.clone(),
             end: end.clone(),
         };
         let started = host::start(settings, RecentCommands::default()).unwrap();
--- a/crates/replica/src/bootstrap.rs
+++ b/crates/replica/src/bootstrap.rs
@@ -104,8 +104,8 @@
 pub(crate) async fn join(settings: Settings, id: Id, status: Arc<Mutex<Option<Status>>>) {
     let change = Change::Join { id, instance: settings.instance.clone() };
     loop {
-        let pause = settings.end.run_until_cancelled(tokio::time::sleep(JOIN_PAUSE)).await;
-        if pause.is_none() {
+        let pause = settings.stop.run_until_cancelled(tokio::time::sleep(JOIN_PAUSE)).await;
+        if pause.is_none() || settings.end.is_cancelled() {
             return;
         }
         let known = status.lock().unwrap_or_else(PoisonError::into_inner).clone();
--- a/crates/replica/src/client.rs
+++ b/crates/replica/src/client.rs
@@ -6,6 +6,7 @@
 };
 
 use common::{collections::Map, name};
+use consensus::member::Id;
 use serde::{Serialize, de::DeserializeOwned};
 use wire::{
     link,
@@ -101,6 +102,15 @@
         self.call(branch, Call::Members(Change::Replace { old, new }), limit).await
     }
 
+    /// Gives up the membership of the replica with this identity, which is about to stop.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::submit`]; also if too few voters would stay.
+    pub async fn leave(&self, branch: &name::Branch, id: Id, limit: Duration) -> Result<(), Error> {
+        self.call(branch, Call::Members(Change::Leave { id }), limit).await
+    }
+
     /// Tries replicas until one that leads has answered, or `limit` has elapsed.
     async fn call<T: DeserializeOwned>(
         &self,
--- a/crates/replica/src/host.rs
+++ b/crates/replica/src/host.rs
@@ -83,6 +83,8 @@
     pub runtime: runtime::Handle,
     /// Receives the log lines.
     pub logger: Logger,
+    /// Cancelled when the instance is about to stop: the replica no longer asks to join.
+    pub stop: cancel::Token,
     /// Ends the replica when cancelled.
     pub end: cancel::Token,
 }
--- a/crates/replica/src/worker.rs
+++ b/crates/replica/src/worker.rs
@@ -331,6 +331,12 @@
             let leader = status.leader.and_then(|id| self.instance_of(id));
             return pending::respond(responder, Outcome::NotLeader { leader });
         }
+        if change == (log::Change::Leave { id: status.id })
+            && let Some(successor) = reconfiguration::successor(&status)
+        {
+            self.step(Event::TransferLeadership(successor));
+            return pending::respond(responder, Outcome::NotLeader { leader: None });
+        }
         match self.plan_change(&status, change) {
             Some(change) => {
                 let operation = self.state.pending.propose(responder);
@@ -355,6 +361,10 @@
                 let id = *self.state.join_requests.get(&new)?;
                 reconfiguration::replace(status, id, &old, &new)
             }
+            log::Change::Leave { id } => match self.join_policy {
+                JoinPolicy::Manual => None,
+                JoinPolicy::Automatic(removal) => reconfiguration::leave(status, id, &removal),
+            },
         }
     }
 
--- a/crates/wire/src/log.rs
+++ b/crates/wire/src/log.rs
@@ -85,6 +85,11 @@
         /// The instance whose replica has asked to join.
         new: name::Instance,
     },
+    /// A replica that stops gives up its membership; it asks to join when it starts again.
+    Leave {
+        /// Its member id.
+        id: Id,
+    },
 }
 
 /// Path of the replicas as this instance sees them (`GET`), and of their replacement (`POST` of a [`Replacement`]).
