Tests: what targets say of themselves in their responses must be observed (fail)

A target that leaves says so in all its responses; one that rejects a request may name a pause; one in need names the requests a second that it takes from all instances together. Nothing reads the three headers yet.

--- a/crates/daisydrum/tests/seeded/main.rs
+++ b/crates/daisydrum/tests/seeded/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+mod conditions;
 mod control;
 mod fleet;
 mod leaving;
