Record what targets say of themselves, and tell the other instances

Now the adapter reads the three headers, the balancer keeps the condition of each target's process (also while the target is removed and comes back), changes are logged (target_condition, target_pause), and a notice tells the other entry instances, once a second again while a condition holds. A mixed fleet loses these datagrams at older instances, which can't decode them.

quota divides a limit without messages: it is held by as many instances as can each send once in two seconds, chosen by rendezvous hashing, each with a token bucket. Weighed: equal shares for all (with 300 instances and 3 a second each would save up a request, and 300 might come at once); counting what the others report (each cut-off half would use the whole limit); a coordinator for each target (a message and a wait for each request). Tests: fleets of 1 to 300, views up to 3 s old, restarts, cuts, 90% of the traffic at one instance: never more than one and a half times the limit + 5 in 4 s; with even traffic at least four fifths are used.

--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -21,6 +21,8 @@
 
 /// Time without a poll or report after which another instance counts as gone; instances poll at least once a second.
 const INSTANCE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time after the first report of entry instances in which the rest become known; each polls every second.
+const ENTRIES_SETTLE_TIME: Duration = Duration::from_secs(2);
 
 /// State of the fleet as this instance knows it; clones share it.
 #[derive(Clone, Debug)]
@@ -59,6 +61,8 @@
     changing: Map<SocketAddr, Vec<name::Target>>,
     /// Other entry instances and when a control instance last reported each.
     entry_instances: Map<name::Instance, (Identity, Moment)>,
+    /// When a control instance in contact with the leader first reported them.
+    entries_reported_at: Option<Moment>,
 }
 
 /// An instance that polls this one for updates.
@@ -211,14 +215,30 @@
         self.lock().control.iter().copied().collect()
     }
 
-    /// Records other entry instances as reported now and removes those not reported for [`INSTANCE_TIMEOUT`].
-    pub(crate) fn update_entry_instances(&self, identities: Vec<Identity>, now: Moment) {
+    /// Records other entry instances as reported now.
+    ///
+    /// Only reports in contact with the leader remove those that were not reported for [`INSTANCE_TIMEOUT`]: an instance
+    /// that is cut off keeps to the fleet that it knew.
+    pub(crate) fn update_entry_instances(
+        &self,
+        identities: Vec<Identity>,
+        contact: Contact,
+        now: Moment,
+    ) {
         let own = &self.own.instance;
         let mut inner = self.lock();
         for identity in identities.into_iter().filter(|identity| identity.instance != *own) {
             inner.entry_instances.insert(identity.instance.clone(), (identity, now));
         }
-        inner.entry_instances.retain(|_, (_, seen)| now.since(*seen) < INSTANCE_TIMEOUT);
+        if contact == Contact::Held {
+            inner.entries_reported_at.get_or_insert(now);
+            inner.entry_instances.retain(|_, (_, seen)| now.since(*seen) < INSTANCE_TIMEOUT);
+        }
+    }
+
+    /// Whether the other entry instances are known: all of them have polled a control instance since the first report.
+    pub(crate) fn knows_entry_instances(&self, now: Moment) -> bool {
+        self.lock().entries_reported_at.is_some_and(|at| now.since(at) >= ENTRIES_SETTLE_TIME)
     }
 
     /// Other entry instances.
--- a/crates/daisydrum/src/seeded/entry.rs
+++ b/crates/daisydrum/src/seeded/entry.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use common::clock;
+use common::clock::{self, Moment};
 use gateway::{
     listener::{self, Shutdown},
     metric,
@@ -122,6 +122,10 @@
         }
         gateway.set_changing(&directory.changing());
         gateway.set_instance_count(directory.entry_instances().len() + 1);
+        if directory.knows_entry_instances(Moment::now()) {
+            let others = directory.entry_instances().into_iter();
+            gateway.set_instances(others.map(|identity| identity.instance).collect());
+        }
         let changed = time::timeout(MAINTENANCE_INTERVAL, changes.changed()).await;
         if matches!(changed, Ok(Err(_))) {
             return;
--- a/crates/daisydrum/src/seeded/subscription.rs
+++ b/crates/daisydrum/src/seeded/subscription.rs
@@ -13,7 +13,10 @@
 use tokio::{task::JoinHandle, time};
 use wire::peer::PeerClient;
 
-use crate::seeded::{context::Context, directory::Directory};
+use crate::seeded::{
+    context::Context,
+    directory::{Contact, Directory},
+};
 
 /// Time for which an entry instance lets a control instance hold a poll open until there is an update.
 const ENTRY_POLL_WAIT: Duration = Duration::from_millis(1_000);
@@ -162,7 +165,8 @@
         self.directory.merge(update.targets, now);
         self.directory.set_changing(self.address, update.changing);
         self.directory.add_control_instances(update.control);
-        self.directory.update_entry_instances(update.entries, now);
+        let contact = if update.contact { Contact::Held } else { Contact::Lost };
+        self.directory.update_entry_instances(update.entries, contact, now);
         self.cursor = update.cursor;
         // A control instance gets the configuration from its own replica only.
         if self.context.identity.kind == Kind::Control {
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -5,7 +5,7 @@
 use common::name;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::{register::Document, registry::Target};
+use crate::{condition::Rate, register::Document, registry::Target};
 
 /// Name, address, data centre and kind of an instance, as its peers know it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -122,6 +122,17 @@
         /// The parts, in the order of the prompt.
         parts: Vec<Part>,
     },
+    /// A target's process has said something of itself that all instances must observe.
+    Condition {
+        /// Name of the target.
+        target: name::Target,
+        /// Start of its process, in milliseconds since the Unix epoch.
+        started_unix_ms: u64,
+        /// Whether it leaves.
+        leaving: bool,
+        /// Requests that it takes from all instances together; `None` for any number.
+        limit: Option<Rate>,
+    },
 }
 
 /// A request that was sent to a target.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! the replicated state machine that keeps the newest configuration, [`exchange`] holds the messages between
 //! instances, and [`warmup`] orders and throttles the questions of instances that have just started.
 
+pub mod condition;
 pub mod config;
 pub mod exchange;
 pub mod register;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -3,9 +3,13 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use common::{clock::Moment, name};
-use fleet::exchange::{Notice, Part};
+use fleet::{
+    condition::Report,
+    exchange::{Notice, Part},
+};
 use placement::{
     balancer::{Key, selection::Plan},
+    condition::Change,
     health::Outcome,
 };
 use platform::request::Metadata;
@@ -114,6 +118,23 @@
         self.gateway.notify_peers(notice);
     }
 
+    /// Records what the head of a response says of its target, and tells the other instances.
+    pub(crate) fn record_report(&self, key: Key, report: &Report, sent_at: Moment) {
+        let (change, notice) =
+            self.gateway.balancer().record_report(key, report, sent_at, Moment::now());
+        if change == Change::Changed
+            && let Some(destination) = self.destination(key)
+        {
+            info!(self.gateway.log, "target_condition"; "target" => %destination.name,
+                "leaving" => report.leaving, "id" => &self.id,
+                "limit" => report.limit.map_or_else(String::new, |limit| limit.per_second().to_string()));
+        }
+        if let Some(pause) = report.retry_after {
+            info!(self.gateway.log, "target_pause"; "id" => &self.id, "pause_ms" => ms(pause));
+        }
+        self.gateway.notify_peers(notice);
+    }
+
     /// Records the outcome of an exchange with a target, and leaves the target out if it failed too often.
     pub(crate) fn record_outcome(&self, key: Key, outcome: Outcome) {
         let ejected = self.gateway.balancer().record_outcome(key, outcome, Moment::now());
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -181,7 +181,8 @@
         let Some(service) = balancer.entry(from).map(|entry| entry.target.service.clone()) else {
             return false;
         };
-        let criteria = self.criteria(&service, progress);
+        let mut criteria = self.criteria(&service, progress);
+        criteria.permitted = Some(dispatch.plan.target);
         let Some(receiver) = balancer.choose_receiver(from, &criteria, now) else {
             return false;
         };
@@ -206,6 +207,7 @@
             target_latency,
             remaining,
             avoid: &progress.avoid,
+            permitted: None,
             retry: route.retry,
             prefill: if self.may_prefill_separately(progress) {
                 Prefill::Anywhere
@@ -328,6 +330,7 @@
         mut connection: Connection,
         request: Request<Full<Bytes>>,
     ) -> Result<Execution, connection::Error> {
+        let sent_at = Moment::now();
         let response = connection.send(request).await?;
         if let Some(destination) = dispatch.destination(key) {
             self.gateway.pool.mark_alive(destination.address);
@@ -339,6 +342,9 @@
             dispatch.record_outcome(key, Outcome::Error);
             return Ok(Execution::MayHaveRun);
         }
+        if !platform::response::is_misdirected(status) {
+            dispatch.record_report(key, &platform::response::report(status, headers), sent_at);
+        }
         if platform::response::is_not_run(status, headers) {
             let misdirected = platform::response::is_misdirected(status);
             info!(self.gateway.log, "target_refused"; "id" => &self.metadata.id,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -57,12 +57,16 @@
     pub fn new(options: Options, log: Logger) -> (Arc<Gateway>, mpsc::Receiver<exchange::Notice>) {
         let (outgoing_notices, receiver) = mpsc::channel(MAX_QUEUED_NOTICES);
         let gateway = Gateway {
-            instance: options.instance,
+            instance: options.instance.clone(),
             pool: Pool::default(),
             log,
             config: watch::Sender::new(None),
             installed_at: Mutex::default(),
-            balancer: Mutex::new(Balancer::new(options.data_centre, options.seed)),
+            balancer: Mutex::new(Balancer::new(
+                options.instance.clone(),
+                options.data_centre,
+                options.seed,
+            )),
             budgets: Mutex::default(),
             retries: options.retries,
             instances: AtomicUsize::new(1),
@@ -112,7 +116,7 @@
 
     /// Adds a target or updates its state.
     pub fn update_target(&self, target: &Target) {
-        self.balancer().update(target);
+        self.balancer().update(target, Moment::now());
     }
 
     /// Sets the engines that are about to change their stage; they get no new requests until they have.
@@ -125,6 +129,11 @@
         self.instances.store(instances.max(1), Ordering::Relaxed);
     }
 
+    /// Sets the other instances, among which and this one the limits of targets are divided.
+    pub fn set_instances(&self, others: Vec<name::Instance>) {
+        self.balancer().set_instances(others, Moment::now());
+    }
+
     /// Applies a notice of another instance.
     pub fn handle_notice(&self, notice: &exchange::Notice) {
         if let exchange::Notice::Unreached { target } = notice {
--- a/crates/placement/src/balancer.rs
+++ b/crates/placement/src/balancer.rs
@@ -8,11 +8,13 @@
 mod notices;
 pub mod selection;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use common::{clock::Moment, collections::Map, name, random::Random};
 use fleet::{
+    condition::Report,
     config,
+    exchange::Notice,
     registry::{State, Target},
 };
 use slotmap::{SlotMap, new_key_type};
@@ -20,10 +22,16 @@
 use crate::{
     backlog::Backlog,
     cache::Cache,
+    condition::{Change, Condition},
     health::{Availability, Health, Outcome},
+    quota,
     speed::Speed,
 };
 
+/// Time for which the condition of a removed target is kept; targets that were lost announce themselves again within
+/// it.
+const REMOVED_RETENTION: Duration = Duration::from_secs(120);
+
 new_key_type! {
     /// Key of a target in the balancer.
     pub struct Key;
@@ -37,10 +45,19 @@
     cache: Cache,
     speed: Speed,
     health: Health,
+    condition: Condition,
     /// Whether it was ordered to change its stage and hasn't yet.
     changing: bool,
 }
 
+/// Condition of the process of a target that was removed.
+#[derive(Clone, Debug)]
+struct Removed {
+    started_unix_ms: u64,
+    condition: Condition,
+    at: Moment,
+}
+
 /// Selects targets for requests.
 #[derive(Debug)]
 pub struct Balancer {
@@ -48,6 +65,10 @@
     entries: SlotMap<Key, Entry>,
     names: Map<name::Target, Key>,
     engines: Map<name::Service, config::Engine>,
+    /// Conditions of targets that were removed, which may come back without a restart.
+    removed: Map<name::Target, Removed>,
+    /// The instances among which targets' limits are divided.
+    fleet: quota::Fleet,
     /// Prompts whose prefill isn't known to have ended, by the number of their dispatch.
     prompts: Map<u64, notices::Prompt>,
     random: Random,
@@ -55,12 +76,14 @@
 
 impl Balancer {
     /// Makes the balancer of an instance in `data_centre`; `seed` seeds the random choices among equal targets.
-    pub fn new(data_centre: name::DataCentre, seed: u64) -> Balancer {
+    pub fn new(instance: name::Instance, data_centre: name::DataCentre, seed: u64) -> Balancer {
         Balancer {
             data_centre,
             entries: SlotMap::with_key(),
             names: Map::default(),
             engines: Map::default(),
+            removed: Map::default(),
+            fleet: quota::Fleet::new(instance),
             prompts: Map::default(),
             random: Random::new(seed),
         }
@@ -79,12 +102,12 @@
     }
 
     /// Adds, updates or removes a target by its announcement; a restarted target begins with empty models.
-    pub fn update(&mut self, target: &Target) {
+    pub fn update(&mut self, target: &Target, now: Moment) {
         let known = self.names.get(&target.name).copied();
         if target.state >= State::Lost {
             if let Some(key) = known {
                 self.names.remove(&target.name);
-                self.entries.remove(key);
+                self.remove(key, now);
             }
             return;
         }
@@ -99,6 +122,7 @@
                     cache: Cache::new(tokens),
                     speed: Speed::default(),
                     health: Health::default(),
+                    condition: self.restore_condition(target),
                     changing: false,
                 };
                 if let Some(key) = known {
@@ -110,6 +134,53 @@
         }
     }
 
+    fn remove(&mut self, key: Key, now: Moment) {
+        self.removed.retain(|_, removed| now.since(removed.at) < REMOVED_RETENTION);
+        if let Some(Entry { target, condition, .. }) = self.entries.remove(key) {
+            let started_unix_ms = target.started_unix_ms;
+            self.removed.insert(target.name, Removed { started_unix_ms, condition, at: now });
+        }
+    }
+
+    /// The condition of a target's process before it was removed.
+    fn restore_condition(&mut self, target: &Target) -> Condition {
+        let removed = self.removed.remove(&target.name);
+        let same = removed.filter(|removed| removed.started_unix_ms == target.started_unix_ms);
+        same.map(|removed| removed.condition).unwrap_or_default()
+    }
+
+    /// Sets the other instances that send requests, among which targets' limits are divided.
+    pub fn set_instances(&mut self, others: Vec<name::Instance>, now: Moment) {
+        if self.fleet.set_others(others) {
+            for entry in self.entries.values_mut() {
+                entry.condition.update_share(&entry.target.name, &self.fleet, now);
+            }
+        }
+    }
+
+    /// Records what a response says of its target, to a request that was sent at `sent_at`; returns the notice for the
+    /// other instances, and whether the condition changed.
+    pub fn record_report(
+        &mut self,
+        key: Key,
+        report: &Report,
+        sent_at: Moment,
+        now: Moment,
+    ) -> (Change, Option<Notice>) {
+        let Some(Entry { target, condition, .. }) = self.entries.get_mut(key) else {
+            return (Change::None, None);
+        };
+        let change = condition.apply_response(report, &target.name, &self.fleet, sent_at, now);
+        let Report { leaving, limit, .. } = condition.report();
+        let notice = Notice::Condition {
+            target: target.name.clone(),
+            started_unix_ms: target.started_unix_ms,
+            leaving,
+            limit,
+        };
+        (change, (change != Change::None).then_some(notice))
+    }
+
     /// Sets which engines were ordered to change their stage; they get no requests until they have.
     pub fn set_changing(&mut self, targets: &[name::Target]) {
         for entry in self.entries.values_mut() {
@@ -152,9 +223,13 @@
     /// Moves a request of this instance from the target that it was planned for to another one.
     pub fn redirect(&mut self, from: Key, to: Key, now: Moment) {
         self.complete_request(from);
+        if let Some(entry) = self.entries.get_mut(from) {
+            entry.condition.put_permit_back();
+        }
         if let Some(entry) = self.entries.get_mut(to) {
             entry.backlog.add_request();
             entry.health.record_sent(now);
+            entry.condition.take_permit(now);
         }
     }
 
--- a/crates/placement/src/balancer/choice.rs
+++ b/crates/placement/src/balancer/choice.rs
@@ -56,7 +56,11 @@
         let Some(plan) = plan else {
             let reason =
                 if criteria.avoid.is_empty() { Reason::NoTarget } else { Reason::TargetsFull };
-            let retry_after = NO_TARGET_RETRY_AFTER.min(criteria.remaining / 4);
+            let retry_after = self
+                .wait_for_admission(criteria, now)
+                .unwrap_or(NO_TARGET_RETRY_AFTER)
+                .max(MIN_RETRY_AFTER)
+                .min(criteria.remaining / 4);
             return Decision::Refuse(Refusal { reason, retry_after, expected: None });
         };
         match late_by(&plan, criteria, now) {
@@ -88,6 +92,9 @@
                 entry.target.state == State::Ready && !entry.changing && filter(entry)
             })
             .filter(|(key, _)| !criteria.avoid.contains(key))
+            .filter(|(key, entry)| {
+                self.admission(*key, entry, criteria, now) == Some(Duration::ZERO)
+            })
             .map(|(key, entry)| (key, entry.health.availability(now)))
             .collect();
         let repairable = criteria.retry != config::Retry::Never;
@@ -109,6 +116,32 @@
             .collect()
     }
 
+    /// Time until a target may be sent a request, unless that is never.
+    fn admission(
+        &self,
+        key: Key,
+        entry: &Entry,
+        criteria: &Criteria<'_>,
+        now: Moment,
+    ) -> Option<Duration> {
+        if criteria.permitted == Some(key) {
+            entry.condition.wait_with_permit(now)
+        } else {
+            entry.condition.wait(now)
+        }
+    }
+
+    /// Time until the first of the service's targets that want no request now may be sent one; none if there is none.
+    fn wait_for_admission(&self, criteria: &Criteria<'_>, now: Moment) -> Option<Duration> {
+        self.entries
+            .iter()
+            .filter(|(_, entry)| entry.target.service == *criteria.service)
+            .filter(|(_, entry)| entry.target.state == State::Ready && !entry.changing)
+            .filter_map(|(key, entry)| self.admission(key, entry, criteria, now))
+            .filter(|wait| !wait.is_zero())
+            .min()
+    }
+
     /// The target of a service without engines that has the fewest requests.
     fn choose_plain(&mut self, criteria: &Criteria<'_>, now: Moment) -> Option<Plan> {
         let usable = self.usable(criteria, now, |_| true);
--- a/crates/placement/src/balancer/notices.rs
+++ b/crates/placement/src/balancer/notices.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use common::clock::Moment;
-use fleet::exchange::{self, Notice, Part};
+use common::{clock::Moment, name};
+use fleet::{
+    condition::Report,
+    exchange::{self, Notice, Part},
+};
 
 use crate::{
     backlog::Prediction,
@@ -47,6 +50,10 @@
         if let Some(entry) = self.entries.get_mut(plan.target) {
             entry.backlog.add_request();
             entry.health.record_sent(now);
+            entry.condition.take_permit(now);
+        }
+        if let Some(entry) = plan.prefill.and_then(|key| self.entries.get_mut(key)) {
+            entry.condition.take_permit(now);
         }
         if criteria.parts.is_empty() {
             return (number, Vec::new());
@@ -90,6 +97,10 @@
             Notice::Withdrawn { number } => drop(self.cancel_prompt(*number, now)),
             // This instance's own connections show whether it reaches the target.
             Notice::Unreached { .. } => {}
+            Notice::Condition { target, started_unix_ms, leaving, limit } => {
+                let report = Report { leaving: *leaving, retry_after: None, limit: *limit };
+                self.apply_condition(target, *started_unix_ms, &report, now);
+            }
             Notice::Held { target, parts } => {
                 if let Some(key) = self.names.get(target).copied() {
                     self.record_cached(key, parts);
@@ -98,6 +109,21 @@
         }
     }
 
+    fn apply_condition(
+        &mut self,
+        target: &name::Target,
+        started_unix_ms: u64,
+        report: &Report,
+        now: Moment,
+    ) {
+        let Some(entry) = self.names.get(target).and_then(|key| self.entries.get_mut(*key)) else {
+            return;
+        };
+        if entry.target.started_unix_ms == started_unix_ms {
+            entry.condition.apply_notice(report, target, &self.fleet, now);
+        }
+    }
+
     /// Records that the prefill of a prompt has ended; returns the notice for the other instances.
     pub fn complete_prompt(&mut self, number: u64, now: Moment) -> Option<Notice> {
         let prompt = self.prompts.remove(&number)?;
--- a/crates/placement/src/balancer/selection.rs
+++ b/crates/placement/src/balancer/selection.rs
@@ -24,6 +24,8 @@
     pub remaining: Duration,
     /// Targets that have failed or refused the request.
     pub avoid: &'a [Key],
+    /// The target whose permit the request holds from an earlier selection.
+    pub permitted: Option<Key>,
     /// Whether the request may be retried after a failure.
     pub retry: config::Retry,
     /// Where the prompt may be prefilled.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,12 +2,15 @@
 //!
 //! Pure, without I/O: the current time and a random seed are arguments. [`balancer::Balancer`] selects the target of
 //! a request. It uses the models of each target: [`speed`] predicts prefill times, [`backlog`] the wait for requests
-//! sent earlier, [`cache`] which prompt prefixes are cached, and [`health`] which targets fail. [`retry`] limits the
+//! sent earlier, [`cache`] which prompt prefixes are cached, and [`health`] which targets fail. [`condition`]
+//! keeps what targets say of themselves, [`quota`] divides their limits among the instances. [`retry`] limits the
 //! retries of the whole fleet.
 
 pub mod backlog;
 pub mod balancer;
 pub mod cache;
+pub mod condition;
 pub mod health;
+pub mod quota;
 pub mod retry;
 pub mod speed;
--- a/crates/placement/tests/parts.rs
+++ b/crates/placement/tests/parts.rs
@@ -39,6 +39,7 @@
         target_latency: Duration::from_millis(target_ms),
         remaining: Duration::from_secs(5),
         avoid: &[],
+        permitted: None,
         retry: Retry::Never,
         prefill: Prefill::Anywhere,
     }
@@ -245,7 +246,7 @@
     let mut leaving = balancer.entry(plan.target).expect("known").target.clone();
     leaving.state = State::Draining;
     leaving.sequence += 1;
-    balancer.update(&leaving);
+    balancer.update(&leaving, NOW);
     let from = plan.prefill.expect("long prompts are prefilled remotely");
     let receiver = balancer.choose_receiver(from, &criteria(&service, &prompt, 2_000), NOW);
     assert!(receiver.is_some_and(|receiver| receiver != plan.target));
--- a/crates/placement/tests/support/fleet.rs
+++ b/crates/placement/tests/support/fleet.rs
@@ -236,6 +236,7 @@
             target_latency: kind.target_latency,
             remaining: kind.timeout,
             avoid: &[],
+            permitted: None,
             retry: Retry::Never,
             prefill: Prefill::Anywhere,
         };
@@ -389,7 +390,8 @@
 }
 
 pub fn balancer(seed: u64, engines: &[impl AsRef<Target>]) -> Balancer {
-    let mut balancer = Balancer::new(name::DataCentre::from("suva"), seed);
+    let mut balancer =
+        Balancer::new(name::Instance::from("i0"), name::DataCentre::from("suva"), seed);
     let service = Service {
         name: name::Service::from(SERVICE),
         connections: 370,
@@ -397,7 +399,7 @@
     };
     balancer.configure(&Config { version: 1, services: vec![service], ..Config::default() });
     for engine in engines {
-        balancer.update(engine.as_ref());
+        balancer.update(engine.as_ref(), Moment(0));
     }
     balancer
 }
