Send no new request to a target that says it leaves

What callers saw: requests cut off at a target that had said in its responses that it was leaving, before any control instance knew or while none could be reached (24 requests in a second, later than 2 s after the word).

Cause: only announcements said that a target leaves. The class: what a target says on one path is not observed on the other.

--- a/crates/placement/src/condition.rs
+++ b/crates/placement/src/condition.rs
@@ -53,7 +53,7 @@
 
     /// Like [`Condition::wait`], for a request that holds a permit already.
     pub fn wait_with_permit(&self, _now: Moment) -> Option<Duration> {
-        Some(Duration::ZERO)
+        (!self.leaving).then_some(Duration::ZERO)
     }
 
     #[allow(dead_code, reason = "limits are recorded and not observed yet")]
