Observe the pause that a target names when it rejects a request

What the target saw: 103 requests from one instance in the 2.5 s in which it had asked for none.

Cause: a rejection was one outcome among others; the time that it named was not read.

Change: the target gets no request from this instance until the pause is over.

--- a/crates/placement/src/condition.rs
+++ b/crates/placement/src/condition.rs
@@ -52,8 +52,9 @@
     }
 
     /// Like [`Condition::wait`], for a request that holds a permit already.
-    pub fn wait_with_permit(&self, _now: Moment) -> Option<Duration> {
-        (!self.leaving).then_some(Duration::ZERO)
+    pub fn wait_with_permit(&self, now: Moment) -> Option<Duration> {
+        let pause = self.paused_until.map_or(Duration::ZERO, |until| until.since(now));
+        (!self.leaving).then_some(pause)
     }
 
     #[allow(dead_code, reason = "limits are recorded and not observed yet")]
