Count prefills that engines reject for the retry budget

Hypotheses: each instance divides the slack by too few others; a restarted one uses its share twice; some arrivals are not counted. The breaks begin with the shedding, 8 s before any restart, with all instances known, and exceed what all shares together allow (three quarters of the bound) by half: the third.

Cause: the first separate prefill of a request was free, also when the engine rejected it; the request then ran elsewhere without drawing on the budget, most of all once that was spent (a second prefill had to be paid for, a run at the decoding engine not). The class: a cost that is counted by what was planned and not by what came of it.

Change: a rejected first prefill counts as a send; the first one that is accepted doesn't, be it the second that was sent. The test with an empty budget fails before (5 arrivals of 4 requests) and passes now.

--- a/crates/daisydrum/tests/seeded/path.rs
+++ b/crates/daisydrum/tests/seeded/path.rs
@@ -299,3 +299,30 @@
     assert_eq!(client::event_ids(&stream.body), (1..=8).collect::<Vec<u64>>(), "{stream:?}");
     assert!(stream.whole);
 }
+
+#[tokio::test]
+async fn a_rejected_prefill_is_an_arrival_that_the_retry_budget_has_to_pay_for() {
+    let (mut fleet, engines, _portals) = start_serving("seeded-budget", 1, 1).await;
+    let entry = &mut fleet.entries[0];
+    let settings = std::fs::read_to_string(entry.settings_file()).unwrap();
+    let without_retries = settings.replacen(
+        '{',
+        "{ \"retries\": { \"window_s\": 10, \"ratio\": 0, \"slack\": 0 },",
+        1,
+    );
+    std::fs::write(entry.settings_file(), without_retries).unwrap();
+    entry.kill();
+    entry.start();
+    let rejecting = start_prefill_engine(&fleet, "rejecting", None).await;
+    rejecting.set_behaviour(Behaviour::Reject);
+    fleet.until_ready().await;
+    let requests = 4;
+    for number in 0..requests {
+        let id = format!("d{number}");
+        let stream = client::post_stream(fleet.entries[0].callers(), "/draft/1", &id).await;
+        assert!(matches!(stream.status, Some(200 | 503)), "{stream:?}");
+    }
+    assert!(!rejecting.arrivals().is_empty(), "no prefill was tried");
+    let arrivals = rejecting.arrivals().len() + engines[0].arrivals().len();
+    assert!(arrivals <= requests, "{arrivals} arrivals of {requests} requests");
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -68,6 +68,8 @@
     pub(crate) rejections: u32,
     /// Prefills sent to another engine than the one that decodes, which may have accepted them.
     pub(crate) prefills: u32,
+    /// Whether an engine has accepted one of them.
+    prefill_accepted: bool,
     /// Sends to targets that count for the retry budget.
     sends: u32,
     /// Whether the request was added to the retry budget.
@@ -79,6 +81,19 @@
 }
 
 impl Progress {
+    /// Counts the send of a prefill by its result: only the first one that an engine accepts belongs to the run that
+    /// follows it.
+    fn count_prefill(&mut self, execution: &Execution) {
+        let first = self.prefills <= 1;
+        match execution {
+            Execution::NotRun if first => self.sends += 1,
+            Execution::Responded(..) if !std::mem::replace(&mut self.prefill_accepted, true) => {
+                self.sends -= u32::from(!first);
+            }
+            Execution::NotRun | Execution::MayHaveRun | Execution::Responded(..) => {}
+        }
+    }
+
     /// Attempts used up: the first separate prefill belongs to the run that follows it, further ones count.
     fn attempts(&self) -> u32 {
         self.runs + self.prefills.saturating_sub(1)
@@ -301,6 +316,9 @@
                     if matches!(execution, Execution::NotRun) {
                         progress.rejections += 1;
                     }
+                    if step == Step::Prefill {
+                        progress.count_prefill(&execution);
+                    }
                     if !matches!(execution, Execution::Responded(..)) {
                         progress.avoid.push(key);
                     }
