--- a/crates/daisydrum/tests/seeded/path.rs
+++ b/crates/daisydrum/tests/seeded/path.rs
@@ -284,7 +284,7 @@
 async fn a_broken_stream_is_resumed_although_other_engines_have_stopped_unnoticed() {
     let (fleet, mut engines, _portals) = start_serving("seeded-ended", 4, 1).await;
     let callers = fleet.entries[0].callers();
-    engines.iter().for_each(|engine| engine.set_behaviour(Behaviour::Disconnect(3)));
+    engines.iter().for_each(|engine| engine.set_behaviour(Behaviour::DisconnectLater(3)));
     let running = tokio::spawn(client::post_stream(callers, "/summary/1", "s"));
     until("an engine runs it", async || run_count(&engines, "s") == 1).await;
     let running_at =
@@ -292,6 +292,7 @@
     // Of the other three, two stop without notice and one serves.
     let others: Vec<usize> = (0..4).filter(|number| *number != running_at).collect();
     engines[others[0]].set_behaviour(Behaviour::Serve);
+    engines[running_at].set_behaviour(Behaviour::Disconnect(3));
     for number in others[1..].iter().rev() {
         drop(engines.remove(*number));
     }
