Count prefills that break off or stay unanswered for the retry budget

A first prefill that broke off or was overdue was still taken for the free one.

Change: each prefill counts when it is sent, and the first one that is answered with a handle is given back.

The test now has two cases; the overdue one fails before (5 arrivals of 4 requests).

--- a/crates/daisydrum/tests/seeded/path.rs
+++ b/crates/daisydrum/tests/seeded/path.rs
@@ -8,6 +8,7 @@
     runner::{Behaviour, Options, Runner},
 };
 use tokio::net::TcpListener;
+use yare::parameterized;
 
 use crate::fleet::{self, Fleet, until};
 
@@ -301,9 +302,16 @@
     assert!(stream.whole);
 }
 
-#[tokio::test]
-async fn a_rejected_prefill_is_an_arrival_that_the_retry_budget_has_to_pay_for() {
-    let (mut fleet, engines, _portals) = start_serving("seeded-budget", 1, 1).await;
+#[parameterized(
+    rejected = { "seeded-budget-rejected", Behaviour::Reject },
+    overdue = { "seeded-budget-overdue", Behaviour::Hang },
+)]
+#[test_macro(tokio::test)]
+async fn a_prefill_without_a_result_is_an_arrival_that_the_retry_budget_has_to_pay_for(
+    name: &str,
+    behaviour: Behaviour,
+) {
+    let (mut fleet, engines, _portals) = start_serving(name, 1, 1).await;
     let entry = &mut fleet.entries[0];
     let settings = std::fs::read_to_string(entry.settings_file()).unwrap();
     let without_retries = settings.replacen(
@@ -314,8 +322,8 @@
     std::fs::write(entry.settings_file(), without_retries).unwrap();
     entry.kill();
     entry.start();
-    let rejecting = start_prefill_engine(&fleet, "rejecting", None).await;
-    rejecting.set_behaviour(Behaviour::Reject);
+    let failing = start_prefill_engine(&fleet, "failing", None).await;
+    failing.set_behaviour(behaviour);
     fleet.until_ready().await;
     let requests = 4;
     for number in 0..requests {
@@ -323,7 +331,7 @@
         let stream = client::post_stream(fleet.entries[0].callers(), "/draft/1", &id).await;
         assert!(matches!(stream.status, Some(200 | 503)), "{stream:?}");
     }
-    assert!(!rejecting.arrivals().is_empty(), "no prefill was tried");
-    let arrivals = rejecting.arrivals().len() + engines[0].arrivals().len();
+    assert!(!failing.arrivals().is_empty(), "no prefill was tried");
+    let arrivals = failing.arrivals().len() + engines[0].arrivals().len();
     assert!(arrivals <= requests, "{arrivals} arrivals of {requests} requests");
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -68,7 +68,7 @@
     pub(crate) rejections: u32,
     /// Prefills sent to another engine than the one that decodes, which may have accepted them.
     pub(crate) prefills: u32,
-    /// Whether an engine has accepted one of them.
+    /// Whether an engine has accepted one of them; until then each counts as a send.
     prefill_accepted: bool,
     /// Sends to targets that count for the retry budget.
     sends: u32,
@@ -81,16 +81,10 @@
 }
 
 impl Progress {
-    /// Counts the send of a prefill by its result: only the first one that an engine accepts belongs to the run that
-    /// follows it.
-    fn count_prefill(&mut self, execution: &Execution) {
-        let first = self.prefills <= 1;
-        match execution {
-            Execution::NotRun if first => self.sends += 1,
-            Execution::Responded(..) if !std::mem::replace(&mut self.prefill_accepted, true) => {
-                self.sends -= u32::from(!first);
-            }
-            Execution::NotRun | Execution::MayHaveRun | Execution::Responded(..) => {}
+    /// Records that an engine has accepted a prefill: the first one belongs to the run that follows it.
+    pub(crate) fn record_prefill_accepted(&mut self) {
+        if !std::mem::replace(&mut self.prefill_accepted, true) {
+            self.sends = self.sends.saturating_sub(1);
         }
     }
 
@@ -283,10 +277,7 @@
                         return self.record_unreachable(dispatch, key, &destination, &error);
                     }
                 };
-            // The first separate prefill and the run that follows it count as one send.
-            if step != Step::Prefill || progress.prefills > 1 {
-                progress.sends += 1;
-            }
+            progress.sends += 1;
             let prefix_source =
                 dispatch.plan.prefix_source.filter(|_| !matches!(step, Step::Decode { .. }));
             let attempt = Attempt {
@@ -316,9 +307,6 @@
                     if matches!(execution, Execution::NotRun) {
                         progress.rejections += 1;
                     }
-                    if step == Step::Prefill {
-                        progress.count_prefill(&execution);
-                    }
                     if !matches!(execution, Execution::Responded(..)) {
                         progress.avoid.push(key);
                     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -377,6 +377,7 @@
         dispatch.record_outcome(key, Outcome::Error);
         return None;
     }
+    progress.record_prefill_accepted();
     dispatch.record_outcome(key, Outcome::Success);
     request.gateway.pool.put(destination.address, connection);
     let handle = platform::engine::decode_handle(&body)?;
