--- a/crates/placement/src/quota.rs
+++ b/crates/placement/src/quota.rs
@@ -1,10 +1,10 @@
 //! Division of a limit on requests to a target among all instances that send to it, without a message for each request.
 //!
-//! A limit is held by as many instances as can each send at least once in [`TURN`], the others send nothing. The
-//! holders are the first instances by a hash of the target and the instance (rendezvous hashing, Thaler and
-//! Ravishankar 1998), so instances that know the same fleet agree on them. Each holder has a token bucket with an equal
-//! share of the rate and room for what accrues in one [`TURN`]: in any window, all of them together send at most what the rate allows
-//! in the window and one [`TURN`].
+//! A limit is held by as many instances as can each send at least once in a turn of two seconds, the others send
+//! nothing. The holders are the first instances by a hash of the target and the instance (rendezvous hashing, Thaler
+//! and Ravishankar 1998), so instances that know the same fleet agree on them. Each holder has a token bucket with an
+//! equal share of the rate and room for what accrues in one turn: in any window, all of them together send at most what
+//! the rate allows in the window and one turn.
 //!
 //! An instance that doesn't know the fleet yet, since it has just started, holds nothing. One that is cut off keeps to
 //! the fleet that it knew, so the two sides of a partition don't both use the whole limit.
