--- a/crates/consensus/src/reconfiguration.rs
+++ b/crates/consensus/src/reconfiguration.rs
@@ -13,8 +13,8 @@
 
 /// When a leader removes members that don't reply.
 ///
-/// A member that is gone for good would count for the quorum forever. One that returns asks to join again, with its
-/// identity and its log.
+/// Otherwise a member that never returns would count for the quorum forever. One that returns asks to join again, with
+/// its identity and its log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Removal {
     /// Time without a reply after which a member is removed.
@@ -51,7 +51,7 @@
 
 /// The change that removes the member that has not replied for longest, if that is long enough.
 ///
-/// `silence` tells for how long a member has not replied to this leader. Fewer voters need a smaller quorum, so the
+/// `silence` returns how long a member has not replied to this leader. Fewer voters need a smaller quorum, so the
 /// removal of one that doesn't reply never costs the log its quorum.
 pub fn remove_silent(
     status: &Status,
--- a/crates/consensus/tests/support/plan.rs
+++ b/crates/consensus/tests/support/plan.rs
@@ -34,7 +34,7 @@
     Blackout,
     /// The process is killed and its disk is lost. Skipped while another replica is being replaced.
     Wipe,
-    /// The instance is gone for good, and a replica on a new instance starts. Skipped like [`Kind::Wipe`].
+    /// The replica is lost with its disk, and one on a new instance starts. Skipped like [`Kind::Wipe`].
     Replace,
     /// The process stops for a while.
     Pause,
--- a/crates/daisydrum/tests/seeded/spread.rs
+++ b/crates/daisydrum/tests/seeded/spread.rs
@@ -65,7 +65,7 @@
         standin
     }
 
-    /// Makes itself known to a control instance, which tells the entry instances.
+    /// Announces itself to a control instance, which reports it to the entry instances.
     async fn introduce(&self, control: SocketAddr) {
         let from = self.identity.clone();
         let question =
