--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -118,7 +118,7 @@
         self.gateway.notify_peers(notice);
     }
 
-    /// Records what the head of a response says of its target, and tells the other instances.
+    /// Records what the head of a response says of its target, and notifies the other instances.
     pub(crate) fn record_report(&self, key: Key, report: &Report, sent_at: Moment) {
         let (change, notice) =
             self.gateway.balancer().record_report(key, report, sent_at, Moment::now());
