Log the engine and the prompt parts of attempts that break off

The recording of the engines that ended one after the other couldn't tell requests that end an engine from engines that end by themselves: stream_broke_off named neither the engine nor the parts that requests share.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -65,10 +65,14 @@
         Some(Destination { name: target.name.clone(), address: target.address })
     }
 
+    /// Name of a target, for logs; empty once it was removed.
+    pub(crate) fn target_name(&self, key: Key) -> String {
+        self.destination(key).map_or_else(String::new, |destination| destination.name.0)
+    }
+
     /// Logs where the request is sent, with the predictions behind the decision.
     pub(crate) fn log_placement(&self, route: &str, run: u32, left: Duration) {
-        let name =
-            |key| self.destination(key).map_or_else(String::new, |destination| destination.name.0);
+        let name = |key| self.target_name(key);
         debug!(self.gateway.log, "request_placed"; "id" => &self.id, "route" => route, "run" => run,
             "target" => name(self.plan.target),
             "prefill" => self.plan.prefill.map_or_else(String::new, name),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -298,7 +298,8 @@
                 }
                 Err(error) => {
                     info!(self.gateway.log, "attempt_failed"; "id" => &self.metadata.id,
-                        "target" => %destination.name, "fault" => %error);
+                        "target" => %destination.name, "parts" => self.metadata.shared_part_ids(),
+                        "fault" => %error);
                     dispatch.record_outcome(key, Outcome::Broken);
                     progress.avoid.push(key);
                     return Execution::MayHaveRun;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -269,6 +269,7 @@
             limit = self.pause_limit();
         }
         info!(self.request.gateway.log, "stream_broke_off"; "id" => &self.request.metadata.id,
+            "target" => dispatch.target_name(key), "parts" => self.request.metadata.shared_part_ids(),
             "last_event" => ?self.last_event_id, "limit_ms" => ms(limit),
             "ms" => self.request.age_ms());
         dispatch.record_outcome(key, Outcome::Broken);
