--- /dev/null
+++ b/crates/daisydrum/tests/seeded/crash.rs
@@ -0,0 +1,145 @@
+//! Requests whose prompts have a part on which each engine ends that begins to generate.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use hyper::Method;
+use platform_standin::{client, runner::Runner};
+use tokio::time;
+use yare::parameterized;
+
+use crate::fleet::{self, Fleet, until};
+
+const CRASHING_PART: u64 = 0xdead;
+const FIRST_PART: u64 = 0x5c1e_07a2;
+/// Time after the fifth end of an engine from which the part may reach engines three times more.
+const CONTACT: Duration = Duration::from_millis(3_000);
+const MOST_CRASHES: usize = 5;
+const MOST_ARRIVALS: usize = 3;
+
+/// Starts a fleet with this many entry instances and engines, and waits until all of them are known.
+async fn start(name: &str, entries: usize, engines: usize) -> (Fleet, Vec<Runner>) {
+    let mut fleet = fleet::start(name);
+    for _ in 1..entries {
+        fleet.add_entry();
+    }
+    fleet.declare(3).await;
+    let control = fleet.control_addresses();
+    let mut runners = Vec::new();
+    for number in 0..engines {
+        let name = format!("engine-{number}");
+        runners.push(Runner::start(&name, "engines", Some("decode"), 8, control.clone()).await);
+    }
+    fleet.until_ready().await;
+    until("the engines are known", async || {
+        fleet.entries.iter().all(|entry| {
+            let log = entry.log();
+            runners.iter().all(|runner| log.contains(&format!("target={}", runner.name)))
+        })
+    })
+    .await;
+    (fleet, runners)
+}
+
+/// A request whose prompt has this middle part; the first part is common, the last one its own.
+async fn post(callers: SocketAddr, number: usize, middle: u64) -> client::Response {
+    let id = format!("{middle:x}-{number}");
+    let parts = format!("{FIRST_PART:x}:400,{middle:x}:300,{:x}:300", 0xa_0000 + number);
+    let headers = [
+        ("x-request-id", id.as_str()),
+        ("x-deadline-ms", "6000"),
+        ("x-model", "m"),
+        ("x-token-count", "1000,40"),
+        ("x-prompt-prefix", parts.as_str()),
+    ];
+    client::request(callers, Method::POST, "/summary/1", &headers, "prompt").await
+}
+
+/// Sound requests: when each was sent, and whether its stream was whole at the first attempt.
+type Outcomes = Arc<Mutex<Vec<(Instant, bool)>>>;
+
+/// Sends sound requests at an interval, each to the next entry instance, with one of four middle parts.
+async fn send_sound(
+    callers: Vec<SocketAddr>,
+    interval: Duration,
+    end: Instant,
+    outcomes: Outcomes,
+) {
+    for number in 0.. {
+        let sent = Instant::now();
+        if sent >= end {
+            return;
+        }
+        let (to, outcomes) = (callers[number % callers.len()], Arc::clone(&outcomes));
+        tokio::spawn(async move {
+            let response = post(to, number, 0x50 + number as u64 % 4).await;
+            outcomes.lock().unwrap().push((sent, response.whole && response.status == Some(200)));
+        });
+        time::sleep(interval).await;
+    }
+}
+
+/// Sends requests with the crashing part at an interval, each to the next entry instance.
+async fn send_crashing(callers: Vec<SocketAddr>, interval: Duration, end: Instant) {
+    for number in 0.. {
+        if Instant::now() >= end {
+            return;
+        }
+        let to = callers[number % callers.len()];
+        tokio::spawn(async move { post(to, number, CRASHING_PART).await });
+        time::sleep(interval).await;
+    }
+}
+
+fn crashes(engines: &[Runner]) -> Vec<Instant> {
+    let mut crashes: Vec<Instant> = engines.iter().flat_map(Runner::crashes).collect();
+    crashes.sort_unstable();
+    crashes
+}
+
+/// Share of the sound requests sent between two times that were served.
+fn served_share(outcomes: &Outcomes, from: Instant, until: Instant) -> f64 {
+    let outcomes = outcomes.lock().unwrap();
+    let sent = outcomes.iter().filter(|(sent, _)| (from..until).contains(sent));
+    let served = sent.clone().filter(|(_, served)| *served).count();
+    served as f64 / sent.count().max(1) as f64
+}
+
+#[parameterized(
+    one_instance = { 1, 3 },
+    seven_instances = { 7, 4 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_prompt_part_that_ends_engines_reaches_them_no_more_and_sound_requests_are_served(
+    entries: usize,
+    engines: usize,
+) {
+    let (fleet, engines) = start(&format!("seeded-crashing-{entries}"), entries, engines).await;
+    let callers: Vec<SocketAddr> = fleet.entries.iter().map(fleet::Daemon::callers).collect();
+    let outcomes = Outcomes::default();
+    let begin = Instant::now();
+    let end = begin + Duration::from_secs(18);
+    let sound = Duration::from_millis(25);
+    let sound = tokio::spawn(send_sound(callers.clone(), sound, end, Arc::clone(&outcomes)));
+    time::sleep(Duration::from_secs(2)).await;
+    let before = served_share(&outcomes, begin, Instant::now() - Duration::from_millis(500));
+    engines.iter().for_each(|engine| engine.set_crashing_part(Some(CRASHING_PART)));
+    send_crashing(callers, Duration::from_millis(120), end).await;
+    sound.await.unwrap();
+    time::sleep(Duration::from_secs(1)).await;
+    let crashes = crashes(&engines);
+    let last_counted = crashes[MOST_CRASHES.min(crashes.len()) - 1];
+    let late = engines
+        .iter()
+        .flat_map(|engine| engine.arrivals_with_part(CRASHING_PART))
+        .filter(|at| *at > last_counted + CONTACT)
+        .count();
+    let after = served_share(&outcomes, last_counted + 2 * CONTACT, end);
+    let figures =
+        format!("{} ends, {late} late arrivals, served {before} and {after}", crashes.len());
+    assert!(late <= MOST_ARRIVALS, "{figures}");
+    assert!(after >= before / 2.0, "{figures}");
+}
--- a/crates/daisydrum/tests/seeded/fleet.rs
+++ b/crates/daisydrum/tests/seeded/fleet.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use soak::fleet::Links;
-pub use soak::fleet::{Fleet, Start, until};
+pub use soak::fleet::{Daemon, Fleet, Start, until};
 
 fn binary() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_daisydrum"))
--- a/crates/daisydrum/tests/seeded/main.rs
+++ b/crates/daisydrum/tests/seeded/main.rs
@@ -4,6 +4,7 @@
 
 mod conditions;
 mod control;
+mod crash;
 mod fleet;
 mod leaving;
 mod metrics;
