Quarantine prompt parts on which one engine after the other ends

Callers saw most requests of an engine service refused or cut: requests with one part in their prompts ended each engine that began to generate for them. Cause: nothing remembered what an engine ran when it ended. The engine was blamed, the request went to the next one as often as its route allows, and each new request with the part began the same again. The class of fault: input that breaks whoever works on it is handed on.

An instance now connects to the engine after a lost connection; refused, the process has ended, and the shared parts of the request are blamed unless an answer with them succeeded within a minute. The count of a part rises by one for each end of a request that was sent when the end before was known, so engines that end together count once. At four the part is refused everywhere. States are pairs (clearings, ends) that merge by maximum; notices carry them, two random instances a second get all of them again, and an instance that starts asks for them before it is ready. One request in the fleet tries the part after 30 s, the next after 120 s more.

--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -249,8 +249,8 @@
     /// Answers a question of another instance; long polls wait for an update.
     pub(crate) async fn answer(&self, question: Question) -> Answer {
         match question {
-            // Only entry instances know what engines have cached.
-            Question::Holdings => Answer::Refused,
+            // Only entry instances know what engines have cached, and on which prompt parts they end.
+            Question::Holdings | Question::Suspicions => Answer::Refused,
             Question::Fetch { above } => {
                 let held = self.document();
                 let newer = held.filter(|document| document.version > above);
--- a/crates/daisydrum/src/seeded/notices.rs
+++ b/crates/daisydrum/src/seeded/notices.rs
@@ -1,13 +1,15 @@
 //! Datagrams by which entry instances notify each other of the requests they send to each target.
 //!
-//! A lost datagram only makes the estimated load of a target less accurate.
+//! A lost datagram only makes the estimated load of a target less accurate. What must reach all instances, the prompt
+//! parts that end engines, is repeated.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use common::{clock, random::Random};
 use fleet::exchange::{self, Notice};
 use gateway::state::Gateway;
 use slog::debug;
-use tokio::{net::UdpSocket, sync::mpsc};
+use tokio::{net::UdpSocket, sync::mpsc, time};
 
 use crate::{
     error::Error,
@@ -16,6 +18,10 @@
 
 /// Notices in one datagram, so that it fits into a packet of the usual size.
 const MAX_NOTICES: usize = 10;
+/// Time between two rounds that repair lost notices, and the instances that get one in each. Rumours spread to all
+/// instances in a number of rounds that is logarithmic in theirs (Demers et al. 1987).
+const REPAIR_INTERVAL: Duration = Duration::from_secs(1);
+const REPAIR_PEERS: usize = 2;
 /// Size of the receive buffer; longer datagrams are truncated and fail to decode.
 const MAX_DATAGRAM_BYTES: usize = 4 * 1024;
 
@@ -38,6 +44,10 @@
     })?;
     let socket = Arc::new(socket);
     spawn(context, receive(Arc::clone(&socket), Arc::clone(gateway)));
+    spawn(
+        context,
+        repair(Arc::clone(&socket), context.clone(), directory.clone(), Arc::clone(gateway)),
+    );
     spawn(context, broadcast(socket, context.clone(), directory.clone(), notices));
     Ok(())
 }
@@ -54,7 +64,32 @@
             }
             Err(error) => {
                 debug!(gateway.log, "datagram_not_received"; "error" => %error);
-                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+                time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+/// Sends the suspicions to a few random instances at an interval, for those that a notice didn't reach.
+async fn repair(
+    socket: Arc<UdpSocket>,
+    context: Context,
+    directory: Directory,
+    gateway: Arc<Gateway>,
+) {
+    let mut random = Random::new(clock::unix_ns());
+    loop {
+        time::sleep(REPAIR_INTERVAL).await;
+        let notices = gateway.quarantine.notices();
+        let mut others = directory.entry_instances();
+        for _ in 0..REPAIR_PEERS.min(others.len()) {
+            let other = others.swap_remove(random.below(others.len()));
+            for batch in notices.chunks(MAX_NOTICES) {
+                let bytes = exchange::encode(&batch);
+                if let Err(error) = socket.try_send_to(&bytes, other.address) {
+                    debug!(context.log, "datagram_not_sent"; "address" => %other.address,
+                        "error" => %error);
+                }
             }
         }
     }
--- a/crates/daisydrum/src/seeded/peers.rs
+++ b/crates/daisydrum/src/seeded/peers.rs
@@ -37,6 +37,11 @@
 }
 
 impl Components {
+    fn suspicions(&self) -> Answer {
+        let known = self.gateway.as_ref().map(|gateway| gateway.quarantine.notices());
+        known.map_or(Answer::Refused, Answer::Suspicions)
+    }
+
     fn holdings(&self) -> Answer {
         let Some(gateway) = self.gateway.as_ref().filter(|other| other.are_holdings_known()) else {
             return Answer::Refused;
@@ -66,6 +71,7 @@
     async fn exchange(&self, question: Vec<u8>) -> Vec<u8> {
         let answer = match exchange::decode::<Question>(&question) {
             Some(Question::Holdings) => self.holdings(),
+            Some(Question::Suspicions) => self.suspicions(),
             Some(question) => self.directory.answer(question).await,
             None => Answer::Refused,
         };
--- a/crates/daisydrum/src/seeded/subscription.rs
+++ b/crates/daisydrum/src/seeded/subscription.rs
@@ -131,7 +131,11 @@
         };
         match self.ask(&question, wait + RESPONSE_MARGIN).await? {
             Answer::Update(update) => Some(update),
-            Answer::Document(_) | Answer::Holdings(_) | Answer::Later | Answer::Refused => None,
+            Answer::Document(_)
+            | Answer::Holdings(_)
+            | Answer::Suspicions(_)
+            | Answer::Later
+            | Answer::Refused => None,
         }
     }
 
--- a/crates/daisydrum/src/seeded/warmup.rs
+++ b/crates/daisydrum/src/seeded/warmup.rs
@@ -29,6 +29,9 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(60);
 /// Longest wait for a list, of which several hundred kilobytes take 0.4 s at 10 Mbit/s.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Instances that are asked for the suspicions, and the longest wait for the small answer of each.
+const MAX_ASKED_FOR_SUSPICIONS: usize = 3;
+const SUSPICIONS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time that each entry instance whose name sorts before this one's gets before this one asks the engines itself.
 const TURN_DELAY: Duration = Duration::from_millis(250);
 /// Largest number of instances that this one gives that time.
@@ -44,6 +47,7 @@
         gateway.set_holdings_known();
         return;
     }
+    learn_suspicions(&context, &directory, &gateway).await;
     let started = Instant::now();
     loop {
         match ask_instances(&context, &directory, &gateway).await {
@@ -77,6 +81,25 @@
     None,
 }
 
+/// Learns from another entry instance which prompt parts end engines, before this one serves. If none answers, the
+/// other instances' repairs bring the list later.
+async fn learn_suspicions(context: &Context, directory: &Directory, gateway: &Gateway) {
+    let mut random = Random::new(clock::unix_ns());
+    let others =
+        warmup::order(directory.entry_instances(), &context.identity.data_centre, &mut random);
+    for identity in others.into_iter().take(MAX_ASKED_FOR_SUSPICIONS) {
+        let question = Question::Suspicions;
+        let answer =
+            subscription::ask(context, identity.address, &question, SUSPICIONS_TIMEOUT).await;
+        if let Some(Answer::Suspicions(notices)) = answer {
+            notices.iter().for_each(|notice| gateway.handle_notice(notice));
+            info!(gateway.log, "suspicions_learnt"; "from" => %identity.instance,
+                "notices" => notices.len());
+            return;
+        }
+    }
+}
+
 async fn ask_instances(context: &Context, directory: &Directory, gateway: &Gateway) -> Outcome {
     let mut random = Random::new(clock::unix_ns());
     let mut outcome = Outcome::None;
@@ -91,7 +114,10 @@
                 return Outcome::Learned;
             }
             Some(Answer::Later) => outcome = Outcome::Later,
-            Some(Answer::Update(_) | Answer::Document(_) | Answer::Refused) | None => {}
+            Some(
+                Answer::Update(_) | Answer::Document(_) | Answer::Refused | Answer::Suspicions(_),
+            )
+            | None => {}
         }
     }
     outcome
--- a/crates/daisydrum/tests/seeded/crash.rs
+++ b/crates/daisydrum/tests/seeded/crash.rs
@@ -6,7 +6,6 @@
     time::{Duration, Instant},
 };
 
-use hyper::Method;
 use platform_standin::{client, runner::Runner};
 use tokio::time;
 use yare::parameterized;
@@ -47,15 +46,8 @@
 /// A request whose prompt has this middle part; the first part is common, the last one its own.
 async fn post(callers: SocketAddr, number: usize, middle: u64) -> client::Response {
     let id = format!("{middle:x}-{number}");
-    let parts = format!("{FIRST_PART:x}:400,{middle:x}:300,{:x}:300", 0xa_0000 + number);
-    let headers = [
-        ("x-request-id", id.as_str()),
-        ("x-deadline-ms", "6000"),
-        ("x-model", "m"),
-        ("x-token-count", "1000,40"),
-        ("x-prompt-prefix", parts.as_str()),
-    ];
-    client::request(callers, Method::POST, "/summary/1", &headers, "prompt").await
+    let parts = [FIRST_PART, middle, 0xa_0000 + number as u64];
+    client::post_stream_with_parts(callers, "/summary/1", &id, &parts).await
 }
 
 /// Sound requests: when each was sent, and whether its stream was whole at the first attempt.
--- a/crates/daisydrum/tests/seeded/spread.rs
+++ b/crates/daisydrum/tests/seeded/spread.rs
@@ -118,7 +118,7 @@
                 self.requested.fetch_add(1, Ordering::SeqCst);
                 future::pending().await
             }
-            Some(Question::Holdings) | None => Answer::Refused,
+            Some(Question::Holdings | Question::Suspicions) | None => Answer::Refused,
         };
         exchange::encode(&answer)
     }
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -59,6 +59,8 @@
         /// The version.
         above: u64,
     },
+    /// Asks an entry instance which prompt parts have ended engines.
+    Suspicions,
 }
 
 /// Changes at a control instance since a cursor.
@@ -93,6 +95,8 @@
     Later,
     /// The question can't be decoded, or this instance doesn't answer questions of its kind.
     Refused,
+    /// Answers [`Question::Suspicions`]: [`Notice::Suspicions`] only.
+    Suspicions(Vec<Notice>),
 }
 
 /// Datagram between entry instances, so that each knows the load that all of them put on the targets.
@@ -133,6 +137,30 @@
         /// Requests that it takes from all instances together; `None` for any number.
         limit: Option<Rate>,
     },
+    /// What the sender knows of prompt parts on which a service's engines have ended.
+    Suspicions {
+        /// The service.
+        service: name::Service,
+        /// At most [`MAX_SUSPICIONS`], so that several notices fit into a datagram.
+        suspicions: Vec<Suspicion>,
+    },
+}
+
+/// Number of suspicions in one notice.
+pub const MAX_SUSPICIONS: usize = 16;
+
+/// State of a prompt part on which engines have ended; of two states the one with more clearings, then the one with
+/// more ends is the later one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspicion {
+    /// Id of the part.
+    pub part: u64,
+    /// How often an answer that succeeded has cleared it.
+    pub clearings: u32,
+    /// Ends of engines since then, each while a request with the part began that was sent after the end before.
+    pub ends: u32,
+    /// Time since an instance first had this state, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// A request that was sent to a target.
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 connections to targets.
 
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -31,6 +32,9 @@
     /// No byte of the request was sent.
     #[display("the request was not sent: {_0}")]
     NotSent(#[error(not(source))] String),
+    /// No byte of the request was sent: nothing listens at the address, though the machine answers.
+    #[display("the request was not sent: {_0}")]
+    Refused(#[error(not(source))] String),
     /// The target may have received the request.
     #[display("the request may have been sent, but there is no response: {_0}")]
     MaybeSent(hyper::Error),
@@ -56,13 +60,17 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::NotSent`] when no connection was established in time.
+    /// Returns [`Error::Refused`] when nothing listens at the address, and [`Error::NotSent`] when no connection was
+    /// established in time.
     pub async fn open(address: SocketAddr) -> Result<Connection, Error> {
         let not_sent = |error: &dyn std::fmt::Display| Error::NotSent(error.to_string());
         let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|elapsed| not_sent(&elapsed))?
-            .map_err(|error| not_sent(&error))?;
+            .map_err(|error| match error.kind() {
+                ErrorKind::ConnectionRefused => Error::Refused(error.to_string()),
+                _ => not_sent(&error),
+            })?;
         socket::configure(&stream).map_err(|error| not_sent(&error))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,19 +5,20 @@
 use common::{clock::Moment, name};
 use fleet::{
     condition::Report,
-    exchange::{Notice, Part},
+    exchange::{Notice, Part, Suspicion},
 };
 use placement::{
     balancer::{Key, selection::Plan},
     condition::Change,
     health::Outcome,
+    quarantine::{self, Ticket},
 };
 use platform::request::Metadata;
 use slog::{debug, info};
 use tokio::time;
 
 use crate::{
-    connection::Connection,
+    connection::{self, Connection},
     metric,
     state::{Gateway, ms},
 };
@@ -26,6 +27,11 @@
 /// Targets and data centres recover within seconds, and an attempt to connect costs one packet.
 const MAX_RECONNECT_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time after which an engine may have begun to generate for a request, though the response head has not arrived.
+const LONGEST_HEAD_DELAY: Duration = Duration::from_millis(100);
+/// Time after the first event for which a request may still be the reason why its engine ends.
+const BEGINNING: Duration = Duration::from_secs(1);
+
 /// A request that was sent to a target. Dropping it ends its count at the target and cancels its prompt there.
 #[derive(Debug)]
 pub(crate) struct Dispatch {
@@ -36,8 +42,23 @@
     /// Id of the request, for logs.
     id: String,
     parts: Vec<Part>,
+    /// The service of the target.
+    service: name::Service,
+    /// What was known of the parts when the request was sent.
+    ticket: Ticket,
     sent_at: Moment,
-    first_event_received: bool,
+    /// Whether the response head has arrived, which engines send when they begin to generate.
+    head_received: bool,
+    first_event_at: Option<Moment>,
+    /// Whether the request has shown that its parts don't end the engine.
+    proven: bool,
+}
+
+/// What admitted a request: the service that it goes to, and what is known of the parts of its prompt.
+#[derive(Debug)]
+pub(crate) struct Admission {
+    pub(crate) service: name::Service,
+    pub(crate) ticket: Ticket,
 }
 
 /// Name and address of a target.
@@ -53,10 +74,100 @@
         plan: Plan,
         number: u64,
         metadata: &Metadata,
+        admission: Admission,
         sent_at: Moment,
     ) -> Dispatch {
-        let (id, parts) = (metadata.id.clone(), metadata.parts.clone());
-        Dispatch { gateway, plan, number, id, parts, sent_at, first_event_received: false }
+        let Admission { service, ticket } = admission;
+        Dispatch {
+            gateway,
+            plan,
+            number,
+            id: metadata.id.clone(),
+            parts: metadata.parts.clone(),
+            service,
+            ticket,
+            sent_at,
+            head_received: false,
+            first_event_at: None,
+            proven: false,
+        }
+    }
+
+    /// The parts of the prompt that other requests may share.
+    fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_own, shared)| shared)
+    }
+
+    /// Renews what is known of the parts before another engine generates; `false` if one was quarantined meanwhile.
+    pub(crate) fn renew_ticket(&mut self) -> bool {
+        let renewed =
+            self.gateway.quarantine.renew(&self.service, self.shared_parts(), &self.ticket);
+        match renewed {
+            Some(ticket) => {
+                self.ticket = ticket;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Whether the request may be sent again after it was broken off.
+    pub(crate) fn may_retry(&self) -> bool {
+        self.gateway.quarantine.may_retry(&self.service, self.shared_parts())
+    }
+
+    /// Finds out whether the process of the target has ended, after a connection to it was lost, and if so blames the
+    /// parts of the prompt.
+    pub(crate) async fn examine_end(&self) {
+        let key = self.plan.target;
+        let shared = self.shared_parts();
+        let sent_lately = Moment::now().since(self.sent_at) < LONGEST_HEAD_DELAY;
+        if self.proven
+            || (sent_lately && !self.head_received)
+            || !self.gateway.quarantine.is_any_unproven(&self.service, shared)
+            || !self.gateway.balancer().is_staying(key)
+        {
+            return;
+        }
+        let Some(destination) = self.destination(key) else {
+            return;
+        };
+        match Connection::open(destination.address).await {
+            Ok(connection) => self.gateway.pool.put(destination.address, connection),
+            Err(connection::Error::Refused(_)) => {
+                self.record_outcome(key, Outcome::Unreached);
+                let notices =
+                    self.gateway.quarantine.record_end(&self.service, shared, &self.ticket);
+                self.log_suspicions("engine_ended", &notices);
+                self.gateway.notify_peers(notices);
+            }
+            // A machine that is cut off or without power says nothing about the request.
+            Err(error) => info!(self.gateway.log, "engine_not_examined"; "id" => &self.id,
+                "target" => %destination.name, "fault" => %error),
+        }
+    }
+
+    /// Records that the request has shown that its parts don't end the engine.
+    pub(crate) fn record_success(&mut self) {
+        if self.first_event_at.is_none() || std::mem::replace(&mut self.proven, true) {
+            return;
+        }
+        let notices = self.gateway.quarantine.record_success(&self.service, self.shared_parts());
+        self.log_suspicions("parts_cleared", &notices);
+        self.gateway.notify_peers(notices);
+    }
+
+    fn log_suspicions(&self, event: &'static str, notices: &[Notice]) {
+        for notice in notices {
+            if let Notice::Suspicions { suspicions, .. } = notice {
+                for Suspicion { part, clearings, ends, .. } in suspicions {
+                    info!(self.gateway.log, "part_standing"; "cause" => event, "id" => &self.id,
+                        "target" => self.target_name(self.plan.target),
+                        "part" => format!("{part:x}"), "clearings" => clearings, "ends" => ends,
+                        "quarantined" => *ends >= quarantine::MAX_ENDS);
+                }
+            }
+        }
     }
 
     pub(crate) fn destination(&self, key: Key) -> Option<Destination> {
@@ -108,11 +219,21 @@
         self.record_cached(key);
     }
 
-    /// Records the first event, from which on the prompt's parts can be copied from the target.
-    pub(crate) fn record_first_event(&mut self) {
-        if std::mem::replace(&mut self.first_event_received, true) {
+    /// Records the head of a response that succeeds.
+    pub(crate) fn record_head(&mut self) {
+        self.head_received = true;
+    }
+
+    /// Records an event. From the first one on the prompt's parts can be copied from the target.
+    pub(crate) fn record_event(&mut self) {
+        let now = Moment::now();
+        if let Some(first) = self.first_event_at {
+            if now.since(first) >= BEGINNING {
+                self.record_success();
+            }
             return;
         }
+        self.first_event_at = Some(now);
         self.record_prompt_computed();
         self.record_cached(self.plan.target);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`listener`] accepts callers' connections and [`handler`] matches each request to a route. `request` selects
 //! targets and sends attempts to them, for `whole` (responses with a single body) and `stream` (event streams).
-//! [`connection`] and [`pool`] hold the connections to targets, [`state::Gateway`] the state that all requests share.
+//! [`connection`] and [`pool`] hold the connections to targets, [`state::Gateway`] the state that all requests share,
+//! and [`quarantine`] the parts of prompts that end engines.
 
 pub mod connection;
 pub mod error;
@@ -10,6 +11,7 @@
 pub mod listener;
 pub mod metric;
 pub mod pool;
+pub mod quarantine;
 pub mod state;
 
 mod dispatch;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -56,6 +56,9 @@
         metrics::gauge!("daisydrum_config_version").set(version as f64);
         metrics::gauge!("daisydrum_config_age_seconds").set(age.as_secs_f64());
     }
+    for (service, parts) in gateway.quarantine.quarantined() {
+        metrics::gauge!("daisydrum_parts_quarantined", "service" => service.0).set(parts as f64);
+    }
     for (service, left) in gateway.retries_left(now) {
         metrics::gauge!("daisydrum_repeats_left", "service" => service.0).set(left);
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -14,13 +14,14 @@
         selection::{Criteria, Decision, Plan, Prefill, Reason, Refusal},
     },
     health::Outcome,
+    quarantine::Trials,
 };
 use platform::request::{Attempt, Metadata, Step};
 use slog::info;
 
 use crate::{
     connection::{self, Connection},
-    dispatch::{Destination, Dispatch},
+    dispatch::{Admission, Destination, Dispatch},
     error::Error,
     pool::{Origin, Reuse},
     state::{Gateway, ms},
@@ -102,6 +103,8 @@
     NotRun,
     /// The target may have run the request.
     MayHaveRun,
+    /// The connection was lost; the target may have run the request.
+    Disconnected,
 }
 
 impl Pending {
@@ -131,6 +134,7 @@
         if !counted {
             self.gateway.count_request(&service);
         }
+        let admission = self.admit(&balancer, &service, now)?;
         // The first send is free; targets that could not be reached have cost nothing.
         let mut budgeted = progress.budgeted.max(1);
         let sends = progress.sends + 1;
@@ -146,7 +150,8 @@
         progress.budgeted = budgeted;
         drop(balancer);
         self.gateway.notify_peers(notices);
-        let dispatch = Dispatch::new(Arc::clone(&self.gateway), plan, number, &self.metadata, now);
+        let gateway = Arc::clone(&self.gateway);
+        let dispatch = Dispatch::new(gateway, plan, number, &self.metadata, admission, now);
         dispatch.log_placement(
             &self.route().name,
             progress.runs + progress.rejections + 1,
@@ -167,6 +172,27 @@
         }
     }
 
+    /// Admits the request unless engines end on a part of its prompt.
+    fn admit(
+        &self,
+        balancer: &Balancer,
+        service: &name::Service,
+        now: Moment,
+    ) -> Result<Admission, Error> {
+        let trials = |part| {
+            if balancer.fleet().is_first(part) { Trials::Allowed } else { Trials::Denied }
+        };
+        let shared = self.metadata.shared_parts();
+        match self.gateway.quarantine.admit(service, shared, trials, now) {
+            Ok(ticket) => Ok(Admission { service: service.clone(), ticket }),
+            Err(retry_after) => Err(Error::Refused(Refusal {
+                reason: Reason::Quarantined,
+                retry_after,
+                expected: None,
+            })),
+        }
+    }
+
     /// Takes retries out of the budget until it has paid for this many sends; `false` if it runs out.
     fn spend_retries(&self, service: &name::Service, budgeted: &mut u32, sends: u32) -> bool {
         while *budgeted < sends {
@@ -302,7 +328,7 @@
                         "fault" => %error);
                     dispatch.record_outcome(key, Outcome::Broken);
                     progress.avoid.push(key);
-                    return Execution::MayHaveRun;
+                    return Execution::Disconnected;
                 }
                 Ok(execution) => {
                     if matches!(execution, Execution::NotRun) {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,7 +14,7 @@
 use slog::Logger;
 use tokio::sync::{mpsc, watch};
 
-use crate::pool::Pool;
+use crate::{pool::Pool, quarantine};
 
 /// Capacity of the queue of notices to other instances; notices that find it full are dropped.
 pub const MAX_QUEUED_NOTICES: usize = 256;
@@ -49,6 +49,8 @@
     retries: retry::Bounds,
     instances: AtomicUsize,
     holdings_known: AtomicBool,
+    /// Parts of prompts that end engines.
+    pub quarantine: quarantine::Table,
     outgoing_notices: mpsc::Sender<exchange::Notice>,
 }
 
@@ -71,6 +73,7 @@
             retries: options.retries,
             instances: AtomicUsize::new(1),
             holdings_known: AtomicBool::new(false),
+            quarantine: quarantine::Table::default(),
             outgoing_notices,
         };
         (Arc::new(gateway), receiver)
@@ -136,14 +139,19 @@
 
     /// Applies a notice of another instance.
     pub fn handle_notice(&self, notice: &exchange::Notice) {
-        if let exchange::Notice::Unreached { target } = notice {
-            let address = self.balancer().address(target);
-            if let Some(address) = address {
-                self.pool.mark_suspect(address);
+        match notice {
+            exchange::Notice::Unreached { target } => {
+                let address = self.balancer().address(target);
+                if let Some(address) = address {
+                    self.pool.mark_suspect(address);
+                }
             }
-            return;
+            exchange::Notice::Suspicions { service, suspicions } => {
+                let objections = self.quarantine.merge(service, suspicions);
+                self.notify_peers(objections);
+            }
+            _ => self.balancer().apply_notice(notice, Moment::now()),
         }
-        self.balancer().apply_notice(notice, Moment::now());
     }
 
     /// Whether the balancer knows which prompt parts the engines have cached.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -137,7 +137,7 @@
                 Ending::NotRun => continue,
                 Ending::Incomplete => self.progress.runs += 1,
             }
-            if !request.may_retry(&self.progress) {
+            if !request.may_retry(&self.progress) || !dispatch.may_retry() {
                 return Err(Error::TargetFailed);
             }
             metrics::counter!("daisydrum_streams_resumed_total").increment(1);
@@ -177,6 +177,10 @@
                 request.release_handle(source.address, &source.handle);
                 return Ending::NotRun;
             }
+            if !dispatch.renew_ticket() {
+                request.release_handle(source.address, &source.handle);
+                return Ending::NotRun;
+            }
             step = Step::Decode { address: source.address, handle: source.handle.clone() };
             prefilled = Some(source);
         }
@@ -211,6 +215,10 @@
                 Ending::NotRun
             }
             Execution::MayHaveRun => Ending::Incomplete,
+            Execution::Disconnected => {
+                dispatch.examine_end().await;
+                Ending::Incomplete
+            }
         }
     }
 
@@ -230,6 +238,7 @@
         if !head.status.is_success() || !platform::response::is_authentic(&head.headers) {
             return self.forward_error_response(dispatch, head, body).await;
         }
+        dispatch.record_head();
         if let Output::Head(_) = self.output {
             let (events, queue) = mpsc::channel(MAX_QUEUED_EVENTS);
             let mut response = Response::new(Body::stream(queue));
@@ -245,6 +254,7 @@
         }
         let mut splitter = Splitter::default();
         let mut limit = first_event_limit;
+        let mut disconnected = false;
         loop {
             let Ok(frame) = time::timeout(limit, body.frame()).await else {
                 break;
@@ -252,16 +262,20 @@
             let bytes = match frame {
                 None if splitter.is_empty() => {
                     dispatch.record_outcome(key, Outcome::Success);
+                    dispatch.record_success();
                     return Ending::Complete;
                 }
-                None | Some(Err(_)) => break,
+                None | Some(Err(_)) => {
+                    disconnected = true;
+                    break;
+                }
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             if splitter.push(&bytes).is_err() {
                 break;
             }
             while let Some(event) = splitter.take() {
-                dispatch.record_first_event();
+                dispatch.record_event();
                 if !self.forward_event(event).await {
                     return Ending::CallerGone;
                 }
@@ -273,6 +287,9 @@
             "last_event" => ?self.last_event_id, "limit_ms" => ms(limit),
             "ms" => self.request.age_ms());
         dispatch.record_outcome(key, Outcome::Broken);
+        if disconnected {
+            dispatch.examine_end().await;
+        }
         self.progress.avoid.push(key);
         Ending::Incomplete
     }
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -131,7 +131,7 @@
     {
         Execution::Responded(response, connection) => (response, connection),
         Execution::NotRun => return Ending::NotRun,
-        Execution::MayHaveRun => return Ending::MayHaveRun,
+        Execution::MayHaveRun | Execution::Disconnected => return Ending::MayHaveRun,
     };
     let Some(buffered) = collect(request, dispatch, response, connection).await else {
         dispatch.record_outcome(key, Outcome::Broken);
--- a/crates/placement/src/balancer.rs
+++ b/crates/placement/src/balancer.rs
@@ -158,6 +158,18 @@
         }
     }
 
+    /// The instances that send requests, as this one knows them.
+    pub fn fleet(&self) -> &quota::Fleet {
+        &self.fleet
+    }
+
+    /// Whether a target is expected to stay: it has not said that it leaves.
+    pub fn is_staying(&self, key: Key) -> bool {
+        let staying =
+            |entry: &Entry| entry.target.state == State::Ready && !entry.condition.report().leaving;
+        self.entries.get(key).is_some_and(staying)
+    }
+
     /// Records what a response says of its target, to a request that was sent at `sent_at`; returns the notice for the
     /// other instances, and whether the condition changed.
     pub fn record_report(
--- a/crates/placement/src/balancer/selection.rs
+++ b/crates/placement/src/balancer/selection.rs
@@ -94,4 +94,7 @@
     /// Targets have failed or refused the request, and no other one can or may be tried.
     #[display("targets full")]
     TargetsFull,
+    /// Engines end when they generate on a part of the prompt.
+    #[display("a part of the prompt is quarantined")]
+    Quarantined,
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,13 +4,14 @@
 //! a request. It uses the models of each target: [`speed`] predicts prefill times, [`backlog`] the wait for requests
 //! sent earlier, [`cache`] which prompt prefixes are cached, and [`health`] which targets fail. [`condition`]
 //! keeps what targets say of themselves, [`quota`] divides their limits among the instances. [`retry`] limits the
-//! retries of the whole fleet.
+//! retries of the whole fleet. [`quarantine`] finds the parts of prompts that end engines.
 
 pub mod backlog;
 pub mod balancer;
 pub mod cache;
 pub mod condition;
 pub mod health;
+pub mod quarantine;
 pub mod quota;
 pub mod retry;
 pub mod speed;
--- a/crates/placement/src/quota.rs
+++ b/crates/placement/src/quota.rs
@@ -38,6 +38,16 @@
         changed
     }
 
+    /// Whether this instance is the one of the fleet to act for a number, by the same hash as for limits; `false` while
+    /// the others are not known.
+    pub fn is_first(&self, number: u64) -> bool {
+        let key = name::Target(format!("{number:x}"));
+        let own = rank(&key, &self.own);
+        self.others
+            .as_ref()
+            .is_some_and(|others| others.iter().all(|other| rank(&key, other) > own))
+    }
+
     /// Requests a second that this instance may send of the `rate` that a target takes from all; 0 if others hold it.
     pub fn share(&self, target: &name::Target, rate: Rate) -> f64 {
         let rate = rate.per_second();
