Take an unframed response for complete only while its target accepts connections

Callers could get a stream as complete that its engine had broken off: a response without length or chunks ends with its connection, and an engine that ends between two events, or before the first, looks the same. Such an end now counts as complete only if an event was received and the target still accepts a connection, which then serves the next request; otherwise the stream is resumed after its last event, which does no harm to one that was complete. Responses with a single body are treated alike.

--- a/crates/daisydrum/tests/seeded/main.rs
+++ b/crates/daisydrum/tests/seeded/main.rs
@@ -6,6 +6,7 @@
 mod control;
 mod crash;
 mod fleet;
+mod framing;
 mod leaving;
 mod metrics;
 mod path;
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -9,7 +9,12 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper::{
+    Request, Response,
+    body::{Body, Incoming},
+    client::conn::http1,
+    header::TRANSFER_ENCODING,
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::JoinHandle, time};
 use wire::socket;
@@ -40,6 +45,12 @@
     MaybeSent(hyper::Error),
 }
 
+/// Whether the end of a response's body is shown only by the end of its connection (RFC 9112, section 6.3, item 8).
+pub fn is_unframed(response: &Response<Incoming>) -> bool {
+    response.body().size_hint().exact().is_none()
+        && !response.headers().contains_key(TRANSFER_ENCODING)
+}
+
 /// A connection that is closed when it is dropped.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -116,6 +116,25 @@
         self.gateway.quarantine.may_retry(&self.service, self.shared_parts())
     }
 
+    /// Whether the target still accepts connections, after one to it ended. An unframed response that is complete and one
+    /// whose process has ended look alike otherwise.
+    pub(crate) async fn is_listening(&self) -> bool {
+        let Some(destination) = self.destination(self.plan.target) else {
+            return false;
+        };
+        match Connection::open(destination.address).await {
+            Ok(connection) => {
+                self.gateway.pool.put(destination.address, connection);
+                true
+            }
+            Err(error) => {
+                info!(self.gateway.log, "unframed_response_doubted"; "id" => &self.id,
+                    "target" => %destination.name, "fault" => %error);
+                false
+            }
+        }
+    }
+
     /// Finds out whether the process of the target has ended, after a connection to it was lost, and if so blames the
     /// parts of the prompt.
     pub(crate) async fn examine_end(&self) {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::{
+    connection,
     dispatch::Dispatch,
     error::Error,
     metric::{self, Stage},
@@ -234,6 +235,7 @@
         first_event_limit: Duration,
     ) -> Ending {
         let key = dispatch.plan.target;
+        let unframed = connection::is_unframed(&response);
         let (head, mut body) = response.into_parts();
         if !head.status.is_success() || !platform::response::is_authentic(&head.headers) {
             return self.forward_error_response(dispatch, head, body).await;
@@ -260,7 +262,9 @@
                 break;
             };
             let bytes = match frame {
-                None if splitter.is_empty() => {
+                None if splitter.is_empty()
+                    && (!unframed || self.is_unframed_end_complete(dispatch).await) =>
+                {
                     dispatch.record_outcome(key, Outcome::Success);
                     dispatch.record_success();
                     return Ending::Complete;
@@ -294,6 +298,11 @@
         Ending::Incomplete
     }
 
+    /// Whether an unframed response that ended between two events is complete.
+    async fn is_unframed_end_complete(&self, dispatch: &Dispatch) -> bool {
+        self.last_event_id.is_some() && dispatch.is_listening().await
+    }
+
     /// Longest pause between events before the stream is given up.
     fn pause_limit(&self) -> Duration {
         match self.request.route().delivery {
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -14,7 +14,7 @@
 use tokio::time;
 
 use crate::{
-    connection::Connection,
+    connection::{self, Connection},
     dispatch::Dispatch,
     error::Error,
     metric::{self, Stage},
@@ -154,6 +154,7 @@
     response: Response<Incoming>,
     connection: Connection,
 ) -> Option<Buffered> {
+    let unframed = connection::is_unframed(&response);
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_BUFFERED_BYTES).collect().await.ok()?.to_bytes();
     let buffered = Buffered { head, body };
@@ -161,6 +162,9 @@
     if buffered.reads_as_not_run() || (buffered.head.status.is_success() && !authentic) {
         return None;
     }
+    if unframed {
+        return dispatch.is_listening().await.then_some(buffered);
+    }
     if let Some(destination) = dispatch.destination(dispatch.plan.target) {
         request.gateway.pool.put(destination.address, connection);
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -255,9 +255,14 @@
         self.child.as_mut().is_some_and(|child| child.try_wait().is_ok_and(|end| end.is_none()))
     }
 
+    /// Id of the running process.
+    pub fn process_id(&self) -> u32 {
+        self.child.as_ref().unwrap().id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
-        let id = self.child.as_ref().unwrap().id();
+        let id = self.process_id();
         rustix::process::kill_process(Pid::from_raw(i32::try_from(id).unwrap()).unwrap(), signal)
             .unwrap();
     }
