Bound the memory of responses that are held until they can be forwarded

All responses of an instance that are held now share 32 MiB, partial events of streams included; one that finds none left counts as broken. The lists and reports that instances fetch from engines, and the answers to releases, had no limit and have one. seeded endless::* failed before with the body of a response and passes: heads, trailers and bodies, for streams and whole responses, 100 requests at once.

--- a/crates/daisydrum/src/seeded/orders.rs
+++ b/crates/daisydrum/src/seeded/orders.rs
@@ -12,7 +12,7 @@
     registry::{Stage, State, Target},
 };
 use gateway::connection::Connection;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode, header::HOST};
 use platform::engine::{self, Order};
 use roles::split::{self, Change, Engine};
@@ -39,6 +39,8 @@
 const ORDER_TIMEOUT: Duration = Duration::from_secs(14);
 /// Longest time for an order, including the query of the engine's state.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Limit of an engine's report of its state, in bytes.
+const MAX_STATE_BYTES: usize = 64 * 1024;
 /// Share of a service's engines that change at the same time.
 const CHANGING_SHARE: f64 = 0.34;
 /// Time for which a service must have one prefill engine too many or too few before that is corrected, since an engine
@@ -309,7 +311,7 @@
     let Ok(response) = connection.send(question).await else {
         return Outcome::NotSent;
     };
-    let Ok(body) = response.into_body().collect().await else {
+    let Ok(body) = Limited::new(response.into_body(), MAX_STATE_BYTES).collect().await else {
         return Outcome::NotSent;
     };
     let Some(state) = engine::decode_state(&body.to_bytes()) else {
--- a/crates/daisydrum/src/seeded/warmup.rs
+++ b/crates/daisydrum/src/seeded/warmup.rs
@@ -17,7 +17,7 @@
     warmup,
 };
 use gateway::{connection::Connection, state::Gateway};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, header::HOST};
 use platform::engine;
 use slog::info;
@@ -34,6 +34,8 @@
 const SUSPICIONS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time that each entry instance whose name sorts before this one's gets before this one asks the engines itself.
 const TURN_DELAY: Duration = Duration::from_millis(250);
+/// Limit of an engine's list, in bytes; each part takes less than a hundred.
+const MAX_LIST_BYTES: usize = 1024 * 1024;
 /// Largest number of instances that this one gives that time.
 const MAX_TURNS: usize = 4;
 
@@ -152,6 +154,6 @@
         .body(Full::<Bytes>::default())
         .ok()?;
     let response = connection.send(request).await.ok()?;
-    let body = response.into_body().collect().await.ok()?;
+    let body = Limited::new(response.into_body(), MAX_LIST_BYTES).collect().await.ok()?;
     engine::decode_holdings(&body.to_bytes())
 }
--- a/crates/daisydrum/tests/seeded/main.rs
+++ b/crates/daisydrum/tests/seeded/main.rs
@@ -5,6 +5,7 @@
 mod conditions;
 mod control;
 mod crash;
+mod endless;
 mod fleet;
 mod framing;
 mod leaving;
--- a/crates/entry/src/event.rs
+++ b/crates/entry/src/event.rs
@@ -70,6 +70,11 @@
         Ok(())
     }
 
+    /// Returns the number of buffered bytes.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether no bytes are buffered.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod quarantine;
 pub mod state;
 
+mod buffer;
 mod dispatch;
 mod request;
 mod stream;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use common::{clock::Moment, name};
 use fleet::config::{Config, Retry, Route};
-use http_body_util::Full;
+use http_body_util::{Full, Limited};
 use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming};
 use placement::{
     balancer::{
@@ -36,6 +36,8 @@
 const NEW_REQUEST_SHARE: f64 = 0.9;
 /// Time that a response needs on its way back to the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
+/// Limit of the response to the release of a computed prompt, in bytes.
+const MAX_RELEASE_BYTES: usize = 4 * 1024;
 /// Retry-After where targets rejected a request or could not be reached.
 const TARGETS_FULL_RETRY: Duration = Duration::from_millis(250);
 
@@ -416,7 +418,8 @@
             };
             let limit = Duration::from_secs(1);
             if let Ok(Ok(response)) = tokio::time::timeout(limit, connection.send(request)).await {
-                let drained = http_body_util::BodyExt::collect(response.into_body());
+                let body = Limited::new(response.into_body(), MAX_RELEASE_BYTES);
+                let drained = http_body_util::BodyExt::collect(body);
                 if tokio::time::timeout(limit, drained).await.is_ok_and(|body| body.is_ok()) {
                     pool.put(address, connection);
                 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,7 +14,7 @@
 use slog::Logger;
 use tokio::sync::{mpsc, watch};
 
-use crate::{pool::Pool, quarantine};
+use crate::{buffer, pool::Pool, quarantine};
 
 /// Capacity of the queue of notices to other instances; notices that find it full are dropped.
 pub const MAX_QUEUED_NOTICES: usize = 256;
@@ -51,6 +51,8 @@
     holdings_known: AtomicBool,
     /// Parts of prompts that end engines.
     pub quarantine: quarantine::Table,
+    /// Memory of responses that are held until they can be forwarded.
+    pub(crate) buffers: buffer::Budget,
     outgoing_notices: mpsc::Sender<exchange::Notice>,
 }
 
@@ -74,6 +76,7 @@
             instances: AtomicUsize::new(1),
             holdings_known: AtomicBool::new(false),
             quarantine: quarantine::Table::default(),
+            buffers: buffer::Budget::default(),
             outgoing_notices,
         };
         (Arc::new(gateway), receiver)
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -38,6 +38,8 @@
 const OVERDUE_MARGIN: Duration = Duration::from_millis(600);
 /// A stream that may be resumed is given up after a pause of this many times the route's gap between events.
 const SILENCE_GAP_FACTOR: u32 = 4;
+/// Limit of the error response of an engine, in bytes.
+const MAX_ERROR_BYTES: usize = 1024 * 1024;
 /// Limit of a response to a prefill request, in bytes.
 const MAX_PREFILL_RESPONSE_BYTES: usize = 4 * 1024;
 
@@ -255,6 +257,7 @@
             }
         }
         let mut splitter = Splitter::default();
+        let mut reservation = self.request.gateway.buffers.reservation();
         let mut limit = first_event_limit;
         let mut disconnected = false;
         loop {
@@ -284,6 +287,9 @@
                     return Ending::CallerGone;
                 }
             }
+            if !reservation.resize(splitter.len()) {
+                break;
+            }
             limit = self.pause_limit();
         }
         info!(self.request.gateway.log, "stream_broke_off"; "id" => &self.request.metadata.id,
@@ -341,11 +347,17 @@
         let key = dispatch.plan.target;
         dispatch.record_outcome(key, Outcome::Error);
         self.progress.avoid.push(key);
-        let limit = crate::whole::MAX_BUFFERED_BYTES;
-        let Ok(body) = Limited::new(body, limit).collect().await else {
-            return Ending::Incomplete;
+        let mut reservation = self.request.gateway.buffers.reservation();
+        let body = match reservation.read(body, MAX_ERROR_BYTES).await {
+            Ok(body) => body,
+            Err(error) => {
+                info!(self.request.gateway.log, "response_not_read";
+                    "id" => &self.request.metadata.id, "target" => dispatch.target_name(key),
+                    "fault" => %error);
+                return Ending::Incomplete;
+            }
         };
-        let buffered = crate::whole::Buffered { head, body: body.to_bytes() };
+        let buffered = crate::whole::Buffered { head, body, _reservation: reservation };
         let is_final = !self.may_resume();
         if !is_final || buffered.head.status.is_success() || buffered.reads_as_not_run() {
             return Ending::Incomplete;
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -6,7 +6,6 @@
 use common::clock::Moment;
 use entry::body::Body;
 use fleet::config::Retry;
-use http_body_util::{BodyExt, Limited};
 use hyper::{Response, StatusCode, body::Incoming, http::response};
 use placement::health::Outcome;
 use platform::request::Step;
@@ -14,6 +13,7 @@
 use tokio::time;
 
 use crate::{
+    buffer,
     connection::{self, Connection},
     dispatch::Dispatch,
     error::Error,
@@ -32,6 +32,8 @@
 pub(crate) struct Buffered {
     pub(crate) head: response::Parts,
     pub(crate) body: Bytes,
+    /// Memory of the body, until it is forwarded.
+    pub(crate) _reservation: buffer::Reservation,
 }
 
 impl Buffered {
@@ -156,8 +158,16 @@
 ) -> Option<Buffered> {
     let unframed = connection::is_unframed(&response);
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, MAX_BUFFERED_BYTES).collect().await.ok()?.to_bytes();
-    let buffered = Buffered { head, body };
+    let mut reservation = request.gateway.buffers.reservation();
+    let body = match reservation.read(body, MAX_BUFFERED_BYTES).await {
+        Ok(body) => body,
+        Err(error) => {
+            info!(request.gateway.log, "response_not_read"; "id" => &request.metadata.id,
+                "target" => dispatch.target_name(dispatch.plan.target), "fault" => %error);
+            return None;
+        }
+    };
+    let buffered = Buffered { head, body, _reservation: reservation };
     let authentic = platform::response::is_authentic(&buffered.head.headers);
     if buffered.reads_as_not_run() || (buffered.head.status.is_success() && !authentic) {
         return None;
