Give up a connection after 16 interim responses

A target that sends interim responses (1xx) without end kept its requests, and the processor, until their deadlines: of 100 lookups at once some had no response after 15 s. The connection is now closed after the sixteenth. seeded endless::*::interim_responses failed before and passes.

--- a/crates/daisydrum/tests/seeded/endless.rs
+++ b/crates/daisydrum/tests/seeded/endless.rs
@@ -13,9 +13,11 @@
 
 #[parameterized(
     head_of_a_stream = { Script::EndlessHead, "engines" },
+    interim_responses_of_a_stream = { Script::EndlessInterim, "engines" },
     body_of_a_stream = { Script::EndlessBody, "engines" },
     trailers_of_a_stream = { Script::EndlessTrailers, "engines" },
     head_of_a_response = { Script::EndlessHead, "portal" },
+    interim_responses = { Script::EndlessInterim, "portal" },
     body_of_a_response = { Script::EndlessBody, "portal" },
     trailers_of_a_response = { Script::EndlessTrailers, "portal" },
 )]
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -3,6 +3,10 @@
 use std::{
     io::ErrorKind,
     net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -13,16 +17,19 @@
     Request, Response,
     body::{Body, Incoming},
     client::conn::http1,
+    ext,
     header::TRANSFER_ENCODING,
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::JoinHandle, time};
+use tokio::{net::TcpStream, sync::Notify, task::JoinHandle, time};
 use wire::socket;
 
 /// Timeout for establishing a connection; round trips take a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum size of a connection's read buffer, in bytes.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
+/// Interim responses to a request before the connection is given up.
+const MAX_INTERIM_RESPONSES: u32 = 16;
 /// Idle time up to which a connection is reused; a shorter one follows if the target announces a short timeout.
 ///
 /// It is also the upper bound: a connection that was idle longer may have been closed by the target, whatever timeout
@@ -43,6 +50,11 @@
     /// The target may have received the request.
     #[display("the request may have been sent, but there is no response: {_0}")]
     MaybeSent(hyper::Error),
+    /// The target received the request and sent more interim responses (1xx) than any would.
+    #[display(
+        "the request was sent, but there is no response after {MAX_INTERIM_RESPONSES} interim ones"
+    )]
+    OnlyInterim,
 }
 
 /// Whether the end of a response's body is shown only by the end of its connection (RFC 9112, section 6.3, item 8).
@@ -99,12 +111,27 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::NotSent`] if the connection was closed before the request, else [`Error::MaybeSent`].
+    /// Returns [`Error::NotSent`] if the connection was closed before the request, else [`Error::MaybeSent`] or
+    /// [`Error::OnlyInterim`].
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
-        let response = self.sender.send_request(request).await.map_err(|error| {
+        let too_many = Arc::new(Notify::new());
+        let (received, exceeded) = (AtomicU32::new(0), Arc::clone(&too_many));
+        ext::on_informational(&mut request, move |_interim| {
+            if received.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
+                exceeded.notify_one();
+            }
+        });
+        let response = tokio::select! {
+            response = self.sender.send_request(request) => response,
+            () = too_many.notified() => {
+                self.driver.abort();
+                return Err(Error::OnlyInterim);
+            }
+        };
+        let response = response.map_err(|error| {
             if error.is_canceled() {
                 Error::NotSent(error.to_string())
             } else {
