--- a/crates/daisydrum/src/seeded/notices.rs
+++ b/crates/daisydrum/src/seeded/notices.rs
@@ -56,11 +56,12 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, _from)) => {
-                let notices: Option<Vec<Notice>> = exchange::decode(&buffer[..length]);
-                for notice in notices.unwrap_or_default() {
-                    gateway.handle_notice(&notice);
-                }
+            Ok((length, from)) => {
+                let Some(notices) = exchange::decode::<Vec<Notice>>(&buffer[..length]) else {
+                    debug!(gateway.log, "datagram_not_decoded"; "from" => %from, "bytes" => length);
+                    continue;
+                };
+                notices.iter().for_each(|notice| gateway.handle_notice(notice));
             }
             Err(error) => {
                 debug!(gateway.log, "datagram_not_received"; "error" => %error);
--- a/crates/placement/examples/quarantine.rs
+++ b/crates/placement/examples/quarantine.rs
@@ -14,8 +14,9 @@
 
 use std::time::Instant;
 
-use common::clock::Moment;
+use common::{clock::Moment, name};
 use crashes::{Plan, simulate};
+use fleet::exchange::{self, MAX_SUSPICIONS, Notice};
 use placement::quarantine::{Quarantine, Trials};
 
 const ROUNDS: u64 = 1_000_000;
@@ -23,13 +24,22 @@
 
 fn main() {
     let mut quarantine = Quarantine::default();
-    for part in 0..1_024 {
+    for part in (0..1_024).map(|part| u64::MAX - part) {
         let ticket = quarantine.admit([part].into_iter(), |_| Trials::Denied, Moment(0)).unwrap();
         quarantine.record_end([part].into_iter(), &ticket, Moment(1));
     }
+    let suspicions = quarantine.suspicions(Moment(1_000));
+    let notice = Notice::Suspicions {
+        service: name::Service::from("engines"),
+        suspicions: suspicions[..MAX_SUSPICIONS].to_vec(),
+    };
+    println!(
+        "notice with {MAX_SUSPICIONS} suspicions: {} bytes",
+        exchange::encode(&[notice]).len()
+    );
     let began = Instant::now();
     for round in 0..ROUNDS {
-        let parts = [round % 2_048, round % 64].into_iter();
+        let parts = [u64::MAX - round % 2_048, round % 64].into_iter();
         quarantine.admit(parts, |_| Trials::Denied, Moment(2)).unwrap();
     }
     println!(
