Decode the software version of targets, and log it where a stream goes

The recording of the streams that went on at another software version couldn't tell resumptions within a response from streams that callers take up again. Announcements' version reaches the entry instances beside the targets, so that earlier builds read the same messages as before, and is logged with target_known and request_placed; stream_taken_up names the request that began a stream. No decision uses it yet.

--- a/crates/common/src/name.rs
+++ b/crates/common/src/name.rs
@@ -47,6 +47,11 @@
     Target
 }
 
+name! {
+    /// Version of the software that a target runs; empty if it isn't known.
+    Software
+}
+
 name! {
     /// An organisation among a partner's callers.
     Organisation
--- a/crates/daisydrum/src/seeded/entry.rs
+++ b/crates/daisydrum/src/seeded/entry.rs
@@ -118,7 +118,7 @@
         for target in &targets {
             gateway.update_target(target);
             info!(gateway.log, "target_known"; "target" => %target.name, "state" => ?target.state,
-                "stage" => ?target.stage, "address" => %target.address);
+                "stage" => ?target.stage, "software" => %target.software, "address" => %target.address);
         }
         gateway.set_changing(&directory.changing());
         gateway.set_instance_count(directory.entry_instances().len() + 1);
--- a/crates/daisydrum/src/seeded/peers.rs
+++ b/crates/daisydrum/src/seeded/peers.rs
@@ -75,7 +75,7 @@
             Some(question) => self.directory.answer(question).await,
             None => Answer::Refused,
         };
-        exchange::encode(&answer)
+        exchange::encode_answer(&answer)
     }
 }
 
--- a/crates/daisydrum/src/seeded/saved_targets.rs
+++ b/crates/daisydrum/src/seeded/saved_targets.rs
@@ -59,13 +59,13 @@
 
 fn load(folder: &Path) -> io::Result<Vec<Target>> {
     let bytes = fs::read(folder.join(FILE_NAME))?;
-    exchange::decode(&bytes).ok_or_else(|| io::Error::from(io::ErrorKind::InvalidData))
+    exchange::decode_targets(&bytes).ok_or_else(|| io::Error::from(io::ErrorKind::InvalidData))
 }
 
 fn save(folder: &Path, targets: &[Target]) -> io::Result<()> {
     let temporary = folder.join(TEMPORARY_FILE_NAME);
     let mut file = File::create(&temporary)?;
-    file.write_all(&exchange::encode(&targets))?;
+    file.write_all(&exchange::encode_targets(targets))?;
     file.sync_all()?;
     fs::rename(&temporary, folder.join(FILE_NAME))?;
     File::open(folder)?.sync_all()
--- a/crates/daisydrum/src/seeded/subscription.rs
+++ b/crates/daisydrum/src/seeded/subscription.rs
@@ -195,7 +195,7 @@
     let call =
         async |client: &PeerClient, context| client.exchange(context, question.clone()).await;
     match context.link(address).call(limit, call).await {
-        Ok(answer) => exchange::decode(&answer),
+        Ok(answer) => exchange::decode_answer(&answer),
         Err(error) => {
             debug!(context.log, "question_failed"; "address" => %address, "fault" => %error);
             None
--- a/crates/daisydrum/tests/seeded/framing.rs
+++ b/crates/daisydrum/tests/seeded/framing.rs
@@ -31,6 +31,7 @@
         name: String::from("a-scripted"),
         service: service.to_owned(),
         stage,
+        software: String::from("v1"),
         events,
         control: control.clone(),
         listener: TcpListener::bind("127.0.0.1:0").await.unwrap(),
--- a/crates/daisydrum/tests/seeded/path.rs
+++ b/crates/daisydrum/tests/seeded/path.rs
@@ -190,6 +190,7 @@
         name: name.to_owned(),
         service: String::from("engines"),
         stage: Some("prefill"),
+        software: String::from("v1"),
         events: 8,
         control: fleet.control_addresses(),
         listener,
--- a/crates/daisydrum/tests/seeded/spread.rs
+++ b/crates/daisydrum/tests/seeded/spread.rs
@@ -120,7 +120,7 @@
             }
             Some(Question::Holdings | Question::Suspicions) | None => Answer::Refused,
         };
-        exchange::encode(&answer)
+        exchange::encode_answer(&answer)
     }
 }
 
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -189,6 +189,48 @@
     pub tokens: u32,
 }
 
+/// Encodes targets, and after them the versions of their software, which instances of earlier builds leave unread.
+pub fn encode_targets(targets: &[Target]) -> Vec<u8> {
+    [encode(&targets), encode(&software(targets))].concat()
+}
+
+/// Decodes targets with or without the versions of their software; `None` if the bytes are not valid.
+pub fn decode_targets(bytes: &[u8]) -> Option<Vec<Target>> {
+    let (mut targets, rest) = postcard::take_from_bytes::<Vec<Target>>(bytes).ok()?;
+    set_software(&mut targets, rest);
+    Some(targets)
+}
+
+/// Encodes an answer. The versions of the targets' software follow it, which instances of earlier builds leave unread.
+pub fn encode_answer(answer: &Answer) -> Vec<u8> {
+    let mut bytes = encode(answer);
+    if let Answer::Update(update) = answer {
+        bytes.extend(encode(&software(&update.targets)));
+    }
+    bytes
+}
+
+/// Decodes an answer with or without the versions of the targets' software; `None` if the bytes are not valid.
+pub fn decode_answer(bytes: &[u8]) -> Option<Answer> {
+    let (mut answer, rest) = postcard::take_from_bytes::<Answer>(bytes).ok()?;
+    if let Answer::Update(update) = &mut answer {
+        set_software(&mut update.targets, rest);
+    }
+    Some(answer)
+}
+
+fn software(targets: &[Target]) -> Vec<&name::Software> {
+    targets.iter().map(|target| &target.software).collect()
+}
+
+/// Sets the targets' software from its encoding; it stays unknown if that is missing.
+fn set_software(targets: &mut [Target], bytes: &[u8]) {
+    let software: Vec<name::Software> = decode(bytes).unwrap_or_default();
+    for (target, software) in targets.iter_mut().zip(software) {
+        target.software = software;
+    }
+}
+
 /// Encodes a message.
 pub fn encode(message: &impl Serialize) -> Vec<u8> {
     postcard::to_stdvec(message).expect("invariant: messages always encode")
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -2,6 +2,8 @@
 //!
 //! Announcements may arrive late, twice and in any order. Of two announcements of one target, the one with the later
 //! process start wins, then the one with the higher sequence number, so all instances converge to the same state.
+//!
+//! [`exchange::encode_answer`]: crate::exchange::encode_answer
 
 use std::net::SocketAddr;
 
@@ -30,6 +32,9 @@
     pub slots: u32,
     /// Start of its process, in milliseconds since the Unix epoch by its own clock.
     pub started_unix_ms: u64,
+    /// Version of the software that it runs. It travels beside the other fields; see [`exchange::encode_answer`].
+    #[serde(skip)]
+    pub software: name::Software,
     /// Sequence number of the announcement; increases with each one of the same process.
     pub sequence: u64,
 }
@@ -120,7 +125,7 @@
     }
 
     /// Merges an announcement that came from the target itself or from another instance.
-    pub fn merge(&mut self, target: Target, now: Moment) -> Merge {
+    pub fn merge(&mut self, mut target: Target, now: Moment) -> Merge {
         let order = |target: &Target| (target.started_unix_ms, target.sequence, target.state);
         if let Some(entry) = self.entries.get(&target.name) {
             let known = &entry.target;
@@ -130,6 +135,9 @@
             if has_left || conflict || order(known) >= order(&target) {
                 return Merge::Stale;
             }
+            if same_start && target.software.0.is_empty() {
+                target.software = known.software.clone();
+            }
         }
         if target.state < State::Lost && self.has_later_at_address(&target) {
             return Merge::Stale;
@@ -225,6 +233,9 @@
 }
 
 /// The fields that requests depend on.
-fn routing_fields(target: &Target) -> (&name::Service, SocketAddr, State, Option<Stage>, u64) {
-    (&target.service, target.address, target.state, target.stage, target.started_unix_ms)
+fn routing_fields(
+    target: &Target,
+) -> (&name::Service, &name::Software, SocketAddr, State, Option<Stage>, u64) {
+    let Target { service, software, address, state, stage, started_unix_ms, .. } = target;
+    (service, software, *address, *state, *stage, *started_unix_ms)
 }
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -24,6 +24,7 @@
         stage: Some(Stage::Decode),
         slots: 64,
         started_unix_ms: started,
+        software: name::Software::from("v1"),
         sequence,
     }
 }
@@ -160,3 +161,40 @@
     let question = exchange::Question::Fetch { above: 4 };
     assert_eq!(exchange::decode(&exchange::encode(&question)), Some(question));
 }
+
+#[test]
+fn targets_carry_their_software_and_are_read_with_and_without_it() {
+    let targets = vec![target("a", 1, 5, 1, State::Ready), target("b", 2, 5, 1, State::Ready)];
+    let bytes = exchange::encode_targets(&targets);
+    assert_eq!(exchange::decode_targets(&bytes), Some(targets.clone()));
+    // An earlier build sends and reads the targets alone.
+    let unknown =
+        |target: &Target| Target { software: name::Software::default(), ..target.clone() };
+    let without: Vec<Target> = targets.iter().map(unknown).collect();
+    assert_eq!(exchange::decode_targets(&exchange::encode(&targets)), Some(without.clone()));
+    assert_eq!(exchange::decode::<Vec<Target>>(&bytes), Some(without));
+    let update = exchange::Update {
+        cursor: exchange::Cursor::default(),
+        contact: true,
+        version: 3,
+        targets,
+        changing: Vec::new(),
+        control: Vec::new(),
+        entries: Vec::new(),
+    };
+    let answer = exchange::Answer::Update(update);
+    assert_eq!(exchange::decode_answer(&exchange::encode_answer(&answer)), Some(answer));
+}
+
+#[test]
+fn a_process_keeps_its_software_when_an_earlier_build_reports_it() {
+    let mut registry = Registry::default();
+    registry.merge(target("a", 1, 5, 1, State::Ready), NOW);
+    let report = target("a", 1, 5, 2, State::Ready);
+    registry.merge(Target { software: name::Software::default(), ..report }, NOW);
+    let software =
+        |registry: &Registry| registry.target(&name::Target::from("a")).unwrap().software.clone();
+    assert_eq!(software(&registry), name::Software::from("v1"));
+    registry.merge(Target { software: "v2".into(), ..target("a", 1, 6, 1, State::Ready) }, NOW);
+    assert_eq!(software(&registry), name::Software::from("v2"));
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,7 +8,7 @@
     exchange::{Notice, Part, Suspicion},
 };
 use placement::{
-    balancer::{Key, selection::Plan},
+    balancer::{Entry, Key, selection::Plan},
     condition::Change,
     health::Outcome,
     quarantine::{self, Ticket},
@@ -200,11 +200,18 @@
         self.destination(key).map_or_else(String::new, |destination| destination.name.0)
     }
 
+    /// Version of the software of the target, for logs; empty if it isn't known.
+    fn software(&self) -> String {
+        let balancer = self.gateway.balancer();
+        let software = |entry: &Entry| entry.target.software.0.clone();
+        balancer.entry(self.plan.target).map(software).unwrap_or_default()
+    }
+
     /// Logs where the request is sent, with the predictions behind the decision.
     pub(crate) fn log_placement(&self, route: &str, run: u32, left: Duration) {
         let name = |key| self.target_name(key);
         debug!(self.gateway.log, "request_placed"; "id" => &self.id, "route" => route, "run" => run,
-            "target" => name(self.plan.target),
+            "target" => name(self.plan.target), "software" => self.software(),
             "prefill" => self.plan.prefill.map_or_else(String::new, name),
             "fetch" => self.plan.prefix_source.map_or_else(String::new, name),
             "fresh_tokens" => self.plan.uncached_tokens,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -91,6 +91,10 @@
     let cancelled = cancel::Token::new();
     let guard = cancelled.clone().drop_guard();
     let last_event_id = request.metadata.resume_after;
+    if let Some(resumes) = &request.metadata.resumes {
+        info!(request.gateway.log, "stream_taken_up"; "id" => &request.metadata.id,
+            "resumes" => resumes, "last_event" => ?last_event_id);
+    }
     let driver = Driver {
         request,
         output: Output::Head(head),
--- a/crates/placement/tests/support/fleet.rs
+++ b/crates/placement/tests/support/fleet.rs
@@ -385,6 +385,7 @@
         stage,
         slots: 64,
         started_unix_ms: 1,
+        software: name::Software::from("v1"),
         sequence: 1,
     }
 }
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -268,6 +268,7 @@
             name: format!("target-{number}-{}", target.generation),
             service: String::from(if is_engine { "engines" } else { "portal" }),
             stage: is_engine.then_some("decode"),
+            software: String::from("v1"),
             events: if is_engine { EVENTS } else { 0 },
             control: self.fleet.control_addresses(),
             listener,
