--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -3,10 +3,6 @@
 use std::{
     io::ErrorKind,
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
     time::{Duration, Instant},
 };
 
@@ -21,15 +17,15 @@
     header::TRANSFER_ENCODING,
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, sync::Notify, task::JoinHandle, time};
+use tokio::{net::TcpStream, task::JoinHandle, time};
 use wire::socket;
 
+use crate::transport::{Interim, Transport};
+
 /// Timeout for establishing a connection; round trips take a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum size of a connection's read buffer, in bytes.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
-/// Interim responses to a request before the connection is given up.
-const MAX_INTERIM_RESPONSES: u32 = 16;
 /// Idle time up to which a connection is reused; a shorter one follows if the target announces a short timeout.
 ///
 /// It is also the upper bound: a connection that was idle longer may have been closed by the target, whatever timeout
@@ -50,11 +46,6 @@
     /// The target may have received the request.
     #[display("the request may have been sent, but there is no response: {_0}")]
     MaybeSent(hyper::Error),
-    /// The target received the request and sent more interim responses (1xx) than any would.
-    #[display(
-        "the request was sent, but there is no response after {MAX_INTERIM_RESPONSES} interim ones"
-    )]
-    OnlyInterim,
 }
 
 /// Whether the end of a response's body is shown only by the end of its connection (RFC 9112, section 6.3, item 8).
@@ -68,6 +59,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    interim: Interim,
     idle_limit: Duration,
     idle_since: Instant,
 }
@@ -95,42 +87,33 @@
                 _ => not_sent(&error),
             })?;
         socket::configure(&stream).map_err(|error| not_sent(&error))?;
+        let interim = Interim::default();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Transport::new(stream, interim.clone())))
             .await
             .map_err(|error| not_sent(&error))?;
         let driver = tokio::spawn(async move {
             // The error also reaches `send` or the reader of the body.
             let _ended = connection.await;
         });
-        Ok(Connection { sender, driver, idle_limit: MAX_IDLE_TIME, idle_since: Instant::now() })
+        let idle_since = Instant::now();
+        Ok(Connection { sender, driver, interim, idle_limit: MAX_IDLE_TIME, idle_since })
     }
 
     /// Sends a request and returns the response head; the body is read from it.
     ///
     /// # Errors
     ///
-    /// Returns [`Error::NotSent`] if the connection was closed before the request, else [`Error::MaybeSent`] or
-    /// [`Error::OnlyInterim`].
+    /// Returns [`Error::NotSent`] if the connection was closed before the request, else [`Error::MaybeSent`].
     pub async fn send(
         &mut self,
         mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
-        let too_many = Arc::new(Notify::new());
-        let (received, exceeded) = (AtomicU32::new(0), Arc::clone(&too_many));
-        ext::on_informational(&mut request, move |_interim| {
-            if received.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
-                exceeded.notify_one();
-            }
-        });
-        let response = tokio::select! {
-            response = self.sender.send_request(request) => response,
-            () = too_many.notified() => {
-                self.driver.abort();
-                return Err(Error::OnlyInterim);
-            }
-        };
+        self.interim.reset();
+        let interim = self.interim.clone();
+        ext::on_informational(&mut request, move |_response| interim.count());
+        let response = self.sender.send_request(request).await;
         let response = response.map_err(|error| {
             if error.is_canceled() {
                 Error::NotSent(error.to_string())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,4 +18,5 @@
 mod dispatch;
 mod request;
 mod stream;
+mod transport;
 mod whole;
