Let a stream go on only at the software version that began it

Callers got streams that hold events of two software versions, which don't fit together. Cause: the version of a target's software was not decoded, and a resumption chose among all targets of the service; a caller that takes a stream up names the request that began it in Resumes, which nothing read. The class of fault: two things that look alike to the system don't fit together.

Within a response the version of the first event's target now restricts all further targets, also the receiver of a computed prompt. While a service has had several versions within the longest time in which callers return, the origin of a stream is recorded at three instances by rendezvous hashing before its first event is forwarded, and an instance that lacks it asks them. With one version only nothing is recorded or asked. A stream whose origin nobody knows goes on only if there was one version until shortly before; otherwise it is refused, not run. Split routes also keep to the service.

--- a/crates/daisydrum/src/seeded.rs
+++ b/crates/daisydrum/src/seeded.rs
@@ -9,6 +9,7 @@
 mod listener;
 mod notices;
 mod orders;
+mod origins;
 mod peers;
 mod reload;
 mod replicas;
--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -249,8 +249,11 @@
     /// Answers a question of another instance; long polls wait for an update.
     pub(crate) async fn answer(&self, question: Question) -> Answer {
         match question {
-            // Only entry instances know what engines have cached, and on which prompt parts they end.
-            Question::Holdings | Question::Suspicions => Answer::Refused,
+            // Only entry instances know what engines have cached and end on, and which streams have begun.
+            Question::Holdings
+            | Question::Suspicions
+            | Question::RecordOrigin { .. }
+            | Question::Origin { .. } => Answer::Refused,
             Question::Fetch { above } => {
                 let held = self.document();
                 let newer = held.filter(|document| document.version > above);
--- a/crates/daisydrum/src/seeded/entry.rs
+++ b/crates/daisydrum/src/seeded/entry.rs
@@ -14,7 +14,9 @@
 
 use crate::{
     error::Error,
-    seeded::{context::Context, directory::Directory, listener as http_listener, notices, warmup},
+    seeded::{
+        context::Context, directory::Directory, listener as http_listener, notices, origins, warmup,
+    },
     signal,
 };
 
@@ -61,8 +63,9 @@
         },
         seed: clock::unix_ns(),
     };
-    let (gateway, notices) = Gateway::new(options, context.log.clone());
-    notices::start(context, directory, &gateway, notices).await?;
+    let (gateway, outgoing) = Gateway::new(options, context.log.clone());
+    notices::start(context, directory, &gateway, outgoing.notices).await?;
+    origins::start(context, directory, &gateway, outgoing.questions);
     spawn(context, follow_targets(directory.clone(), Arc::clone(&gateway)));
     spawn(context, follow_documents(directory.clone(), Arc::clone(&gateway)));
     spawn(context, maintain(Arc::clone(&gateway)));
@@ -163,6 +166,7 @@
     loop {
         time::sleep(MAINTENANCE_INTERVAL).await;
         gateway.pool.evict_expired();
+        gateway.refresh_origins();
         metric::publish(&gateway);
     }
 }
--- a/crates/daisydrum/src/seeded/peers.rs
+++ b/crates/daisydrum/src/seeded/peers.rs
@@ -20,6 +20,7 @@
         control::Control,
         directory::Directory,
         entry::{Entry, bind, spawn},
+        origins,
         replicas::{BRANCH, Replicas},
     },
 };
@@ -37,6 +38,15 @@
 }
 
 impl Components {
+    /// Answers what is known of a stream's origin after `change`.
+    fn origin(&self, stream: &str, change: impl FnOnce(&Gateway)) -> Answer {
+        let Some(gateway) = &self.gateway else {
+            return Answer::Refused;
+        };
+        change(gateway);
+        origins::own_answer(gateway, stream)
+    }
+
     fn suspicions(&self) -> Answer {
         let known = self.gateway.as_ref().map(|gateway| gateway.quarantine.notices());
         known.map_or(Answer::Refused, Answer::Suspicions)
@@ -72,6 +82,10 @@
         let answer = match exchange::decode::<Question>(&question) {
             Some(Question::Holdings) => self.holdings(),
             Some(Question::Suspicions) => self.suspicions(),
+            Some(Question::RecordOrigin { stream, origin }) => {
+                self.origin(&stream, |gateway| gateway.origins.keep(&stream, origin))
+            }
+            Some(Question::Origin { stream }) => self.origin(&stream, |_| {}),
             Some(question) => self.directory.answer(question).await,
             None => Answer::Refused,
         };
--- a/crates/daisydrum/src/seeded/subscription.rs
+++ b/crates/daisydrum/src/seeded/subscription.rs
@@ -134,6 +134,7 @@
             Answer::Document(_)
             | Answer::Holdings(_)
             | Answer::Suspicions(_)
+            | Answer::Origin { .. }
             | Answer::Later
             | Answer::Refused => None,
         }
--- a/crates/daisydrum/src/seeded/warmup.rs
+++ b/crates/daisydrum/src/seeded/warmup.rs
@@ -117,7 +117,11 @@
             }
             Some(Answer::Later) => outcome = Outcome::Later,
             Some(
-                Answer::Update(_) | Answer::Document(_) | Answer::Refused | Answer::Suspicions(_),
+                Answer::Update(_)
+                | Answer::Document(_)
+                | Answer::Refused
+                | Answer::Suspicions(_)
+                | Answer::Origin { .. },
             )
             | None => {}
         }
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -61,6 +61,29 @@
     },
     /// Asks an entry instance which prompt parts have ended engines.
     Suspicions,
+    /// Asks an entry instance to keep the origin of a stream; answered with what it keeps.
+    RecordOrigin {
+        /// Id of the request that began the stream.
+        stream: String,
+        /// The origin.
+        origin: Origin,
+    },
+    /// Asks an entry instance for the origin of a stream.
+    Origin {
+        /// Id of the request that began the stream.
+        stream: String,
+    },
+}
+
+/// The service and the software version that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// The service.
+    pub service: name::Service,
+    /// The version of its target's software.
+    pub software: name::Software,
+    /// Number of the run that began the stream, from 0, among those of its request.
+    pub run: u32,
 }
 
 /// Changes at a control instance since a cursor.
@@ -97,6 +120,13 @@
     Refused,
     /// Answers [`Question::Suspicions`]: [`Notice::Suspicions`] only.
     Suspicions(Vec<Notice>),
+    /// Answers [`Question::RecordOrigin`] and [`Question::Origin`].
+    Origin {
+        /// The origin; `None` if it isn't known.
+        origin: Option<Origin>,
+        /// Time since the process started, in milliseconds; it knows of no origin from before.
+        running_ms: u64,
+    },
 }
 
 /// Datagram between entry instances, so that each knows the load that all of them put on the targets.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -20,6 +20,7 @@
 use crate::{
     connection::{self, Connection},
     metric,
+    request::Beginning,
     state::{Gateway, ms},
 };
 
@@ -93,6 +94,11 @@
         }
     }
 
+    /// The service of the target.
+    pub(crate) fn service(&self) -> &name::Service {
+        &self.service
+    }
+
     /// The parts of the prompt that other requests may share.
     fn shared_parts(&self) -> &[Part] {
         self.parts.split_last().map_or(&[], |(_own, shared)| shared)
@@ -200,18 +206,19 @@
         self.destination(key).map_or_else(String::new, |destination| destination.name.0)
     }
 
-    /// Version of the software of the target, for logs; empty if it isn't known.
-    fn software(&self) -> String {
+    /// The service and the software version of the target.
+    pub(crate) fn beginning(&self) -> Beginning {
         let balancer = self.gateway.balancer();
-        let software = |entry: &Entry| entry.target.software.0.clone();
-        balancer.entry(self.plan.target).map(software).unwrap_or_default()
+        let software = |entry: &Entry| entry.target.software.clone();
+        let software = balancer.entry(self.plan.target).map(software).unwrap_or_default();
+        Beginning { service: Some(self.service.clone()), software }
     }
 
     /// Logs where the request is sent, with the predictions behind the decision.
     pub(crate) fn log_placement(&self, route: &str, run: u32, left: Duration) {
         let name = |key| self.target_name(key);
         debug!(self.gateway.log, "request_placed"; "id" => &self.id, "route" => route, "run" => run,
-            "target" => name(self.plan.target), "software" => self.software(),
+            "target" => name(self.plan.target), "software" => %self.beginning().software,
             "prefill" => self.plan.prefill.map_or_else(String::new, name),
             "fetch" => self.plan.prefix_source.map_or_else(String::new, name),
             "fresh_tokens" => self.plan.uncached_tokens,
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -83,8 +83,9 @@
     let body = read_body(body, config.limits.body_bytes).await?;
     let route_timeout = config.routes[route].timeout;
     let timeout = metadata.timeout.map_or(route_timeout, |timeout| timeout.min(route_timeout));
+    let stream = metadata.resumes.as_ref().unwrap_or(&metadata.id);
     let draw =
-        random::mix(metadata.id.bytes().fold(0, |hash, byte| random::mix(hash ^ u64::from(byte))));
+        random::mix(stream.bytes().fold(0, |hash, byte| random::mix(hash ^ u64::from(byte))));
     Ok(Pending {
         gateway: Arc::clone(gateway),
         config,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,13 +3,14 @@
 //! [`listener`] accepts callers' connections and [`handler`] matches each request to a route. `request` selects
 //! targets and sends attempts to them, for `whole` (responses with a single body) and `stream` (event streams).
 //! [`connection`] and [`pool`] hold the connections to targets, [`state::Gateway`] the state that all requests share,
-//! and [`quarantine`] the parts of prompts that end engines.
+//! [`quarantine`] the parts of prompts that end engines, and [`origins`] the software versions that began streams.
 
 pub mod connection;
 pub mod error;
 pub mod handler;
 pub mod listener;
 pub mod metric;
+pub mod origins;
 pub mod pool;
 pub mod quarantine;
 pub mod state;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -56,7 +56,8 @@
     pub(crate) arrived: Moment,
     /// When the response must be complete.
     pub(crate) deadline: Moment,
-    /// Hash of the request's id, so that all attempts try the services of a split route in the same order.
+    /// Hash of the id of the request, or of the one that began its stream, so that all attempts try the services of a
+    /// split route in the same order.
     pub(crate) draw: u64,
 }
 
@@ -81,6 +82,16 @@
     budgeted: u32,
     /// Connections that could not be made.
     pub(crate) unreached: u32,
+    /// Where the stream began, at which alone it may go on.
+    pub(crate) began: Option<Beginning>,
+}
+
+/// Where a stream began.
+#[derive(Clone, Debug)]
+pub(crate) struct Beginning {
+    /// The service; `None` if the route's only one.
+    pub(crate) service: Option<name::Service>,
+    pub(crate) software: name::Software,
 }
 
 impl Progress {
@@ -114,6 +125,19 @@
         &self.config.routes[self.route]
     }
 
+    /// The service of the route, if it has only one.
+    pub(crate) fn sole_service(&self) -> Option<&name::Service> {
+        match self.route().service_order(self.draw)[..] {
+            [service] => Some(service),
+            _ => None,
+        }
+    }
+
+    /// Whether all targets that may serve the request have had one software version lately.
+    pub(crate) fn sole_version(&self) -> Option<name::Software> {
+        self.gateway.origins.sole_version(self.sole_service()?)
+    }
+
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.since(Moment::now())
     }
@@ -127,7 +151,8 @@
         let mut balancer = self.gateway.balancer();
         let order = self.route().service_order(self.draw);
         let served = order.iter().find(|service| balancer.serves(service)).or(order.first());
-        let Some(service) = served.copied().cloned() else {
+        let began = progress.began.as_ref().and_then(|began| began.service.as_ref());
+        let Some(service) = began.or(served.copied()).cloned() else {
             return Err(self.targets_full());
         };
         let counted = std::mem::replace(&mut progress.counted, true);
@@ -243,6 +268,7 @@
             output_tokens: u64::from(self.metadata.output_tokens.max(1)),
             target_latency,
             remaining,
+            software: progress.began.as_ref().map(|began| &began.software),
             avoid: &progress.avoid,
             permitted: None,
             retry: route.retry,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,7 +14,7 @@
 use slog::Logger;
 use tokio::sync::{mpsc, watch};
 
-use crate::{buffer, pool::Pool, quarantine};
+use crate::{buffer, origins, pool::Pool, quarantine};
 
 /// Capacity of the queue of notices to other instances; notices that find it full are dropped.
 pub const MAX_QUEUED_NOTICES: usize = 256;
@@ -32,6 +32,15 @@
     pub seed: u64,
 }
 
+/// What a gateway sends to other instances.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// Notices to all of them.
+    pub notices: mpsc::Receiver<exchange::Notice>,
+    /// Questions about streams to the instances that hold their origins.
+    pub questions: mpsc::Receiver<origins::Question>,
+}
+
 /// State that all requests of an instance share.
 #[derive(Debug)]
 pub struct Gateway {
@@ -51,15 +60,18 @@
     holdings_known: AtomicBool,
     /// Parts of prompts that end engines.
     pub quarantine: quarantine::Table,
+    /// Software versions that began streams.
+    pub origins: origins::Table,
     /// Memory of responses that are held until they can be forwarded.
     pub(crate) buffers: buffer::Budget,
     outgoing_notices: mpsc::Sender<exchange::Notice>,
 }
 
 impl Gateway {
-    /// Creates the state; the receiver yields the notices to send to other instances.
-    pub fn new(options: Options, log: Logger) -> (Arc<Gateway>, mpsc::Receiver<exchange::Notice>) {
-        let (outgoing_notices, receiver) = mpsc::channel(MAX_QUEUED_NOTICES);
+    /// Creates the state, and what it sends to other instances.
+    pub fn new(options: Options, log: Logger) -> (Arc<Gateway>, Outgoing) {
+        let (outgoing_notices, notices) = mpsc::channel(MAX_QUEUED_NOTICES);
+        let (origins, questions) = origins::Table::new();
         let gateway = Gateway {
             instance: options.instance.clone(),
             pool: Pool::default(),
@@ -76,10 +88,11 @@
             instances: AtomicUsize::new(1),
             holdings_known: AtomicBool::new(false),
             quarantine: quarantine::Table::default(),
+            origins,
             buffers: buffer::Budget::default(),
             outgoing_notices,
         };
-        (Arc::new(gateway), receiver)
+        (Arc::new(gateway), Outgoing { notices, questions })
     }
 
     /// The configuration in force, if there is one.
@@ -98,6 +111,8 @@
             return false;
         }
         self.balancer().configure(&config);
+        let longest = config.routes.iter().map(|route| route.timeout).max();
+        self.origins.set_longest_timeout(longest.unwrap_or_default());
         self.config.send_replace(Some(Arc::new(config)));
         *self.installed_at.lock().unwrap_or_else(PoisonError::into_inner) = Moment::now();
         true
@@ -122,9 +137,15 @@
 
     /// Adds a target or updates its state.
     pub fn update_target(&self, target: &Target) {
+        self.origins.see_target(target);
         self.balancer().update(target, Moment::now());
     }
 
+    /// Renews the known software versions, and forgets those that have gone and the origins of ended streams.
+    pub fn refresh_origins(&self) {
+        self.origins.refresh(self.balancer().software());
+    }
+
     /// Sets the engines that are about to change their stage; they get no new requests until they have.
     pub fn set_changing(&self, targets: &[name::Target]) {
         self.balancer().set_changing(targets);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -10,10 +10,17 @@
     body::{Body, Truncated},
     event::Splitter,
 };
-use fleet::config::{Delivery, Retry};
+use fleet::{
+    config::{Delivery, Retry},
+    exchange::Origin,
+};
 use http_body_util::{BodyExt, Limited};
 use hyper::{Response, body::Incoming};
-use placement::health::Outcome;
+use placement::{
+    balancer::selection::{Reason, Refusal},
+    continuity::{Answers, Decision},
+    health::Outcome,
+};
 use platform::request::Step;
 use slog::{debug, info};
 use tokio::{
@@ -26,7 +33,7 @@
     dispatch::Dispatch,
     error::Error,
     metric::{self, Stage},
-    request::{Execution, Pending, Progress},
+    request::{Beginning, Execution, Pending, Progress},
     state::ms,
 };
 
@@ -38,6 +45,10 @@
 const OVERDUE_MARGIN: Duration = Duration::from_millis(600);
 /// A stream that may be resumed is given up after a pause of this many times the route's gap between events.
 const SILENCE_GAP_FACTOR: u32 = 4;
+/// Longest wait until another instance has recorded where a stream begins; that is done while the prompt is computed.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(30);
+/// Retry-After if it isn't known where a stream began.
+const UNKNOWN_ORIGIN_RETRY: Duration = Duration::from_millis(400);
 /// Limit of the error response of an engine, in bytes.
 const MAX_ERROR_BYTES: usize = 1024 * 1024;
 /// Limit of a response to a prefill request, in bytes.
@@ -83,6 +94,12 @@
     /// Longest pause between two events.
     longest_pause: Duration,
     event_count: u32,
+    /// Where the stream begins if the current attempt brings the first event.
+    beginning: Option<Beginning>,
+    /// Times that this was recorded at other instances.
+    recordings: u32,
+    /// Notified once another instance has recorded it.
+    recorded: Option<oneshot::Receiver<()>>,
 }
 
 /// Serves a request; returns the response head, with a body that streams the events.
@@ -91,10 +108,6 @@
     let cancelled = cancel::Token::new();
     let guard = cancelled.clone().drop_guard();
     let last_event_id = request.metadata.resume_after;
-    if let Some(resumes) = &request.metadata.resumes {
-        info!(request.gateway.log, "stream_taken_up"; "id" => &request.metadata.id,
-            "resumes" => resumes, "last_event" => ?last_event_id);
-    }
     let driver = Driver {
         request,
         output: Output::Head(head),
@@ -104,6 +117,9 @@
         last_event_at: Moment::default(),
         longest_pause: Duration::ZERO,
         event_count: 0,
+        beginning: None,
+        recordings: 0,
+        recorded: None,
     };
     tokio::spawn(async move { cancelled.run_until_cancelled(driver.run()).await });
     let response = receiver.await.unwrap_or(Err(Error::TargetFailed))?;
@@ -133,6 +149,9 @@
 
     async fn run_attempts(&mut self) -> Result<(), Error> {
         let request = Arc::clone(&self.request);
+        if request.metadata.takes_stream_up() {
+            self.progress.began = Some(self.find_beginning().await?);
+        }
         loop {
             let mut dispatch = match request.dispatch(&mut self.progress) {
                 Ok(dispatch) => dispatch,
@@ -154,6 +173,55 @@
         }
     }
 
+    /// Finds out where the stream began that the request takes up.
+    async fn find_beginning(&self) -> Result<Beginning, Error> {
+        let request = &self.request;
+        let origins = &request.gateway.origins;
+        let service = request.sole_service();
+        let decision = if let Some(software) = request.sole_version() {
+            Decision::At { service: service.cloned(), software }
+        } else {
+            let answers = match &request.metadata.resumes {
+                Some(stream) => match origins.get(stream) {
+                    Some(origin) => Answers::Known(origin),
+                    None => origins.find(stream).await,
+                },
+                None => Answers::Missing,
+            };
+            origins.decide(service, answers)
+        };
+        info!(request.gateway.log, "stream_taken_up"; "id" => &request.metadata.id,
+            "resumes" => request.metadata.resumes.as_deref().unwrap_or_default(),
+            "last_event" => ?self.last_event_id, "decision" => ?decision);
+        match decision {
+            Decision::At { service, software } => Ok(Beginning { service, software }),
+            Decision::Refuse => Err(Error::Refused(Refusal {
+                reason: Reason::UnknownOrigin,
+                retry_after: UNKNOWN_ORIGIN_RETRY.min(request.remaining() / 3),
+                expected: None,
+            })),
+        }
+    }
+
+    /// Has other instances record where the stream begins, unless its service has had one software version lately.
+    fn record_beginning(&mut self, dispatch: &Dispatch) {
+        let request = &self.request;
+        let beginning = dispatch.beginning();
+        if self.first_event_at.is_none()
+            && request.route().retry == Retry::Resume
+            && request.sole_version().is_none()
+        {
+            // A stream that is taken up has the version that is recorded already; that is kept for longer.
+            let run = if self.progress.began.is_some() { u32::MAX } else { self.recordings };
+            self.recordings += 1;
+            let stream = request.metadata.resumes.as_ref().unwrap_or(&request.metadata.id);
+            let service = dispatch.service().clone();
+            let origin = Origin { service, software: beginning.software.clone(), run };
+            self.recorded = Some(request.gateway.origins.record(stream, origin));
+        }
+        self.beginning = Some(beginning);
+    }
+
     async fn attempt(&mut self, dispatch: &mut Dispatch) -> Ending {
         let request = Arc::clone(&self.request);
         let predicted = Duration::from_secs_f64(
@@ -191,6 +259,7 @@
             step = Step::Decode { address: source.address, handle: source.handle.clone() };
             prefilled = Some(source);
         }
+        self.record_beginning(dispatch);
         let limit = if self.may_resume() { overdue } else { request.remaining() };
         let key = dispatch.plan.target;
         let sent_at = Moment::now();
@@ -327,6 +396,13 @@
         if id.is_some() && id <= self.last_event_id {
             return true;
         }
+        if let Some(recorded) = self.recorded.take() {
+            // The caller must not have an event of a stream that it can't take up elsewhere, if that can be helped.
+            let _elapsed = time::timeout(RECORD_TIMEOUT, recorded).await;
+        }
+        if self.progress.began.is_none() {
+            self.progress.began = self.beginning.clone();
+        }
         self.last_event_id = id.or(self.last_event_id);
         self.event_count += 1;
         let now = Moment::now();
--- a/crates/placement/src/balancer.rs
+++ b/crates/placement/src/balancer.rs
@@ -211,6 +211,11 @@
         Some(self.entries.get(*key)?.target.address)
     }
 
+    /// Service and software version of each known target.
+    pub fn software(&self) -> impl Iterator<Item = (&name::Service, &name::Software)> {
+        self.entries.values().map(|entry| (&entry.target.service, &entry.target.software))
+    }
+
     /// Number of known targets.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/placement/src/balancer/choice.rs
+++ b/crates/placement/src/balancer/choice.rs
@@ -92,6 +92,9 @@
                 entry.target.state == State::Ready && !entry.changing && filter(entry)
             })
             .filter(|(key, _)| !criteria.avoid.contains(key))
+            .filter(|(_, entry)| {
+                criteria.software.is_none_or(|software| entry.target.software == *software)
+            })
             .filter(|(key, entry)| {
                 self.admission(*key, entry, criteria, now) == Some(Duration::ZERO)
             })
--- a/crates/placement/src/balancer/selection.rs
+++ b/crates/placement/src/balancer/selection.rs
@@ -22,6 +22,8 @@
     pub target_latency: Duration,
     /// Time left until the deadline of the request.
     pub remaining: Duration,
+    /// The only software version that may serve the request; any if none.
+    pub software: Option<&'a name::Software>,
     /// Targets that have failed or refused the request.
     pub avoid: &'a [Key],
     /// The target whose permit the request holds from an earlier selection.
@@ -97,4 +99,7 @@
     /// Engines end when they generate on a part of the prompt.
     #[display("a part of the prompt is quarantined")]
     Quarantined,
+    /// It isn't known which software version began the stream that the request takes up.
+    #[display("the software version of the stream is not known")]
+    UnknownOrigin,
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,14 +4,17 @@
 //! a request. It uses the models of each target: [`speed`] predicts prefill times, [`backlog`] the wait for requests
 //! sent earlier, [`cache`] which prompt prefixes are cached, and [`health`] which targets fail. [`condition`]
 //! keeps what targets say of themselves, [`quota`] divides their limits among the instances. [`retry`] limits the
-//! retries of the whole fleet. [`quarantine`] finds the parts of prompts that end engines.
+//! retries of the whole fleet. [`quarantine`] finds the parts of prompts that end engines,
+//! [`continuity`] decides where a stream may go on that broke off.
 
 pub mod backlog;
 pub mod balancer;
 pub mod cache;
 pub mod condition;
+pub mod continuity;
 pub mod health;
 pub mod quarantine;
 pub mod quota;
+pub mod rendezvous;
 pub mod retry;
 pub mod speed;
--- a/crates/placement/src/quota.rs
+++ b/crates/placement/src/quota.rs
@@ -1,8 +1,8 @@
 //! Division of a limit on requests to a target among all instances that send to it, without a message for each request.
 //!
 //! A limit is held by as many instances as can each send at least once in a turn of two seconds, the others send
-//! nothing. The holders are the first instances by a hash of the target and the instance (rendezvous hashing, Thaler
-//! and Ravishankar 1998), so instances that know the same fleet agree on them. Each holder has a token bucket with an
+//! nothing. The holders are the first instances for the target by [`crate::rendezvous`], so instances that know the same
+//! fleet agree on them. Each holder has a token bucket with an
 //! equal share of the rate and room for what accrues in one turn: in any window, all of them together send at most what
 //! the rate allows in the window and one turn.
 //!
@@ -11,9 +11,11 @@
 
 use std::time::Duration;
 
-use common::{clock::Moment, name, random};
+use common::{clock::Moment, name};
 use fleet::condition::Rate;
 
+use crate::rendezvous::rank;
+
 /// Time in which each holder of a limit may send at least one request.
 const TURN: Duration = Duration::from_secs(2);
 /// The instances that send requests, as one of them knows them.
@@ -41,7 +43,7 @@
     /// Whether this instance is the one of the fleet to act for a number, by the same hash as for limits; `false` while
     /// the others are not known.
     pub fn is_first(&self, number: u64) -> bool {
-        let key = name::Target(format!("{number:x}"));
+        let key = format!("{number:x}");
         let own = rank(&key, &self.own);
         self.others
             .as_ref()
@@ -55,8 +57,8 @@
             return 0.0;
         };
         let holders = holder_count(rate, others.len() + 1);
-        let own = rank(target, &self.own);
-        let ahead = others.iter().filter(|other| rank(target, other) < own).count();
+        let own = rank(&target.0, &self.own);
+        let ahead = others.iter().filter(|other| rank(&target.0, other) < own).count();
         if ahead < holders { rate / holders as f64 } else { 0.0 }
     }
 }
@@ -70,12 +72,6 @@
     ((rate * TURN.as_secs_f64()) as usize).clamp(1, instances)
 }
 
-/// Position of an instance among the holders of a target's limit; the instance breaks ties.
-fn rank<'a>(target: &name::Target, instance: &'a name::Instance) -> (u64, &'a name::Instance) {
-    let bytes = target.0.bytes().chain([0]).chain(instance.0.bytes());
-    (bytes.fold(0, |hash, byte| random::mix(hash ^ u64::from(byte))), instance)
-}
-
 /// Token bucket of one instance for one target. It starts empty, since others may just have sent.
 #[derive(Clone, Copy, Debug)]
 pub struct Bucket {
--- a/crates/placement/tests/parts.rs
+++ b/crates/placement/tests/parts.rs
@@ -38,6 +38,7 @@
         output_tokens: 50,
         target_latency: Duration::from_millis(target_ms),
         remaining: Duration::from_secs(5),
+        software: None,
         avoid: &[],
         permitted: None,
         retry: Retry::Never,
--- a/crates/placement/tests/support/fleet.rs
+++ b/crates/placement/tests/support/fleet.rs
@@ -235,6 +235,7 @@
             output_tokens: kind.output_tokens,
             target_latency: kind.target_latency,
             remaining: kind.timeout,
+            software: None,
             avoid: &[],
             permitted: None,
             retry: Retry::Never,
