--- a/crates/daisydrum/src/seeded/origins.rs
+++ b/crates/daisydrum/src/seeded/origins.rs
@@ -15,8 +15,9 @@
 
 /// Longest wait for an answer; round trips take a few milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
-/// Attempts to have an instance keep an origin.
+/// Attempts to have an instance keep an origin, and to ask it for one.
 const RECORD_ATTEMPTS: u32 = 3;
+const FIND_ATTEMPTS: u32 = 2;
 
 /// Starts to ask the questions of the request path.
 pub(crate) fn start(
@@ -73,8 +74,14 @@
     recorded: tokio::sync::oneshot::Sender<()>,
 ) {
     let mut recorded = Some(recorded);
-    let others = holders.into_iter().filter(|address| *address != context.identity.address);
+    let others: Vec<SocketAddr> =
+        holders.into_iter().filter(|address| *address != context.identity.address).collect();
+    if others.is_empty() {
+        // The request path has recorded it here.
+        let _ended = recorded.take().map(|recorded| recorded.send(()));
+    }
     let mut calls: FuturesUnordered<_> = others
+        .into_iter()
         .map(|address| async move {
             let question =
                 Question::RecordOrigin { stream: stream.to_owned(), origin: origin.clone() };
@@ -102,27 +109,29 @@
     stream: &str,
 ) -> Answers {
     let retention = gateway.origins.retention();
-    let mut answers = Answers::Missing;
-    let question = Question::Origin { stream: stream.to_owned() };
-    let question = &question;
+    let mut answers = Answers::Unknown;
+    let question = &Question::Origin { stream: stream.to_owned() };
     let mut calls: FuturesUnordered<_> = holders
         .into_iter()
         .map(|address| async move {
             if address == context.identity.address {
                 return Some(own_answer(gateway, stream));
             }
-            subscription::ask(context, address, question, ANSWER_TIMEOUT).await
+            for _ in 0..FIND_ATTEMPTS {
+                let answer = subscription::ask(context, address, question, ANSWER_TIMEOUT).await;
+                if answer.is_some() {
+                    return answer;
+                }
+            }
+            None
         })
         .collect();
     while let Some(answer) = calls.next().await {
         match answer {
             Some(Answer::Origin { origin: Some(origin), .. }) => return Answers::Known(origin),
             Some(Answer::Origin { origin: None, running_ms })
-                if Duration::from_millis(running_ms) >= retention =>
-            {
-                answers = Answers::Unknown;
-            }
-            _ => {}
+                if Duration::from_millis(running_ms) >= retention => {}
+            _ => answers = Answers::Missing,
         }
     }
     answers
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -100,6 +100,13 @@
         self.lock().versions.get(service)?.sole().cloned()
     }
 
+    /// The version that all targets of a service had before others came, if that was lately.
+    pub(crate) fn sole_before(&self, service: &name::Service) -> Option<name::Software> {
+        let inner = self.lock();
+        let versions = inner.versions.get(service)?;
+        versions.sole_before(inner.retention, Moment::now()).cloned()
+    }
+
     /// Number of streams whose origins are kept.
     pub(crate) fn len(&self) -> usize {
         self.lock().origins.len()
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -46,7 +46,7 @@
 /// A stream that may be resumed is given up after a pause of this many times the route's gap between events.
 const SILENCE_GAP_FACTOR: u32 = 4;
 /// Longest wait until another instance has recorded where a stream begins; that is done while the prompt is computed.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(30);
+const RECORD_TIMEOUT: Duration = Duration::from_millis(100);
 /// Retry-After if it isn't known where a stream began.
 const UNKNOWN_ORIGIN_RETRY: Duration = Duration::from_millis(400);
 /// Limit of the error response of an engine, in bytes.
@@ -222,6 +222,38 @@
         self.beginning = Some(beginning);
     }
 
+    /// Fixes where the stream begins, before its first event is forwarded.
+    ///
+    /// Returns `false` if no other instance has recorded that and one at which the caller takes the stream up would
+    /// suppose that it began at an earlier software version; the stream is then begun there.
+    async fn confirm_beginning(&mut self) -> bool {
+        let recorded = match self.recorded.take() {
+            Some(recorded) => matches!(time::timeout(RECORD_TIMEOUT, recorded).await, Ok(Ok(()))),
+            None => true,
+        };
+        if self.progress.began.is_some() {
+            return true;
+        }
+        let Some(beginning) = self.beginning.clone() else {
+            return true;
+        };
+        let service = self.request.sole_service();
+        let earlier = service.and_then(|service| self.request.gateway.origins.sole_before(service));
+        match earlier.filter(|earlier| *earlier != beginning.software) {
+            Some(earlier) if !recorded && self.may_resume() => {
+                info!(self.request.gateway.log, "origin_not_recorded";
+                    "id" => &self.request.metadata.id, "software" => %beginning.software,
+                    "earlier" => %earlier);
+                self.progress.began = Some(Beginning { software: earlier, ..beginning });
+                false
+            }
+            _ => {
+                self.progress.began = Some(beginning);
+                true
+            }
+        }
+    }
+
     async fn attempt(&mut self, dispatch: &mut Dispatch) -> Ending {
         let request = Arc::clone(&self.request);
         let predicted = Duration::from_secs_f64(
@@ -356,6 +388,9 @@
             }
             while let Some(event) = splitter.take() {
                 dispatch.record_event();
+                if !self.confirm_beginning().await {
+                    return Ending::Incomplete;
+                }
                 if !self.forward_event(event).await {
                     return Ending::CallerGone;
                 }
@@ -396,13 +431,6 @@
         if id.is_some() && id <= self.last_event_id {
             return true;
         }
-        if let Some(recorded) = self.recorded.take() {
-            // The caller must not have an event of a stream that it can't take up elsewhere, if that can be helped.
-            let _elapsed = time::timeout(RECORD_TIMEOUT, recorded).await;
-        }
-        if self.progress.began.is_none() {
-            self.progress.began = self.beginning.clone();
-        }
         self.last_event_id = id.or(self.last_event_id);
         self.event_count += 1;
         let now = Moment::now();
--- a/crates/placement/src/continuity.rs
+++ b/crates/placement/src/continuity.rs
@@ -5,6 +5,9 @@
 //! records its origin at a few others, the first for the stream by [`crate::rendezvous`], and an instance that takes it up
 //! asks them. While there has been one version only,
 //! nothing is recorded, and every stream goes on at that version.
+//!
+//! Shortly after a second version has come, a stream without an origin began at the first one: before, nothing was
+//! recorded, and since then an instance begins streams at other versions only if it reaches one that records them.
 
 use std::time::Duration;
 
@@ -117,7 +120,7 @@
 
     /// The version that all targets had before the others came, if that was so lately that a stream from then may still
     /// be taken up.
-    fn sole_before(&self, retention: Duration, now: Moment) -> Option<&name::Software> {
+    pub fn sole_before(&self, retention: Duration, now: Moment) -> Option<&name::Software> {
         let (oldest, oldest_seen) = self.versions.iter().min_by_key(|(_, seen)| seen.first)?;
         let others = self.versions.iter().filter(|(software, _)| *software != oldest);
         let next = others.map(|(_, seen)| seen.first).min()?;
@@ -130,9 +133,9 @@
 pub enum Answers {
     /// One of them knows it.
     Known(Origin),
-    /// At least one that has run for long enough doesn't, and none does.
+    /// All have answered, have run for long enough, and none does.
     Unknown,
-    /// None has answered that has run for long enough.
+    /// None that has answered does, but others have not, or have just started.
     Missing,
 }
 
