--- a/crates/daisydrum/tests/seeded/crash.rs
+++ b/crates/daisydrum/tests/seeded/crash.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 use yare::parameterized;
 
-use crate::fleet::{self, Fleet, until};
+use crate::fleet::{self, Fleet};
 
 const CRASHING_PART: u64 = 0xdead;
 const FIRST_PART: u64 = 0x5c1e_07a2;
@@ -33,13 +33,7 @@
         runners.push(Runner::start(&name, "engines", Some("decode"), 8, control.clone()).await);
     }
     fleet.until_ready().await;
-    until("the engines are known", async || {
-        fleet.entries.iter().all(|entry| {
-            let log = entry.log();
-            runners.iter().all(|runner| log.contains(&format!("target={}", runner.name)))
-        })
-    })
-    .await;
+    fleet::until_known(&fleet, &runners).await;
     (fleet, runners)
 }
 
--- a/crates/daisydrum/tests/seeded/fleet.rs
+++ b/crates/daisydrum/tests/seeded/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 
+use platform_standin::runner::Runner;
 use soak::fleet::Links;
 pub use soak::fleet::{Daemon, Fleet, Start, until};
 
@@ -14,6 +15,17 @@
     Fleet::new(binary(), name, Links::Direct)
 }
 
+/// Waits until all entry instances know these targets.
+pub async fn until_known(fleet: &Fleet, runners: &[Runner]) {
+    until("the targets are known", async || {
+        fleet.entries.iter().all(|entry| {
+            let log = entry.log();
+            runners.iter().all(|runner| log.contains(&format!("target={}", runner.name)))
+        })
+    })
+    .await;
+}
+
 /// Starts three control instances and one entry instance.
 pub fn start(name: &str) -> Fleet {
     Fleet::start(binary(), name)
--- a/crates/daisydrum/tests/seeded/software.rs
+++ b/crates/daisydrum/tests/seeded/software.rs
@@ -41,13 +41,7 @@
         }));
     }
     fleet.until_ready().await;
-    until("the engines are known", async || {
-        fleet.entries.iter().all(|entry| {
-            let log = entry.log();
-            engines.iter().all(|engine| log.contains(&format!("target={}", engine.name)))
-        })
-    })
-    .await;
+    fleet::until_known(&fleet, &engines).await;
     // Until then an instance may take itself for the only one.
     time::sleep(Duration::from_millis(2_500)).await;
     (fleet, engines)
