--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -2,8 +2,6 @@
 //!
 //! Announcements may arrive late, twice and in any order. Of two announcements of one target, the one with the later
 //! process start wins, then the one with the higher sequence number, so all instances converge to the same state.
-//!
-//! [`exchange::encode_answer`]: crate::exchange::encode_answer
 
 use std::net::SocketAddr;
 
@@ -32,7 +30,7 @@
     pub slots: u32,
     /// Start of its process, in milliseconds since the Unix epoch by its own clock.
     pub started_unix_ms: u64,
-    /// Version of the software that it runs. It travels beside the other fields; see [`exchange::encode_answer`].
+    /// Version of the software that it runs. It travels beside the other fields; see [`crate::exchange::encode_answer`].
     #[serde(skip)]
     pub software: name::Software,
     /// Sequence number of the announcement; increases with each one of the same process.
