Learn the quarantined parts once the other instances are known

It now waits until a control instance has named the others, and instances that have not learnt the parts themselves don't answer. It serves without them after 1.5 s, or as soon as all others have just started.

--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -236,6 +236,11 @@
         }
     }
 
+    /// Whether a control instance in contact with the leader has reported the other entry instances that it knows.
+    pub(crate) fn has_entries_report(&self) -> bool {
+        self.lock().entries_reported_at.is_some()
+    }
+
     /// Whether the other entry instances are known: all of them have polled a control instance since the first report.
     pub(crate) fn knows_entry_instances(&self, now: Moment) -> bool {
         self.lock().entries_reported_at.is_some_and(|at| now.since(at) >= ENTRIES_SETTLE_TIME)
--- a/crates/daisydrum/src/seeded/peers.rs
+++ b/crates/daisydrum/src/seeded/peers.rs
@@ -48,8 +48,8 @@
     }
 
     fn suspicions(&self) -> Answer {
-        let known = self.gateway.as_ref().map(|gateway| gateway.quarantine.notices());
-        known.map_or(Answer::Refused, Answer::Suspicions)
+        let gateway = self.gateway.as_ref().filter(|gateway| gateway.quarantine.is_known());
+        gateway.map_or(Answer::Refused, |gateway| Answer::Suspicions(gateway.quarantine.notices()))
     }
 
     fn holdings(&self) -> Answer {
--- a/crates/daisydrum/src/seeded/warmup.rs
+++ b/crates/daisydrum/src/seeded/warmup.rs
@@ -29,8 +29,10 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(60);
 /// Longest wait for a list, of which several hundred kilobytes take 0.4 s at 10 Mbit/s.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-/// Instances that are asked for the suspicions, and the longest wait for the small answer of each.
-const MAX_ASKED_FOR_SUSPICIONS: usize = 3;
+/// Time after which an instance serves without the suspicions; earlier if all others have just started, too.
+const SUSPICIONS_DEADLINE: Duration = Duration::from_millis(1_500);
+/// Instances that are asked for the suspicions in a round, and the longest wait for the small answer of each.
+const MAX_ASKED_FOR_SUSPICIONS: usize = 8;
 const SUSPICIONS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time that each entry instance whose name sorts before this one's gets before this one asks the engines itself.
 const TURN_DELAY: Duration = Duration::from_millis(250);
@@ -45,11 +47,13 @@
         time::sleep(RETRY_INTERVAL).await;
     }
     if context.settings.founding {
-        // The engines start together with the fleet, so their caches are empty.
+        // The engines start together with the fleet, so their caches are empty, and none has ended on a prompt.
+        gateway.quarantine.set_known();
         gateway.set_holdings_known();
         return;
     }
     learn_suspicions(&context, &directory, &gateway).await;
+    gateway.quarantine.set_known();
     let started = Instant::now();
     loop {
         match ask_instances(&context, &directory, &gateway).await {
@@ -83,23 +87,33 @@
     None,
 }
 
-/// Learns from another entry instance which prompt parts end engines, before this one serves. If none answers, the
-/// other instances' repairs bring the list later.
+/// Learns from another entry instance which prompt parts end engines, before this one serves. If none answers in time,
+/// the other instances' repairs bring the list later.
 async fn learn_suspicions(context: &Context, directory: &Directory, gateway: &Gateway) {
     let mut random = Random::new(clock::unix_ns());
-    let others =
-        warmup::order(directory.entry_instances(), &context.identity.data_centre, &mut random);
-    for identity in others.into_iter().take(MAX_ASKED_FOR_SUSPICIONS) {
-        let question = Question::Suspicions;
-        let answer =
-            subscription::ask(context, identity.address, &question, SUSPICIONS_TIMEOUT).await;
-        if let Some(Answer::Suspicions(notices)) = answer {
-            notices.iter().for_each(|notice| gateway.handle_notice(notice));
-            info!(gateway.log, "suspicions_learnt"; "from" => %identity.instance,
-                "notices" => notices.len());
-            return;
+    let started = Instant::now();
+    while started.elapsed() < SUSPICIONS_DEADLINE {
+        let others =
+            warmup::order(directory.entry_instances(), &context.identity.data_centre, &mut random);
+        let mut just_started = directory.has_entries_report();
+        for identity in others.into_iter().take(MAX_ASKED_FOR_SUSPICIONS) {
+            let question = Question::Suspicions;
+            let answer =
+                subscription::ask(context, identity.address, &question, SUSPICIONS_TIMEOUT).await;
+            if let Some(Answer::Suspicions(notices)) = answer {
+                notices.iter().for_each(|notice| gateway.handle_notice(notice));
+                info!(gateway.log, "suspicions_learnt"; "from" => %identity.instance,
+                    "notices" => notices.len());
+                return;
+            }
+            just_started &= answer == Some(Answer::Refused);
         }
+        if just_started {
+            break;
+        }
+        time::sleep(RETRY_INTERVAL).await;
     }
+    info!(gateway.log, "suspicions_not_learnt"; "others" => directory.entry_instances().len());
 }
 
 async fn ask_instances(context: &Context, directory: &Directory, gateway: &Gateway) -> Outcome {
--- a/crates/daisydrum/tests/seeded/crash.rs
+++ b/crates/daisydrum/tests/seeded/crash.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 use yare::parameterized;
 
-use crate::fleet::{self, Fleet};
+use crate::fleet::{self, Daemon, Fleet, until};
 
 const CRASHING_PART: u64 = 0xdead;
 const FIRST_PART: u64 = 0x5c1e_07a2;
@@ -104,7 +104,7 @@
     engines: usize,
 ) {
     let (fleet, engines) = start(&format!("seeded-crashing-{entries}"), entries, engines).await;
-    let callers: Vec<SocketAddr> = fleet.entries.iter().map(fleet::Daemon::callers).collect();
+    let callers: Vec<SocketAddr> = fleet.entries.iter().map(Daemon::callers).collect();
     let outcomes = Outcomes::default();
     let begin = Instant::now();
     let end = begin + Duration::from_secs(18);
@@ -129,3 +129,40 @@
     assert!(late <= MOST_ARRIVALS, "{figures}");
     assert!(after >= before / 2.0, "{figures}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_starts_refuses_a_quarantined_part_once_it_is_ready() {
+    let (mut fleet, engines) = start("seeded-crashing-started", 2, 3).await;
+    let callers: Vec<SocketAddr> = fleet.entries.iter().map(Daemon::callers).collect();
+    engines.iter().for_each(|engine| engine.set_crashing_part(Some(CRASHING_PART)));
+    let end = Instant::now() + Duration::from_secs(8);
+    send_crashing(callers, Duration::from_millis(120), end).await;
+    let quarantined =
+        |fleet: &Fleet| fleet.entries.iter().any(|entry| entry.log().contains("quarantined=true"));
+    assert!(quarantined(&fleet), "the part was not quarantined");
+    fleet.add_entry();
+    fleet.entries[0].kill();
+    fleet.entries[0].start();
+    fleet.until_ready().await;
+    let arrived = |engines: &[Runner]| {
+        engines.iter().map(|engine| engine.arrivals_with_part(CRASHING_PART).len()).sum::<usize>()
+    };
+    let before = arrived(&engines);
+    for (number, entry) in [(0, 0), (1, 2), (2, 0), (3, 2)] {
+        let refused = post(fleet.entries[entry].callers(), 1_000 + number, CRASHING_PART).await;
+        assert_eq!(refused.status, Some(503));
+        let pause = refused.retry_after.and_then(|pause| pause.parse::<f64>().ok());
+        assert!(pause.is_some_and(|pause| pause > 1.0), "{pause:?}");
+    }
+    assert_eq!(arrived(&engines), before);
+    // No answer has shown yet that the first part is sound. One instance may try it.
+    for (number, entry) in fleet.entries.iter().enumerate() {
+        until("sound requests are served", async || {
+            for other in &fleet.entries {
+                post(other.callers(), 2_000 + number, 0x50).await;
+            }
+            post(entry.callers(), 3_000 + number, 0x51).await.status == Some(200)
+        })
+        .await;
+    }
+}
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,7 +1,10 @@
 //! Parts of prompts that end engines: the state that all requests of an instance share, and the exchange of it with the
 //! other instances. The decisions are in [`placement::quarantine`].
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{
+    Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
 
 use common::{clock::Moment, collections::Map, name};
 use fleet::exchange::{MAX_SUSPICIONS, Notice, Part, Suspicion};
@@ -9,7 +12,10 @@
 
 /// The quarantine of each service.
 #[derive(Debug, Default)]
-pub struct Table(Mutex<Map<name::Service, Quarantine>>);
+pub struct Table {
+    services: Mutex<Map<name::Service, Quarantine>>,
+    known: AtomicBool,
+}
 
 impl Table {
     /// Admits a request with these shared parts; see [`Quarantine::admit`].
@@ -99,6 +105,16 @@
         tables.iter().flat_map(all).collect()
     }
 
+    /// Whether this instance has learnt what others know, and may answer those that start.
+    pub fn is_known(&self) -> bool {
+        self.known.load(Ordering::Acquire)
+    }
+
+    /// Records that this instance has learnt what others know.
+    pub fn set_known(&self) {
+        self.known.store(true, Ordering::Release);
+    }
+
     /// Number of quarantined parts of each service.
     pub(crate) fn quarantined(&self) -> Vec<(name::Service, usize)> {
         let tables = self.lock();
@@ -106,7 +122,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Map<name::Service, Quarantine>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
