Bound calls to peers that wait for their turn to be sent

The stacks show no timer pending: a call has a deadline only once the client has taken it over. Link::call now ends it after the timeout and drops the connection, so the next call opens a new one.

--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -12,6 +12,8 @@
 /// Largest message between daemons, in bytes.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that the client has beyond a call's timeout to report that itself.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
 /// Why a call to a peer failed.
 #[derive(Debug, Display, Error, From)]
@@ -58,7 +60,10 @@
         let client = self.client().await?;
         let mut context = context::current();
         context.deadline = std::time::Instant::now() + timeout;
-        let result = call(&client, context).await;
+        // A call that waits for its turn to be sent is not covered by the client's own deadline.
+        let result = time::timeout(timeout + ANSWER_MARGIN, call(&client, context))
+            .await
+            .unwrap_or(Err(client::RpcError::DeadlineExceeded));
         if result.is_err() {
             self.client.lock().await.take();
         }
--- /dev/null
+++ b/crates/wire/tests/link.rs
@@ -0,0 +1,22 @@
+//! Calls to peers end in time.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::time::{Duration, Instant};
+
+use tarpc::client::RpcError;
+use tokio::net::TcpListener;
+use wire::link::{Error, Link};
+
+#[tokio::test]
+async fn a_call_that_is_never_sent_ends_after_its_timeout() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let link = Link::new(listener.local_addr().unwrap());
+    let began = Instant::now();
+    let call = link.call(Duration::from_millis(100), async |_client, _context| {
+        std::future::pending::<Result<(), RpcError>>().await
+    });
+    let ended = tokio::time::timeout(Duration::from_secs(10), call).await;
+    assert!(matches!(ended, Ok(Err(Error::Call(RpcError::DeadlineExceeded)))), "{ended:?}");
+    assert!(began.elapsed() >= Duration::from_millis(100));
+}
