Log why a stream was cut, and requests whose connection ended before a response

stream_broke_off, stream_cut and daisydrum_streams_cut_total name the cause (silence, connection lost, error response, ...), stream_cut also why there was no further run; request_unanswered names a request that was read and whose connection ended before a response, connection_failed its reason. Without these, silence, a lost connection, a full memory and a missing target looked alike. No decision changes.

--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -13,7 +13,7 @@
     header::HOST,
     http::request::Parts,
 };
-use slog::{debug, info};
+use slog::{Logger, debug, info};
 
 use crate::{
     error::Error,
@@ -34,6 +34,7 @@
     let arrived = Moment::now();
     let (head, body) = request.into_parts();
     let id = platform::request::id(&head.headers);
+    let unanswered = Unanswered::new(&gateway, &id, arrived);
     let result = match prepare(&gateway, head, body, arrived).await {
         Ok(request) => serve(Arc::new(request)).await,
         Err(error) => {
@@ -42,12 +43,41 @@
             Err(error)
         }
     };
+    unanswered.record_answer();
     let response = result.unwrap_or_else(|error| error.response());
     let status = response.status().as_u16().to_string();
     metrics::counter!("daisydrum_requests_total", "status" => status).increment(1);
     Ok(response)
 }
 
+/// Logs a request whose connection ended before there was a response.
+struct Unanswered {
+    log: Logger,
+    id: String,
+    arrived: Moment,
+    answered: bool,
+}
+
+impl Unanswered {
+    fn new(gateway: &Gateway, id: &str, arrived: Moment) -> Unanswered {
+        Unanswered { log: gateway.log.clone(), id: id.to_owned(), arrived, answered: false }
+    }
+
+    fn record_answer(mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if !self.answered {
+            metrics::counter!("daisydrum_requests_unanswered_total").increment(1);
+            info!(self.log, "request_unanswered"; "id" => &self.id,
+                "ms" => ms(Moment::now().since(self.arrived)));
+        }
+    }
+}
+
 async fn serve(request: Arc<Pending>) -> Result<Response<Body>, Error> {
     let result = match request.route().delivery {
         Delivery::Stream { .. } => stream::run(Arc::clone(&request)).await,
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -89,6 +89,13 @@
         }
     };
     if let Err(error) = ended {
-        debug!(log, "connection_failed"; "error" => %error);
+        let reason = if error.is_timeout() {
+            "idle"
+        } else if error.is_user() {
+            "response ended early"
+        } else {
+            "caller or network"
+        };
+        debug!(log, "connection_failed"; "reason" => reason, "error" => %error);
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -8,6 +8,7 @@
 use std::{sync::Arc, time::Duration};
 
 use common::{cancel, clock::Moment};
+use derive_more::Display;
 use entry::{
     body::{Body, Truncated},
     event::Splitter,
@@ -67,11 +68,37 @@
     /// No target ran the request.
     NotRun,
     /// The target may have run the request, and the stream is incomplete.
-    Incomplete,
+    Incomplete(Cause),
     /// The caller has closed the connection.
     CallerGone,
 }
 
+/// Why a stream went no further.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum Cause {
+    /// The target sent nothing for too long.
+    #[display("silence")]
+    Silence,
+    /// The connection to the target was lost, or the target ended the response early.
+    #[display("connection lost")]
+    ConnectionLost,
+    /// The target responded with an error, or with what is no response to the request.
+    #[display("error response")]
+    ErrorResponse,
+    /// The target sent an event that is too large.
+    #[display("oversized event")]
+    OversizedEvent,
+    /// The responses of other requests hold all of the memory.
+    #[display("no memory")]
+    NoMemory,
+    /// It wasn't recorded elsewhere where the stream begins.
+    #[display("origin not recorded")]
+    OriginNotRecorded,
+    /// The deadline passed.
+    #[display("deadline")]
+    Deadline,
+}
+
 /// Serves one request: runs its attempts and forwards events to the caller.
 struct Driver {
     request: Arc<Pending>,
@@ -91,6 +118,10 @@
     recordings: u32,
     /// Notified once another instance has recorded it.
     recorded: Option<oneshot::Receiver<()>>,
+    /// Why the last attempt ended early.
+    cause: Option<Cause>,
+    /// Why no further attempt was made.
+    denied: Option<String>,
 }
 
 /// Serves a request; returns the response head, with a body that streams the events.
@@ -111,6 +142,8 @@
         beginning: None,
         recordings: 0,
         recorded: None,
+        cause: None,
+        denied: None,
     };
     tokio::spawn(async move { cancelled.run_until_cancelled(driver.run()).await });
     let response = receiver.await.unwrap_or(Err(Error::TargetFailed))?;
@@ -122,7 +155,10 @@
         let request = Arc::clone(&self.request);
         let outcome = match time::timeout(request.remaining(), self.run_attempts()).await {
             Ok(outcome) => outcome,
-            Err(_elapsed) => Err(Error::Timeout),
+            Err(_elapsed) => {
+                self.cause = Some(Cause::Deadline);
+                Err(Error::Timeout)
+            }
         };
         if let Some(first_event_at) = self.first_event_at {
             metric::observe(Stage::FirstEvent, first_event_at.since(request.arrived));
@@ -146,15 +182,22 @@
         loop {
             let mut dispatch = match request.dispatch(&mut self.progress) {
                 Ok(dispatch) => dispatch,
-                Err(_) if self.progress.runs > 0 => return Err(Error::TargetFailed),
+                Err(error) if self.progress.runs > 0 => {
+                    self.denied = Some(error.to_string());
+                    return Err(Error::TargetFailed);
+                }
                 Err(error) => return Err(error),
             };
             match self.attempt(&mut dispatch).await {
                 Ending::Complete | Ending::Forwarded | Ending::CallerGone => return Ok(()),
                 Ending::NotRun => continue,
-                Ending::Incomplete => self.progress.runs += 1,
+                Ending::Incomplete(cause) => {
+                    self.cause = Some(cause);
+                    self.progress.runs += 1;
+                }
             }
             if !request.may_retry(&self.progress) || !dispatch.may_retry() {
+                self.denied = Some(String::from("the request may not run again"));
                 return Err(Error::TargetFailed);
             }
             metrics::counter!("daisydrum_streams_resumed_total").increment(1);
@@ -211,7 +254,7 @@
                 "limit_ms" => ms(limit));
             dispatch.record_outcome(key, Outcome::Broken);
             self.progress.avoid.push(key);
-            return Ending::Incomplete;
+            return Ending::Incomplete(Cause::Silence);
         };
         match execution {
             Execution::Responded(response, connection) => {
@@ -232,10 +275,10 @@
                 }
                 Ending::NotRun
             }
-            Execution::MayHaveRun => Ending::Incomplete,
+            Execution::MayHaveRun => Ending::Incomplete(Cause::ErrorResponse),
             Execution::Disconnected => {
                 dispatch.examine_end().await;
-                Ending::Incomplete
+                Ending::Incomplete(Cause::ConnectionLost)
             }
         }
     }
@@ -274,10 +317,9 @@
         let mut splitter = Splitter::default();
         let mut reservation = self.request.gateway.buffers.reservation();
         let mut limit = first_event_limit;
-        let mut disconnected = false;
-        loop {
+        let cause = loop {
             let Ok(frame) = time::timeout(limit, body.frame()).await else {
-                break;
+                break Cause::Silence;
             };
             let bytes = match frame {
                 None if splitter.is_empty()
@@ -287,39 +329,36 @@
                     dispatch.record_success();
                     return Ending::Complete;
                 }
-                None | Some(Err(_)) => {
-                    disconnected = true;
-                    break;
-                }
+                None | Some(Err(_)) => break Cause::ConnectionLost,
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             if splitter.push(&bytes).is_err() {
-                break;
+                break Cause::OversizedEvent;
             }
             while let Some(event) = splitter.take() {
                 dispatch.record_event();
                 if !self.confirm_beginning().await {
-                    return Ending::Incomplete;
+                    return Ending::Incomplete(Cause::OriginNotRecorded);
                 }
                 if !self.forward_event(event).await {
                     return Ending::CallerGone;
                 }
             }
             if !reservation.resize(splitter.len()) {
-                break;
+                break Cause::NoMemory;
             }
             limit = self.pause_limit();
-        }
+        };
         info!(self.request.gateway.log, "stream_broke_off"; "id" => &self.request.metadata.id,
             "target" => dispatch.target_name(key), "parts" => self.request.metadata.shared_part_ids(),
-            "last_event" => ?self.last_event_id, "limit_ms" => ms(limit),
+            "last_event" => ?self.last_event_id, "cause" => %cause, "limit_ms" => ms(limit),
             "ms" => self.request.age_ms());
         dispatch.record_outcome(key, Outcome::Broken);
-        if disconnected {
+        if cause == Cause::ConnectionLost {
             dispatch.examine_end().await;
         }
         self.progress.avoid.push(key);
-        Ending::Incomplete
+        Ending::Incomplete(cause)
     }
 
     /// Whether an unframed response that ended between two events is complete.
@@ -372,13 +411,13 @@
                 info!(self.request.gateway.log, "response_not_read";
                     "id" => &self.request.metadata.id, "target" => dispatch.target_name(key),
                     "fault" => %error);
-                return Ending::Incomplete;
+                return Ending::Incomplete(Cause::ErrorResponse);
             }
         };
         let buffered = crate::whole::Buffered { head, body, _reservation: reservation };
         let is_final = !self.may_resume();
         if !is_final || buffered.head.status.is_success() || buffered.reads_as_not_run() {
-            return Ending::Incomplete;
+            return Ending::Incomplete(Cause::ErrorResponse);
         }
         match std::mem::replace(&mut self.output, Output::Closed) {
             Output::Head(caller) => {
@@ -387,7 +426,7 @@
             }
             output @ (Output::Events(_) | Output::Closed) => {
                 self.output = output;
-                Ending::Incomplete
+                Ending::Incomplete(Cause::ErrorResponse)
             }
         }
     }
@@ -398,11 +437,15 @@
                 let _closed = caller.send(Err(error));
             }
             Output::Events(events) => {
-                metrics::counter!("daisydrum_streams_cut_total").increment(1);
+                let cause = self.cause.map(|cause| cause.to_string()).unwrap_or_default();
+                metrics::counter!("daisydrum_streams_cut_total", "cause" => cause.clone())
+                    .increment(1);
                 info!(self.request.gateway.log, "stream_cut"; "id" => &self.request.metadata.id,
                     "route" => &self.request.route().name, "runs" => self.progress.runs,
-                    "last_event" => ?self.last_event_id, "ms" => self.request.age_ms(),
-                    "fault" => %error);
+                    "last_event" => ?self.last_event_id, "cause" => cause,
+                    "denied" => self.denied.take().unwrap_or_default(),
+                    "ms" => self.request.age_ms(), "fault" => %error,
+                    "config" => self.request.config.version);
                 let _closed = events.send(Err(Truncated)).await;
             }
             Output::Closed => {}
