Keep the run of a silent target while another one is tried

What callers saw: streams cut, and whole requests answered with a 502 or with another target's error, while the target was sound, paused for a second or two and would have gone on. Silence was taken for an end: after a limit the gateway closed the connection and only then looked for another target; where none took the request the answer had ended for good.

Ruled out as the cause of these: reloads, stops and changes of the configuration (the same cuts come without them, the log names silence each time), and the memory for held responses.

Now a silent run is kept (placement::hedge). Another one is started beside it where the route, the retry budget and the attempts allow it, over a new connection to the same target if there is no other one, since a connection may be silent for good. The first that brings the next event or the response goes on. Runs claim their attempt before they are sent to the target that answers, so that no more than max_attempts reach one, and of a request that may run once only one: such a request has another prompt computed beside a silent one, as before.

--- a/crates/daisydrum/tests/seeded/silence.rs
+++ b/crates/daisydrum/tests/seeded/silence.rs
@@ -126,26 +126,29 @@
 ) {
     let (fleet, engines, _) = start(&format!("seeded-pause-{name}"), 1, 3, 1).await;
     engines[0].set_behaviour(Behaviour::Pause(point, 2 * PAUSE));
-    // Only streams that begin at the pausing engine count: the attempts of the others may be used up before they reach it.
-    let other_parts = [0xb0, 0xb1];
-    for number in 0..6 {
-        engines[1..].iter().for_each(|engine| engine.set_behaviour(Behaviour::Reject));
-        let to = fleet.entries[0].callers();
-        let id = format!("b{number}");
-        let parts = [other_parts[number % 2], 0xc0 + number as u64];
-        let stream = tokio::spawn(async move {
-            client::post_stream_with_parts(to, "/summary/1", &id, &parts).await
-        });
-        fleet::until("the engine has the stream", async || {
-            engines[0].runs().iter().any(|run| run.id == format!("b{number}"))
+    // Streams begin at the pausing engine, since the others reject them until it has all of them.
+    engines[1..].iter().for_each(|engine| engine.set_behaviour(Behaviour::Reject));
+    let to = fleet.entries[0].callers();
+    let streams: Vec<_> = (0..6)
+        .map(|number| {
+            let (id, parts) = (format!("b{number}"), [0xb0, 0xc0 + number]);
+            tokio::spawn(async move {
+                client::post_stream_with_parts(to, "/summary/1", &id, &parts).await
+            })
         })
-        .await;
-        engines[1..].iter().for_each(|engine| engine.set_behaviour(others));
+        .collect();
+    fleet::until("the engine has the streams", async || {
+        let runs = engines[0].runs();
+        (0..6).all(|number| runs.iter().any(|run| run.id == format!("b{number}")))
+    })
+    .await;
+    engines[1..].iter().for_each(|engine| engine.set_behaviour(others));
+    let events: Vec<u64> = (1..=EVENTS).collect();
+    for stream in streams {
         let stream = stream.await.unwrap();
-        let events: Vec<u64> = (1..=EVENTS).collect();
         assert_eq!(
             (stream.status, stream.whole, client::event_ids(&stream.body)),
-            (Some(200), true, events),
+            (Some(200), true, events.clone()),
             "{stream:?}"
         );
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -20,7 +20,7 @@
 use crate::{
     connection::{self, Connection},
     metric,
-    request::Beginning,
+    progress::Beginning,
     state::{Gateway, ms},
 };
 
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     error::Error,
+    progress::Shared,
     request::Pending,
     state::{Gateway, ms},
     stream, whole,
@@ -128,6 +129,7 @@
         arrived,
         deadline: arrived + timeout,
         draw,
+        progress: Shared::default(),
     })
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod buffer;
 mod dispatch;
+mod progress;
 mod request;
 mod stream;
 mod transport;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -42,6 +42,8 @@
     Any,
     /// Only those to a recently active target: the request can't be retried. Otherwise a new connection is opened.
     IfRecentlyActive,
+    /// None: another connection to the target is silent, and idle ones may be, too.
+    Never,
 }
 
 /// Whether a connection was used before.
@@ -117,7 +119,10 @@
     fn take_idle(&self, address: SocketAddr, reuse: Reuse) -> Option<Connection> {
         let mut targets = self.lock();
         let entry = targets.get_mut(&address)?;
-        if entry.suspect || (reuse == Reuse::IfRecentlyActive && !entry.is_recently_active()) {
+        if entry.suspect
+            || reuse == Reuse::Never
+            || (reuse == Reuse::IfRecentlyActive && !entry.is_recently_active())
+        {
             return None;
         }
         while let Some(connection) = entry.idle.pop() {
--- /dev/null
+++ b/crates/gateway/src/progress.rs
@@ -0,0 +1,168 @@
+//! What happened in the attempts of a request so far.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use common::name;
+use placement::balancer::Key;
+use tokio::sync::Notify;
+
+/// What happened in the attempts of a request so far.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    /// Targets that failed, rejected it or could not be reached.
+    pub(crate) avoid: Vec<Key>,
+    /// Targets of live runs that are silent.
+    pub(crate) silent: Vec<Key>,
+    /// Times that the request ran or may have run, besides separate prefills and live runs.
+    pub(crate) runs: u32,
+    /// Runs that have not ended.
+    pub(crate) live: u32,
+    /// Live runs in which the request is sent to the target that answers it; see [`Claim`].
+    claimed: u32,
+    /// Rejections by targets that did not run it.
+    pub(crate) rejections: u32,
+    /// Prefills sent to another engine than the one that decodes, which may have accepted them.
+    pub(crate) prefills: u32,
+    /// Whether an engine has accepted one of them; until then each counts as a send.
+    prefill_accepted: bool,
+    /// Sends to targets that count for the retry budget.
+    pub(crate) sends: u32,
+    /// Whether the request was added to the retry budget.
+    pub(crate) counted: bool,
+    /// Sends that the retry budget has paid for, including the first one, which is free.
+    pub(crate) budgeted: u32,
+    /// Connections that could not be made.
+    pub(crate) unreached: u32,
+    /// Where the stream began, at which alone it may go on.
+    pub(crate) began: Option<Beginning>,
+}
+
+/// Where a stream began.
+#[derive(Clone, Debug)]
+pub(crate) struct Beginning {
+    /// The service; `None` if the route's only one.
+    pub(crate) service: Option<name::Service>,
+    pub(crate) software: name::Software,
+}
+
+impl Progress {
+    /// Records that a run has ended.
+    pub(crate) fn end_run(&mut self) {
+        self.live = self.live.saturating_sub(1);
+    }
+
+    /// Whether all live runs wait for their prompts to be computed elsewhere.
+    pub(crate) fn is_prompt_awaited(&self) -> bool {
+        self.claimed == 0 && self.runs == 0
+    }
+
+    /// Claims one of `limit` runs, if that is possible now or may be later.
+    fn claim(&mut self, limit: u32) -> Availability {
+        if self.runs + self.claimed + self.prefills.saturating_sub(1) < limit {
+            self.claimed += 1;
+            Availability::Now
+        } else if self.claimed > 0 {
+            Availability::Later
+        } else {
+            Availability::Never
+        }
+    }
+
+    /// Records that a target rejected the request.
+    pub(crate) fn record_rejection(&mut self, key: Key) {
+        self.rejections += 1;
+        self.avoid.push(key);
+    }
+
+    /// Records that a target could not be reached.
+    pub(crate) fn record_unreached(&mut self, key: Key) {
+        self.unreached += 1;
+        self.avoid.push(key);
+    }
+
+    /// Records that the request is sent to a target.
+    pub(crate) fn record_send(&mut self) {
+        self.sends += 1;
+    }
+
+    /// Records that no byte of a send reached the target.
+    pub(crate) fn withdraw_send(&mut self) {
+        self.sends = self.sends.saturating_sub(1);
+    }
+
+    /// Records that an engine has accepted a prefill: the first one belongs to the run that follows it.
+    pub(crate) fn record_prefill_accepted(&mut self) {
+        if !std::mem::replace(&mut self.prefill_accepted, true) {
+            self.withdraw_send();
+        }
+    }
+
+    /// Attempts used up: the first separate prefill belongs to the run that follows it, further ones count.
+    pub(crate) fn attempts(&self) -> u32 {
+        self.runs + self.live.max(self.claimed) + self.prefills.saturating_sub(1)
+    }
+}
+
+/// Whether a run can be claimed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Availability {
+    Now,
+    /// When another run that has claimed one turns out not to have run.
+    Later,
+    Never,
+}
+
+/// The progress of one request, which its runs share.
+#[derive(Debug, Default)]
+pub(crate) struct Shared {
+    progress: Mutex<Progress>,
+    /// Notified when a claim has ended.
+    claim_ended: Notify,
+}
+
+impl Shared {
+    /// The progress, locked.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Claims one of `limit` runs of the request before it is sent to the target that answers it, so that no more of
+    /// the runs beside each other reach one; waits while others that have claimed one may turn out not to have run.
+    ///
+    /// Returns nothing if all are used up.
+    pub(crate) async fn claim(&self, limit: u32) -> Option<Claim<'_>> {
+        loop {
+            let ended = self.claim_ended.notified();
+            let availability = self.lock().claim(limit);
+            match availability {
+                Availability::Now => return Some(Claim { shared: self, ran: true }),
+                Availability::Later => ended.await,
+                Availability::Never => return None,
+            }
+        }
+    }
+}
+
+/// A claimed run. Unless it is withdrawn the target may have run the request.
+#[derive(Debug)]
+pub(crate) struct Claim<'a> {
+    shared: &'a Shared,
+    ran: bool,
+}
+
+impl Claim<'_> {
+    /// Gives the run back: the target did not run the request.
+    pub(crate) fn withdraw(mut self) {
+        self.ran = false;
+    }
+}
+
+impl Drop for Claim<'_> {
+    fn drop(&mut self) {
+        let mut progress = self.shared.lock();
+        progress.claimed -= 1;
+        progress.runs += u32::from(self.ran);
+        drop(progress);
+        self.shared.claim_ended.notify_waiters();
+    }
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,29 +1,38 @@
 //! A caller's request while it is served: selects targets, sends attempts and limits retries, for both kinds of
 //! delivery.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+mod send;
+
+use std::{
+    sync::{Arc, MutexGuard},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use common::{clock::Moment, name};
-use fleet::config::{Config, Retry, Route};
-use http_body_util::{Full, Limited};
-use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming};
+use fleet::{
+    config::{Config, Retry, Route},
+    exchange,
+};
+use hyper::{HeaderMap, Method, Response, Uri, body::Incoming};
 use placement::{
     balancer::{
         Balancer, Key,
         selection::{Criteria, Decision, Plan, Prefill, Reason, Refusal},
     },
     health::Outcome,
+    hedge::Another,
     quarantine::Trials,
 };
-use platform::request::{Attempt, Metadata, Step};
+use platform::request::Metadata;
 use slog::info;
+use tokio::sync::oneshot;
 
 use crate::{
-    connection::{self, Connection},
-    dispatch::{Admission, Destination, Dispatch},
+    connection::Connection,
+    dispatch::{Admission, Dispatch},
     error::Error,
-    pool::{Origin, Reuse},
+    progress::{Beginning, Claim, Progress, Shared},
     state::{Gateway, ms},
 };
 
@@ -35,9 +44,7 @@
 /// and is sent again by its caller.
 const NEW_REQUEST_SHARE: f64 = 0.9;
 /// Time that a response needs on its way back to the caller.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
-/// Limit of the response to the release of a computed prompt, in bytes.
-const MAX_RELEASE_BYTES: usize = 4 * 1024;
+pub(crate) const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
 /// Retry-After where targets rejected a request or could not be reached.
 const TARGETS_FULL_RETRY: Duration = Duration::from_millis(250);
 
@@ -59,53 +66,19 @@
     /// Hash of the id of the request, or of the one that began its stream, so that all attempts try the services of a
     /// split route in the same order.
     pub(crate) draw: u64,
+    /// What happened in its attempts so far.
+    pub(crate) progress: Shared,
 }
 
-/// What happened in the attempts of a request so far.
-#[derive(Debug, Default)]
-pub(crate) struct Progress {
-    /// Targets that failed, rejected it or could not be reached.
-    pub(crate) avoid: Vec<Key>,
-    /// Times that the request ran or may have run, besides separate prefills.
-    pub(crate) runs: u32,
-    /// Rejections by targets that did not run it.
-    pub(crate) rejections: u32,
-    /// Prefills sent to another engine than the one that decodes, which may have accepted them.
-    pub(crate) prefills: u32,
-    /// Whether an engine has accepted one of them; until then each counts as a send.
-    prefill_accepted: bool,
-    /// Sends to targets that count for the retry budget.
-    sends: u32,
-    /// Whether the request was added to the retry budget.
-    counted: bool,
-    /// Sends that the retry budget has paid for, including the first one, which is free.
-    budgeted: u32,
-    /// Connections that could not be made.
-    pub(crate) unreached: u32,
-    /// Where the stream began, at which alone it may go on.
-    pub(crate) began: Option<Beginning>,
-}
-
-/// Where a stream began.
-#[derive(Clone, Debug)]
-pub(crate) struct Beginning {
-    /// The service; `None` if the route's only one.
-    pub(crate) service: Option<name::Service>,
-    pub(crate) software: name::Software,
-}
-
-impl Progress {
-    /// Records that an engine has accepted a prefill: the first one belongs to the run that follows it.
-    pub(crate) fn record_prefill_accepted(&mut self) {
-        if !std::mem::replace(&mut self.prefill_accepted, true) {
-            self.sends = self.sends.saturating_sub(1);
-        }
-    }
-
-    /// Attempts used up: the first separate prefill belongs to the run that follows it, further ones count.
-    fn attempts(&self) -> u32 {
-        self.runs + self.prefills.saturating_sub(1)
-    }
+/// What a run waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Awaited {
+    /// The prompt that an engine computes for another one.
+    Prompt,
+    /// The response, or the first event of a stream.
+    Answer,
+    /// The next event of a stream.
+    Event,
 }
 
 /// Whether a target ran the request of an attempt.
@@ -138,12 +111,21 @@
         self.gateway.origins.sole_version(self.sole_service()?)
     }
 
+    /// What happened in the attempts so far, locked.
+    pub(crate) fn progress(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock()
+    }
+
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.since(Moment::now())
     }
 
     /// Selects a target, pays for the send from the retry budget and counts the request at the target.
-    pub(crate) fn dispatch(&self, progress: &mut Progress) -> Result<Dispatch, Error> {
+    ///
+    /// A target whose run is silent is selected only if there is no other; its next run uses a new connection.
+    pub(crate) fn dispatch(&self) -> Result<Dispatch, Error> {
+        let mut progress = self.progress();
+        let progress = &mut *progress;
         if progress.rejections >= MAX_REJECTIONS || progress.unreached >= MAX_UNREACHED {
             return Err(self.targets_full());
         }
@@ -156,8 +138,17 @@
             return Err(self.targets_full());
         };
         let counted = std::mem::replace(&mut progress.counted, true);
+        let others: Vec<Key> = progress.avoid.iter().chain(&progress.silent).copied().collect();
         let mut criteria = self.criteria(&service, progress);
-        let mut plan = self.choose(&mut balancer, &criteria, now)?;
+        let mut plan = if progress.silent.is_empty() {
+            self.choose(&mut balancer, &criteria, now)?
+        } else {
+            criteria.avoid = &others;
+            self.choose(&mut balancer, &criteria, now).or_else(|_| {
+                criteria.avoid = &progress.avoid;
+                self.choose(&mut balancer, &criteria, now)
+            })?
+        };
         if !counted {
             self.gateway.count_request(&service);
         }
@@ -175,13 +166,14 @@
         }
         let (number, notices) = balancer.record_dispatch(&plan, &criteria, now);
         progress.budgeted = budgeted;
+        progress.live += 1;
         drop(balancer);
         self.gateway.notify_peers(notices);
         let gateway = Arc::clone(&self.gateway);
         let dispatch = Dispatch::new(gateway, plan, number, &self.metadata, admission, now);
         dispatch.log_placement(
             &self.route().name,
-            progress.runs + progress.rejections + 1,
+            progress.runs + progress.live + progress.rejections,
             self.remaining(),
         );
         Ok(dispatch)
@@ -232,18 +224,14 @@
     }
 
     /// Selects again the target that takes over a computed prompt; `false` if there is none.
-    pub(crate) fn choose_receiver(
-        &self,
-        dispatch: &mut Dispatch,
-        from: Key,
-        progress: &Progress,
-    ) -> bool {
+    pub(crate) fn choose_receiver(&self, dispatch: &mut Dispatch, from: Key) -> bool {
         let now = Moment::now();
+        let progress = self.progress();
         let mut balancer = self.gateway.balancer();
         let Some(service) = balancer.entry(from).map(|entry| entry.target.service.clone()) else {
             return false;
         };
-        let mut criteria = self.criteria(&service, progress);
+        let mut criteria = self.criteria(&service, &progress);
         criteria.permitted = Some(dispatch.plan.target);
         let Some(receiver) = balancer.choose_receiver(from, &criteria, now) else {
             return false;
@@ -258,7 +246,8 @@
     fn criteria<'a>(&'a self, service: &'a name::Service, progress: &'a Progress) -> Criteria<'a> {
         let route = self.route();
         let remaining = self.remaining();
-        let is_retry = remaining < route.timeout.mul_f64(NEW_REQUEST_SHARE) || progress.runs > 0;
+        let is_retry = remaining < route.timeout.mul_f64(NEW_REQUEST_SHARE)
+            || progress.runs + progress.live > 0;
         // A retry by the caller or after a run has missed the target latency already; it is served until its deadline.
         let target_latency = if is_retry { remaining } else { route.target_latency };
         Criteria {
@@ -280,7 +269,8 @@
         }
     }
 
-    fn targets_full(&self) -> Error {
+    /// Refuses the request, since targets rejected it or didn't respond.
+    pub(crate) fn targets_full(&self) -> Error {
         let retry_after = TARGETS_FULL_RETRY.min(self.remaining() / 3);
         Error::Refused(Refusal { reason: Reason::TargetsFull, retry_after, expected: None })
     }
@@ -293,164 +283,77 @@
                 && progress.runs + progress.prefills < route.max_attempts)
     }
 
-    /// Whether another run is allowed after one that failed.
-    pub(crate) fn may_retry(&self, progress: &Progress) -> bool {
-        let route = self.route();
-        route.retry != Retry::Never
-            && progress.attempts() < route.max_attempts
-            && self.remaining() > RESPONSE_MARGIN
+    /// Whether another run may be started now.
+    pub(crate) fn may_retry(&self) -> bool {
+        self.has_attempts_left() && self.remaining() > RESPONSE_MARGIN
     }
 
-    /// Whether another run would be allowed if the next one fails.
-    pub(crate) fn may_retry_after_next(&self, progress: &Progress) -> bool {
+    /// Whether the route allows another run, besides those that have ended and those that are live.
+    pub(crate) fn has_attempts_left(&self) -> bool {
         let route = self.route();
-        route.retry != Retry::Never && progress.attempts() + 1 < route.max_attempts
+        route.retry != Retry::Never && self.progress().attempts() < route.max_attempts
     }
 
-    /// Sends the request to a target and waits for the response head.
-    pub(crate) async fn send(
-        &self,
-        dispatch: &Dispatch,
-        key: Key,
-        progress: &mut Progress,
-        step: Step,
-        resume_after: Option<u64>,
-    ) -> Execution {
-        let Some(destination) = dispatch.destination(key) else {
-            return Execution::NotRun;
-        };
-        let retryable = step == Step::Prefill || self.may_retry_after_next(progress);
-        let reuse = if retryable { Reuse::Any } else { Reuse::IfRecentlyActive };
-        loop {
-            let (connection, origin) =
-                match self.gateway.pool.take(destination.address, reuse).await {
-                    Ok(taken) => taken,
-                    Err(error) => {
-                        progress.avoid.push(key);
-                        progress.unreached += 1;
-                        return self.record_unreachable(dispatch, key, &destination, &error);
-                    }
-                };
-            progress.sends += 1;
-            let prefix_source =
-                dispatch.plan.prefix_source.filter(|_| !matches!(step, Step::Decode { .. }));
-            let attempt = Attempt {
-                target: destination.name.clone(),
-                remaining: self.remaining(),
-                priority: self.route().priority,
-                resume_after,
-                prefix_source: prefix_source
-                    .and_then(|key| dispatch.destination(key))
-                    .map(|holder| holder.address),
-                step: step.clone(),
-            };
-            let outgoing = self.outgoing(&attempt);
-            match self.exchange(dispatch, key, connection, outgoing).await {
-                // The target closed a reused connection before any byte was sent: send again.
-                Err(connection::Error::NotSent(_)) if origin == Origin::Reused => {
-                    progress.sends = progress.sends.saturating_sub(1);
-                }
-                Err(error) => {
-                    info!(self.gateway.log, "attempt_failed"; "id" => &self.metadata.id,
-                        "target" => %destination.name, "parts" => self.metadata.shared_part_ids(),
-                        "fault" => %error);
-                    dispatch.record_outcome(key, Outcome::Broken);
-                    progress.avoid.push(key);
-                    return Execution::Disconnected;
-                }
-                Ok(execution) => {
-                    if matches!(execution, Execution::NotRun) {
-                        progress.rejections += 1;
-                    }
-                    if !matches!(execution, Execution::Responded(..)) {
-                        progress.avoid.push(key);
-                    }
-                    return execution;
-                }
-            }
-        }
+    /// [`Pending::may_retry`], for the decisions of [`placement::hedge`].
+    pub(crate) fn another(&self) -> Another {
+        if self.may_retry() { Another::Allowed } else { Another::Denied }
     }
 
-    fn record_unreachable(
+    /// Has other instances record where the stream begins if its run number `run` brings the first event.
+    pub(crate) fn record_origin(
         &self,
-        dispatch: &Dispatch,
-        key: Key,
-        destination: &Destination,
-        error: &connection::Error,
-    ) -> Execution {
-        info!(self.gateway.log, "target_not_reached"; "id" => &self.metadata.id,
-            "target" => %destination.name, "fault" => %error);
-        dispatch.record_outcome(key, Outcome::Unreached);
-        Execution::NotRun
+        beginning: &Beginning,
+        service: &name::Service,
+        run: u32,
+    ) -> oneshot::Receiver<()> {
+        let stream = self.metadata.resumes.as_ref().unwrap_or(&self.metadata.id);
+        let (service, software) = (service.clone(), beginning.software.clone());
+        self.gateway.origins.record(stream, exchange::Origin { service, software, run })
     }
 
-    async fn exchange(
-        &self,
-        dispatch: &Dispatch,
-        key: Key,
-        mut connection: Connection,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Execution, connection::Error> {
-        let sent_at = Moment::now();
-        let response = connection.send(request).await?;
-        if let Some(destination) = dispatch.destination(key) {
-            self.gateway.pool.mark_alive(destination.address);
-        }
-        let (status, headers) = (response.status(), response.headers());
-        if !platform::response::matches_request(headers, &self.metadata.id) {
-            // A surplus response to an earlier request: the response to this one can't be identified any more.
-            info!(self.gateway.log, "answer_of_another_request"; "id" => &self.metadata.id);
-            dispatch.record_outcome(key, Outcome::Error);
-            return Ok(Execution::MayHaveRun);
+    /// Whether another run may be started while one is silent. One that may not be repeated may be started while the
+    /// prompt is computed: of several, one claims the only run.
+    pub(crate) fn may_run_beside(&self) -> bool {
+        match self.route().retry {
+            Retry::Never => self.progress().is_prompt_awaited(),
+            Retry::Idempotent | Retry::Resume => self.has_attempts_left(),
         }
-        if !platform::response::is_misdirected(status) {
-            dispatch.record_report(key, &platform::response::report(status, headers), sent_at);
-        }
-        if platform::response::is_not_run(status, headers) {
-            let misdirected = platform::response::is_misdirected(status);
-            info!(self.gateway.log, "target_refused"; "id" => &self.metadata.id,
-                "status" => status.as_u16());
-            dispatch
-                .record_outcome(key, if misdirected { Outcome::Broken } else { Outcome::Refusal });
-            return Ok(Execution::NotRun);
-        }
-        Ok(Execution::Responded(response, connection))
     }
 
-    fn outgoing(&self, attempt: &Attempt) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = platform::request::forwarded_headers(&self.headers, attempt);
-        request
+    /// Claims a run before the request is sent to the target that answers it; nothing if none is left.
+    pub(crate) async fn claim(&self) -> Option<Claim<'_>> {
+        let limit = match self.route().retry {
+            Retry::Never => 1,
+            Retry::Idempotent | Retry::Resume => self.route().max_attempts.max(1),
+        };
+        self.progress.claim(limit).await
     }
 
-    /// Releases a computed prompt that no target will take over; where that fails, the engine's handle expires.
-    pub(crate) fn release_handle(&self, address: SocketAddr, handle: &str) {
-        let pool = self.gateway.pool.clone();
-        let path = platform::engine::handle_path(handle);
-        let host = address.to_string();
-        tokio::spawn(async move {
-            let Ok((mut connection, _)) = pool.take(address, Reuse::Any).await else {
-                return;
-            };
-            let request = Request::builder()
-                .method(Method::DELETE)
-                .uri(path)
-                .header(hyper::header::HOST, host)
-                .body(Full::default());
-            let Ok(request) = request else {
-                return;
-            };
-            let limit = Duration::from_secs(1);
-            if let Ok(Ok(response)) = tokio::time::timeout(limit, connection.send(request)).await {
-                let body = Limited::new(response.into_body(), MAX_RELEASE_BYTES);
-                let drained = http_body_util::BodyExt::collect(body);
-                if tokio::time::timeout(limit, drained).await.is_ok_and(|body| body.is_ok()) {
-                    pool.put(address, connection);
-                }
-            }
-        });
+    /// Records that the target of a live run is silent.
+    pub(crate) fn record_silent(&self, key: Key, awaited: Awaited) {
+        self.progress().silent.push(key);
+        let gateway = &self.gateway;
+        let ejected = gateway.balancer().record_outcome(key, Outcome::Silent, Moment::now());
+        let target = gateway.balancer().entry(key).map(|entry| entry.target.clone());
+        let Some(target) = target else {
+            return;
+        };
+        gateway.pool.mark_suspect(target.address);
+        let (id, ms) = (&self.metadata.id, self.age_ms());
+        match awaited {
+            Awaited::Prompt => info!(gateway.log, "prompt_overdue"; "id" => id,
+                "target" => %target.name, "left_out" => ejected, "ms" => ms),
+            Awaited::Answer => info!(gateway.log, "answer_overdue"; "id" => id,
+                "target" => %target.name, "left_out" => ejected, "ms" => ms),
+            Awaited::Event => info!(gateway.log, "stream_silent"; "id" => id,
+                "target" => %target.name, "left_out" => ejected, "ms" => ms),
+        }
+    }
+
+    /// Records that a target that was silent has sent something.
+    pub(crate) fn record_heard(&self, key: Key) {
+        self.progress().silent.retain(|silent| *silent != key);
+        self.gateway.balancer().record_heard(key);
     }
 
     /// Milliseconds on the instance's clock.
--- /dev/null
+++ b/crates/gateway/src/request/send.rs
@@ -0,0 +1,173 @@
+//! Sends a request to one target.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use common::clock::Moment;
+use http_body_util::{Full, Limited};
+use hyper::{Method, Request};
+use placement::{balancer::Key, health::Outcome};
+use platform::request::{Attempt, Step};
+use slog::info;
+
+use crate::{
+    connection::{self, Connection},
+    dispatch::{Destination, Dispatch},
+    pool::{Origin, Reuse},
+    request::{Execution, Pending},
+};
+
+/// Limit of the response to the release of a computed prompt, in bytes.
+const MAX_RELEASE_BYTES: usize = 4 * 1024;
+
+impl Pending {
+    /// Sends the request to a target and waits for the response head.
+    pub(crate) async fn send(
+        &self,
+        dispatch: &Dispatch,
+        key: Key,
+        step: Step,
+        resume_after: Option<u64>,
+    ) -> Execution {
+        let Some(destination) = dispatch.destination(key) else {
+            return Execution::NotRun;
+        };
+        let reuse = if self.progress().silent.contains(&key) {
+            Reuse::Never
+        } else if step == Step::Prefill || self.has_attempts_left() {
+            Reuse::Any
+        } else {
+            Reuse::IfRecentlyActive
+        };
+        loop {
+            let (connection, origin) =
+                match self.gateway.pool.take(destination.address, reuse).await {
+                    Ok(taken) => taken,
+                    Err(error) => {
+                        self.progress().record_unreached(key);
+                        return self.record_unreachable(dispatch, key, &destination, &error);
+                    }
+                };
+            self.progress().record_send();
+            let prefix_source =
+                dispatch.plan.prefix_source.filter(|_| !matches!(step, Step::Decode { .. }));
+            let attempt = Attempt {
+                target: destination.name.clone(),
+                remaining: self.remaining(),
+                priority: self.route().priority,
+                resume_after,
+                prefix_source: prefix_source
+                    .and_then(|key| dispatch.destination(key))
+                    .map(|holder| holder.address),
+                step: step.clone(),
+            };
+            let outgoing = self.outgoing(&attempt);
+            match self.exchange(dispatch, key, connection, outgoing).await {
+                // The target closed a reused connection before any byte was sent: send again.
+                Err(connection::Error::NotSent(_)) if origin == Origin::Reused => {
+                    self.progress().withdraw_send();
+                }
+                Err(error) => {
+                    info!(self.gateway.log, "attempt_failed"; "id" => &self.metadata.id,
+                        "target" => %destination.name, "parts" => self.metadata.shared_part_ids(),
+                        "fault" => %error);
+                    dispatch.record_outcome(key, Outcome::Broken);
+                    self.progress().avoid.push(key);
+                    return Execution::Disconnected;
+                }
+                Ok(execution) => {
+                    match execution {
+                        Execution::Responded(..) => {}
+                        Execution::NotRun => self.progress().record_rejection(key),
+                        Execution::MayHaveRun | Execution::Disconnected => {
+                            self.progress().avoid.push(key);
+                        }
+                    }
+                    return execution;
+                }
+            }
+        }
+    }
+
+    fn record_unreachable(
+        &self,
+        dispatch: &Dispatch,
+        key: Key,
+        destination: &Destination,
+        error: &connection::Error,
+    ) -> Execution {
+        info!(self.gateway.log, "target_not_reached"; "id" => &self.metadata.id,
+            "target" => %destination.name, "fault" => %error);
+        dispatch.record_outcome(key, Outcome::Unreached);
+        Execution::NotRun
+    }
+
+    async fn exchange(
+        &self,
+        dispatch: &Dispatch,
+        key: Key,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Execution, connection::Error> {
+        let sent_at = Moment::now();
+        let response = connection.send(request).await?;
+        if let Some(destination) = dispatch.destination(key) {
+            self.gateway.pool.mark_alive(destination.address);
+        }
+        let (status, headers) = (response.status(), response.headers());
+        if !platform::response::matches_request(headers, &self.metadata.id) {
+            // A surplus response to an earlier request: the response to this one can't be identified any more.
+            info!(self.gateway.log, "answer_of_another_request"; "id" => &self.metadata.id);
+            dispatch.record_outcome(key, Outcome::Error);
+            return Ok(Execution::MayHaveRun);
+        }
+        if !platform::response::is_misdirected(status) {
+            dispatch.record_report(key, &platform::response::report(status, headers), sent_at);
+        }
+        if platform::response::is_not_run(status, headers) {
+            let misdirected = platform::response::is_misdirected(status);
+            info!(self.gateway.log, "target_refused"; "id" => &self.metadata.id,
+                "status" => status.as_u16());
+            dispatch
+                .record_outcome(key, if misdirected { Outcome::Broken } else { Outcome::Refusal });
+            return Ok(Execution::NotRun);
+        }
+        Ok(Execution::Responded(response, connection))
+    }
+
+    fn outgoing(&self, attempt: &Attempt) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = platform::request::forwarded_headers(&self.headers, attempt);
+        request
+    }
+
+    /// Releases a computed prompt that no target will take over; where that fails, the engine's handle expires.
+    pub(crate) fn release_handle(&self, address: SocketAddr, handle: &str) {
+        let pool = self.gateway.pool.clone();
+        let path = platform::engine::handle_path(handle);
+        let host = address.to_string();
+        tokio::spawn(async move {
+            let Ok((mut connection, _)) = pool.take(address, Reuse::Any).await else {
+                return;
+            };
+            let request = Request::builder()
+                .method(Method::DELETE)
+                .uri(path)
+                .header(hyper::header::HOST, host)
+                .body(Full::default());
+            let Ok(request) = request else {
+                return;
+            };
+            let limit = Duration::from_secs(1);
+            if let Ok(Ok(response)) = tokio::time::timeout(limit, connection.send(request)).await {
+                let body = Limited::new(response.into_body(), MAX_RELEASE_BYTES);
+                let drained = http_body_util::BodyExt::collect(body);
+                if tokio::time::timeout(limit, drained).await.is_ok_and(|body| body.is_ok()) {
+                    pool.put(address, connection);
+                }
+            }
+        });
+    }
+}
--- a/crates/gateway/src/stream/beginning.rs
+++ b/crates/gateway/src/stream/beginning.rs
@@ -2,20 +2,21 @@
 
 use std::time::Duration;
 
-use fleet::{config::Retry, exchange::Origin};
 use placement::{
     balancer::selection::{Reason, Refusal},
     continuity::{Answers, Decision},
+    hedge,
 };
 use slog::info;
 use tokio::time;
 
-use crate::{dispatch::Dispatch, error::Error, request::Beginning, stream::Driver};
+use crate::{error::Error, progress::Beginning, stream::Driver};
 
 /// Longest wait until another instance has recorded where a stream begins; that is done while the prompt is computed.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(100);
 /// Retry-After if it isn't known where a stream began.
 const UNKNOWN_ORIGIN_RETRY: Duration = Duration::from_millis(400);
+
 impl Driver {
     /// Finds out where the stream began that the request takes up.
     pub(super) async fn find_beginning(&self) -> Result<Beginning, Error> {
@@ -47,40 +48,33 @@
         }
     }
 
-    /// Has other instances record where the stream begins, unless its service has had one software version lately.
-    pub(super) fn record_beginning(&mut self, dispatch: &Dispatch) {
-        let request = &self.request;
-        let beginning = dispatch.beginning();
-        if self.first_event_at.is_none()
-            && request.route().retry == Retry::Resume
-            && request.sole_version().is_none()
-        {
-            // A stream that is taken up has the version that is recorded already; that is kept for longer.
-            let run = if self.progress.began.is_some() { u32::MAX } else { self.recordings };
-            self.recordings += 1;
-            let stream = request.metadata.resumes.as_ref().unwrap_or(&request.metadata.id);
-            let service = dispatch.service().clone();
-            let origin = Origin { service, software: beginning.software.clone(), run };
-            self.recorded = Some(request.gateway.origins.record(stream, origin));
-        }
-        self.beginning = Some(beginning);
-    }
-
-    /// Fixes where the stream begins, before its first event is forwarded.
+    /// Fixes where the stream begins, before its first event is forwarded, which `run` has brought.
     ///
     /// Returns `false` if no other instance has recorded that and one at which the caller takes the stream up would
     /// suppose that it began at an earlier software version; the stream is then begun there.
-    pub(super) async fn confirm_beginning(&mut self) -> bool {
-        let recorded = match self.recorded.take() {
-            Some(recorded) => matches!(time::timeout(RECORD_TIMEOUT, recorded).await, Ok(Ok(()))),
-            None => true,
-        };
-        if self.progress.began.is_some() {
+    pub(super) async fn confirm_beginning(&mut self, run: hedge::Run) -> bool {
+        if self.request.progress().began.is_some() {
             return true;
         }
-        let Some(beginning) = self.beginning.clone() else {
+        let Some(live) = self.runs.iter_mut().find(|live| live.run == run) else {
+            return true;
+        };
+        let Some(beginning) = live.beginning.clone() else {
             return true;
         };
+        let mut recorded = live.recorded.take();
+        let started = self.race.started();
+        if recorded.is_some()
+            && run.0 + 1 < started
+            && let Some(service) = &beginning.service
+        {
+            // A later run may have had another origin recorded, which would hold otherwise.
+            recorded = Some(self.request.record_origin(&beginning, service, started));
+        }
+        let recorded = match recorded {
+            Some(recorded) => matches!(time::timeout(RECORD_TIMEOUT, recorded).await, Ok(Ok(()))),
+            None => true,
+        };
         let service = self.request.sole_service();
         let earlier = service.and_then(|service| self.request.gateway.origins.sole_before(service));
         match earlier.filter(|earlier| *earlier != beginning.software) {
@@ -88,11 +82,11 @@
                 info!(self.request.gateway.log, "origin_not_recorded";
                     "id" => &self.request.metadata.id, "software" => %beginning.software,
                     "earlier" => %earlier);
-                self.progress.began = Some(Beginning { software: earlier, ..beginning });
+                self.request.progress().began = Some(Beginning { software: earlier, ..beginning });
                 false
             }
             _ => {
-                self.progress.began = Some(beginning);
+                self.request.progress().began = Some(beginning);
                 true
             }
         }
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -1,13 +1,22 @@
 //! Requests whose response has a single body.
 
-use std::time::Duration;
+use std::{
+    future::{self, Future},
+    pin::Pin,
+    task::Poll,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use common::clock::Moment;
 use entry::body::Body;
 use fleet::config::Retry;
 use hyper::{Response, StatusCode, body::Incoming, http::response};
-use placement::health::Outcome;
+use placement::{
+    balancer::Key,
+    health::Outcome,
+    hedge::{self, Another, Decision, Race},
+};
 use platform::request::Step;
 use slog::info;
 use tokio::time;
@@ -18,8 +27,7 @@
     dispatch::Dispatch,
     error::Error,
     metric::{self, Stage},
-    request::{Execution, Pending, Progress},
-    state::ms,
+    request::{Awaited, Execution, Pending},
 };
 
 /// Limit of a response that is buffered until it is complete, in bytes.
@@ -69,6 +77,13 @@
     MayHaveRun,
 }
 
+/// A live run.
+struct Live<F> {
+    run: hedge::Run,
+    target: Key,
+    attempt: Pin<Box<F>>,
+}
+
 /// Serves a request and returns its response.
 pub(crate) async fn run(request: &Pending) -> Result<Response<Body>, Error> {
     let Ok(result) = time::timeout(request.remaining(), run_attempts(request)).await else {
@@ -81,68 +96,112 @@
 }
 
 async fn run_attempts(request: &Pending) -> Result<Response<Body>, Error> {
-    let mut progress = Progress::default();
+    let mut race = Race::default();
+    let mut runs = Vec::new();
     let mut server_error: Option<Buffered> = None;
+    let mut decision = Decision::Start;
     loop {
-        let dispatch = match request.dispatch(&mut progress) {
-            Ok(dispatch) => dispatch,
-            // The target's error says more than a refusal, and a refusal would claim that the request did not run.
-            Err(_) if server_error.is_some() => break,
-            Err(_) if progress.runs > 0 => return Err(Error::TargetFailed),
-            Err(error) => return Err(error),
+        let failure = match decision {
+            Decision::Start => match request.dispatch() {
+                Ok(dispatch) => {
+                    let run = race.start(silence_limit(request), Moment::now());
+                    let target = dispatch.plan.target;
+                    runs.push(Live { run, target, attempt: Box::pin(attempt(request, dispatch)) });
+                    None
+                }
+                Err(error) => (race.after_refusal() == Decision::Fail).then_some(error),
+            },
+            Decision::Wait => None,
+            Decision::Fail => Some(Error::TargetFailed),
         };
-        match attempt(request, &dispatch, &mut progress).await {
-            Ending::Response(buffered) => return Ok(buffered.into_response()),
-            Ending::ServerError(buffered) => server_error = Some(buffered),
-            Ending::NotRun => continue,
-            Ending::MayHaveRun => {}
-        }
-        if !request.may_retry(&progress) {
-            break;
+        if let Some(error) = failure {
+            // The target's error says more than a refusal, and a refusal would claim that the request did not run.
+            let ran = request.progress().runs > 0;
+            let error = if ran { Error::TargetFailed } else { error };
+            return server_error.map(Buffered::into_response).ok_or(error);
         }
+        let until_check =
+            race.next_check().map_or(request.remaining(), |check| check.since(Moment::now()));
+        decision = tokio::select! {
+            (run, ending) = next_ending(&mut runs) => {
+                match ending {
+                    Ending::Response(buffered) => return Ok(buffered.into_response()),
+                    Ending::ServerError(buffered) => {
+                        server_error = Some(buffered);
+                        request.progress().end_run();
+                        race.after_end(run, request.another())
+                    }
+                    Ending::MayHaveRun => {
+                        request.progress().end_run();
+                        race.after_end(run, request.another())
+                    }
+                    Ending::NotRun => {
+                        request.progress().end_run();
+                        let alone = race.live() == 1;
+                        race.after_end(run, if alone { Another::Allowed } else { request.another() })
+                    }
+                }
+            }
+            () = time::sleep(until_check) => {
+                for run in race.check(Moment::now()) {
+                    if let Some(live) = runs.iter().find(|live| live.run == run) {
+                        request.record_silent(live.target, Awaited::Answer);
+                    }
+                }
+                race.after_silence(request.another())
+            }
+        };
     }
-    server_error.map(Buffered::into_response).ok_or(Error::TargetFailed)
 }
 
-async fn attempt(request: &Pending, dispatch: &Dispatch, progress: &mut Progress) -> Ending {
-    let key = dispatch.plan.target;
-    let retryable = request.route().retry == Retry::Idempotent
-        && progress.runs + 1 < request.route().max_attempts;
-    let silence_limit =
-        (request.route().target_latency * SILENCE_LATENCY_FACTOR).max(MIN_SILENCE_LIMIT);
-    let limit =
-        if retryable { silence_limit.min(request.remaining()) } else { request.remaining() };
-    let Ok(ending) = time::timeout(limit, exchange(request, dispatch, progress)).await else {
-        info!(request.gateway.log, "answer_overdue"; "id" => &request.metadata.id,
-            "limit_ms" => ms(limit));
-        dispatch.record_outcome(key, Outcome::Broken);
-        progress.avoid.push(key);
-        progress.runs += 1;
-        return Ending::MayHaveRun;
-    };
-    match &ending {
-        Ending::NotRun => {}
-        Ending::Response(_) | Ending::ServerError(_) | Ending::MayHaveRun => progress.runs += 1,
+/// Time without a response after which another target is tried.
+fn silence_limit(request: &Pending) -> Duration {
+    let route = request.route();
+    if route.retry != Retry::Idempotent || !request.has_attempts_left() {
+        return request.remaining();
     }
-    ending
+    (route.target_latency * SILENCE_LATENCY_FACTOR).max(MIN_SILENCE_LIMIT).min(request.remaining())
+}
+
+/// Waits until one of the runs has ended, and removes it.
+async fn next_ending<F: Future<Output = Ending>>(runs: &mut Vec<Live<F>>) -> (hedge::Run, Ending) {
+    let (index, ending) = future::poll_fn(|context| {
+        for (index, live) in runs.iter_mut().enumerate() {
+            if let Poll::Ready(ending) = live.attempt.as_mut().poll(context) {
+                return Poll::Ready((index, ending));
+            }
+        }
+        Poll::Pending
+    })
+    .await;
+    (runs.swap_remove(index).run, ending)
 }
 
-async fn exchange(request: &Pending, dispatch: &Dispatch, progress: &mut Progress) -> Ending {
+async fn attempt(request: &Pending, dispatch: Dispatch) -> Ending {
+    exchange(request, &dispatch).await
+}
+
+async fn exchange(request: &Pending, dispatch: &Dispatch) -> Ending {
     let key = dispatch.plan.target;
-    let (response, connection) = match request.send(dispatch, key, progress, Step::Run, None).await
-    {
+    let Some(claim) = request.claim().await else {
+        return Ending::NotRun;
+    };
+    let (response, connection) = match request.send(dispatch, key, Step::Run, None).await {
         Execution::Responded(response, connection) => (response, connection),
-        Execution::NotRun => return Ending::NotRun,
+        Execution::NotRun => {
+            claim.withdraw();
+            return Ending::NotRun;
+        }
         Execution::MayHaveRun | Execution::Disconnected => return Ending::MayHaveRun,
     };
     let Some(buffered) = collect(request, dispatch, response, connection).await else {
         dispatch.record_outcome(key, Outcome::Broken);
-        progress.avoid.push(key);
+        request.progress().avoid.push(key);
         return Ending::MayHaveRun;
     };
     if buffered.head.status.is_server_error() {
         dispatch.record_outcome(key, Outcome::Error);
-        progress.avoid.push(key);
+        request.progress().avoid.push(key);
         return Ending::ServerError(buffered);
     }
     dispatch.record_outcome(key, Outcome::Success);
