Tests: no response of the own interface may end while its target pauses and goes on (fail)

Stand-in engines can pause at a point of each response or as a whole, and fail the calls that they accept. With limits.progress_ms = 300 and pauses of 1.3 to 4 s, 7 of the 12 tests of path/pauses fail: streams are cut and requests get a 502 after twice the limit, or after the limit and an unanswered probe, although the target goes on.

--- a/crates/daisydrum/tests/path/main.rs
+++ b/crates/daisydrum/tests/path/main.rs
@@ -4,6 +4,7 @@
 
 mod leaving;
 mod malformed;
+mod pauses;
 mod silence;
 mod site;
 mod spill;
--- /dev/null
+++ b/crates/daisydrum/tests/path/pauses.rs
@@ -0,0 +1,232 @@
+//! Sound targets that send nothing for a time and go on, and limits on silence that are shorter than that.
+
+use std::time::Duration;
+
+use common::cancel;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use standin::{
+    engine::{self, Engine, Fault},
+    harness::{daemon::Daemon, wait},
+    http,
+    pause::{Pause, Point},
+    plain,
+};
+use tokio::{task::JoinHandle, time};
+
+use crate::site::{
+    Cluster, MODEL, PLAIN_KEY, PROMPT, Stream, assert_whole, completion, pause, with_body,
+};
+
+/// Limit on the silence of targets, in milliseconds.
+const PROGRESS_MS: u64 = 300;
+/// Longer than two limits on silence.
+const RESPONSE_PAUSE: Duration = Duration::from_millis(1_300);
+/// Longer than a limit on silence and an unanswered probe.
+const PROCESS_PAUSE: Duration = Duration::from_millis(2_000);
+/// Longer than the start of further targets and two limits on silence.
+const HEAD_PAUSE: Duration = Duration::from_millis(4_000);
+const TOKENS: usize = 120;
+
+async fn cluster() -> Cluster {
+    Cluster::start_with(&["suva"], PROGRESS_MS).await
+}
+
+async fn pausing_engine(cluster: &Cluster, point: Point, length: Duration) -> Engine {
+    let engine = cluster
+        .engine_with("pausing", |options| options.pauses = vec![Pause { point, length }])
+        .await;
+    cluster.until_targets(1).await;
+    engine
+}
+
+/// Starts two more engines that serve no request.
+async fn useless_engines(cluster: &Cluster, modify: fn(&mut engine::Options)) -> [Engine; 2] {
+    let engines = [
+        cluster.engine_with("useless-1", modify).await,
+        cluster.engine_with("useless-2", modify).await,
+    ];
+    cluster.until_targets(3).await;
+    engines
+}
+
+/// A completion request whose response is sent whole.
+fn whole_completion(tokens: usize) -> Request<Full<bytes::Bytes>> {
+    let body = serde_json::json!({ "model": MODEL, "prompt": PROMPT, "max_tokens": tokens });
+    with_body(body.to_string())
+}
+
+fn send(
+    cluster: &Cluster,
+    request: Request<Full<bytes::Bytes>>,
+) -> JoinHandle<Result<http::Response, http::Error>> {
+    let address = cluster.daemons[0].callers();
+    tokio::spawn(async move { http::call(address, request, wait::LIMIT).await })
+}
+
+fn assert_whole_response(response: &http::Response, tokens: usize) {
+    assert_eq!(response.status, StatusCode::OK, "{response:?}");
+    let body: serde_json::Value = response.json().unwrap();
+    assert_whole(body["choices"][0]["text"].as_str().unwrap(), tokens);
+}
+
+async fn assert_stream_is_whole_beside(modify: fn(&mut engine::Options)) {
+    let cluster = cluster().await;
+    let pausing = cluster.engine("pausing").await;
+    cluster.until_targets(1).await;
+    let mut stream = Stream::open(cluster.daemons[0].callers(), TOKENS).await;
+    stream.read_tokens(5).await;
+    let _useless = useless_engines(&cluster, modify).await;
+    pausing.pause_for(PROCESS_PAUSE);
+    assert_whole(&stream.read_all().await, TOKENS);
+}
+
+async fn assert_response_arrives_beside(modify: fn(&mut engine::Options)) {
+    let cluster = cluster().await;
+    let pausing = pausing_engine(&cluster, Point::Head, HEAD_PAUSE).await;
+    let response = send(&cluster, whole_completion(5));
+    wait::until("the request runs", async || pausing.load().running > 0).await;
+    let _useless = useless_engines(&cluster, modify).await;
+    assert_whole_response(&response.await.unwrap().unwrap(), 5);
+}
+
+fn rejects(options: &mut engine::Options) {
+    options.rejects_all_as_full = true;
+}
+
+fn fails(options: &mut engine::Options) {
+    options.fault = Some(Fault::Error);
+}
+
+fn breaks_off(options: &mut engine::Options) {
+    options.fault = Some(Fault::BreakOff);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_only_target_pauses_at_any_point_is_whole() {
+    for point in [Point::Head, Point::FirstEvent, Point::Event(3), Point::End] {
+        let cluster = cluster().await;
+        let _engine = pausing_engine(&cluster, point, RESPONSE_PAUSE).await;
+        let response = http::open(cluster.daemons[0].callers(), completion(20)).await.unwrap();
+        assert_eq!(response.status(), StatusCode::OK, "{point:?}");
+        assert_whole(&Stream::new(response).read_all().await, 20);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_target_pauses_is_whole_although_the_others_reject_it() {
+    assert_stream_is_whole_beside(rejects).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_target_pauses_is_whole_although_the_others_fail_it() {
+    assert_stream_is_whole_beside(fails).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_target_pauses_is_whole_although_the_others_break_it_off() {
+    assert_stream_is_whole_beside(breaks_off).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_response_whose_only_target_pauses_before_it_arrives() {
+    let cluster = cluster().await;
+    let _engine = pausing_engine(&cluster, Point::Head, RESPONSE_PAUSE).await;
+    let response = send(&cluster, whole_completion(5)).await.unwrap().unwrap();
+    assert_whole_response(&response, 5);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_response_whose_target_pauses_arrives_although_the_others_reject_it() {
+    assert_response_arrives_beside(rejects).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_response_whose_target_pauses_arrives_although_the_others_fail_it() {
+    assert_response_arrives_beside(fails).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_whole_response_whose_target_pauses_arrives_although_the_others_break_it_off() {
+    assert_response_arrives_beside(breaks_off).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_response_whose_only_target_pauses_arrives() {
+    let cluster = cluster().await;
+    let mut options =
+        plain::Options::new("plain", "association", "vent-log", "suva", cluster.controls());
+    options.delay = RESPONSE_PAUSE;
+    let _plain = plain::Service::start(options, cancel::Token::new()).await.unwrap();
+    cluster.until_targets(1).await;
+    let request = Request::get("/log")
+        .header("host", "daisydrum")
+        .header("authorization", format!("Bearer {PLAIN_KEY}"))
+        .body(Full::new(bytes::Bytes::from("entry")))
+        .unwrap();
+    let response = send(&cluster, request).await.unwrap().unwrap();
+    assert_eq!((response.status, response.body.as_ref()), (StatusCode::OK, &b"entry"[..]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_moves_on_when_its_target_pauses_and_another_is_sound() {
+    let cluster = cluster().await;
+    let pausing = cluster.engine("pausing").await;
+    cluster.until_targets(1).await;
+    let mut stream = Stream::open(cluster.daemons[0].callers(), TOKENS).await;
+    stream.read_tokens(5).await;
+    let other = cluster.engine("other").await;
+    cluster.until_targets(2).await;
+    pausing.pause_for(wait::LIMIT);
+    assert_whole(&stream.read_all().await, TOKENS);
+    assert_eq!(other.totals().accepted, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_served_and_none_is_refused_while_all_targets_pause() {
+    let cluster = cluster().await;
+    let mut engines = Vec::new();
+    for name in ["one", "two", "three"] {
+        engines.push(cluster.engine(name).await);
+    }
+    cluster.until_targets(3).await;
+    let mut streams = Vec::new();
+    for _ in 0..9 {
+        let mut stream = Stream::open(cluster.daemons[0].callers(), TOKENS).await;
+        stream.read_tokens(2).await;
+        streams.push(stream);
+    }
+    for engine in &engines {
+        engine.pause_for(PROCESS_PAUSE);
+    }
+    let mut responses = Vec::new();
+    for _ in 0..9 {
+        responses.push(send(&cluster, whole_completion(5)));
+        time::sleep(PROCESS_PAUSE / 10).await;
+    }
+    for stream in streams {
+        assert_whole(&stream.read_all().await, TOKENS);
+    }
+    for response in responses {
+        assert_whole_response(&response.await.unwrap().unwrap(), 5);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_stop_cuts_no_stream_whose_target_pauses() {
+    let mut cluster = cluster().await;
+    let pausing = cluster.engine("pausing").await;
+    cluster.until_targets(1).await;
+    let mut stream = Stream::open(cluster.daemons[0].callers(), TOKENS).await;
+    stream.read_tokens(5).await;
+    pausing.pause_for(PROCESS_PAUSE);
+    cluster.daemons[0].terminate();
+    assert_whole(&stream.read_all().await, TOKENS);
+    until_ended(&mut cluster.daemons[0]).await;
+}
+
+async fn until_ended(daemon: &mut Daemon) {
+    while !daemon.has_ended() {
+        pause().await;
+    }
+}
--- a/crates/daisydrum/tests/path/site.rs
+++ b/crates/daisydrum/tests/path/site.rs
@@ -24,6 +24,8 @@
 use tokio::time;
 
 pub const KEY: &str = "path-test-key";
+/// Key of the plain service.
+pub const PLAIN_KEY: &str = "path-test-plain-key";
 pub const MODEL: &str = "vent-7b";
 /// Time without progress after which a daemon probes a target, in milliseconds.
 pub const PROGRESS_MS: u64 = 1_000;
@@ -44,8 +46,13 @@
 
     /// Starts one daemon for each entry of `data_centres`.
     pub async fn start_in(data_centres: &[&str]) -> Cluster {
+        Cluster::start_with(data_centres, PROGRESS_MS).await
+    }
+
+    /// Starts one daemon for each entry of `data_centres`, with a limit on the silence of targets.
+    pub async fn start_with(data_centres: &[&str], progress_ms: u64) -> Cluster {
         let folder = Folder::new("path");
-        let tree = write_tree(folder.path());
+        let tree = write_tree(folder.path(), progress_ms);
         let settings = |(number, data_centre): (usize, &&str)| {
             daemon::settings(&format!("{data_centre}-{number}"), data_centre, &tree)
         };
@@ -90,7 +97,7 @@
     Path::new(env!("CARGO_BIN_EXE_daisydrum"))
 }
 
-fn write_tree(folder: &Path) -> PathBuf {
+fn write_tree(folder: &Path, progress_ms: u64) -> PathBuf {
     let tree = folder.join("tree");
     let services = tree.join("association/services");
     fs::create_dir_all(&services).unwrap();
@@ -103,9 +110,15 @@
         "kind": "model",
         "models": [{ "name": MODEL }],
         "keys": [{ "sha256": key::Hash::of(KEY), "organisation": "technicians" }],
-        "limits": { "progress_ms": PROGRESS_MS, "body_kb": BODY_KB },
+        "limits": { "progress_ms": progress_ms, "body_kb": BODY_KB },
     });
     fs::write(services.join("vent-llm.jsonc"), service.to_string()).unwrap();
+    let plain = serde_json::json!({
+        "kind": "plain",
+        "keys": [{ "sha256": key::Hash::of(PLAIN_KEY), "organisation": "technicians" }],
+        "limits": { "progress_ms": progress_ms },
+    });
+    fs::write(services.join("vent-log.jsonc"), plain.to_string()).unwrap();
     tree
 }
 
--- a/crates/daisydrum/tests/serving/main.rs
+++ b/crates/daisydrum/tests/serving/main.rs
@@ -10,5 +10,6 @@
 mod noisy_partner;
 mod pairs;
 mod partition;
+mod silent_call;
 mod stale_reports;
 mod support;
--- a/crates/daisydrum/tests/serving/support.rs
+++ b/crates/daisydrum/tests/serving/support.rs
@@ -28,7 +28,7 @@
 }
 
 /// Applies the cluster's tree; returns whether the log of each branch accepted it.
-async fn apply(cluster: &Cluster) -> bool {
+pub async fn apply(cluster: &Cluster) -> bool {
     let tree = cluster.tree().as_os_str().to_owned();
     let instance = cluster.daemons[0].control().to_string();
     let arguments = vec!["apply".into(), tree, "--instance".into(), instance.into()];
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -19,7 +19,7 @@
 use tokio::{net::TcpListener, sync::Notify};
 use wire::target;
 
-use crate::{announce, http};
+use crate::{announce, http, pause};
 
 /// How an engine is set up.
 #[derive(Clone, Debug)]
@@ -62,6 +62,19 @@
     pub rejects_all_as_full: bool,
     /// Number of output tokens after which the whole engine stops.
     pub crash_after_tokens: Option<u64>,
+    /// Pauses of each response, after which it goes on.
+    pub pauses: Vec<pause::Pause>,
+    /// How each accepted call fails, if it does.
+    pub fault: Option<Fault>,
+}
+
+/// How an engine fails the calls that it has accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It responds with status 500.
+    Error,
+    /// It sends the head of its response and closes the connection.
+    BreakOff,
 }
 
 /// How fast an engine works.
@@ -135,6 +148,8 @@
             crash_during_change: false,
             rejects_all_as_full: false,
             crash_after_tokens: None,
+            pauses: Vec::new(),
+            fault: None,
         }
     }
 }
@@ -152,6 +167,7 @@
     incarnation: u64,
     state: Mutex<State>,
     work: Notify,
+    gate: pause::Gate,
     token: cancel::Token,
 }
 
@@ -227,6 +243,11 @@
         self.shared.lock().load()
     }
 
+    /// Pauses all its calls and responses for a time; connections stay open and new ones are accepted.
+    pub fn pause_for(&self, length: Duration) {
+        self.shared.gate.close_for(length);
+    }
+
     /// Stops it at once and drops all its connections.
     pub fn kill(&self) {
         self.shared.token.cancel();
@@ -255,6 +276,7 @@
             incarnation: clock::unix_ms(),
             state: Mutex::new(state),
             work: Notify::new(),
+            gate: pause::Gate::default(),
             token,
         }
     }
@@ -300,6 +322,7 @@
         request: Request<Incoming>,
     ) -> Result<Response<http::Body>, http::Error> {
         let shared = &self.shared;
+        shared.gate.passed().await;
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/completions") => {
                 call::run(shared, request, call::Shape::Text).await
--- a/crates/standin/src/engine/call.rs
+++ b/crates/standin/src/engine/call.rs
@@ -15,8 +15,8 @@
 use tokio::sync::mpsc;
 use wire::{completion, target};
 
-use super::{Shared, batch};
-use crate::{http, output};
+use super::{Fault, Shared, batch};
+use crate::{http, output, pause};
 
 const DEFAULT_PRIORITY: u8 = 5;
 
@@ -48,8 +48,19 @@
     };
     let completion = Completion { shape, prompt: output::hash(&prompt), model: call.model.clone() };
     let usage = Usage { prompt: piece::tokens(&prompt), output: call.max_tokens() };
+    pause::at(pause::Point::Head, &shared.options.pauses).await;
+    if shared.options.fault == Some(Fault::Error) {
+        return Ok(http::text(StatusCode::INTERNAL_SERVER_ERROR, "failed"));
+    }
     if call.stream {
-        return Ok(streamed(completion, tokens, call.max_tokens()));
+        let stream = Stream {
+            shared: Arc::clone(shared),
+            completion,
+            tokens,
+            end: call.max_tokens(),
+            next: Next::Head,
+        };
+        return Ok(streamed(stream));
     }
     collected(&completion, tokens, usage).await
 }
@@ -167,12 +178,7 @@
     }
 }
 
-fn streamed(
-    completion: Completion,
-    tokens: mpsc::UnboundedReceiver<u32>,
-    end: u32,
-) -> Response<http::Body> {
-    let stream = Stream { completion, tokens, end, next: Next::Token };
+fn streamed(stream: Stream) -> Response<http::Body> {
     let events = stream::unfold(stream, |mut stream| async {
         let frame = stream.frame().await?;
         Some((frame, stream))
@@ -185,12 +191,14 @@
 /// What a stream writes next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Next {
+    Head,
     Token,
     Done,
     Nothing,
 }
 
 struct Stream {
+    shared: Arc<Shared>,
     completion: Completion,
     tokens: mpsc::UnboundedReceiver<u32>,
     end: u32,
@@ -199,9 +207,19 @@
 
 impl Stream {
     async fn frame(&mut self) -> Option<io::Result<Frame<Bytes>>> {
+        if self.next == Next::Head {
+            if self.shared.options.fault == Some(Fault::BreakOff) {
+                self.next = Next::Nothing;
+                return Some(Err(io::Error::from(io::ErrorKind::ConnectionAborted)));
+            }
+            pause::at(pause::Point::FirstEvent, &self.shared.options.pauses).await;
+            self.next = Next::Token;
+        }
         match self.next {
-            Next::Nothing => None,
+            Next::Head | Next::Nothing => None,
             Next::Done => {
+                pause::at(pause::Point::End, &self.shared.options.pauses).await;
+                self.shared.gate.passed().await;
                 self.next = Next::Nothing;
                 Some(Ok(Frame::data(Bytes::from_static(b"data: [DONE]\n\n"))))
             }
@@ -215,6 +233,8 @@
             self.next = Next::Nothing;
             return Err(io::Error::from(io::ErrorKind::ConnectionAborted));
         };
+        pause::at(pause::Point::Event(position), &self.shared.options.pauses).await;
+        self.shared.gate.passed().await;
         let is_last = position + 1 >= self.end;
         if is_last {
             self.next = Next::Done;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod harness;
 pub mod http;
 pub mod output;
+pub mod pause;
 pub mod plain;
 pub mod proxy;
 pub mod weights;
