Entry: a target that is silent and goes on no longer costs the request

Callers of the own interface saw streams cut, 502 for requests whose response was on its way, and calls that may run once recorded as lost although their target completed them; resends of those got an error for good.

Cause: silence was taken for an end. Once a target had sent nothing for limits.progress_ms and did not answer a probe, or for twice that time, its connection was closed and the attempt reported as broken. What followed depended on others: no other target, targets that reject, fail or break off, or a request that may run once. Three such reports ejected the target as if it had failed.

Ruled out: the deadline (20 s or more in all tests), a graceful stop and a change of the settings, beside which nothing differs.

Now a silent attempt is kept, without a slot, while the retry policy decides on another beside it; targets that are silent for the request come last, so the only one gets it over a new connection. The first attempt that brings the next part goes on and the others are cancelled (entry::race). If the others are refused, fail or break off, the silent ones are waited for until the deadline, as is a call that may run once. Silence has an event and an outcome of its own: it ejects no target, and makes a target the last choice until one of its attempts makes progress.

Attempts are polled in place instead of being one future, so that a silent one stays where it is while another runs; the wait for the head of a response is a task of its own.

--- a/crates/entry/src/progress.rs
+++ b/crates/entry/src/progress.rs
@@ -4,6 +4,7 @@
 
 use route::router::Owner;
 use settings::service;
+use tokio::time;
 
 /// Share of the gaps between tokens that may be longer than the objective, in percent.
 const LATE_GAPS_PERCENT: u32 = 5;
@@ -57,6 +58,11 @@
         self.last = now;
     }
 
+    /// Returns when the last token was sent, or when the request arrived if none was.
+    pub(crate) fn last_token(&self) -> time::Instant {
+        time::Instant::from_std(self.last)
+    }
+
     /// Returns whether the first token and 95% of the gaps between tokens met their objectives.
     pub(crate) fn is_in_time(&self) -> bool {
         let Some(first) = self.first else {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -22,6 +22,7 @@
     output::Output,
     progress::Progress,
     protocol::Protocol,
+    race::Race,
     request::{authenticate, deadline, parse_completion, read_body, retry},
     response, router,
 };
@@ -164,13 +165,14 @@
             spans: self.spans.clone(),
             log: self.log.clone(),
             call,
-            admission,
+            ticket: admission.ticket,
+            race: Race::default(),
             gone,
             output: Output::Head(head_sender),
             progress,
             attempts: 0,
         };
-        tokio::spawn(driver.run(span));
+        tokio::spawn(driver.run(admission.updates, span));
         response.await.unwrap_or_else(|_ended| {
             let problem = String::from("the request's driver ended before it returned a response");
             Err(response::Error::TargetFailed { problem })
--- a/crates/route/examples/goodput/policy.rs
+++ b/crates/route/examples/goodput/policy.rs
@@ -202,7 +202,7 @@
 
     fn report(&mut self, job: usize, event: Event, _now: Moment) {
         match event {
-            Event::Started => {}
+            Event::Started | Event::Silent | Event::Resumed => {}
             Event::Finished => self.end(job),
             Event::Full | Event::Unavailable | Event::Unsent | Event::Broken => {
                 self.end(job);
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -1,6 +1,7 @@
 //! Outlier detection: failing and slow targets are ejected for a time, and return to service through probing.
 //!
-//! At most half of a service's targets are ejected at once.
+//! At most half of a service's targets are ejected at once. Silence is no failure: a silent target is only the last
+//! choice for a time.
 
 use std::time::Duration;
 
@@ -17,6 +18,10 @@
 /// Duration of a target's first ejection; it doubles with each further one, up to [`MAX_EJECTION`].
 const BASE_EJECTION: Duration = Duration::from_secs(1);
 const MAX_EJECTION: Duration = Duration::from_secs(30);
+/// Time for which a target is the last choice after its first silence; it doubles with each further one without
+/// progress in between, up to [`MAX_SILENCE_PENALTY`].
+const BASE_SILENCE_PENALTY: Duration = Duration::from_secs(1);
+const MAX_SILENCE_PENALTY: Duration = Duration::from_secs(30);
 /// Weight of a new sample in the group's average latency.
 const SAMPLE_WEIGHT: f64 = 0.05;
 
@@ -71,6 +76,9 @@
     failures: u32,
     slow_answers: u32,
     ejections: u32,
+    /// Silent attempts since the last progress.
+    silences: u32,
+    silent_until: Option<Moment>,
 }
 
 impl Health {
@@ -101,6 +109,24 @@
         }
     }
 
+    /// Records that an attempt is silent; the target still receives requests for which there is no other one.
+    pub fn record_silence(&mut self, now: Moment) {
+        let penalty = BASE_SILENCE_PENALTY * 2_u32.saturating_pow(self.silences.min(5));
+        self.silences += 1;
+        self.silent_until = Some(now + penalty.min(MAX_SILENCE_PENALTY));
+    }
+
+    /// Records that an attempt has made progress.
+    pub fn record_progress(&mut self) {
+        self.silences = 0;
+        self.silent_until = None;
+    }
+
+    /// Whether the target was silent lately and has made no progress since.
+    pub fn is_silent(&self, now: Moment) -> bool {
+        self.silent_until.is_some_and(|until| now < until)
+    }
+
     /// Starts to probe the target once its ejection is over.
     pub fn tick(&mut self, group: &mut Group, now: Moment) {
         if let State::Ejected(until) = self.state
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -177,8 +177,8 @@
 /// Chooses the target with the earliest expected first token among a random sample, targets that have the longest
 /// prefix cached, and the prefix's target by rendezvous hashing if no free one has it cached.
 ///
-/// In order: targets here, other data centres, targets here in `avoid` (they failed the request before), and a probed
-/// target (see `choose_probe`).
+/// In order: targets here, other data centres, silent targets here, targets here in `avoid` (they failed the request or
+/// are silent for it), and a probed target (see `choose_probe`).
 pub fn choose(
     pool: &Pool,
     request: &Request,
@@ -190,8 +190,13 @@
     if !avoid.is_empty() {
         local.extend(pool.free.sample(SAMPLE_SIZE * avoid.len(), random).map(Candidate::from));
     }
+    let is_silent = |candidate: &Candidate| {
+        inputs.targets.get(candidate.key).is_some_and(|target| target.health.is_silent(inputs.now))
+    };
+    let (silent, local): (Vec<_>, Vec<_>) = local.into_iter().partition(is_silent);
     best(local, request, avoid, inputs)
         .or_else(|| choose_remote(pool, request, avoid, inputs, random))
+        .or_else(|| best(silent, request, avoid, inputs))
         .or_else(|| {
             let free = avoid.iter().filter(|key| pool.free.contains(**key));
             best(free.map(|key| Candidate::from(*key)).collect(), request, &[], inputs)
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -185,6 +185,10 @@
 pub enum Event {
     /// The first token, or the head of a plain answer, arrived.
     Started,
+    /// The target has sent nothing for the service's limit on silence; the attempt still runs.
+    Silent,
+    /// The target has sent the next part of the answer after a silence.
+    Resumed,
     /// The answer is complete.
     Finished,
     /// The target refused the call before running it because it has no free slot.
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -1,4 +1,4 @@
-//! Decides whether a failed attempt is retried, and when.
+//! Decides whether a failed or silent attempt is followed by another, and when.
 //!
 //! Each service has a retry budget as in Finagle: each first attempt deposits a fraction of a retry and each retry
 //! withdraws one, so that retries stay a bounded share of the traffic however many attempts fail.
@@ -52,7 +52,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Exhausted;
 
-/// Whether a failed attempt is retried.
+/// Whether a failed or silent attempt is followed by another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
     /// Retry after the given pause.
@@ -61,14 +61,14 @@
     Stop,
 }
 
-/// A failed attempt and its request.
+/// A failed or silent attempt and its request.
 #[derive(Clone, Copy, Debug)]
 pub struct Failure {
     /// How the attempt failed.
     pub event: Event,
     /// Whether the request may be sent again after it may have run.
     pub retry: Retry,
-    /// Failed attempts so far, this one included; after a refusal by the target, refusals so far.
+    /// Failed and silent attempts so far, this one included; after a refusal by the target, refusals so far.
     pub attempts: u32,
     /// Whether the caller has received a part of the answer.
     pub begun: bool,
@@ -88,7 +88,7 @@
     random: &mut Random,
     now: Moment,
 ) -> Decision {
-    let may_have_run = failure.event == Event::Broken;
+    let may_have_run = matches!(failure.event, Event::Silent | Event::Broken);
     if may_have_run && failure.retry == Retry::Never {
         return Decision::Stop;
     }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -7,6 +7,7 @@
 mod preemption;
 mod requests;
 mod services;
+mod silence;
 mod targets;
 
 use std::{
@@ -106,6 +107,8 @@
     state: State,
     /// Number of the last attempt.
     attempt: u32,
+    /// Attempts whose target is silent. They still run but hold no slot, and another attempt may run beside them.
+    silent: Vec<Running>,
     /// Failed attempts since the last first token; refusals are not counted.
     failures: u32,
     /// Attempts that targets refused.
@@ -130,13 +133,17 @@
     Waiting,
     /// Neither queued nor running, such as during the pause before a retry.
     Paused,
+    /// Neither queued nor running, and no retry follows: the silent attempts decide the end.
+    Held,
     /// An attempt is running.
     Running(Running),
 }
 
-/// The running attempt of a request.
+/// A running attempt of a request.
 #[derive(Clone, Copy, Debug)]
 struct Running {
+    /// Number of the attempt.
+    number: u32,
     target: request::Target,
     sent_at: Moment,
     /// Prompt tokens that the target has to compute.
@@ -145,6 +152,8 @@
     queued_tokens: u64,
     /// Whether the first token has arrived.
     started: bool,
+    /// Whether the target was silent before the first token, whose latency then says nothing about its speed.
+    was_silent: bool,
 }
 
 /// A task and the time at which it is due.
@@ -157,7 +166,7 @@
 /// What to do when a timer is due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Task {
-    /// End the request unless an attempt of it is running.
+    /// End the request unless an attempt of it is running or silent.
     Expire(Ticket),
     /// Enqueue the request again.
     Retry(Ticket),
--- a/crates/route/src/router/attempt.rs
+++ b/crates/route/src/router/attempt.rs
@@ -13,30 +13,42 @@
 const MAX_AVOIDED: usize = 4;
 
 impl Router {
-    /// Applies a report on an attempt; reports on any but the request's latest attempt are ignored.
+    /// Applies a report on an attempt; reports on any but the request's running and silent attempts are ignored.
     pub fn report(&mut self, ticket: Ticket, attempt: u32, event: Event, now: Moment) {
-        let Some(record) = self.requests.get(ticket).filter(|record| record.attempt == attempt)
-        else {
-            return;
-        };
-        let State::Running(running) = record.state else {
-            return;
-        };
-        self.record_outcome(running.target, event, now);
+        if let Some(target) = self.requests.get(ticket).and_then(|record| record.target_of(attempt))
+        {
+            self.record_outcome(target, event, now);
+            self.apply_event(ticket, attempt, event, now);
+            self.dispatch_waiting(now);
+        }
+    }
+
+    fn apply_event(&mut self, ticket: Ticket, attempt: u32, event: Event, now: Moment) {
         match event {
-            Event::Started => self.record_first_token(ticket, running, now),
+            Event::Started => {
+                self.prefer_attempt(ticket, attempt, now);
+                self.record_first_token(ticket, now);
+            }
+            Event::Silent => self.suspend_attempt(ticket, attempt, now),
+            Event::Resumed => {
+                self.prefer_attempt(ticket, attempt, now);
+                self.requests[ticket].failures = 0;
+            }
             Event::Finished => {
-                self.record_first_token(ticket, running, now);
+                self.prefer_attempt(ticket, attempt, now);
+                self.record_first_token(ticket, now);
                 self.end_attempt(ticket, now);
                 self.remove_request(ticket, now);
             }
             Event::Full | Event::Unavailable | Event::Unsent | Event::Broken => {
-                self.requests[ticket].avoid_target(running.target);
-                self.end_attempt(ticket, now);
-                self.handle_failure(ticket, event, now);
+                if !self.end_silent_attempt(ticket, attempt, event, now)
+                    && let Some(running) = self.end_attempt(ticket, now)
+                {
+                    self.requests[ticket].avoid_target(running.target);
+                    self.handle_failure(ticket, event, now);
+                }
             }
         }
-        self.dispatch_waiting(now);
     }
 
     /// Sends a request to a target; returns `false` if no target can be chosen.
@@ -56,13 +68,11 @@
         true
     }
 
-    /// Ends the running attempt of a request, if any, and releases its slot.
-    pub(super) fn end_attempt(&mut self, ticket: Ticket, now: Moment) {
-        let Some(record) = self.requests.get_mut(ticket) else {
-            return;
-        };
+    /// Ends the running attempt of a request, if any, releases its slot and returns it.
+    pub(super) fn end_attempt(&mut self, ticket: Ticket, now: Moment) -> Option<Running> {
+        let record = self.requests.get_mut(ticket)?;
         let State::Running(running) = record.state else {
-            return;
+            return None;
         };
         record.state = State::Paused;
         self.running -= 1;
@@ -75,6 +85,7 @@
             target.record_end(now);
         }
         self.update_availability(running.target, now);
+        Some(running)
     }
 
     /// Sends a request to the chosen target, after a prefill engine where `prefill` names one.
@@ -93,11 +104,13 @@
         let queued_tokens = self.targets[choice.target].queued_prompt_tokens(now);
         let target = choice.target;
         record.state = State::Running(Running {
+            number: record.attempt,
             target,
             sent_at: now,
             uncached,
             queued_tokens,
             started: false,
+            was_silent: false,
         });
         let service = &mut self.services[record.service];
         service.running.insert(Attempt { sent_at: now, ticket });
@@ -125,8 +138,11 @@
     }
 
     /// Records the first token of a running attempt, once, in the latencies of its service and its target.
-    fn record_first_token(&mut self, ticket: Ticket, running: Running, now: Moment) {
+    fn record_first_token(&mut self, ticket: Ticket, now: Moment) {
         let record = &mut self.requests[ticket];
+        let State::Running(running) = record.state else {
+            return;
+        };
         if running.started {
             return;
         }
@@ -138,25 +154,27 @@
         let Some(target) = self.targets.get_mut(running.target) else {
             return;
         };
-        target.record_first_token(running.uncached, running.queued_tokens, latency, now);
-        if let Some(group) = self.groups.get_mut(&super::targets::owner(&target.description)) {
-            target.health.record_success(latency, group, now);
+        if running.was_silent {
+            target.cancel_prompt(running.uncached, now);
+        } else {
+            target.record_first_token(running.uncached, running.queued_tokens, latency, now);
+            if let Some(group) = self.groups.get_mut(&super::targets::owner(&target.description)) {
+                target.health.record_success(latency, group, now);
+            }
         }
         self.update_availability(running.target, now);
     }
 
-    /// Schedules a retry after a failed or refused attempt, or ends the request.
+    /// Schedules a retry after a failed or refused attempt. Without one, the request ends unless attempts of it are
+    /// silent.
     fn handle_failure(&mut self, ticket: Ticket, event: Event, now: Moment) {
+        self.requests[ticket].count_failure(event);
+        self.schedule_retry(ticket, event, now);
+    }
+
+    /// Schedules a retry after an attempt that has failed, was refused or is silent, or holds or ends the request.
+    pub(super) fn schedule_retry(&mut self, ticket: Ticket, event: Event, now: Moment) {
         let record = &mut self.requests[ticket];
-        let refused = matches!(event, Event::Full | Event::Unavailable);
-        if refused {
-            record.refusals += 1;
-        } else {
-            record.failures += 1;
-        }
-        if event == Event::Broken {
-            record.execution = Execution::MayHaveRun;
-        }
         let service = &mut self.services[record.service];
         let failure = failure(record, event);
         let decision = retry::decide(
@@ -168,7 +186,10 @@
         );
         match decision {
             retry::Decision::Retry(pause) => self.set_timer(now + pause, Task::Retry(ticket)),
-            retry::Decision::Stop => self.end_unanswered(ticket, Reason::TargetsFull, now),
+            retry::Decision::Stop if record.silent.is_empty() => {
+                self.end_unanswered(ticket, Reason::TargetsFull, now);
+            }
+            retry::Decision::Stop => record.state = State::Held,
         }
     }
 
@@ -229,25 +250,48 @@
 impl Record {
     /// Adds a target that has failed the request, so that others are tried first; replaces the oldest if there are too
     /// many.
-    fn avoid_target(&mut self, target: request::Target) {
+    pub(super) fn avoid_target(&mut self, target: request::Target) {
         self.avoid.retain(|avoided| *avoided != target);
         if self.avoid.len() == MAX_AVOIDED {
             self.avoid.remove(0);
         }
         self.avoid.push(target);
     }
+
+    /// The target of a running or silent attempt.
+    fn target_of(&self, number: u32) -> Option<request::Target> {
+        let running = match &self.state {
+            State::Running(running) => Some(running),
+            State::Waiting | State::Paused | State::Held => None,
+        };
+        let mut attempts = running.into_iter().chain(&self.silent);
+        attempts.find(|attempt| attempt.number == number).map(|attempt| attempt.target)
+    }
+
+    /// Counts a failed or refused attempt.
+    pub(super) fn count_failure(&mut self, event: Event) {
+        if matches!(event, Event::Full | Event::Unavailable) {
+            self.refusals += 1;
+        } else {
+            self.failures += 1;
+        }
+        if event == Event::Broken {
+            self.execution = Execution::MayHaveRun;
+        }
+    }
 }
 
 /// The failure of the last attempt, for the retry decision.
 ///
-/// After a refusal the attempts are the refusals, which only lengthen the pause. A stream that has begun may be resumed
+/// After a refusal the attempts are the refusals, which only lengthen the pause; otherwise silent attempts count, too. A stream that has begun may be resumed
 /// until the request's deadline; any other request is retried only until its queue deadline.
 fn failure(record: &Record, event: Event) -> retry::Failure {
     let refused = matches!(event, Event::Full | Event::Unavailable);
+    let silent = u32::try_from(record.silent.len()).unwrap_or(u32::MAX);
     retry::Failure {
         event,
         retry: record.request.retry,
-        attempts: if refused { record.refusals } else { record.failures },
+        attempts: if refused { record.refusals } else { record.failures + silent },
         begun: record.begun,
         deadline: if record.begun { record.request.deadline } else { record.queue_deadline },
     }
--- a/crates/route/src/router/requests.rs
+++ b/crates/route/src/router/requests.rs
@@ -35,6 +35,7 @@
             variant,
             state: State::Paused,
             attempt: 0,
+            silent: Vec::new(),
             failures: 0,
             refusals: 0,
             avoid: Vec::new(),
@@ -109,7 +110,7 @@
     }
 
     /// Ends a request that has waited until its queue deadline, or until its deadline if its answer has begun, unless
-    /// an attempt of it is running.
+    /// an attempt of it is running or silent.
     pub(super) fn expire(&mut self, ticket: Ticket, now: Moment) {
         let Some(record) = self.requests.get(ticket) else {
             return;
@@ -119,7 +120,7 @@
             self.set_timer(deadline, Task::Expire(ticket));
             return;
         }
-        if !matches!(record.state, State::Running(_)) {
+        if !matches!(record.state, State::Running(_)) && record.silent.is_empty() {
             self.end_unanswered(ticket, Reason::TooLate, now);
         }
     }
@@ -147,9 +148,7 @@
 
     /// Removes a request from the scheduler, the table of requests and the timers.
     pub(super) fn remove_request(&mut self, ticket: Ticket, now: Moment) {
-        if self.scheduler.remove(ticket).is_some() {
-            self.record_transition(ticket, admission::Transition::Removed, now);
-        }
+        self.dequeue(ticket, now);
         if let Some(record) = self.requests.remove(ticket) {
             self.timers
                 .remove(&super::Timer { at: record.queue_deadline, task: Task::Expire(ticket) });
@@ -178,7 +177,7 @@
     }
 
     /// Records in the service's admission control that a request entered or left the queue.
-    fn record_transition(
+    pub(super) fn record_transition(
         &mut self,
         ticket: Ticket,
         transition: admission::Transition,
--- a/crates/route/src/router/targets.rs
+++ b/crates/route/src/router/targets.rs
@@ -127,7 +127,7 @@
         }
     }
 
-    /// Records a failed or refused attempt in the state of its target.
+    /// Records the outcome of an attempt in the state of its target.
     pub(super) fn record_outcome(&mut self, key: request::Target, event: Event, now: Moment) {
         let Some(target) = self.targets.get_mut(key) else {
             return;
@@ -136,7 +136,8 @@
         match event {
             Event::Unsent | Event::Broken => target.health.record_failure(group, now),
             Event::Full | Event::Unavailable => target.record_full(now),
-            Event::Started | Event::Finished => {}
+            Event::Silent => target.health.record_silence(now),
+            Event::Started | Event::Resumed | Event::Finished => target.health.record_progress(),
         }
     }
 
--- a/crates/route/tests/route/main.rs
+++ b/crates/route/tests/route/main.rs
@@ -7,6 +7,7 @@
 mod failures;
 mod fairness;
 mod parts;
+mod silence;
 mod support;
 
 #[path = "../../examples/goodput/engine.rs"]
