Orders: an engine that pauses before its order is sent is not taken for changing

Operators saw engines without work for 13 s (order_given with outcome=Unknown, then order_unanswered) although they were sound and got no order.

Cause: one limit of 800 ms covers the question for the engine's state and the order. When it passed, the outcome was Unknown in both cases, so the engine counted as changing its stage, got no new work and held up the other changes until the order was given up after 14 s.

Ruled out: the lease and the hand-over between control instances; in the failing runs the same holder sent the later orders without waiting.

The question and the order now share the limit, but only an order that was sent and not answered is Unknown; without a state the outcome is NotSent, and the change is planned again.

--- a/crates/daisydrum/src/seeded/orders.rs
+++ b/crates/daisydrum/src/seeded/orders.rs
@@ -17,7 +17,7 @@
 use platform::engine::{self, Order};
 use roles::split::{self, Change, Engine};
 use slog::{info, warn};
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::seeded::{
     context::Context,
@@ -298,27 +298,48 @@
 
 /// Sends one order. It states how many orders the engine has accepted before, so that a copy of it that arrives late
 /// has no effect.
+///
+/// An engine that doesn't report its state in time got no order; only one that doesn't answer an order may carry it out.
 async fn send_order(lease: Lease, change: Change, target: Target) -> (Change, Outcome) {
-    let outcome = time::timeout(CALL_TIMEOUT, call_engine(&lease, &change, &target)).await;
-    (change, outcome.unwrap_or(Outcome::Unknown))
+    let end = Instant::now() + CALL_TIMEOUT;
+    let prepared = time::timeout_at(end, prepare_order(&lease, &change, &target)).await;
+    let outcome = match prepared.unwrap_or(Err(Outcome::NotSent)) {
+        Ok(prepared) => {
+            let given = give_order(&lease, prepared);
+            time::timeout_at(end, given).await.unwrap_or(Outcome::Unknown)
+        }
+        Err(outcome) => outcome,
+    };
+    (change, outcome)
 }
 
-async fn call_engine(lease: &Lease, change: &Change, target: &Target) -> Outcome {
+/// An order that is ready to be sent over a connection to its engine.
+struct Prepared {
+    connection: Connection,
+    order: Request<Full<Bytes>>,
+}
+
+/// Queries the state of an engine; fails with the outcome if no order is to be sent.
+async fn prepare_order(
+    lease: &Lease,
+    change: &Change,
+    target: &Target,
+) -> Result<Prepared, Outcome> {
     let Ok(mut connection) = Connection::open(target.address).await else {
-        return Outcome::NotSent;
+        return Err(Outcome::NotSent);
     };
     let question = request(Method::GET, engine::STATE_PATH, target, Bytes::new());
     let Ok(response) = connection.send(question).await else {
-        return Outcome::NotSent;
+        return Err(Outcome::NotSent);
     };
     let Ok(body) = Limited::new(response.into_body(), MAX_STATE_BYTES).collect().await else {
-        return Outcome::NotSent;
+        return Err(Outcome::NotSent);
     };
     let Some(state) = engine::decode_state(&body.to_bytes()) else {
-        return Outcome::NotSent;
+        return Err(Outcome::NotSent);
     };
     if state.busy {
-        return Outcome::Refused;
+        return Err(Outcome::Refused);
     }
     let order = Order {
         stage: change.stage,
@@ -328,6 +349,11 @@
     };
     let order =
         request(Method::POST, engine::ORDER_PATH, target, engine::encode_order(&order).into());
+    Ok(Prepared { connection, order })
+}
+
+async fn give_order(lease: &Lease, prepared: Prepared) -> Outcome {
+    let Prepared { mut connection, order } = prepared;
     // Checked immediately before sending, since the process may have been suspended after it claimed the lease.
     if Moment::now() >= lease.until {
         return Outcome::NotSent;
--- a/crates/daisydrum/tests/seeded/leaving.rs
+++ b/crates/daisydrum/tests/seeded/leaving.rs
@@ -1,12 +1,14 @@
 //! Targets that leave, engines whose stage is changed, and instances that stop or restart.
 
+use std::time::Duration;
+
 use platform_standin::{
     client,
     runner::{Behaviour, Runner},
 };
 use rustix::process::Signal;
 
-use crate::fleet::{self, until};
+use crate::fleet::{self, Daemon, until};
 
 #[tokio::test]
 async fn a_leaving_target_gets_no_requests_once_its_drain_is_acknowledged() {
@@ -58,6 +60,36 @@
     assert_eq!(client::event_ids(&stream.body), [1, 2, 3, 4], "{stream:?}");
 }
 
+#[tokio::test]
+async fn engines_that_pause_before_their_orders_are_sent_are_not_taken_for_changing() {
+    let fleet = fleet::start("seeded-split-paused");
+    fleet.declare(3).await;
+    let control = fleet.control_addresses();
+    let mut engines = Vec::new();
+    for number in 0..6 {
+        let name = format!("engine-{number}");
+        engines.push(Runner::start(&name, "engines", Some("decode"), 4, control.clone()).await);
+    }
+    let attempts = || {
+        let logs = fleet.control.iter().map(Daemon::log).collect::<String>();
+        let attempts = logs.lines().filter(|line| line.contains("order_given"));
+        attempts.map(String::from).collect::<Vec<_>>()
+    };
+    until("orders are due while the engines pause", async || {
+        engines.iter().for_each(|engine| engine.pause(Duration::from_secs(2)));
+        !attempts().is_empty()
+    })
+    .await;
+    until("four engines serve the prefill stage", async || {
+        engines.iter().filter(|engine| engine.stage() == Some("prefill")).count() == 4
+    })
+    .await;
+    let attempts = attempts();
+    assert!(attempts.iter().any(|line| line.contains("NotSent")), "{attempts:#?}");
+    let unanswered: Vec<_> = attempts.iter().filter(|line| line.contains("Unknown")).collect();
+    assert!(unanswered.is_empty(), "no order was sent, but it is waited for: {unanswered:#?}");
+}
+
 #[tokio::test]
 async fn an_instance_that_stops_reports_not_ready_and_cuts_no_stream() {
     let mut fleet = fleet::start("seeded-stop");
@@ -67,7 +99,7 @@
     fleet.until_ready().await;
     let (callers, readiness) = (fleet.entries[0].callers(), fleet.entries[0].readiness());
     let running = tokio::spawn(client::post_stream(callers, "/summary/1", "s1"));
-    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
     fleet.entries[0].signal(Signal::TERM);
     until("the instance isn't ready", async || !client::is_ready(readiness).await).await;
     // Callers whose load balancer has not noticed yet are still served.
