--- a/crates/daisydrum/tests/path/pauses.rs
+++ b/crates/daisydrum/tests/path/pauses.rs
@@ -230,3 +230,44 @@
         pause().await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_cancels_the_silent_attempt_and_the_one_beside_it() {
+    let cluster = cluster().await;
+    let first = cluster.engine("first").await;
+    cluster.until_targets(1).await;
+    let mut stream = Stream::open(cluster.daemons[0].callers(), 10_000).await;
+    stream.read_tokens(5).await;
+    let second = cluster
+        .engine_with("second", |options| {
+            options.pauses = vec![Pause { point: Point::FirstEvent, length: wait::LIMIT }];
+        })
+        .await;
+    cluster.until_targets(2).await;
+    first.pause_for(HEAD_PAUSE);
+    wait::until("both run", async || second.load().running > 0).await;
+    assert_eq!(first.load().running, 1, "the silent attempt is kept");
+    drop(stream);
+    wait::until("both are idle", async || first.load().running + second.load().running == 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_forwarded_to_another_data_centre_is_whole_although_its_only_target_pauses() {
+    let cluster = Cluster::start_with(&["suva", "nadi"], PROGRESS_MS).await;
+    let nadi = cluster.daemons[1].settings().clone();
+    let engine = cluster
+        .engine_with("nadi", |options| {
+            options.data_centre = nadi.data_centre.as_str().into();
+            options.announcements.control = vec![nadi.control];
+        })
+        .await;
+    let callers = cluster.daemons[0].callers();
+    wait::until("requests are forwarded", async || {
+        http::open(callers, completion(1)).await.is_ok_and(|response| response.status() == 200)
+    })
+    .await;
+    let mut stream = Stream::open(callers, TOKENS).await;
+    stream.read_tokens(5).await;
+    engine.pause_for(PROCESS_PAUSE);
+    assert_whole(&stream.read_all().await, TOKENS);
+}
--- a/crates/daisydrum/tests/path/silence.rs
+++ b/crates/daisydrum/tests/path/silence.rs
@@ -69,3 +69,18 @@
     silent.kill();
     assert_whole(&stream.read_all().await, TOKENS);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_connection_goes_silent_goes_on_over_a_new_one_although_others_reject_it() {
+    let cluster = Cluster::start(1).await;
+    let (proxy, _engine) = engine_behind_proxy(&cluster).await;
+    let mut stream = Stream::open(cluster.daemons[0].callers(), TOKENS).await;
+    stream.read_tokens(5).await;
+    let _full = cluster.engine_with("full", |options| options.rejects_all_as_full = true).await;
+    cluster.until_targets(2).await;
+    proxy.silence_open();
+    let since = Moment::now();
+    assert_whole(&stream.read_all().await, TOKENS);
+    let bound = std::time::Duration::from_millis(PROGRESS_MS * 20);
+    assert!(Moment::now().since(since) < bound, "the stream took longer than {bound:?}");
+}
