--- a/crates/daisydrum/tests/seeded/idle.rs
+++ b/crates/daisydrum/tests/seeded/idle.rs
@@ -1,6 +1,6 @@
 //! Idle connections of callers.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::Method;
 use platform_standin::{client, runner::Runner};
@@ -75,9 +75,11 @@
     sent: &str,
 ) {
     let (fleet, _portal) = start(&format!("seeded-idle-{name}"), 1_000).await;
+    let opened = Instant::now();
     let mut stream = TcpStream::connect(fleet.entries[0].callers()).await.unwrap();
     stream.write_all(sent.as_bytes()).await.unwrap();
     let mut received = Vec::new();
     let closed = time::timeout(CLOSE_LIMIT, stream.read_to_end(&mut received)).await;
     assert!(closed.is_ok(), "the connection is open after {CLOSE_LIMIT:?}");
+    assert!(opened.elapsed() >= Duration::from_secs(1), "the connection was closed too early");
 }
--- a/crates/daisydrum/tests/seeded/path.rs
+++ b/crates/daisydrum/tests/seeded/path.rs
@@ -303,6 +303,23 @@
     assert!(stream.whole);
 }
 
+#[tokio::test]
+async fn a_request_whose_prompt_stays_awaited_is_refused_as_not_run_when_half_of_its_time_has_passed()
+ {
+    let (fleet, engines, _portals) = start_serving("seeded-prompt-awaited", 1, 1).await;
+    let silent = start_prefill_engine(&fleet, "mute", None).await;
+    silent.set_behaviour(Behaviour::Hang);
+    engines[0].set_behaviour(Behaviour::Reject);
+    let begun = std::time::Instant::now();
+    let stream = client::post_stream(fleet.entries[0].callers(), "/draft/1", "d1").await;
+    let elapsed = begun.elapsed();
+    assert_eq!(stream.status, Some(503), "{stream:?}");
+    assert!(stream.retry_after.is_some(), "{stream:?}");
+    let half = std::time::Duration::from_secs(3);
+    assert!((half..2 * half).contains(&elapsed), "refused after {elapsed:?}");
+    assert_eq!(run_count(&engines, "d1"), 0);
+}
+
 #[parameterized(
     rejected = { "seeded-budget-rejected", Behaviour::Reject },
     overdue = { "seeded-budget-overdue", Behaviour::Hang },
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,13 +12,13 @@
 pub mod metric;
 pub mod origins;
 pub mod pool;
+pub mod progress;
 pub mod quarantine;
 pub mod state;
 
 mod activity;
 mod buffer;
 mod dispatch;
-mod progress;
 mod request;
 mod stream;
 mod transport;
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -8,17 +8,20 @@
 
 /// What happened in the attempts of a request so far.
 #[derive(Debug, Default)]
-pub(crate) struct Progress {
+pub struct Progress {
     /// Targets that failed, rejected it or could not be reached.
     pub(crate) avoid: Vec<Key>,
-    /// Targets of live runs that are silent.
+    /// Targets that fell silent during a run and have not been heard of since.
     pub(crate) silent: Vec<Key>,
     /// Times that the request ran or may have run, besides separate prefills and live runs.
     pub(crate) runs: u32,
     /// Runs that have not ended.
     pub(crate) live: u32,
-    /// Live runs in which the request is sent to the target that answers it; see [`Claim`].
+    /// Live runs in which the request is sent to the target that answers it; see [`Claim`]. Each of them is also counted
+    /// in `live` until its end is applied, and in `runs` from then on unless it is withdrawn.
     claimed: u32,
+    /// Whether no run may be claimed any more, since the request was refused.
+    closed: bool,
     /// Rejections by targets that did not run it.
     pub(crate) rejections: u32,
     /// Prefills sent to another engine than the one that decodes, which may have accepted them.
@@ -39,7 +42,7 @@
 
 /// Where a stream began.
 #[derive(Clone, Debug)]
-pub(crate) struct Beginning {
+pub struct Beginning {
     /// The service; `None` if the route's only one.
     pub(crate) service: Option<name::Service>,
     pub(crate) software: name::Software,
@@ -51,14 +54,22 @@
         self.live = self.live.saturating_sub(1);
     }
 
-    /// Whether all live runs wait for their prompts to be computed elsewhere.
-    pub(crate) fn is_prompt_awaited(&self) -> bool {
-        self.claimed == 0 && self.runs == 0
+    /// Whether a target may have run the request, or may be running it.
+    pub fn may_have_run(&self) -> bool {
+        self.runs > 0 || self.claimed > 0
+    }
+
+    /// Lets no run be claimed any more; `false` if a target may have run the request.
+    pub fn close(&mut self) -> bool {
+        self.closed = !self.may_have_run();
+        self.closed
     }
 
     /// Claims one of `limit` runs, if that is possible now or may be later.
     fn claim(&mut self, limit: u32) -> Availability {
-        if self.runs + self.claimed + self.prefills.saturating_sub(1) < limit {
+        if self.closed {
+            Availability::Never
+        } else if self.runs + self.claimed + self.prefills.saturating_sub(1) < limit {
             self.claimed += 1;
             Availability::Now
         } else if self.claimed > 0 {
@@ -114,7 +125,7 @@
 
 /// The progress of one request, which its runs share.
 #[derive(Debug, Default)]
-pub(crate) struct Shared {
+pub struct Shared {
     progress: Mutex<Progress>,
     /// Notified when a claim has ended.
     claim_ended: Notify,
@@ -122,7 +133,7 @@
 
 impl Shared {
     /// The progress, locked.
-    pub(crate) fn lock(&self) -> MutexGuard<'_, Progress> {
+    pub fn lock(&self) -> MutexGuard<'_, Progress> {
         self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -130,7 +141,7 @@
     /// the runs beside each other reach one; waits while others that have claimed one may turn out not to have run.
     ///
     /// Returns nothing if all are used up.
-    pub(crate) async fn claim(&self, limit: u32) -> Option<Claim<'_>> {
+    pub async fn claim(&self, limit: u32) -> Option<Claim<'_>> {
         loop {
             let ended = self.claim_ended.notified();
             let availability = self.lock().claim(limit);
@@ -145,14 +156,14 @@
 
 /// A claimed run. Unless it is withdrawn the target may have run the request.
 #[derive(Debug)]
-pub(crate) struct Claim<'a> {
+pub struct Claim<'a> {
     shared: &'a Shared,
     ran: bool,
 }
 
 impl Claim<'_> {
     /// Gives the run back: the target did not run the request.
-    pub(crate) fn withdraw(mut self) {
+    pub fn withdraw(mut self) {
         self.ran = false;
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -315,7 +315,7 @@
     /// prompt is computed: of several, one claims the only run.
     pub(crate) fn may_run_beside(&self) -> bool {
         match self.route().retry {
-            Retry::Never => self.progress().is_prompt_awaited(),
+            Retry::Never => !self.progress().may_have_run(),
             Retry::Idempotent | Retry::Resume => self.has_attempts_left(),
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -181,6 +181,7 @@
                 Some(check) => check.since(Moment::now()),
                 None => self.request.remaining(),
             };
+            let until_refusal = self.until_refusal();
             tokio::select! {
                 biased;
                 Some((run, update)) = self.updates.recv() => {
@@ -188,6 +189,9 @@
                         return Ok(());
                     }
                 }
+                () = time::sleep(until_refusal.unwrap_or_default()), if until_refusal.is_some() => {
+                    self.refuse_overdue()?;
+                }
                 () = time::sleep(until_check) => self.check_silence()?,
             }
         }
@@ -203,7 +207,7 @@
                 if self.race.after_refusal() == Decision::Wait {
                     return Ok(());
                 }
-                if self.request.progress().runs == 0 {
+                if !self.request.progress().may_have_run() {
                     return Err(error);
                 }
                 self.denied = Some(error.to_string());
@@ -334,8 +338,8 @@
     /// Lets a run go on alone.
     fn win(&mut self, run: hedge::Run) {
         let heard = self.race.win(run, self.pause_limit(), Moment::now());
-        if heard.was_silent
-            && let Some(live) = self.runs.iter().find(|live| live.run == run)
+        if let Some(live) = self.runs.iter().find(|live| live.run == run)
+            && (heard.was_silent || self.request.progress().silent.contains(&live.target))
         {
             self.request.record_heard(live.target);
         }
@@ -363,6 +367,7 @@
                 let _closed = self.forward_head(run);
                 return Ok(Flow::Finished);
             }
+            Ending::Unclaimed => Another::Denied,
             Ending::NotRun => {
                 if self.race.live() == 1 {
                     Another::Allowed
@@ -381,7 +386,7 @@
             }
         };
         self.runs.retain(|live| live.run != run);
-        if request.route().retry == Retry::Never && request.progress().runs > 0 {
+        if request.route().retry == Retry::Never && request.progress().may_have_run() {
             // The runs beside it wait for their prompts, and none of them may be answered any more.
             self.runs.clear();
             self.race = Race::default();
@@ -406,14 +411,21 @@
             Another::Denied
         };
         let decision = self.race.after_silence(another);
-        self.follow(decision)?;
+        self.follow(decision)
+    }
+
+    /// Refuses a request whose prompt is still awaited, so that its caller has the time to come back; it has not run.
+    fn refuse_overdue(&self) -> Result<(), Error> {
+        if self.request.progress().close() { Err(self.request.targets_full()) } else { Ok(()) }
+    }
+
+    /// Time until [`Driver::refuse_overdue`] is due, if it is.
+    fn until_refusal(&self) -> Option<Duration> {
         let request = &self.request;
-        let time = request.deadline.since(request.arrived);
-        if request.progress().is_prompt_awaited() && request.remaining() < time / 2 {
-            // It hasn't run, and its caller has the time to come back.
-            return Err(request.targets_full());
-        }
-        Ok(())
+        let half = request.deadline.since(request.arrived) / 2;
+        let awaits_prompt =
+            !self.runs.is_empty() && self.runs.iter().all(|live| live.awaited == Awaited::Prompt);
+        awaits_prompt.then(|| (request.arrived + half).since(Moment::now()))
     }
 
     fn may_resume(&self) -> bool {
--- a/crates/gateway/src/stream/run.rs
+++ b/crates/gateway/src/stream/run.rs
@@ -16,7 +16,7 @@
     connection,
     dispatch::Dispatch,
     metric::{self, Stage},
-    progress::Beginning,
+    progress::{Beginning, Claim},
     request::{Execution, Pending},
     stream::Cause,
     whole::Buffered,
@@ -33,6 +33,8 @@
     Complete,
     /// No target ran the request.
     NotRun,
+    /// The request was not sent, since other runs have used up its attempts.
+    Unclaimed,
     /// The target may have run the request, and the stream is incomplete.
     Incomplete(Cause),
     /// The target responded with an error; nothing if that can't be forwarded.
@@ -93,7 +95,9 @@
 
 impl Task {
     pub(super) async fn run(mut self) {
-        let Ok(ending) = self.execute().await else {
+        let request = Arc::clone(&self.request);
+        let mut claim = None;
+        let Ok(ending) = self.execute(&request, &mut claim).await else {
             return;
         };
         let again = if self.dispatch.may_retry() { Again::Allowed } else { Again::Denied };
@@ -101,10 +105,16 @@
         drop(dispatch);
         // Without a receiver nobody waits for the ending.
         let _abandoned = updates.send((run, Update::Ended { ending, again })).await;
+        // A run that waits for the claim must not report its end before this one.
+        drop(claim);
     }
 
-    async fn execute(&mut self) -> Result<Ending, Abandoned> {
-        let request = Arc::clone(&self.request);
+    /// Carries out the run; `claim` holds the claim of one that the target may have run.
+    async fn execute<'a>(
+        &mut self,
+        request: &'a Arc<Pending>,
+        claim: &mut Option<Claim<'a>>,
+    ) -> Result<Ending, Abandoned> {
         let mut prefilled = None;
         let mut step = Step::Run;
         if let Some(key) = self.dispatch.plan.prefill {
@@ -116,15 +126,18 @@
         }
         let key = self.dispatch.plan.target;
         self.report_step(key).await?;
-        let Some(claim) = request.claim().await else {
-            return Ok(Ending::NotRun);
-        };
+        *claim = request.claim().await;
+        if claim.is_none() {
+            return Ok(Ending::Unclaimed);
+        }
         let sent_at = Moment::now();
         let execution = request.send(&self.dispatch, key, step, self.resume_after).await;
         let (response, connection) = match execution {
             Execution::Responded(response, connection) => (response, connection),
             Execution::NotRun => {
-                claim.withdraw();
+                if let Some(claim) = claim.take() {
+                    claim.withdraw();
+                }
                 return Ok(Ending::NotRun);
             }
             Execution::MayHaveRun => return Ok(Ending::Incomplete(Cause::ErrorResponse)),
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -73,6 +73,8 @@
     ServerError(Buffered),
     /// The target did not run the request.
     NotRun,
+    /// The request was not sent, since other runs have used up its attempts.
+    Unclaimed,
     /// The target may have run the request and gave no usable response.
     MayHaveRun,
 }
@@ -135,6 +137,10 @@
                         request.progress().end_run();
                         race.after_end(run, request.another())
                     }
+                    Ending::Unclaimed => {
+                        request.progress().end_run();
+                        race.after_end(run, Another::Denied)
+                    }
                     Ending::NotRun => {
                         request.progress().end_run();
                         let alone = race.live() == 1;
@@ -184,7 +190,7 @@
 async fn exchange(request: &Pending, dispatch: &Dispatch) -> Ending {
     let key = dispatch.plan.target;
     let Some(claim) = request.claim().await else {
-        return Ending::NotRun;
+        return Ending::Unclaimed;
     };
     let (response, connection) = match request.send(dispatch, key, Step::Run, None).await {
         Execution::Responded(response, connection) => (response, connection),
