Tests: a request that ends targets may reach them three times more (fail)

Copies of one request with new ids, at any instance, one by one and at all instances at once; idempotent, at most once and streams with and without resumption; at 1, 7 and 70 instances, and beside changes of the configuration, a restart and a new instance.

--- a/crates/daisydrum/tests/seeded/main.rs
+++ b/crates/daisydrum/tests/seeded/main.rs
@@ -5,6 +5,7 @@
 mod conditions;
 mod control;
 mod crash;
+mod crash_request;
 mod endless;
 mod fleet;
 mod framing;
