Quarantine: keep the standings of parts in a ledger of any suspects

No change of behaviour: the bounded map of standings, their merge, expiry and eviction, and the bounded map of successes become a module of their own, generic over the suspect and its standing, for the requests that end targets.

--- a/crates/placement/src/quarantine.rs
+++ b/crates/placement/src/quarantine.rs
@@ -15,11 +15,15 @@
 //! quarantined together, and requests that have some of these but not all are tried at once: those that end no engine
 //! clear what they have.
 
+mod ledger;
+
 use std::time::Duration;
 
-use common::{clock::Moment, collections::Map};
+use common::clock::Moment;
 use fleet::exchange::Suspicion;
 
+use crate::quarantine::ledger::{Ledger, Successes};
+
 /// Ends, each of a request that was sent after the one before, at which a part is quarantined.
 pub const MAX_ENDS: u32 = 4;
 /// Ends from which a request that was broken off is not sent again, so that no single request quarantines a part.
@@ -34,9 +38,6 @@
 const JOINT_TRIAL_DELAY: Duration = Duration::from_secs(2);
 /// Time for which a success shows that a part is sound.
 const SUCCESS_TTL: Duration = Duration::from_secs(60);
-/// Time after which the state of a part that is not quarantined is forgotten.
-const SUSPICION_TTL: Duration = Duration::from_secs(600);
-const QUARANTINE_TTL: Duration = Duration::from_secs(24 * 3_600);
 /// Parts whose state is kept.
 const MAX_PARTS: usize = 1_024;
 /// Parts whose last success is kept.
@@ -49,21 +50,23 @@
     ends: u32,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Entry {
-    standing: Standing,
-    /// When an instance first had this standing.
-    since: Moment,
-    /// When this instance last sent a request with the quarantined part.
-    tried_at: Option<Moment>,
-}
+impl ledger::Standing for Standing {
+    fn join(&mut self, other: &Standing) {
+        *self = (*self).max(*other);
+    }
 
-impl Entry {
-    fn expired(&self, now: Moment) -> bool {
-        let ttl = if self.standing.ends >= MAX_ENDS { QUARANTINE_TTL } else { SUSPICION_TTL };
-        now.since(self.since) > ttl
+    fn blame(&self) -> u32 {
+        self.ends
     }
 
+    fn is_quarantined(&self) -> bool {
+        self.ends >= MAX_ENDS
+    }
+}
+
+type Entry = ledger::Entry<Standing>;
+
+impl Entry {
     /// Time until a request with the part may be tried; none if the part is not quarantined.
     fn wait(&self, now: Moment) -> Option<Duration> {
         let further = self.standing.ends.checked_sub(MAX_ENDS)?;
@@ -94,11 +97,20 @@
 }
 
 /// The parts that a service's engines have ended on, as one instance knows them.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Quarantine {
-    entries: Map<u64, Entry>,
+    entries: Ledger<u64, Standing>,
     /// Last success of each part at this instance.
-    successes: Map<u64, Moment>,
+    successes: Successes<u64>,
+}
+
+impl Default for Quarantine {
+    fn default() -> Quarantine {
+        Quarantine {
+            entries: Ledger::new(MAX_PARTS),
+            successes: Successes::new(SUCCESS_TTL, MAX_SUCCESSES),
+        }
+    }
 }
 
 impl Quarantine {
@@ -115,7 +127,7 @@
     ) -> Result<Ticket, Duration> {
         let mut longest = Duration::ZERO;
         for part in parts.clone() {
-            let Some(entry) = self.entries.get(&part) else {
+            let Some(entry) = self.entries.get(part) else {
                 continue;
             };
             let Some(wait) = entry.wait(now) else {
@@ -134,7 +146,7 @@
             return Err(longest);
         }
         let standing = |part: u64| {
-            let entry = self.entries.get_mut(&part)?;
+            let entry = self.entries.get_mut(part)?;
             if entry.standing.ends >= MAX_ENDS {
                 entry.tried_at = Some(now);
             }
@@ -151,11 +163,11 @@
         parts: &(impl Iterator<Item = u64> + Clone),
     ) -> bool {
         self.entries.iter().any(|(other, joint)| {
-            *other != part
+            other != part
                 && joint.standing.ends == entry.standing.ends
                 && joint.since.since(entry.since).max(entry.since.since(joint.since))
                     <= JOINT_TOLERANCE
-                && !parts.clone().any(|part| part == *other)
+                && !parts.clone().any(|part| part == other)
         })
     }
 
@@ -164,7 +176,7 @@
     pub fn renew(&self, parts: impl Iterator<Item = u64>, ticket: &Ticket) -> Option<Ticket> {
         let mut renewed = Vec::new();
         for part in parts {
-            let Some(entry) = self.entries.get(&part) else {
+            let Some(entry) = self.entries.get(part) else {
                 continue;
             };
             if entry.standing.ends >= MAX_ENDS && !ticket.0.contains(&(part, entry.standing)) {
@@ -177,12 +189,12 @@
 
     /// Whether any of these parts could be blamed for the end of an engine.
     pub fn is_any_unproven(&self, mut parts: impl Iterator<Item = u64>, now: Moment) -> bool {
-        parts.any(|part| !self.is_proven(part, now))
+        parts.any(|part| !self.successes.is_proven(part, now))
     }
 
     /// Whether a request with these parts may be sent again after it was broken off.
     pub fn may_retry(&self, mut parts: impl Iterator<Item = u64>) -> bool {
-        let ends = |part: u64| self.entries.get(&part).map_or(0, |entry| entry.standing.ends);
+        let ends = |part: u64| self.entries.get(part).map_or(0, |entry| entry.standing.ends);
         parts.all(|part| ends(part) < MAX_ENDS_FOR_RETRY)
     }
 
@@ -196,14 +208,14 @@
     ) -> Vec<Suspicion> {
         let mut changed = Vec::new();
         for part in parts {
-            if self.is_proven(part, now) {
+            if self.successes.is_proven(part, now) {
                 continue;
             }
             let known = ticket.0.iter().find(|(other, _)| *other == part);
             let Standing { clearings, ends } =
                 known.map_or_else(Standing::default, |known| known.1);
             let standing = Standing { clearings, ends: ends.saturating_add(1) };
-            if self.raise(part, standing, now, now) {
+            if self.entries.raise(part, standing, now, now) {
                 changed.push(suspicion(part, standing, Duration::ZERO));
             }
         }
@@ -218,12 +230,9 @@
     ) -> Vec<Suspicion> {
         let mut changed = Vec::new();
         for part in parts {
-            self.successes.insert(part, now);
+            self.successes.record(part, now);
             changed.extend(self.clear(part, now));
         }
-        if self.successes.len() > MAX_SUCCESSES {
-            self.evict_successes(now);
-        }
         changed
     }
 
@@ -231,8 +240,8 @@
     pub fn merge(&mut self, suspicion: &Suspicion, now: Moment) -> Option<Suspicion> {
         let Suspicion { part, clearings, ends, age_ms } = *suspicion;
         let since = now - Duration::from_millis(age_ms);
-        self.raise(part, Standing { clearings, ends }, since, now);
-        if self.is_proven(part, now) { self.clear(part, now) } else { None }
+        self.entries.raise(part, Standing { clearings, ends }, since, now);
+        if self.successes.is_proven(part, now) { self.clear(part, now) } else { None }
     }
 
     /// The states that other instances should have, the quarantined parts first.
@@ -241,7 +250,7 @@
             .entries
             .iter()
             .filter(|(_, entry)| !entry.expired(now))
-            .map(|(part, entry)| suspicion(*part, entry.standing, now.since(entry.since)))
+            .map(|(part, entry)| suspicion(part, entry.standing, now.since(entry.since)))
             .collect();
         kept.sort_unstable_by_key(|suspicion| (std::cmp::Reverse(suspicion.ends), suspicion.part));
         kept
@@ -249,77 +258,19 @@
 
     /// Number of quarantined parts.
     pub fn quarantined(&self) -> usize {
-        self.entries.values().filter(|entry| entry.standing.ends >= MAX_ENDS).count()
-    }
-
-    /// Whether a success within [`SUCCESS_TTL`] shows that a part is sound.
-    fn is_proven(&self, part: u64, now: Moment) -> bool {
-        self.successes.get(&part).is_some_and(|success| now.since(*success) < SUCCESS_TTL)
+        self.entries.quarantined()
     }
 
     /// Clears a part that is blamed.
     fn clear(&mut self, part: u64, now: Moment) -> Option<Suspicion> {
-        let Standing { clearings, ends } = self.entries.get(&part)?.standing;
+        let Standing { clearings, ends } = self.entries.get(part)?.standing;
         if ends == 0 {
             return None;
         }
         let standing = Standing { clearings: clearings.saturating_add(1), ends: 0 };
-        self.raise(part, standing, now, now);
+        self.entries.raise(part, standing, now, now);
         Some(suspicion(part, standing, Duration::ZERO))
     }
-
-    /// Takes over a standing that is greater than the known one; returns whether it is.
-    fn raise(&mut self, part: u64, standing: Standing, since: Moment, now: Moment) -> bool {
-        let entry = Entry { standing, since, tried_at: None };
-        if entry.expired(now) {
-            return false;
-        }
-        if let Some(known) = self.entries.get_mut(&part) {
-            let greater = standing > known.standing;
-            if greater {
-                *known = Entry { tried_at: known.tried_at, ..entry };
-            } else if standing == known.standing {
-                known.since = known.since.min(since);
-            }
-            return greater;
-        }
-        if standing == Standing::default() {
-            return false;
-        }
-        if self.entries.len() >= MAX_PARTS {
-            self.evict_entry(now);
-        }
-        self.entries.insert(part, entry);
-        true
-    }
-
-    /// Makes room for one more part: removes those that have expired, else the least blamed, oldest one.
-    fn evict_entry(&mut self, now: Moment) {
-        self.entries.retain(|_, entry| !entry.expired(now));
-        if self.entries.len() < MAX_PARTS {
-            return;
-        }
-        let least = self
-            .entries
-            .iter()
-            .min_by_key(|(part, entry)| (entry.standing.ends, entry.since, **part))
-            .map(|(part, _)| *part);
-        if let Some(part) = least {
-            self.entries.remove(&part);
-        }
-    }
-
-    /// Removes successes that have expired; if most have not, the older half.
-    fn evict_successes(&mut self, now: Moment) {
-        self.successes.retain(|_, success| now.since(*success) < SUCCESS_TTL);
-        if self.successes.len() <= MAX_SUCCESSES / 2 {
-            return;
-        }
-        let mut times: Vec<Moment> = self.successes.values().copied().collect();
-        let middle = times.len() / 2;
-        let median = *times.select_nth_unstable(middle).1;
-        self.successes.retain(|_, success| *success > median);
-    }
 }
 
 fn suspicion(part: u64, standing: Standing, age: Duration) -> Suspicion {
