Quarantine of requests that end targets: the decisions and the states that instances exchange

A request that ends each target which begins to run it comes again with a new id and the same content. Three processes of targets that ended under one digest of the content quarantine it. Ends at once count, unlike those of parts: copies may come at all instances together, and sound requests hardly share a digest. The processes, not the times or the order, are what instances agree on: a standing keeps the first three by their hash and joins by union. A trial counts when it is sent, one instance at a time, 5 s, 155 s and 755 s after the quarantine.

On paper, after the third end and 3 s: one trial in two minutes, and one send for each instance that a lost notice has left without the third end. Nothing sends or applies these states yet.

--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use common::name;
+use derive_more::Display;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{condition::Rate, register::Document, registry::Target};
@@ -174,11 +175,61 @@
         /// At most [`MAX_SUSPICIONS`], so that several notices fit into a datagram.
         suspicions: Vec<Suspicion>,
     },
+    /// What the sender knows of requests on which a service's targets have ended. Instances of earlier builds can't
+    /// decode it, so it travels apart from other notices.
+    Crashes {
+        /// The service.
+        service: name::Service,
+        /// At most [`MAX_SUSPICIONS`].
+        crashes: Vec<Crashes>,
+    },
+}
+
+impl Notice {
+    /// Whether instances of earlier builds can't decode it.
+    pub fn is_recent(&self) -> bool {
+        matches!(self, Notice::Crashes { .. })
+    }
 }
 
 /// Number of suspicions in one notice.
 pub const MAX_SUSPICIONS: usize = 16;
 
+/// Stands for the content of a request: all that is the same when a caller sends it again. Two requests with different
+/// content don't have the same digest.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0:032x}")]
+pub struct Digest(pub u128);
+
+/// State of a request on which targets have ended; the one with more clearings is the later one, with as many the
+/// processes and the trials of both hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crashes {
+    /// The request.
+    pub request: Digest,
+    /// How often a success has cleared it.
+    pub clearings: u32,
+    /// Processes of targets that have ended under it since then, at most three, by a hash of their names and starts.
+    pub processes: Vec<u64>,
+    /// Trials since it was quarantined.
+    pub trials: u32,
+    /// Time since an instance first had this state, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// State of a prompt part on which engines have ended; of two states the one with more clearings, then the one with
 /// more ends is the later one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- /dev/null
+++ b/crates/placement/src/quarantine/request.rs
@@ -0,0 +1,271 @@
+//! Which requests end the targets that run them, and must not be sent any more.
+//!
+//! A request that comes again has a new id, but the same content; [`Digest`] stands for that. Unlike a part of a prompt,
+//! a digest is shared by few requests, so it takes fewer ends to quarantine it, and those of several targets at once
+//! count. What counts are the processes that ended, which instances that see the same ends agree on: a standing has the
+//! first [`MAX_ENDS`] of them in their order, and joins by their union.
+//!
+//! A quarantined request is tried when a delay has passed, by one instance at a time: those that know the fleet take
+//! turns, in the order of their names. A trial counts when it is sent, before its outcome is known.
+
+use std::time::Duration;
+
+use common::clock::Moment;
+use fleet::exchange::{Crashes, Digest};
+
+use crate::quarantine::ledger::{self, Ledger, Successes};
+
+/// Processes of targets that ended under a request at which it is quarantined.
+pub const MAX_ENDS: usize = 3;
+/// Time from the quarantine until the first trial. By then targets that ended together are back.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(5);
+/// Time from one trial to the next, and by how much it grows with each.
+const TRIAL_DELAY: Duration = Duration::from_secs(150);
+const TRIAL_DELAY_FACTOR: u32 = 4;
+const MAX_TRIAL_DELAY: Duration = Duration::from_secs(3_600);
+/// Time in which one instance may try a request, and the end of it in which it no longer does, so that the next
+/// instance hears of the trial in time.
+const TURN: Duration = Duration::from_millis(500);
+const TURN_MARGIN: Duration = Duration::from_millis(100);
+/// Time for which a success shows that a request is sound. Longer than targets take to end together, and short, since a
+/// request may begin to end targets at any time.
+const SUCCESS_TTL: Duration = Duration::from_secs(2);
+/// Requests whose standing is kept. A target that ends adds as many as it has slots.
+const MAX_REQUESTS: usize = 4_096;
+/// Requests whose last success is kept.
+const MAX_SUCCESSES: usize = 8_192;
+/// Time for which a standing that is no quarantine is repeated to other instances.
+const REPETITION_TIME: Duration = Duration::from_secs(10);
+
+/// How often a success cleared a request, the processes that ended since, and the trials since.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Standing {
+    clearings: u32,
+    /// The smallest [`MAX_ENDS`] of those known, in ascending order.
+    processes: Vec<u64>,
+    trials: u32,
+}
+
+impl ledger::Standing for Standing {
+    fn join(&mut self, other: &Standing) {
+        if other.clearings != self.clearings {
+            if other.clearings > self.clearings {
+                self.clone_from(other);
+            }
+            return;
+        }
+        for process in &other.processes {
+            self.add_process(*process);
+        }
+        self.trials = self.trials.max(other.trials);
+    }
+
+    fn blame(&self) -> u32 {
+        u32::try_from(self.processes.len()).unwrap_or(u32::MAX)
+    }
+
+    fn is_quarantined(&self) -> bool {
+        self.processes.len() >= MAX_ENDS
+    }
+}
+
+impl Standing {
+    fn add_process(&mut self, process: u64) {
+        if let Err(place) = self.processes.binary_search(&process) {
+            self.processes.insert(place, process);
+            self.processes.truncate(MAX_ENDS);
+        }
+    }
+
+    fn is_clear(&self) -> bool {
+        self.processes.is_empty() && self.trials == 0
+    }
+}
+
+/// The place of this instance among those that may try quarantined requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Its position in the order of names, from 0.
+    pub position: u32,
+    /// The number of instances.
+    pub instances: u32,
+}
+
+/// The requests that a service's targets have ended on, as one instance knows them.
+#[derive(Clone, Debug)]
+pub struct Quarantine {
+    entries: Ledger<Digest, Standing>,
+    successes: Successes<Digest>,
+}
+
+impl Default for Quarantine {
+    fn default() -> Quarantine {
+        Quarantine {
+            entries: Ledger::new(MAX_REQUESTS),
+            successes: Successes::new(SUCCESS_TTL, MAX_SUCCESSES),
+        }
+    }
+}
+
+impl Quarantine {
+    /// Checks whether a request may be sent; `place` is unknown to an instance that doesn't know the fleet yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until this instance may try the request if it is quarantined and no trial is due.
+    pub fn admit(
+        &self,
+        request: Digest,
+        place: Option<Place>,
+        now: Moment,
+    ) -> Result<(), Duration> {
+        let Some(entry) = self.entries.get(request) else {
+            return Ok(());
+        };
+        if entry.standing.processes.len() < MAX_ENDS {
+            return Ok(());
+        }
+        let Some(place) = place else {
+            return Err(FIRST_TRIAL_DELAY);
+        };
+        let wait = wait(entry.since + delay(entry.standing.trials), place, now);
+        if wait.is_zero() { Ok(()) } else { Err(wait) }
+    }
+
+    /// Checks again right before an admitted request is sent, and counts a trial; returns the states that changed, for
+    /// the other instances.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until this instance may try the request if it is quarantined and no trial is due.
+    pub fn begin(
+        &mut self,
+        request: Digest,
+        place: Option<Place>,
+        now: Moment,
+    ) -> Result<Option<Crashes>, Duration> {
+        self.admit(request, place, now)?;
+        let Some(entry) = self.entries.get(request) else {
+            return Ok(None);
+        };
+        if entry.standing.processes.len() < MAX_ENDS {
+            return Ok(None);
+        }
+        let mut standing = entry.standing.clone();
+        standing.trials = standing.trials.saturating_add(1);
+        Ok(self.raise(request, standing, now))
+    }
+
+    /// Whether an end of a target could be blamed on a request.
+    pub fn is_unproven(&self, request: Digest, now: Moment) -> bool {
+        !self.successes.is_proven(request, now)
+    }
+
+    /// Records that a process of a target ended while it had a request; returns the state for the other instances if it
+    /// changed.
+    pub fn record_end(&mut self, request: Digest, process: u64, now: Moment) -> Option<Crashes> {
+        if self.successes.is_proven(request, now) {
+            return None;
+        }
+        let mut standing =
+            self.entries.get(request).map(|entry| entry.standing.clone()).unwrap_or_default();
+        standing.add_process(process);
+        self.raise(request, standing, now)
+    }
+
+    /// Records that a request succeeded; returns the state for the other instances if it changed.
+    pub fn record_success(&mut self, request: Digest, now: Moment) -> Option<Crashes> {
+        self.successes.record(request, now);
+        self.clear(request, now)
+    }
+
+    /// Merges the state of a request at another instance; returns an objection if the request succeeds here.
+    pub fn merge(&mut self, crashes: &Crashes, now: Moment) -> Option<Crashes> {
+        let mut standing = Standing {
+            clearings: crashes.clearings,
+            processes: Vec::new(),
+            trials: crashes.trials,
+        };
+        for process in &crashes.processes {
+            standing.add_process(*process);
+        }
+        let since = now - Duration::from_millis(crashes.age_ms);
+        self.entries.raise(crashes.request, standing, since, now);
+        if self.successes.is_proven(crashes.request, now) {
+            self.clear(crashes.request, now)
+        } else {
+            None
+        }
+    }
+
+    /// The states that an instance which starts should have, the quarantined requests first.
+    pub fn states(&self, now: Moment) -> Vec<Crashes> {
+        let mut kept: Vec<Crashes> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| !entry.expired(now))
+            .map(|(request, entry)| crashes(request, &entry.standing, now.since(entry.since)))
+            .collect();
+        kept.sort_unstable_by_key(|state| {
+            (std::cmp::Reverse(state.processes.len()), state.request)
+        });
+        kept
+    }
+
+    /// The states that are repeated to other instances, in case that a notice was lost: those of quarantined requests,
+    /// and others for some time.
+    pub fn repeated_states(&self, now: Moment) -> Vec<Crashes> {
+        let limit = u64::try_from(REPETITION_TIME.as_millis()).unwrap_or(u64::MAX);
+        let mut states = self.states(now);
+        states.retain(|state| state.processes.len() >= MAX_ENDS || state.age_ms < limit);
+        states
+    }
+
+    /// Number of quarantined requests.
+    pub fn quarantined(&self) -> usize {
+        self.entries.quarantined()
+    }
+
+    fn clear(&mut self, request: Digest, now: Moment) -> Option<Crashes> {
+        let standing = &self.entries.get(request)?.standing;
+        if standing.is_clear() {
+            return None;
+        }
+        let clearings = standing.clearings.saturating_add(1);
+        self.raise(request, Standing { clearings, ..Standing::default() }, now)
+    }
+
+    fn raise(&mut self, request: Digest, standing: Standing, now: Moment) -> Option<Crashes> {
+        let state = crashes(request, &standing, Duration::ZERO);
+        self.entries.raise(request, standing, now, now).then_some(state)
+    }
+}
+
+/// Time from the quarantine, or from the last trial, to the next one.
+fn delay(trials: u32) -> Duration {
+    let Some(further) = trials.checked_sub(1) else {
+        return FIRST_TRIAL_DELAY;
+    };
+    TRIAL_DELAY.saturating_mul(TRIAL_DELAY_FACTOR.saturating_pow(further)).min(MAX_TRIAL_DELAY)
+}
+
+/// Time until this instance may try a request for which a trial is due at `due`; zero if it may now.
+fn wait(due: Moment, place: Place, now: Moment) -> Duration {
+    let instances = place.instances.max(1);
+    let cycle = TURN * instances;
+    let first = due + TURN * (place.position % instances);
+    if now < first {
+        return first.since(now);
+    }
+    let cycle_ms = u64::try_from(cycle.as_millis()).unwrap_or(u64::MAX);
+    let elapsed = now.0.saturating_sub(first.0) % cycle_ms;
+    let elapsed = Duration::from_millis(elapsed);
+    let open = if instances == 1 { cycle } else { TURN.saturating_sub(TURN_MARGIN) };
+    if elapsed < open { Duration::ZERO } else { cycle.saturating_sub(elapsed) }
+}
+
+fn crashes(request: Digest, standing: &Standing, age: Duration) -> Crashes {
+    let Standing { clearings, processes, trials } = standing.clone();
+    let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+    Crashes { request, clearings, processes, trials, age_ms }
+}
