Quarantine of requests: one table for all services, and content without the parts of the prompt

The route of a request may lead to several services, and three ends count wherever they are. An answer to an instance that starts carries the states behind what earlier builds read.

--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -119,7 +119,7 @@
     Later,
     /// The question can't be decoded, or this instance doesn't answer questions of its kind.
     Refused,
-    /// Answers [`Question::Suspicions`]: [`Notice::Suspicions`] only.
+    /// Answers [`Question::Suspicions`]: [`Notice::Suspicions`] and [`Notice::Crashes`]; see [`encode_answer`].
     Suspicions(Vec<Notice>),
     /// Answers [`Question::RecordOrigin`] and [`Question::Origin`].
     Origin {
@@ -175,20 +175,15 @@
         /// At most [`MAX_SUSPICIONS`], so that several notices fit into a datagram.
         suspicions: Vec<Suspicion>,
     },
-    /// What the sender knows of requests on which a service's targets have ended. Instances of earlier builds can't
-    /// decode it, so it travels apart from other notices.
-    Crashes {
-        /// The service.
-        service: name::Service,
-        /// At most [`MAX_SUSPICIONS`].
-        crashes: Vec<Crashes>,
-    },
+    /// What the sender knows of requests on which targets have ended; at most [`MAX_SUSPICIONS`]. Instances of earlier
+    /// builds can't decode it, so it travels apart from other notices.
+    Crashes(Vec<Crashes>),
 }
 
 impl Notice {
     /// Whether instances of earlier builds can't decode it.
     pub fn is_recent(&self) -> bool {
-        matches!(self, Notice::Crashes { .. })
+        matches!(self, Notice::Crashes(_))
     }
 }
 
@@ -282,20 +277,29 @@
     Some(targets)
 }
 
-/// Encodes an answer. The versions of the targets' software follow it, which instances of earlier builds leave unread.
+/// Encodes an answer. What instances of earlier builds can't decode follows it, and they leave it unread: the versions of
+/// the targets' software, and the recent kinds of notices.
 pub fn encode_answer(answer: &Answer) -> Vec<u8> {
-    let mut bytes = encode(answer);
-    if let Answer::Update(update) = answer {
-        bytes.extend(encode(&software(&update.targets)));
+    match answer {
+        Answer::Update(update) => [encode(answer), encode(&software(&update.targets))].concat(),
+        Answer::Suspicions(notices) => {
+            let (recent, earlier): (Vec<Notice>, Vec<Notice>) =
+                notices.iter().cloned().partition(Notice::is_recent);
+            [encode(&Answer::Suspicions(earlier)), encode(&recent)].concat()
+        }
+        _ => encode(answer),
     }
-    bytes
 }
 
-/// Decodes an answer with or without the versions of the targets' software; `None` if the bytes are not valid.
+/// Decodes an answer with or without what instances of earlier builds don't send; `None` if the bytes are not valid.
 pub fn decode_answer(bytes: &[u8]) -> Option<Answer> {
     let (mut answer, rest) = postcard::take_from_bytes::<Answer>(bytes).ok()?;
-    if let Answer::Update(update) = &mut answer {
-        set_software(&mut update.targets, rest);
+    match &mut answer {
+        Answer::Update(update) => set_software(&mut update.targets, rest),
+        Answer::Suspicions(notices) => {
+            notices.extend(decode::<Vec<Notice>>(rest).unwrap_or_default());
+        }
+        _ => {}
     }
     Some(answer)
 }
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -186,6 +186,25 @@
     assert_eq!(exchange::decode_answer(&exchange::encode_answer(&answer)), Some(answer));
 }
 
+#[test]
+fn an_earlier_build_reads_the_answer_without_the_requests_that_end_targets() {
+    let parts = exchange::Notice::Suspicions { service: "a".into(), suspicions: Vec::new() };
+    let crashes = exchange::Crashes {
+        request: exchange::Digest(u128::MAX),
+        clearings: 1,
+        processes: vec![3, 4],
+        trials: 0,
+        age_ms: 20,
+    };
+    let answer =
+        exchange::Answer::Suspicions(vec![parts.clone(), exchange::Notice::Crashes(vec![crashes])]);
+    let bytes = exchange::encode_answer(&answer);
+    assert_eq!(exchange::decode_answer(&bytes), Some(answer));
+    let earlier = exchange::Answer::Suspicions(vec![parts]);
+    assert_eq!(exchange::decode(&bytes), Some(earlier.clone()));
+    assert_eq!(exchange::decode_answer(&exchange::encode(&earlier)), Some(earlier));
+}
+
 #[test]
 fn a_process_keeps_its_software_when_an_earlier_build_reports_it() {
     let mut registry = Registry::default();
--- a/crates/placement/src/balancer/notices.rs
+++ b/crates/placement/src/balancer/notices.rs
@@ -96,7 +96,7 @@
             Notice::Computed { number } => drop(self.complete_prompt(*number, now)),
             Notice::Withdrawn { number } => drop(self.cancel_prompt(*number, now)),
             // This instance's own connections show whether it reaches the target, and suspicions concern no target.
-            Notice::Unreached { .. } | Notice::Suspicions { .. } | Notice::Crashes { .. } => {}
+            Notice::Unreached { .. } | Notice::Suspicions { .. } | Notice::Crashes(_) => {}
             Notice::Condition { target, started_unix_ms, leaving, limit } => {
                 let report = Report { leaving: *leaving, retry_after: None, limit: *limit };
                 self.apply_condition(target, *started_unix_ms, &report, now);
--- a/crates/placement/src/quarantine/request.rs
+++ b/crates/placement/src/quarantine/request.rs
@@ -5,6 +5,9 @@
 //! count. What counts are the processes that ended, which instances that see the same ends agree on: a standing has the
 //! first [`MAX_ENDS`] of them in their order, and joins by their union.
 //!
+//! The parts of a prompt are content, too, but a caller may name others for the same body. So a request with shared parts
+//! has a second digest without them, which is blamed for each first digest under which a target ended.
+//!
 //! A quarantined request is tried when a delay has passed, by one instance at a time: those that know the fleet take
 //! turns, in the order of their names. A trial counts when it is sent, before its outcome is known.
 
@@ -13,7 +16,7 @@
 use common::clock::Moment;
 use fleet::exchange::{Crashes, Digest};
 
-use crate::quarantine::ledger::{self, Ledger, Successes};
+use crate::quarantine::ledger::{self, Ledger, Standing as _, Successes};
 
 /// Processes of targets that ended under a request at which it is quarantined.
 pub const MAX_ENDS: usize = 3;
@@ -69,6 +72,8 @@
     }
 }
 
+type Entry = ledger::Entry<Standing>;
+
 impl Standing {
     fn add_process(&mut self, process: u64) {
         if let Err(place) = self.processes.binary_search(&process) {
@@ -82,6 +87,28 @@
     }
 }
 
+/// The content of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Content {
+    /// All of it.
+    pub whole: Digest,
+    /// All but the shared parts of the prompt; `None` if there are none.
+    pub without_parts: Option<Digest>,
+}
+
+impl From<Digest> for Content {
+    /// Content without shared parts of a prompt.
+    fn from(whole: Digest) -> Content {
+        Content { whole, without_parts: None }
+    }
+}
+
+impl Content {
+    fn digests(self) -> impl Iterator<Item = Digest> {
+        std::iter::once(self.whole).chain(self.without_parts)
+    }
+}
+
 /// The place of this instance among those that may try quarantined requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
@@ -91,7 +118,8 @@
     pub instances: u32,
 }
 
-/// The requests that a service's targets have ended on, as one instance knows them.
+/// The requests that targets have ended on, as one instance knows them. One table serves all services: the route of a
+/// request may lead to several.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
     entries: Ledger<Digest, Standing>,
@@ -115,23 +143,28 @@
     /// Returns the time until this instance may try the request if it is quarantined and no trial is due.
     pub fn admit(
         &self,
-        request: Digest,
+        content: impl Into<Content>,
         place: Option<Place>,
         now: Moment,
     ) -> Result<(), Duration> {
-        let Some(entry) = self.entries.get(request) else {
+        let due = |entry: &Entry| entry.since + delay(entry.standing.trials);
+        let Some(due) = self.quarantined(content.into()).map(|(_, entry)| due(entry)).max() else {
             return Ok(());
         };
-        if entry.standing.processes.len() < MAX_ENDS {
-            return Ok(());
-        }
         let Some(place) = place else {
             return Err(FIRST_TRIAL_DELAY);
         };
-        let wait = wait(entry.since + delay(entry.standing.trials), place, now);
+        let wait = wait(due, place, now);
         if wait.is_zero() { Ok(()) } else { Err(wait) }
     }
 
+    fn quarantined(&self, content: Content) -> impl Iterator<Item = (Digest, &Entry)> {
+        content.digests().filter_map(|digest| {
+            let entry = self.entries.get(digest)?;
+            entry.standing.is_quarantined().then_some((digest, entry))
+        })
+    }
+
     /// Checks again right before an admitted request is sent, and counts a trial; returns the states that changed, for
     /// the other instances.
     ///
@@ -140,30 +173,43 @@
     /// Returns the time until this instance may try the request if it is quarantined and no trial is due.
     pub fn begin(
         &mut self,
-        request: Digest,
+        content: impl Into<Content>,
         place: Option<Place>,
         now: Moment,
-    ) -> Result<Option<Crashes>, Duration> {
-        self.admit(request, place, now)?;
-        let Some(entry) = self.entries.get(request) else {
-            return Ok(None);
+    ) -> Result<Vec<Crashes>, Duration> {
+        let content = content.into();
+        self.admit(content, place, now)?;
+        let tried = |(digest, entry): (Digest, &Entry)| {
+            let trials = entry.standing.trials.saturating_add(1);
+            (digest, Standing { trials, ..entry.standing.clone() })
         };
-        if entry.standing.processes.len() < MAX_ENDS {
-            return Ok(None);
-        }
-        let mut standing = entry.standing.clone();
-        standing.trials = standing.trials.saturating_add(1);
-        Ok(self.raise(request, standing, now))
+        let tried: Vec<(Digest, Standing)> = self.quarantined(content).map(tried).collect();
+        let raise = |(digest, standing)| self.raise(digest, standing, now);
+        Ok(tried.into_iter().filter_map(raise).collect())
     }
 
     /// Whether an end of a target could be blamed on a request.
-    pub fn is_unproven(&self, request: Digest, now: Moment) -> bool {
-        !self.successes.is_proven(request, now)
+    pub fn is_unproven(&self, content: impl Into<Content>, now: Moment) -> bool {
+        !self.successes.is_proven(content.into().whole, now)
     }
 
-    /// Records that a process of a target ended while it had a request; returns the state for the other instances if it
-    /// changed.
-    pub fn record_end(&mut self, request: Digest, process: u64, now: Moment) -> Option<Crashes> {
+    /// Records that a process of a target ended while it had a request; returns the states that changed, for the other
+    /// instances.
+    pub fn record_end(
+        &mut self,
+        content: impl Into<Content>,
+        process: u64,
+        now: Moment,
+    ) -> Vec<Crashes> {
+        let Content { whole, without_parts } = content.into();
+        let mut changed = Vec::from_iter(self.add_end(whole, process, now));
+        // The low half of the digest stands for all ends with these parts.
+        let variant = u64::try_from(whole.0 & u128::from(u64::MAX)).unwrap_or_default();
+        changed.extend(without_parts.and_then(|digest| self.add_end(digest, variant, now)));
+        changed
+    }
+
+    fn add_end(&mut self, request: Digest, process: u64, now: Moment) -> Option<Crashes> {
         if self.successes.is_proven(request, now) {
             return None;
         }
@@ -173,10 +219,14 @@
         self.raise(request, standing, now)
     }
 
-    /// Records that a request succeeded; returns the state for the other instances if it changed.
-    pub fn record_success(&mut self, request: Digest, now: Moment) -> Option<Crashes> {
-        self.successes.record(request, now);
-        self.clear(request, now)
+    /// Records that a request succeeded; returns the states that changed, for the other instances.
+    pub fn record_success(&mut self, content: impl Into<Content>, now: Moment) -> Vec<Crashes> {
+        let mut changed = Vec::new();
+        for digest in content.into().digests() {
+            self.successes.record(digest, now);
+            changed.extend(self.clear(digest, now));
+        }
+        changed
     }
 
     /// Merges the state of a request at another instance; returns an objection if the request succeeds here.
@@ -222,7 +272,7 @@
     }
 
     /// Number of quarantined requests.
-    pub fn quarantined(&self) -> usize {
+    pub fn quarantined_count(&self) -> usize {
         self.entries.quarantined()
     }
 
--- a/crates/placement/src/quota.rs
+++ b/crates/placement/src/quota.rs
@@ -14,7 +14,7 @@
 use common::{clock::Moment, name};
 use fleet::condition::Rate;
 
-use crate::rendezvous::rank;
+use crate::{quarantine::request::Place, rendezvous::rank};
 
 /// Time in which each holder of a limit may send at least one request.
 const TURN: Duration = Duration::from_secs(2);
@@ -50,6 +50,16 @@
             .is_some_and(|others| others.iter().all(|other| rank(&key, other) > own))
     }
 
+    /// The place of this instance in the order of names; `None` while the others are not known.
+    pub fn place(&self) -> Option<Place> {
+        let others = self.others.as_ref()?;
+        let before = others.iter().filter(|other| **other < self.own).count();
+        Some(Place {
+            position: u32::try_from(before).unwrap_or(u32::MAX),
+            instances: u32::try_from(others.len() + 1).unwrap_or(u32::MAX),
+        })
+    }
+
     /// Requests a second that this instance may send of the `rate` that a target takes from all; 0 if others hold it.
     pub fn share(&self, target: &name::Target, rate: Rate) -> f64 {
         let rate = rate.per_second();
--- a/crates/placement/tests/request_quarantine.rs
+++ b/crates/placement/tests/request_quarantine.rs
@@ -11,7 +11,7 @@
 use common::{clock::Moment, random::Random};
 use crash_requests::{Plan, simulate};
 use fleet::exchange::{self, Crashes, Digest, MAX_SUSPICIONS, Notice};
-use placement::quarantine::request::{MAX_ENDS, Place, Quarantine};
+use placement::quarantine::request::{Content, MAX_ENDS, Place, Quarantine};
 use yare::parameterized;
 
 /// Copies of the request that may reach targets later than three seconds after the third end.
@@ -88,7 +88,7 @@
 /// Quarantines a request by ends of different processes.
 fn quarantine(quarantine: &mut Quarantine, request: Digest, ms: u64) -> Vec<Crashes> {
     let end = |process| quarantine.record_end(request, process, at(ms));
-    (1..=MAX_ENDS as u64).filter_map(end).collect()
+    (1..=MAX_ENDS as u64).flat_map(end).collect()
 }
 
 #[test]
@@ -112,10 +112,10 @@
     let mut all = Quarantine::default();
     for process in 1..=MAX_ENDS as u64 {
         let mut other = Quarantine::default();
-        let state = other.record_end(REQUEST, process, at(0)).unwrap();
-        assert_eq!(all.merge(&state, at(10)), None);
+        let states = other.record_end(REQUEST, process, at(0));
+        assert_eq!(all.merge(&states[0], at(10)), None);
     }
-    assert_eq!(all.quarantined(), 1);
+    assert_eq!(all.quarantined_count(), 1);
 }
 
 #[test]
@@ -210,6 +210,32 @@
     assert!(quarantined.admit(REQUEST, ALONE, at(3_100)).is_err());
 }
 
+/// A request with the same body and these shared parts of the prompt.
+fn with_parts(parts: u128) -> Content {
+    Content { whole: Digest(1_000 + parts), without_parts: Some(REQUEST) }
+}
+
+#[test]
+fn a_request_whose_parts_differ_each_time_is_quarantined_by_the_rest_of_its_content() {
+    let mut quarantine = Quarantine::default();
+    for process in 0..MAX_ENDS as u64 {
+        quarantine.record_end(with_parts(process.into()), process, at(0));
+    }
+    assert!(quarantine.admit(with_parts(99), ALONE, at(10)).is_err());
+    assert!(quarantine.begin(with_parts(99), ALONE, at(6_000)).is_ok());
+    assert!(quarantine.begin(with_parts(100), ALONE, at(60_000)).is_err());
+}
+
+#[test]
+fn a_request_with_the_same_body_and_other_parts_is_admitted() {
+    let mut quarantine = Quarantine::default();
+    for process in 0..100 {
+        quarantine.record_end(with_parts(1), process, at(0));
+    }
+    assert!(quarantine.admit(with_parts(1), ALONE, at(10)).is_err());
+    assert!(quarantine.admit(with_parts(2), ALONE, at(10)).is_ok());
+}
+
 #[test]
 fn a_flood_of_other_requests_does_not_release_a_quarantined_one_and_memory_is_bounded() {
     let mut flooded = Quarantine::default();
@@ -233,7 +259,7 @@
             quarantine.record_end(bystander, process, at(process * 1_000));
         }
     }
-    assert_eq!(quarantine.quarantined(), 1);
+    assert_eq!(quarantine.quarantined_count(), 1);
     // Bystanders are repeated for some time only.
     assert_eq!(quarantine.repeated_states(at(60_000)).len(), 1);
 }
@@ -254,7 +280,7 @@
         }
     }
     let crashes = quarantine.states(at(500));
-    let notice = Notice::Crashes { service: "engines".into(), crashes };
-    let bytes = exchange::encode(&[notice]).len();
+    let notice = Notice::Crashes(crashes);
+    let bytes = exchange::encode(&vec![notice]).len();
     assert!(bytes <= 1_400, "{bytes} bytes");
 }
--- a/crates/placement/tests/support/crash_requests.rs
+++ b/crates/placement/tests/support/crash_requests.rs
@@ -235,11 +235,10 @@
         }
     }
 
-    fn notify(&mut self, from: usize, changed: Option<Crashes>) {
-        let Some(state) = changed else {
-            return;
-        };
-        (0..self.instances.len()).for_each(|to| self.send_notice(from, to, &state));
+    fn notify(&mut self, from: usize, changed: impl IntoIterator<Item = Crashes>) {
+        for state in changed {
+            (0..self.instances.len()).for_each(|to| self.send_notice(from, to, &state));
+        }
     }
 
     fn deliver_notices(&mut self) {
