Log by their content the requests that break off with a target

`attempt_failed`, `response_not_read` and `stream_broke_off` named the id, which is new each time a caller sends a request again. They name a digest of the content, too: method, host, path, credentials, body and shared prompt parts.

--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -16,6 +16,7 @@
 use slog::{Logger, debug, info};
 
 use crate::{
+    content,
     error::Error,
     progress::Shared,
     request::Pending,
@@ -117,11 +118,14 @@
     let stream = metadata.resumes.as_ref().unwrap_or(&metadata.id);
     let draw =
         random::mix(stream.bytes().fold(0, |hash, byte| random::mix(hash ^ u64::from(byte))));
+    let shared_parts = metadata.shared_parts();
+    let content = content::content(&head.method, &head.uri, &head.headers, &body, shared_parts);
     Ok(Pending {
         gateway: Arc::clone(gateway),
         config,
         route,
         metadata,
+        content,
         method: head.method,
         uri: origin_form(head.uri),
         headers: head.headers,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`quarantine`] the parts of prompts that end engines, and [`origins`] the software versions that began streams.
 
 pub mod connection;
+pub mod content;
 pub mod error;
 pub mod handler;
 pub mod listener;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -22,7 +22,7 @@
     },
     health::Outcome,
     hedge::Another,
-    quarantine::Trials,
+    quarantine::{Trials, request::Content},
 };
 use platform::request::Metadata;
 use slog::info;
@@ -56,6 +56,8 @@
     /// Index of the route in the configuration.
     pub(crate) route: usize,
     pub(crate) metadata: Metadata,
+    /// What the request has in common with those that its caller sends in its place.
+    pub(crate) content: Content,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -69,8 +69,8 @@
                 }
                 Err(error) => {
                     info!(self.gateway.log, "attempt_failed"; "id" => &self.metadata.id,
-                        "target" => %destination.name, "parts" => self.metadata.shared_part_ids(),
-                        "fault" => %error);
+                        "target" => %destination.name, "digest" => %self.content.whole,
+                        "parts" => self.metadata.shared_part_ids(), "fault" => %error);
                     dispatch.record_outcome(key, Outcome::Broken);
                     self.progress().avoid.push(key);
                     return Execution::Disconnected;
--- a/crates/gateway/src/stream/run.rs
+++ b/crates/gateway/src/stream/run.rs
@@ -226,6 +226,7 @@
         };
         info!(self.request.gateway.log, "stream_broke_off"; "id" => &self.request.metadata.id,
             "target" => self.dispatch.target_name(key), "run" => self.run.0,
+            "digest" => %self.request.content.whole,
             "parts" => self.request.metadata.shared_part_ids(), "cause" => %cause,
             "ms" => self.request.age_ms());
         self.dispatch.record_outcome(key, Outcome::Broken);
@@ -246,8 +247,8 @@
             Ok(body) => body,
             Err(error) => {
                 info!(self.request.gateway.log, "response_not_read";
-                    "id" => &self.request.metadata.id, "target" => self.dispatch.target_name(key),
-                    "fault" => %error);
+                    "id" => &self.request.metadata.id, "digest" => %self.request.content.whole,
+                    "target" => self.dispatch.target_name(key), "fault" => %error);
                 return Ending::Error(None);
             }
         };
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -222,6 +222,7 @@
         Ok(body) => body,
         Err(error) => {
             info!(request.gateway.log, "response_not_read"; "id" => &request.metadata.id,
+                "digest" => %request.content.whole,
                 "target" => dispatch.target_name(dispatch.plan.target), "fault" => %error);
             return None;
         }
