Refuse requests on which three targets ended, everywhere in the fleet

Cause: nothing remembered which request a target ran when it ended, apart from the shared parts of prompts; plain requests have none, and their lost connections weren't examined. Ruled out in the test: load, and targets that end by themselves.

Each lost connection to a target is followed by an attempt to open a new one, for whole responses, too. If that is refused the process has ended, and the content of the request is blamed for it (placement::quarantine::request). At the third process it is refused with 503 and the time until a trial; a request that waits for its connection is checked once more before it is sent. A target that resets connections, is silent, or answers with errors is not an end. The states travel in datagrams of their own, which earlier builds drop with a log line, are repeated to two instances a second, and come with the parts to an instance that starts. A trial computes its prompt at the target itself, so that it is one send.

Requests on which no target ended are not refused (five cases).

--- a/crates/daisydrum/src/seeded/notices.rs
+++ b/crates/daisydrum/src/seeded/notices.rs
@@ -1,12 +1,12 @@
 //! Datagrams by which entry instances notify each other of the requests they send to each target.
 //!
 //! A lost datagram only makes the estimated load of a target less accurate. What must reach all instances, the prompt
-//! parts that end engines, is repeated.
+//! parts that end engines and the requests that end targets, is repeated.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use common::{clock, random::Random};
-use fleet::exchange::{self, Notice};
+use fleet::exchange::{self, MAX_SUSPICIONS, Notice};
 use gateway::state::Gateway;
 use slog::debug;
 use tokio::{net::UdpSocket, sync::mpsc, time};
@@ -81,12 +81,11 @@
     let mut random = Random::new(clock::unix_ns());
     loop {
         time::sleep(REPAIR_INTERVAL).await;
-        let notices = gateway.quarantine.notices();
+        let notices = gateway.quarantine.repeated_notices();
         let mut others = directory.entry_instances();
         for _ in 0..REPAIR_PEERS.min(others.len()) {
             let other = others.swap_remove(random.below(others.len()));
-            for batch in notices.chunks(MAX_NOTICES) {
-                let bytes = exchange::encode(&batch);
+            for bytes in datagrams(&notices) {
                 if let Err(error) = socket.try_send_to(&bytes, other.address) {
                     debug!(context.log, "datagram_not_sent"; "address" => %other.address,
                         "error" => %error);
@@ -104,14 +103,34 @@
 ) {
     let mut batch = Vec::new();
     while notices.recv_many(&mut batch, MAX_NOTICES).await > 0 {
-        let bytes = exchange::encode(&batch);
+        let datagrams = datagrams(&batch);
         batch.clear();
         let addresses: Vec<SocketAddr> =
             directory.entry_instances().into_iter().map(|identity| identity.address).collect();
         for address in addresses {
-            if let Err(error) = socket.try_send_to(&bytes, address) {
-                debug!(context.log, "datagram_not_sent"; "address" => %address, "error" => %error);
+            for bytes in &datagrams {
+                if let Err(error) = socket.try_send_to(bytes, address) {
+                    debug!(context.log, "datagram_not_sent"; "address" => %address,
+                        "error" => %error);
+                }
             }
         }
     }
 }
+
+/// Encodes notices; those that instances of earlier builds can't decode, in datagrams of their own, which these drop.
+fn datagrams(notices: &[Notice]) -> Vec<Vec<u8>> {
+    let mut earlier = Vec::new();
+    let mut crashes = Vec::new();
+    for notice in notices {
+        match notice {
+            Notice::Crashes(states) => crashes.extend_from_slice(states),
+            other => earlier.push(other),
+        }
+    }
+    let earlier = earlier.chunks(MAX_NOTICES).map(|batch| exchange::encode(&batch));
+    let crashes = crashes
+        .chunks(MAX_SUSPICIONS)
+        .map(|states| exchange::encode(&vec![Notice::Crashes(states.to_vec())]));
+    earlier.chain(crashes).collect()
+}
--- a/crates/daisydrum/tests/seeded/crash_request.rs
+++ b/crates/daisydrum/tests/seeded/crash_request.rs
@@ -9,7 +9,7 @@
 use hyper::Method;
 use platform_standin::{
     client,
-    runner::{Content, Runner},
+    runner::{Behaviour, Content, Runner},
 };
 use tokio::time;
 use yare::parameterized;
@@ -228,3 +228,30 @@
     let refused = back.elapsed();
     assert!(refused < LONGEST_REFUSAL, "{refused:?}");
 }
+
+#[parameterized(
+    reset_connections = { Behaviour::Disconnect(0), "/lookup/7" },
+    reset_connections_at_most_once = { Behaviour::Disconnect(0), "/lodge/7" },
+    reset_streams = { Behaviour::Disconnect(0), "/draft/7" },
+    silent_targets = { Behaviour::Hang, "/lookup/7" },
+    errors = { Behaviour::Fail, "/lookup/7" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_request_on_which_no_target_ended_is_not_refused(behaviour: Behaviour, path: &str) {
+    let name = format!("seeded-crash-none-{behaviour:?}{}", path.replace('/', "-"));
+    let (fleet, targets) = start(&name.replace(['(', ')'], ""), 2, 3).await;
+    let callers: Vec<SocketAddr> = fleet.entries.iter().map(Daemon::callers).collect();
+    targets.iter().for_each(|target| target.set_behaviour(behaviour));
+    let copies: Vec<(SocketAddr, String)> =
+        (0..16).map(|copy| (callers[copy % 2], format!("copy-{copy}"))).collect();
+    let copies = copies.iter().map(|(to, id)| send(*to, path, id, "same"));
+    futures::future::join_all(copies).await;
+    targets.iter().for_each(|target| target.set_behaviour(Behaviour::Serve));
+    for entry in &fleet.entries {
+        assert!(!entry.log().contains("request_standing"), "a request was blamed");
+    }
+    until("the request is served", async || {
+        send(callers[0], path, "last", "same").await.status == Some(200)
+    })
+    .await;
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -2,16 +2,19 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use common::{clock::Moment, name};
+use common::{clock::Moment, name, random};
 use fleet::{
     condition::Report,
-    exchange::{Notice, Part, Suspicion},
+    exchange::{Crashes, Notice, Part, Suspicion},
 };
 use placement::{
     balancer::{Entry, Key, selection::Plan},
     condition::Change,
     health::Outcome,
-    quarantine::{self, Ticket},
+    quarantine::{
+        self, Ticket,
+        request::{self, Content},
+    },
 };
 use platform::request::Metadata;
 use slog::{debug, info};
@@ -47,6 +50,7 @@
     service: name::Service,
     /// What was known of the parts when the request was sent.
     ticket: Ticket,
+    content: Content,
     sent_at: Moment,
     /// Whether the response head has arrived, which engines send when they begin to generate.
     head_received: bool,
@@ -55,11 +59,12 @@
     proven: bool,
 }
 
-/// What admitted a request: the service that it goes to, and what is known of the parts of its prompt.
+/// What admitted a request: the service that it goes to, what is known of the parts of its prompt, and its content.
 #[derive(Debug)]
 pub(crate) struct Admission {
     pub(crate) service: name::Service,
     pub(crate) ticket: Ticket,
+    pub(crate) content: Content,
 }
 
 /// Name and address of a target.
@@ -78,7 +83,7 @@
         admission: Admission,
         sent_at: Moment,
     ) -> Dispatch {
-        let Admission { service, ticket } = admission;
+        let Admission { service, ticket, content } = admission;
         Dispatch {
             gateway,
             plan,
@@ -87,6 +92,7 @@
             parts: metadata.parts.clone(),
             service,
             ticket,
+            content,
             sent_at,
             head_received: false,
             first_event_at: None,
@@ -141,19 +147,30 @@
         }
     }
 
+    /// The parts of the prompt that may be the reason if the engine ends now.
+    fn suspected_parts(&self) -> &[Part] {
+        let shared = self.shared_parts();
+        let sent_lately = Moment::now().since(self.sent_at) < LONGEST_HEAD_DELAY;
+        let generates = self.head_received || !sent_lately;
+        let quarantine = &self.gateway.quarantine;
+        if generates && quarantine.is_any_unproven(&self.service, shared) { shared } else { &[] }
+    }
+
     /// Finds out whether the process of the target has ended, after a connection to it was lost, and if so blames the
-    /// parts of the prompt.
+    /// request and the parts of the prompt.
     pub(crate) async fn examine_end(&self) {
         let key = self.plan.target;
-        let shared = self.shared_parts();
-        let sent_lately = Moment::now().since(self.sent_at) < LONGEST_HEAD_DELAY;
+        let shared = self.suspected_parts();
+        let request_suspected = self.gateway.quarantine.is_request_unproven(self.content);
         if self.proven
-            || (sent_lately && !self.head_received)
-            || !self.gateway.quarantine.is_any_unproven(&self.service, shared)
+            || (shared.is_empty() && !request_suspected)
             || !self.gateway.balancer().is_staying(key)
         {
             return;
         }
+        let Some(process) = self.gateway.balancer().entry(key).map(process) else {
+            return;
+        };
         let Some(destination) = self.destination(key) else {
             return;
         };
@@ -165,23 +182,49 @@
                     self.gateway.quarantine.record_end(&self.service, shared, &self.ticket);
                 self.log_suspicions("engine_ended", &notices);
                 self.gateway.notify_peers(notices);
+                let notices = self.gateway.quarantine.record_request_end(self.content, process);
+                self.log_crashes("target_ended", &notices);
+                self.gateway.notify_peers(notices);
             }
             // A machine that is cut off or without power says nothing about the request.
-            Err(error) => info!(self.gateway.log, "engine_not_examined"; "id" => &self.id,
+            Err(error) => info!(self.gateway.log, "target_not_examined"; "id" => &self.id,
                 "target" => %destination.name, "fault" => %error),
         }
     }
 
-    /// Records that the request has shown that its parts don't end the engine.
+    /// Records that the request has shown that neither it nor its parts end the target.
     pub(crate) fn record_success(&mut self) {
         if self.first_event_at.is_none() || std::mem::replace(&mut self.proven, true) {
             return;
         }
+        self.record_request_success();
         let notices = self.gateway.quarantine.record_success(&self.service, self.shared_parts());
         self.log_suspicions("parts_cleared", &notices);
         self.gateway.notify_peers(notices);
     }
 
+    /// Records that a target has run the request to a good end, or for a while.
+    pub(crate) fn record_request_success(&self) {
+        let notices = self.gateway.quarantine.record_request_success(self.content);
+        self.log_crashes("request_cleared", &notices);
+        self.gateway.notify_peers(notices);
+    }
+
+    /// Logs the standings of requests that changed.
+    pub(crate) fn log_crashes(&self, event: &'static str, notices: &[Notice]) {
+        for notice in notices {
+            let Notice::Crashes(states) = notice else {
+                continue;
+            };
+            for Crashes { request, clearings, processes, trials, .. } in states {
+                info!(self.gateway.log, "request_standing"; "cause" => event, "id" => &self.id,
+                    "target" => self.target_name(self.plan.target), "digest" => %request,
+                    "clearings" => clearings, "ends" => processes.len(), "trials" => trials,
+                    "quarantined" => processes.len() >= request::MAX_ENDS);
+            }
+        }
+    }
+
     fn log_suspicions(&self, event: &'static str, notices: &[Notice]) {
         for notice in notices {
             if let Notice::Suspicions { suspicions, .. } = notice {
@@ -314,6 +357,14 @@
     }
 }
 
+/// Stands for the process of a target, by its name and start: a target may start again under the same name.
+fn process(entry: &Entry) -> u64 {
+    let target = &entry.target;
+    let name = target.name.0.bytes().map(u64::from);
+    let fields = std::iter::once(target.started_unix_ms).chain(name);
+    fields.fold(0, |hash, field| random::mix(hash ^ field))
+}
+
 /// Tries to connect to a target that could not be reached, so that no request has to.
 async fn reconnect(gateway: Arc<Gateway>, key: Key, address: SocketAddr) {
     let mut pause = FIRST_RECONNECT_PAUSE;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -59,6 +59,8 @@
     for (service, parts) in gateway.quarantine.quarantined() {
         metrics::gauge!("daisydrum_parts_quarantined", "service" => service.0).set(parts as f64);
     }
+    let requests = gateway.quarantine.quarantined_requests();
+    metrics::gauge!("daisydrum_requests_quarantined").set(requests as f64);
     metrics::gauge!("daisydrum_origins").set(gateway.origins.len() as f64);
     for (service, left) in gateway.retries_left(now) {
         metrics::gauge!("daisydrum_repeats_left", "service" => service.0).set(left);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,19 +1,26 @@
-//! Parts of prompts that end engines: the state that all requests of an instance share, and the exchange of it with the
-//! other instances. The decisions are in [`placement::quarantine`].
-
-use std::sync::{
-    Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicBool, Ordering},
+//! Parts of prompts that end engines, and requests that end targets: the state that all requests of an instance share, and
+//! the exchange of it with the other instances. The decisions are in [`placement::quarantine`].
+
+use std::{
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use common::{clock::Moment, collections::Map, name};
-use fleet::exchange::{MAX_SUSPICIONS, Notice, Part, Suspicion};
-use placement::quarantine::{Quarantine, Ticket, Trials};
+use fleet::exchange::{Crashes, MAX_SUSPICIONS, Notice, Part, Suspicion};
+use placement::quarantine::{
+    Quarantine, Ticket, Trials,
+    request::{self, Content, Place},
+};
 
-/// The quarantine of each service.
+/// The quarantine of parts, for each service, and of requests.
 #[derive(Debug, Default)]
 pub struct Table {
     services: Mutex<Map<name::Service, Quarantine>>,
+    requests: Mutex<request::Quarantine>,
     known: AtomicBool,
 }
 
@@ -29,7 +36,7 @@
         parts: &[Part],
         trials: impl Fn(u64) -> Trials,
         now: Moment,
-    ) -> Result<Ticket, std::time::Duration> {
+    ) -> Result<Ticket, Duration> {
         match self.lock().get_mut(service) {
             Some(quarantine) => quarantine.admit(ids(parts), trials, now),
             None => Ok(Ticket::default()),
@@ -95,8 +102,78 @@
         notices(service, &objections)
     }
 
-    /// All that other instances should know.
+    /// Checks whether a request may be sent; see [`request::Quarantine::admit`].
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until this instance may try the quarantined request.
+    pub(crate) fn admit_request(
+        &self,
+        content: Content,
+        place: Option<Place>,
+        now: Moment,
+    ) -> Result<(), Duration> {
+        self.lock_requests().admit(content, place, now)
+    }
+
+    /// Checks again right before a request is sent; returns the notices for the other instances.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until this instance may try the quarantined request.
+    pub(crate) fn begin_request(
+        &self,
+        content: Content,
+        place: Option<Place>,
+    ) -> Result<Vec<Notice>, Duration> {
+        let changed = self.lock_requests().begin(content, place, Moment::now())?;
+        Ok(crash_notices(&changed))
+    }
+
+    /// Whether a request is quarantined.
+    pub(crate) fn is_request_quarantined(&self, content: Content) -> bool {
+        self.lock_requests().is_quarantined(content)
+    }
+
+    /// Whether an end of a target could be blamed on a request.
+    pub(crate) fn is_request_unproven(&self, content: Content) -> bool {
+        self.lock_requests().is_unproven(content, Moment::now())
+    }
+
+    /// Records that a process of a target ended while it had a request; returns the notices for the other instances.
+    pub(crate) fn record_request_end(&self, content: Content, process: u64) -> Vec<Notice> {
+        let changed = self.lock_requests().record_end(content, process, Moment::now());
+        crash_notices(&changed)
+    }
+
+    /// Records that a request succeeded; returns the notices for the other instances.
+    pub(crate) fn record_request_success(&self, content: Content) -> Vec<Notice> {
+        let changed = self.lock_requests().record_success(content, Moment::now());
+        crash_notices(&changed)
+    }
+
+    /// Merges what another instance knows of requests; returns the notices with this instance's objections.
+    pub(crate) fn merge_crashes(&self, crashes: &[Crashes]) -> Vec<Notice> {
+        let now = Moment::now();
+        let mut requests = self.lock_requests();
+        let objections: Vec<Crashes> =
+            crashes.iter().filter_map(|state| requests.merge(state, now)).collect();
+        crash_notices(&objections)
+    }
+
+    /// All that an instance which starts should know.
     pub fn notices(&self) -> Vec<Notice> {
+        let crashes = self.lock_requests().states(Moment::now());
+        [self.part_notices(), crash_notices(&crashes)].concat()
+    }
+
+    /// What is repeated to the other instances, in case that a notice was lost.
+    pub fn repeated_notices(&self) -> Vec<Notice> {
+        let crashes = self.lock_requests().repeated_states(Moment::now());
+        [self.part_notices(), crash_notices(&crashes)].concat()
+    }
+
+    fn part_notices(&self) -> Vec<Notice> {
         let now = Moment::now();
         let tables = self.lock();
         let all = |(service, quarantine): (&name::Service, &Quarantine)| {
@@ -105,6 +182,15 @@
         tables.iter().flat_map(all).collect()
     }
 
+    /// Number of quarantined requests.
+    pub(crate) fn quarantined_requests(&self) -> usize {
+        self.lock_requests().quarantined_count()
+    }
+
+    fn lock_requests(&self) -> MutexGuard<'_, request::Quarantine> {
+        self.requests.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether this instance has learnt what others know, and may answer those that start.
     pub fn is_known(&self) -> bool {
         self.known.load(Ordering::Acquire)
@@ -137,3 +223,7 @@
     };
     suspicions.chunks(MAX_SUSPICIONS).map(notice).collect()
 }
+
+fn crash_notices(crashes: &[Crashes]) -> Vec<Notice> {
+    crashes.chunks(MAX_SUSPICIONS).map(|chunk| Notice::Crashes(chunk.to_vec())).collect()
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -193,7 +193,7 @@
         }
     }
 
-    /// Admits the request unless engines end on a part of its prompt.
+    /// Admits the request unless targets end on it, or engines on a part of its prompt.
     fn admit(
         &self,
         balancer: &Balancer,
@@ -204,8 +204,12 @@
             if balancer.fleet().is_first(part) { Trials::Allowed } else { Trials::Denied }
         };
         let shared = self.metadata.shared_parts();
-        match self.gateway.quarantine.admit(service, shared, trials, now) {
-            Ok(ticket) => Ok(Admission { service: service.clone(), ticket }),
+        let quarantine = &self.gateway.quarantine;
+        let admitted = quarantine
+            .admit_request(self.content, balancer.fleet().place(), now)
+            .and_then(|()| quarantine.admit(service, shared, trials, now));
+        match admitted {
+            Ok(ticket) => Ok(Admission { service: service.clone(), ticket, content: self.content }),
             Err(retry_after) => Err(Error::Refused(Refusal {
                 reason: Reason::Quarantined,
                 retry_after,
@@ -263,7 +267,7 @@
             avoid: &progress.avoid,
             permitted: None,
             retry: route.retry,
-            prefill: if self.may_prefill_separately(progress) {
+            prefill: if self.may_prefill_separately(progress) && !self.is_trial() {
                 Prefill::Anywhere
             } else {
                 Prefill::AtTarget
@@ -285,6 +289,11 @@
                 && progress.runs + progress.prefills < route.max_attempts)
     }
 
+    /// Whether the request is quarantined, so that a single send to a target tries it.
+    fn is_trial(&self) -> bool {
+        self.gateway.quarantine.is_request_quarantined(self.content)
+    }
+
     /// Whether another run may be started now.
     pub(crate) fn may_retry(&self) -> bool {
         self.has_attempts_left() && self.remaining() > RESPONSE_MARGIN
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -15,6 +15,7 @@
     dispatch::{Destination, Dispatch},
     pool::{Origin, Reuse},
     request::{Execution, Pending},
+    state::ms,
 };
 
 /// Limit of the response to the release of a computed prompt, in bytes.
@@ -48,6 +49,10 @@
                         return self.record_unreachable(dispatch, key, &destination, &error);
                     }
                 };
+            if !self.begin(dispatch, &step) {
+                self.gateway.pool.put(destination.address, connection);
+                return Execution::NotRun;
+            }
             self.progress().record_send();
             let prefix_source =
                 dispatch.plan.prefix_source.filter(|_| !matches!(step, Step::Decode { .. }));
@@ -89,6 +94,31 @@
         }
     }
 
+    /// Checks right before the request is sent that it was not quarantined meanwhile; a trial counts from here. Another
+    /// engine that only computes the prompt doesn't begin to run it.
+    fn begin(&self, dispatch: &Dispatch, step: &Step) -> bool {
+        let place = self.gateway.balancer().fleet().place();
+        let quarantine = &self.gateway.quarantine;
+        let begun = match step {
+            Step::Prefill => {
+                quarantine.admit_request(self.content, place, Moment::now()).map(|()| Vec::new())
+            }
+            Step::Run | Step::Decode { .. } => quarantine.begin_request(self.content, place),
+        };
+        match begun {
+            Ok(notices) => {
+                dispatch.log_crashes("trial", &notices);
+                self.gateway.notify_peers(notices);
+                true
+            }
+            Err(wait) => {
+                info!(self.gateway.log, "quarantined_before_sent"; "id" => &self.metadata.id,
+                    "digest" => %self.content.whole, "wait_ms" => ms(wait));
+                false
+            }
+        }
+    }
+
     fn record_unreachable(
         &self,
         dispatch: &Dispatch,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -58,7 +58,7 @@
     retries: retry::Bounds,
     instances: AtomicUsize,
     holdings_known: AtomicBool,
-    /// Parts of prompts that end engines.
+    /// Parts of prompts that end engines, and requests that end targets.
     pub quarantine: quarantine::Table,
     /// Software versions that began streams.
     pub origins: origins::Table,
@@ -174,6 +174,10 @@
                 let objections = self.quarantine.merge(service, suspicions);
                 self.notify_peers(objections);
             }
+            exchange::Notice::Crashes(crashes) => {
+                let objections = self.quarantine.merge_crashes(crashes);
+                self.notify_peers(objections);
+            }
             _ => self.balancer().apply_notice(notice, Moment::now()),
         }
     }
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -192,7 +192,11 @@
             claim.withdraw();
             return Ending::NotRun;
         }
-        Execution::MayHaveRun | Execution::Disconnected => return Ending::MayHaveRun,
+        Execution::MayHaveRun => return Ending::MayHaveRun,
+        Execution::Disconnected => {
+            dispatch.examine_end().await;
+            return Ending::MayHaveRun;
+        }
     };
     let Some(buffered) = collect(request, dispatch, response, connection).await else {
         dispatch.record_outcome(key, Outcome::Broken);
@@ -205,6 +209,9 @@
         return Ending::ServerError(buffered);
     }
     dispatch.record_outcome(key, Outcome::Success);
+    if buffered.head.status.is_success() {
+        dispatch.record_request_success();
+    }
     Ending::Response(buffered)
 }
 
@@ -224,6 +231,7 @@
             info!(request.gateway.log, "response_not_read"; "id" => &request.metadata.id,
                 "digest" => %request.content.whole,
                 "target" => dispatch.target_name(dispatch.plan.target), "fault" => %error);
+            dispatch.examine_end().await;
             return None;
         }
     };
@@ -233,7 +241,11 @@
         return None;
     }
     if unframed {
-        return dispatch.is_listening().await.then_some(buffered);
+        if dispatch.is_listening().await {
+            return Some(buffered);
+        }
+        dispatch.examine_end().await;
+        return None;
     }
     if let Some(destination) = dispatch.destination(dispatch.plan.target) {
         request.gateway.pool.put(destination.address, connection);
--- a/crates/placement/src/quarantine/request.rs
+++ b/crates/placement/src/quarantine/request.rs
@@ -158,6 +158,11 @@
         if wait.is_zero() { Ok(()) } else { Err(wait) }
     }
 
+    /// Whether a request is quarantined.
+    pub fn is_quarantined(&self, content: impl Into<Content>) -> bool {
+        self.quarantined(content.into()).next().is_some()
+    }
+
     fn quarantined(&self, content: Content) -> impl Iterator<Item = (Digest, &Entry)> {
         content.digests().filter_map(|digest| {
             let entry = self.entries.get(digest)?;
--- a/crates/placement/src/quota.rs
+++ b/crates/placement/src/quota.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug)]
 pub struct Fleet {
     own: name::Instance,
-    /// The others; none while they are not known.
+    /// The others, sorted; none while they are not known.
     others: Option<Vec<name::Instance>>,
 }
 
@@ -53,7 +53,7 @@
     /// The place of this instance in the order of names; `None` while the others are not known.
     pub fn place(&self) -> Option<Place> {
         let others = self.others.as_ref()?;
-        let before = others.iter().filter(|other| **other < self.own).count();
+        let before = others.partition_point(|other| *other < self.own);
         Some(Place {
             position: u32::try_from(before).unwrap_or(u32::MAX),
             instances: u32::try_from(others.len() + 1).unwrap_or(u32::MAX),
