--- a/crates/placement/tests/request_quarantine.rs
+++ b/crates/placement/tests/request_quarantine.rs
@@ -71,7 +71,7 @@
     beside_a_crashing_request = { Plan { common_ends: 4, ..PLAN } },
     beside_one_at_seventy = { Plan { common_ends: 4, ..LARGE } },
 )]
-fn a_poll_beside_ends_of_all_targets_is_not_refused_for_long(plan: Plan) {
+fn polls_are_served_again_soon_after_all_targets_ended_twice(plan: Plan) {
     for seed in 0..SEEDS {
         let figures = simulate(&plan, seed);
         assert!(
--- a/crates/placement/tests/support/crash_requests.rs
+++ b/crates/placement/tests/support/crash_requests.rs
@@ -23,8 +23,11 @@
 /// Ends of targets after which the request may reach targets three times more, within `CONTACT_MS` any number of times.
 const COUNTED_ENDS: usize = 3;
 const CRASHING: Digest = Digest(1);
-/// A sound request that comes again and again, a few times a second.
+/// A sound request that comes again and again.
 const POLL: Digest = Digest(2);
+const POLL_INTERVAL_MS: u64 = 20;
+/// Time from the return of targets that ended together until they end again, while the first polls run.
+const SECOND_END_MS: u64 = 100;
 
 /// What happens in a simulation.
 #[derive(Clone, Debug)]
@@ -37,7 +40,7 @@
     pub round_ms: u64,
     /// Sound requests, each unlike all others, a second.
     pub sound_per_s: f64,
-    /// Ends of all targets together.
+    /// Ends of all targets together, each followed by a second one as soon as they are back.
     pub common_ends: usize,
     /// Share of the notices that are lost.
     pub loss: f64,
@@ -114,7 +117,9 @@
     let restarts: Vec<(u64, usize)> =
         (0..plan.restarts).map(|_| (time(&mut random), random.below(plan.instances))).collect();
     let starts: Vec<u64> = (0..plan.starts).map(|_| time(&mut random)).collect();
-    let common_ends: Vec<u64> = (0..plan.common_ends).map(|_| time(&mut random)).collect();
+    let first_ends: Vec<u64> = (0..plan.common_ends).map(|_| time(&mut random)).collect();
+    let second_ends = first_ends.iter().map(|at| at + DOWN_MS + SECOND_END_MS);
+    let common_ends: Vec<u64> = first_ends.iter().copied().chain(second_ends).collect();
     let mut simulation = Simulation {
         plan,
         random,
@@ -163,7 +168,7 @@
             let digest = Digest(u128::from(self.random.next_u64()) + 10);
             self.arrive_anywhere(digest);
         }
-        if self.now.is_multiple_of(200) {
+        if self.now.is_multiple_of(POLL_INTERVAL_MS) {
             self.arrive_anywhere(POLL);
         }
         if self.now < BEGIN_MS {
