--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use common::name;
+use derive_more::Display;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{condition::Rate, register::Document, registry::Target};
@@ -118,7 +119,7 @@
     Later,
     /// The question can't be decoded, or this instance doesn't answer questions of its kind.
     Refused,
-    /// Answers [`Question::Suspicions`]: [`Notice::Suspicions`] only.
+    /// Answers [`Question::Suspicions`]: [`Notice::Suspicions`] and [`Notice::Crashes`]; see [`encode_answer`].
     Suspicions(Vec<Notice>),
     /// Answers [`Question::RecordOrigin`] and [`Question::Origin`].
     Origin {
@@ -174,11 +175,56 @@
         /// At most [`MAX_SUSPICIONS`], so that several notices fit into a datagram.
         suspicions: Vec<Suspicion>,
     },
+    /// What the sender knows of requests on which targets have ended; at most [`MAX_SUSPICIONS`]. Instances of earlier
+    /// builds can't decode it, so it travels apart from other notices.
+    Crashes(Vec<Crashes>),
+}
+
+impl Notice {
+    /// Whether instances of earlier builds can't decode it.
+    pub fn is_recent(&self) -> bool {
+        matches!(self, Notice::Crashes(_))
+    }
 }
 
 /// Number of suspicions in one notice.
 pub const MAX_SUSPICIONS: usize = 16;
 
+/// Stands for the content of a request: all that is the same when a caller sends it again. Two requests with different
+/// content don't have the same digest.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0:032x}")]
+pub struct Digest(pub u128);
+
+/// State of a request on which targets have ended; the one with more clearings is the later one, with as many the
+/// processes and the trials of both hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crashes {
+    /// The request.
+    pub request: Digest,
+    /// How often a success has cleared it.
+    pub clearings: u32,
+    /// Processes of targets that have ended under it since then, at most three, by a hash of their names and starts.
+    pub processes: Vec<u64>,
+    /// Trials since it was quarantined.
+    pub trials: u32,
+    /// Time since an instance first had this state, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// State of a prompt part on which engines have ended; of two states the one with more clearings, then the one with
 /// more ends is the later one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -231,20 +277,29 @@
     Some(targets)
 }
 
-/// Encodes an answer. The versions of the targets' software follow it, which instances of earlier builds leave unread.
+/// Encodes an answer. What instances of earlier builds can't decode follows it, and they leave it unread: the versions of
+/// the targets' software, and the recent kinds of notices.
 pub fn encode_answer(answer: &Answer) -> Vec<u8> {
-    let mut bytes = encode(answer);
-    if let Answer::Update(update) = answer {
-        bytes.extend(encode(&software(&update.targets)));
+    match answer {
+        Answer::Update(update) => [encode(answer), encode(&software(&update.targets))].concat(),
+        Answer::Suspicions(notices) => {
+            let (recent, earlier): (Vec<Notice>, Vec<Notice>) =
+                notices.iter().cloned().partition(Notice::is_recent);
+            [encode(&Answer::Suspicions(earlier)), encode(&recent)].concat()
+        }
+        _ => encode(answer),
     }
-    bytes
 }
 
-/// Decodes an answer with or without the versions of the targets' software; `None` if the bytes are not valid.
+/// Decodes an answer with or without what instances of earlier builds don't send; `None` if the bytes are not valid.
 pub fn decode_answer(bytes: &[u8]) -> Option<Answer> {
     let (mut answer, rest) = postcard::take_from_bytes::<Answer>(bytes).ok()?;
-    if let Answer::Update(update) = &mut answer {
-        set_software(&mut update.targets, rest);
+    match &mut answer {
+        Answer::Update(update) => set_software(&mut update.targets, rest),
+        Answer::Suspicions(notices) => {
+            notices.extend(decode::<Vec<Notice>>(rest).unwrap_or_default());
+        }
+        _ => {}
     }
     Some(answer)
 }
