--- a/crates/daisydrum/examples/single.rs
+++ b/crates/daisydrum/examples/single.rs
@@ -79,6 +79,7 @@
         },
         delay: PLAIN_DELAY,
         behaviour: plain::Behaviour::Answer,
+        pauses: Vec::new(),
     };
     plain::Service::start(options, token.child_token()).await?;
     Ok(())
--- a/crates/daisydrum/tests/branches/claims.rs
+++ b/crates/daisydrum/tests/branches/claims.rs
@@ -36,6 +36,7 @@
         },
         delay: Duration::from_millis(20),
         behaviour,
+        pauses: Vec::new(),
     };
     let token = cancel::Token::new();
     let plain = Service::start(options, token.clone()).await.unwrap();
--- a/crates/daisydrum/tests/path/pauses.rs
+++ b/crates/daisydrum/tests/path/pauses.rs
@@ -153,18 +153,38 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_plain_response_whose_only_target_pauses_arrives() {
+    for point in [Point::Head, Point::End] {
+        let cluster = cluster().await;
+        let pauses = vec![Pause { point, length: RESPONSE_PAUSE }];
+        let _plain = plain_service(&cluster, pauses).await;
+        assert_plain_response_arrives(&cluster).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_response_whose_only_target_pauses_as_a_whole_arrives() {
     let cluster = cluster().await;
-    let mut options =
+    let plain = plain_service(&cluster, Vec::new()).await;
+    plain.pause_for(PROCESS_PAUSE);
+    assert_plain_response_arrives(&cluster).await;
+}
+
+async fn plain_service(cluster: &Cluster, pauses: Vec<Pause>) -> plain::Service {
+    let options =
         plain::Options::new("plain", "association", "vent-log", "suva", cluster.controls());
-    options.delay = RESPONSE_PAUSE;
-    let _plain = plain::Service::start(options, cancel::Token::new()).await.unwrap();
+    let options = plain::Options { pauses, ..options };
+    let plain = plain::Service::start(options, cancel::Token::new()).await.unwrap();
     cluster.until_targets(1).await;
+    plain
+}
+
+async fn assert_plain_response_arrives(cluster: &Cluster) {
     let request = Request::get("/log")
         .header("host", "daisydrum")
         .header("authorization", format!("Bearer {PLAIN_KEY}"))
         .body(Full::new(bytes::Bytes::from("entry")))
         .unwrap();
-    let response = send(&cluster, request).await.unwrap().unwrap();
+    let response = send(cluster, request).await.unwrap().unwrap();
     assert_eq!((response.status, response.body.as_ref()), (StatusCode::OK, &b"entry"[..]));
 }
 
--- a/crates/standin/examples/plain.rs
+++ b/crates/standin/examples/plain.rs
@@ -60,5 +60,6 @@
         announced_address: None,
         delay: Duration::from_millis(flags.delay_ms.unwrap_or_default()),
         behaviour: flags.fate.unwrap_or_default(),
+        pauses: Vec::new(),
     }
 }
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -14,13 +14,17 @@
 };
 
 use common::{cancel, name, role::Role};
-use http_body_util::BodyExt;
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use futures::{StreamExt, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Bytes, Frame, Incoming},
+};
 use serde::{Deserialize, Serialize};
 use tokio::{net::TcpListener, time};
 use wire::target;
 
-use crate::{announce, http};
+use crate::{announce, http, pause};
 
 /// Header with the idempotency key of a call that may not be repeated.
 pub const KEY_HEADER: &str = "idempotency-key";
@@ -48,6 +52,9 @@
     pub delay: Duration,
     /// What happens once a call has run.
     pub behaviour: Behaviour,
+    /// Pauses of each response, after which it goes on; with one at [`pause::Point::End`] the length of the response is
+    /// not announced.
+    pub pauses: Vec<pause::Pause>,
 }
 
 impl Options {
@@ -73,6 +80,7 @@
             },
             delay: Duration::ZERO,
             behaviour: Behaviour::Answer,
+            pauses: Vec::new(),
         }
     }
 }
@@ -105,6 +113,7 @@
     options: Arc<Options>,
     counts: Arc<Mutex<Counts>>,
     running: Arc<AtomicU64>,
+    gate: Arc<pause::Gate>,
     token: cancel::Token,
 }
 
@@ -121,6 +130,7 @@
             options: Arc::new(options),
             counts: Arc::default(),
             running: Arc::default(),
+            gate: Arc::default(),
             token: token.clone(),
         };
         let source =
@@ -140,6 +150,27 @@
         self.counts.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Pauses all its calls for a time; connections stay open and new ones are accepted.
+    pub fn pause_for(&self, length: Duration) {
+        self.gate.close_for(length);
+    }
+
+    /// Sends the body in two parts with the pauses before the end between them, or at once if there are none.
+    fn respond(&self, body: Bytes) -> Response<http::Body> {
+        let pauses = self.options.pauses.clone();
+        if !pauses.iter().any(|pause| pause.point == pause::Point::End) {
+            return http::text(StatusCode::OK, body);
+        }
+        let (first, last) = (body.slice(..body.len() / 2), body.slice(body.len() / 2..));
+        let last = async move {
+            pause::at(pause::Point::End, &pauses).await;
+            last
+        };
+        let first = stream::once(std::future::ready(first));
+        let parts = first.chain(stream::once(last)).map(|part| Ok(Frame::data(part)));
+        Response::new(StreamBody::new(parts).boxed_unsync())
+    }
+
     /// Stops it at once and drops all its connections.
     pub fn kill(&self) {
         self.token.cancel();
@@ -168,9 +199,11 @@
         let body = request.into_body().collect().await?.to_bytes();
         self.count(key);
         time::sleep(self.options.delay).await;
+        pause::at(pause::Point::Head, &self.options.pauses).await;
+        self.gate.passed().await;
         self.running.fetch_sub(1, Ordering::Relaxed);
         match self.options.behaviour {
-            Behaviour::Answer => Ok(http::text(StatusCode::OK, body)),
+            Behaviour::Answer => Ok(self.respond(body)),
             Behaviour::Drop => Err(http::Error::Timeout),
             Behaviour::Die => {
                 self.kill();
