End a call to a peer that the client lost when its connection ended

What callers saw: a claim, a configuration or a lease request that never ended; since calls are bounded (wire::link), one that ended with an unknown outcome only after its whole limit. Test a_killed_leader_is_replaced... hung for 285 s: a claim waited without a timer after the leader was killed, and the test waits for all 100.

Cause: tarpc's client queues a call for the task that owns the connection, and the call gets a deadline only when that task takes it over. The queue is a tokio channel. When the connection ends, the task drops its receiver, which closes the channel and empties it; a call that has its place in the queue already but is put there after that stays in it until the last sender is dropped. The caller that waits for the answer holds a sender itself, so it waits for good.

Ruled out: a peer that doesn't answer (its deadline is a timer of the client; there was none), a server whose queue of responses is full (same), the link's mutex (a connect attempt is bounded by 1 s and has a timer).

Change: the link runs the client's task itself and ends the calls of a connection when the task has ended, as calls that may have arrived.

Test link::*lost* failed before (no end within 10 s).

--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
+use common::cancel;
 use derive_more::{Display, Error, From};
 use tarpc::{client, context, serde_transport, tokio_serde::formats::Bincode};
 use tokio::{net::TcpStream, sync::Mutex, time};
@@ -30,13 +31,21 @@
 #[derive(Debug)]
 pub struct Link {
     address: SocketAddr,
-    client: Mutex<Option<PeerClient>>,
+    connection: Mutex<Option<Connection>>,
+}
+
+/// An established connection.
+#[derive(Clone, Debug)]
+struct Connection {
+    client: PeerClient,
+    /// Cancelled once the task that sends the client's calls and receives their answers has ended.
+    ended: cancel::Token,
 }
 
 impl Link {
     /// Creates a link to `address`; the first call connects it.
     pub fn new(address: SocketAddr) -> Link {
-        Link { address, client: Mutex::new(None) }
+        Link { address, connection: Mutex::new(None) }
     }
 
     /// The peer's address.
@@ -44,7 +53,7 @@
         self.address
     }
 
-    /// Runs one call, for at most `timeout` after the connection is established.
+    /// Runs one call, for at most `timeout` after the connection is established, or until the connection ends.
     ///
     /// After a failure the connection is dropped, because a dead connection can't be told from a slow peer; the next
     /// call opens a new one.
@@ -57,23 +66,28 @@
         timeout: Duration,
         call: impl AsyncFnOnce(&PeerClient, context::Context) -> Result<T, client::RpcError>,
     ) -> Result<T, Error> {
-        let client = self.client().await?;
+        let Connection { client, ended } = self.connection().await?;
         let mut context = context::current();
         context.deadline = std::time::Instant::now() + timeout;
         // A call that waits for its turn to be sent is not covered by the client's own deadline.
-        let result = time::timeout(timeout + ANSWER_MARGIN, call(&client, context))
-            .await
-            .unwrap_or(Err(client::RpcError::DeadlineExceeded));
+        let call = time::timeout(timeout + ANSWER_MARGIN, call(&client, context));
+        let result = tokio::select! {
+            biased;
+            result = call => result.unwrap_or(Err(client::RpcError::DeadlineExceeded)),
+            // A call that is queued while the task ends is never answered: the queue keeps it for as long as a client
+            // exists.
+            () = ended.cancelled() => Err(client::RpcError::Shutdown),
+        };
         if result.is_err() {
-            self.client.lock().await.take();
+            self.connection.lock().await.take();
         }
         Ok(result?)
     }
 
-    async fn client(&self) -> Result<PeerClient, Error> {
-        let mut slot = self.client.lock().await;
-        if let Some(client) = slot.as_ref() {
-            return Ok(client.clone());
+    async fn connection(&self) -> Result<Connection, Error> {
+        let mut slot = self.connection.lock().await;
+        if let Some(connection) = slot.as_ref() {
+            return Ok(connection.clone());
         }
         let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
             .await
@@ -82,7 +96,15 @@
         let mut codec = LengthDelimitedCodec::builder();
         codec.max_frame_length(MAX_FRAME_BYTES);
         let transport = serde_transport::new(codec.new_framed(stream), Bincode::default());
-        let client = PeerClient::new(client::Config::default(), transport).spawn();
-        Ok(slot.insert(client).clone())
+        let client::NewClient { client, dispatch } =
+            PeerClient::new(client::Config::default(), transport);
+        let ended = cancel::Token::new();
+        let guard = ended.clone().drop_guard();
+        tokio::spawn(async move {
+            let _guard = guard;
+            // Its error is also the result of the calls under way.
+            let _cause = dispatch.await;
+        });
+        Ok(slot.insert(Connection { client, ended }).clone())
     }
 }
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -20,3 +20,16 @@
     assert!(matches!(ended, Ok(Err(Error::Call(RpcError::DeadlineExceeded)))), "{ended:?}");
     assert!(began.elapsed() >= Duration::from_millis(100));
 }
+
+#[tokio::test]
+async fn a_call_that_the_client_lost_ends_when_its_connection_ends() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let link = Link::new(listener.local_addr().unwrap());
+    // Stands for a call that was queued while the client ended, and that the client never answers.
+    let call = link.call(Duration::from_mins(1), async |_client, _context| {
+        std::future::pending::<Result<(), RpcError>>().await
+    });
+    let close = async { drop(listener.accept().await.unwrap()) };
+    let (ended, ()) = tokio::join!(tokio::time::timeout(Duration::from_secs(10), call), close);
+    assert!(matches!(ended, Ok(Err(Error::Call(RpcError::Shutdown)))), "{ended:?}");
+}
