Do not take a gone instance for alive when a peer still remembers it

Cause: an instance forgets the updates of a process that is gone after 2 min. A peer that heard of the process slightly later still has them, sees in the next exchange that the other lacks them, and sends them. They are taken as a new version that has just arrived, so the dead instance is alive until it has been silent for 10 s again. Then the peer forgets and learns them from the first.

Ruled out: a late message of the process itself (the simulation stops it).

Change: the highest version of the latest process that arrived is kept with the instance, beyond its updates; only a later version or process counts as a sign of life.

Evidence: three tables, one instance dead for 10 min: before, instance 0 took it for up 3 times and lost it 3 times; now never, at either; when it starts again it is alive. Test instances::a_dead_instance_does_not_return_* failed before.

--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -117,6 +117,9 @@
     /// Key of its latest process.
     key: Option<u32>,
     incarnation: u64,
+    /// Highest version of its latest process that arrived; kept when the process's updates are forgotten, which other
+    /// instances may do later.
+    version: u64,
     /// When `state` last changed.
     since: Moment,
     /// How often it was lost recently.
--- a/crates/membership/src/table/exchange.rs
+++ b/crates/membership/src/table/exchange.rs
@@ -100,7 +100,7 @@
 
     fn merge(&mut self, delta: Delta, now: Moment) {
         let key = message::origin_key(&delta.origin.instance, delta.origin.incarnation);
-        if key == self.own || !self.record_process(key, &delta.origin, now) {
+        if key == self.own || !self.record_version(key, &delta.origin, delta.version, now) {
             return;
         }
         let source = self.sources.entry(key).or_insert_with(|| Source {
@@ -111,9 +111,6 @@
             received_at: now,
         });
         let before = source.version;
-        if delta.version <= before {
-            return;
-        }
         source.version = delta.version;
         source.received_at = now;
         for update in delta.updates.into_iter().filter(|update| update.version > before) {
--- a/crates/membership/src/table/instances.rs
+++ b/crates/membership/src/table/instances.rs
@@ -33,6 +33,7 @@
             state: State::Unknown,
             key: None,
             incarnation: 0,
+            version: 0,
             since: now,
             flaps: 0,
             recovering: None,
@@ -54,9 +55,15 @@
         u32::try_from(alive).unwrap_or(u32::MAX).saturating_add(1)
     }
 
-    /// Records that an update of a process arrived; `false` if a newer process of the instance is known, or if it is a
-    /// process of this instance.
-    pub(super) fn record_process(&mut self, key: u32, origin: &Origin, now: Moment) -> bool {
+    /// Records that a version of a process arrived; `false` if this version, a later one or a newer process of the
+    /// instance has arrived before, or if it is a process of this instance.
+    pub(super) fn record_version(
+        &mut self,
+        key: u32,
+        origin: &Origin,
+        version: u64,
+        now: Moment,
+    ) -> bool {
         let own = &self.sources[&self.own].origin.instance;
         if origin.instance == *own {
             return false;
@@ -67,11 +74,13 @@
             .instances
             .entry(origin.instance.clone())
             .or_insert_with(|| Instance::new(&seed, now));
-        if origin.incarnation < instance.incarnation {
+        let is_known = instance.key == Some(key) && version <= instance.version;
+        if origin.incarnation < instance.incarnation || is_known {
             return false;
         }
         instance.incarnation = origin.incarnation;
         instance.key = Some(key);
+        instance.version = version;
         true
     }
 
--- a/crates/membership/tests/table/instances.rs
+++ b/crates/membership/tests/table/instances.rs
@@ -37,6 +37,24 @@
     assert_eq!(cluster.tables[0].alive_instances(), 4);
 }
 
+#[test]
+fn a_dead_instance_does_not_return_when_its_updates_are_forgotten() {
+    let mut cluster = Cluster::new(&["suva"; 3]);
+    cluster.run(Duration::from_secs(3));
+    cluster.dead.insert(2);
+    cluster.run(Duration::from_secs(20));
+    assert_eq!(state(&cluster.tables[0], 2), State::Gone);
+    cluster.events.iter_mut().for_each(Vec::clear);
+    cluster.run(Duration::from_mins(10));
+    for (at, events) in cluster.events.iter().enumerate() {
+        let up = events.iter().filter(|event| matches!(event, Event::InstancesUp(_))).count();
+        assert_eq!((up, lost(events)), (0, Vec::new()), "at instance {at}");
+    }
+    cluster.restart(2, 2);
+    cluster.run(Duration::from_secs(20));
+    assert_eq!(state(&cluster.tables[0], 2), State::Alive);
+}
+
 #[test]
 fn links_cut_in_one_direction_lose_no_instance() {
     let mut cluster = Cluster::new(&["suva"; 6]);
