--- a/crates/consensus/tests/schedules.rs
+++ b/crates/consensus/tests/schedules.rs
@@ -19,7 +19,7 @@
 use action::Bug;
 use checker::Violation;
 use cluster::Cluster;
-use plan::Plan;
+use plan::{Fault, Kind, Plan};
 use proptest::{
     prelude::*,
     strategy::ValueTree,
@@ -81,6 +81,25 @@
     }
 }
 
+#[test]
+fn one_paused_replica_and_slow_disks_of_the_others_stop_no_progress() {
+    for seed in 0..10 {
+        for (host, sync_ms) in (0..3).flat_map(|host| [5, 800, 1_200, 2_400].map(|ms| (host, ms))) {
+            let pause = Fault { at_ms: 5_000, host, lasts_ms: 60_000, kind: Kind::Pause };
+            let plan = Plan { sync_ms, faults: vec![pause], ..Plan::without_faults(seed, 3) };
+            let mut cluster = Cluster::new(plan, Bug::None);
+            cluster.run_without_faults(pause.at_ms).unwrap();
+            let before = cluster.checker.last();
+            cluster.run_without_faults(pause.at_ms + pause.lasts_ms).unwrap();
+            let (committed, led) = (cluster.checker.last() - before, cluster.checker.terms_led());
+            assert!(
+                committed >= 100 && led <= 4,
+                "{committed} in 60 s, {led} terms led; seed {seed}, {host}, {sync_ms} ms"
+            );
+        }
+    }
+}
+
 #[test]
 #[ignore = "takes minutes; run by hand with a seed in DAISYDRUM_SEED"]
 fn no_schedule_of_a_long_run_violates_safety_or_stops_progress() {
--- a/crates/consensus/tests/support/checker.rs
+++ b/crates/consensus/tests/support/checker.rs
@@ -142,6 +142,11 @@
         upto.filter_map(command).collect()
     }
 
+    /// Number of terms that had a leader.
+    pub fn terms_led(&self) -> usize {
+        self.leaders.len()
+    }
+
     /// Index of the last entry that any replica has applied.
     pub fn last(&self) -> u64 {
         self.committed.len() as u64
