Refuse with 503 while the router lacks the settings of a known service

What callers saw: 404 for a request whose model the instance serves.

Cause: the request path finds the service in the directory; the router's thread gets the same directory by a command that a task sends later. A request between the two reaches a router that doesn't know the service, and that refusal had the status of a wrong request, without Retry-After.

Ruled out: an unknown path or model (the directory of this test is complete from the start), the gateway of the seeded instances (503 without a configuration already).

Change: the refusal has status 503.

--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -152,8 +152,8 @@
     /// No target serves the requested model or plain service.
     #[display("no target serves the requested model or service")]
     NoTarget,
-    /// The router knows no such service.
-    #[display("the service is unknown")]
+    /// The router does not have the settings of the service yet.
+    #[display("the settings of the service are not in force here yet")]
     UnknownService,
     /// The last attempt was refused by its target or failed before any byte was sent, and no other attempt follows.
     #[display("the last target that was tried is full, unavailable or unreachable")]
@@ -174,8 +174,7 @@
     pub fn status(&self) -> u16 {
         match self.reason {
             Reason::QueueFull | Reason::TooLate => 429,
-            Reason::NoTarget | Reason::TargetsFull => 503,
-            Reason::UnknownService => 404,
+            Reason::NoTarget | Reason::UnknownService | Reason::TargetsFull => 503,
         }
     }
 }
