Renew the lease in time while the log is slow and much is to be recorded

What operators saw: "lease lost", and the same process takes the lease again a second later with the same number; orders stop meanwhile, and another instance may get the lease.

Cause: the executor renews the lease once in each round, and a round records all ended and all waiting intents, one call after the other. With a slow log, or many intents, a round takes longer than the term.

Change: a round makes no further call to the log once the renewal is due, after a third of the term, and goes on in the next round.

--- a/crates/orders/src/executor.rs
+++ b/crates/orders/src/executor.rs
@@ -163,11 +163,21 @@
         if epoch.is_superseded() {
             return Err(Error::Lost);
         }
-        epoch.settle(&mut self.authority, &self.monitor, &self.log)?;
+        // Calls to a slow log must not delay the renewal until the lease has ended.
+        let until = self.renewal_at();
+        epoch.settle(&mut self.authority, until, &self.monitor, &self.log)?;
         self.limiter.set_limits(self.inventory.load_limits());
-        self.read_drains(epoch)?;
+        if Moment::now() < until {
+            self.read_drains(epoch)?;
+        }
         epoch.enqueue_proposals(&mut self.waiting);
-        epoch.open_intents(&mut self.waiting, &mut self.limiter, &mut self.authority, &self.log)?;
+        epoch.open_intents(
+            &mut self.waiting,
+            until,
+            &mut self.limiter,
+            &mut self.authority,
+            &self.log,
+        )?;
         epoch.start_calls(&self.workers.calls, self.options.poll_interval, self.options.gone_after);
         Ok(())
     }
@@ -186,9 +196,7 @@
     fn maintain_lease(&mut self) {
         let now = Moment::now();
         match (&self.epoch, self.cell.valid(now)) {
-            (Some(_), Some(lease)) if now + self.options.term * 2 / 3 >= lease.until => {
-                self.renew(lease.fencing, now);
-            }
+            (Some(_), Some(lease)) if now >= self.renewal_at() => self.renew(lease.fencing, now),
             (Some(_), Some(_)) => {}
             (Some(epoch), None) => {
                 let fencing = epoch.fencing;
@@ -199,6 +207,12 @@
         }
     }
 
+    /// When the lease is to be renewed: after a third of its term; at once if it has ended.
+    fn renewal_at(&self) -> Moment {
+        let now = Moment::now();
+        self.cell.valid(now).map_or(now, |lease| lease.until - self.options.term * 2 / 3)
+    }
+
     fn request_lease(&mut self, now: Moment) {
         self.request_at = now + self.options.term / 4;
         match self.authority.grant(self.options.term) {
--- a/crates/orders/src/executor/epoch.rs
+++ b/crates/orders/src/executor/epoch.rs
@@ -216,7 +216,7 @@
         }
     }
 
-    /// Records the outcomes of intents that have ended.
+    /// Records the outcomes of intents that have ended, as long as it is earlier than `until`.
     ///
     /// # Errors
     ///
@@ -224,11 +224,15 @@
     pub fn settle<A: Authority>(
         &mut self,
         authority: &mut A,
+        until: Moment,
         monitor: &Monitor,
         log: &Logger,
     ) -> Result<(), Error> {
         let ended: Vec<Settled> = self.jobs.values().filter_map(Active::ended).collect();
         for settled in ended {
+            if Moment::now() >= until {
+                break;
+            }
             authority.settle(self.fencing, &settled.intent, settled.ending)?;
             let target = settled.intent.target.clone();
             if let Some(active) = self.jobs.remove(&target) {
@@ -241,7 +245,8 @@
         Ok(())
     }
 
-    /// Opens intents for the waiting proposals whose engine has none and whose load the limiter allows.
+    /// Opens intents for the waiting proposals whose engine has none and whose load the limiter allows, as long as it is
+    /// earlier than `until`.
     ///
     /// # Errors
     ///
@@ -249,11 +254,15 @@
     pub fn open_intents<A: Authority>(
         &mut self,
         waiting: &mut VecDeque<Waiting>,
+        until: Moment,
         limiter: &mut Limiter,
         authority: &mut A,
         log: &Logger,
     ) -> Result<(), Error> {
         for _ in 0..waiting.len() {
+            if Moment::now() >= until {
+                break;
+            }
             let Some(mut next) = waiting.pop_front() else { break };
             if !self.engines.contains_key(&next.proposal.target) {
                 warn!(log, "proposal dropped: no such engine is announced";
--- a/crates/orders/tests/failures.rs
+++ b/crates/orders/tests/failures.rs
@@ -169,6 +169,25 @@
     fixture.log.assert_one_open_intent_per_target();
 }
 
+#[test]
+fn a_holder_with_much_to_record_in_a_slow_log_keeps_its_lease() {
+    let fixture = Fixture::new();
+    let names: Vec<String> = (0..24).map(|number| format!("engine-{number}")).collect();
+    let engines: Vec<Engine> = names.iter().map(|name| fixture.engine(name, |_| {})).collect();
+    // To record all intents takes longer than the term.
+    let client = fixture.log.slow_client(1, Duration::from_millis(60));
+    let (handle, _token) = fixture.executor(&client);
+    for name in &names {
+        handle.proposals.send(proposal(name, role(Role::Prefill))).unwrap();
+    }
+    wait_until("all engines have changed", || {
+        engines.iter().all(|engine| engine.state().role == Role::Prefill)
+    });
+    let events = fixture.log.events();
+    let granted = events.iter().filter(|event| matches!(event, Event::Granted(_))).count();
+    assert_eq!(granted, 1, "the lease was lost and taken again");
+}
+
 #[test]
 fn loads_are_bounded_by_the_weight_store() {
     let fixture = Fixture::new();
--- a/crates/orders/tests/support/fixture.rs
+++ b/crates/orders/tests/support/fixture.rs
@@ -64,11 +64,18 @@
     log: Log,
     session: u64,
     disconnected: cancel::Token,
+    /// How long the log takes for each call.
+    latency: Duration,
 }
 
 impl Log {
     pub fn client(&self, session: u64) -> Client {
-        Client { log: self.clone(), session, disconnected: cancel::Token::new() }
+        self.slow_client(session, Duration::ZERO)
+    }
+
+    /// A client whose calls each take `latency`.
+    pub fn slow_client(&self, session: u64, latency: Duration) -> Client {
+        Client { log: self.clone(), session, disconnected: cancel::Token::new(), latency }
     }
 
     pub fn events(&self) -> Vec<Event> {
@@ -127,6 +134,7 @@
     }
 
     fn connected(&self) -> Result<MutexGuard<'_, State>, Error> {
+        thread::sleep(self.latency);
         if self.disconnected.is_cancelled() { Err(Error::Unreachable) } else { Ok(self.log.lock()) }
     }
 }
