--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use common::cancel;
 use derive_more::{Display, Error, From};
 use tarpc::{client, context, serde_transport, tokio_serde::formats::Bincode};
 use tokio::{net::TcpStream, sync::Mutex, time};
@@ -34,20 +35,28 @@
 #[derive(Debug)]
 pub struct Link {
     address: SocketAddr,
-    connection: Mutex<Connection>,
+    slot: Mutex<Slot>,
 }
 
 #[derive(Debug, Default)]
-struct Connection {
-    client: Option<PeerClient>,
+struct Slot {
+    connection: Option<Connection>,
     /// The last failure to connect, and when.
     failure: Option<(Instant, io::ErrorKind)>,
 }
 
+/// An established connection.
+#[derive(Clone, Debug)]
+struct Connection {
+    client: PeerClient,
+    /// Cancelled once the task that sends the client's calls and receives their answers has ended.
+    ended: cancel::Token,
+}
+
 impl Link {
     /// Creates a link to `address`; the first call connects it.
     pub fn new(address: SocketAddr) -> Link {
-        Link { address, connection: Mutex::default() }
+        Link { address, slot: Mutex::default() }
     }
 
     /// The peer's address.
@@ -55,7 +64,7 @@
         self.address
     }
 
-    /// Runs one call, for at most `timeout` after the connection is established.
+    /// Runs one call, for at most `timeout` after the connection is established, or until the connection ends.
     ///
     /// Calls that wait while another one connects share its failure, so that none waits for longer than one attempt.
     ///
@@ -70,44 +79,46 @@
         timeout: Duration,
         call: impl AsyncFnOnce(&PeerClient, context::Context) -> Result<T, client::RpcError>,
     ) -> Result<T, Error> {
-        let client = self.client().await?;
+        let Connection { client, ended } = self.connection().await?;
         let mut context = context::current();
         context.deadline = Instant::now() + timeout;
         // A call that waits for its turn to be sent is not covered by the client's own deadline.
-        let result = time::timeout(timeout + ANSWER_MARGIN, call(&client, context))
-            .await
-            .unwrap_or(Err(client::RpcError::DeadlineExceeded));
+        let call = time::timeout(timeout + ANSWER_MARGIN, call(&client, context));
+        let result = tokio::select! {
+            biased;
+            result = call => result.unwrap_or(Err(client::RpcError::DeadlineExceeded)),
+            // A call that is queued while the task ends is never answered: the queue keeps it for as long as a client
+            // exists.
+            () = ended.cancelled() => Err(client::RpcError::Shutdown),
+        };
         if result.is_err() {
-            self.connection.lock().await.client.take();
+            self.slot.lock().await.connection.take();
         }
         Ok(result?)
     }
 
-    async fn client(&self) -> Result<PeerClient, Error> {
+    async fn connection(&self) -> Result<Connection, Error> {
         let began = Instant::now();
-        let mut connection = self.connection.lock().await;
-        if let Some(client) = &connection.client {
-            return Ok(client.clone());
+        let mut slot = self.slot.lock().await;
+        if let Some(connection) = &slot.connection {
+            return Ok(connection.clone());
         }
-        if let Some((failed_at, kind)) = connection.failure
+        if let Some((failed_at, kind)) = slot.failure
             && failed_at >= began
         {
             return Err(Error::Connect(kind.into()));
         }
         match connect(self.address).await {
-            Ok(client) => {
-                connection.client = Some(client.clone());
-                Ok(client)
-            }
+            Ok(connection) => Ok(slot.connection.insert(connection).clone()),
             Err(error) => {
-                connection.failure = Some((Instant::now(), error.kind()));
+                slot.failure = Some((Instant::now(), error.kind()));
                 Err(Error::Connect(error))
             }
         }
     }
 }
 
-async fn connect(address: SocketAddr) -> io::Result<PeerClient> {
+async fn connect(address: SocketAddr) -> io::Result<Connection> {
     let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
@@ -115,5 +126,14 @@
     let mut codec = LengthDelimitedCodec::builder();
     codec.max_frame_length(MAX_FRAME_BYTES);
     let transport = serde_transport::new(codec.new_framed(stream), Bincode::default());
-    Ok(PeerClient::new(client::Config::default(), transport).spawn())
+    let client::NewClient { client, dispatch } =
+        PeerClient::new(client::Config::default(), transport);
+    let ended = cancel::Token::new();
+    let guard = ended.clone().drop_guard();
+    tokio::spawn(async move {
+        let _guard = guard;
+        // Its error is also the result of the calls under way.
+        let _cause = dispatch.await;
+    });
+    Ok(Connection { client, ended })
 }
