Soak: pauses of sound targets, planned work and idle connections

The soak knew no target that is silent for a moment and goes on, sent no SIGHUP, and never reused a connection after a long time. Seeds now also draw pauses of 0.5 to 2 s (one target, those of a data centre, all) and SIGHUP and SIGTERM of entry instances, independently of the faults, so that the faults of a seed stay the same. The configuration changes its idle time, and callers that seldom send reuse their connections within four fifths of it.

Two invariants are new. Completion: a request that got no complete success has no target that answered it, or would have before the deadline had its connection not been closed; the stand-in targets record this. Targets with a fault beside the request and killed instances are left out. Kept: no connection closes within four fifths of the idle time that is in force, 3 s without a fault of the control instances or of that instance after its acknowledgement.

--- a/crates/daisydrum/tests/seeded/framing.rs
+++ b/crates/daisydrum/tests/seeded/framing.rs
@@ -32,6 +32,7 @@
         service: service.to_owned(),
         stage,
         software: String::from("v1"),
+        data_centre: String::from("suva"),
         events,
         control: control.clone(),
         listener: TcpListener::bind("127.0.0.1:0").await.unwrap(),
--- a/crates/daisydrum/tests/seeded/path.rs
+++ b/crates/daisydrum/tests/seeded/path.rs
@@ -191,6 +191,7 @@
         service: String::from("engines"),
         stage: Some("prefill"),
         software: String::from("v1"),
+        data_centre: String::from("suva"),
         events: 8,
         control: fleet.control_addresses(),
         listener,
--- a/crates/daisydrum/tests/seeded/software.rs
+++ b/crates/daisydrum/tests/seeded/software.rs
@@ -34,6 +34,7 @@
             // Engines with a stage are ordered to change it.
             stage: None,
             software: format!("v1.{}", number % 2),
+            data_centre: String::from("suva"),
             events: EVENTS,
             control: fleet.control_addresses(),
             listener,
--- a/crates/daisydrum/tests/soak.rs
+++ b/crates/daisydrum/tests/soak.rs
@@ -14,7 +14,21 @@
     cut_off_during_changes = { 236, 15 },
 )]
 fn a_seeded_run_violates_no_invariant(seed: u64, length_s: u64) {
-    let options = Options { length: Duration::from_secs(length_s), ..Options::new(seed) };
+    let length = Duration::from_secs(length_s);
+    assert_no_violation(Options { length, work: Duration::ZERO, ..Options::new(seed) });
+}
+
+#[parameterized(
+    first = { 2000 },
+    second = { 2005 },
+)]
+fn a_seeded_run_with_pauses_violates_no_invariant(seed: u64) {
+    let length = Duration::from_secs(8);
+    assert_no_violation(Options { length, work: length + run::CALM, ..Options::new(seed) });
+}
+
+fn assert_no_violation(options: Options) {
+    let seed = options.seed;
     let logs = run::log_folder(Path::new(env!("CARGO_TARGET_TMPDIR")), seed);
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let binary = Path::new(env!("CARGO_BIN_EXE_daisydrum"));
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -57,7 +57,8 @@
                 return;
             }
             let options = Options::new(seed);
-            let options = Options { size: Size { entries, ..options.size }, length, ..options };
+            let size = Size { entries, ..options.size };
+            let options = Options { size, length, work: length + run::CALM, ..options };
             if !holds(&binary, options, &run::log_folder(&logs, seed)) {
                 failed.fetch_add(1, Ordering::Relaxed);
             }
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -6,7 +6,9 @@
 use platform_standin::client;
 
 use crate::{
+    completion,
     history::{Content, History, Kind, Request},
+    idle,
     operator::APPLY_LIMIT,
 };
 
@@ -35,6 +37,10 @@
     Order,
     /// A valid request or configuration is not rejected as invalid.
     Denial,
+    /// No answer ends before its target ends it, fails or reaches the deadline.
+    Completion,
+    /// A connection is kept for the idle time of the configuration in force.
+    Kept,
     /// Every request gets a response by its deadline.
     Deadline,
     /// No read returns an older configuration than one that was acknowledged long enough before.
@@ -79,6 +85,13 @@
             report(Invariant::Deadline, format!("{} waited {waited:?}", describe(request)));
         }
     }
+    for (request, answer) in completion::ended_early(history) {
+        report(Invariant::Completion, format!("{} despite {answer:?}", describe(request)));
+    }
+    for request in idle::closed_early(history) {
+        let detail = format!("{} since {:?}", describe(request), request.kept_since);
+        report(Invariant::Kept, detail);
+    }
     check_reads(history, &mut report);
     for what in &history.refused_changes {
         report(Invariant::Denial, what.clone());
@@ -182,7 +195,7 @@
 }
 
 fn describe(request: &Request) -> String {
-    let Request { id, kind, entry, sent, ended, response } = request;
+    let Request { id, kind, entry, sent, ended, response, kept_since: _ } = request;
     format!(
         "{kind} {id} at entry {entry} from {sent:?} to {ended:?} got {:?}{}",
         response.status,
--- /dev/null
+++ b/crates/soak/src/completion.rs
@@ -0,0 +1,48 @@
+//! Checks that no answer ends while its target goes on with it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    history::{Answer, Disturbance, History, Request},
+    plan::{Fault, Victim},
+};
+
+/// Time that the end of a response needs to reach the caller: the operators' bound on late responses.
+const TRANSIT_TIME: Duration = Duration::from_millis(500);
+
+/// The failed requests that a target without a fault answered or would have answered before the deadline.
+pub fn ended_early(history: &History) -> Vec<(&Request, &Answer)> {
+    let mut answers: BTreeMap<&str, Vec<&Answer>> = BTreeMap::new();
+    for answer in &history.answers {
+        answers.entry(answer.request.as_str()).or_default().push(answer);
+    }
+    let failed = history.requests.iter().filter(|request| !is_complete(request));
+    let early = failed.filter_map(|request| {
+        let answers = answers.get(request.id.as_str())?;
+        let answer = answers.iter().find(|answer| is_due(request, answer, &history.disturbances));
+        answer.map(|answer| (request, *answer))
+    });
+    early.collect()
+}
+
+fn is_complete(request: &Request) -> bool {
+    request.response.status == Some(200) && request.response.whole
+}
+
+fn is_due(request: &Request, answer: &Answer, disturbances: &[Disturbance]) -> bool {
+    let beside = disturbances.iter().filter(|other| other.overlaps(request.sent, request.ended));
+    let mut due = answer.due;
+    for disturbance in beside {
+        if disturbance.victim == Victim::Target(answer.target) {
+            return false;
+        }
+        if disturbance.victim == Victim::Entry(request.entry) {
+            match disturbance.fault {
+                Fault::Kill => return false,
+                Fault::Freeze => due = due.max(disturbance.until),
+                _ => {}
+            }
+        }
+    }
+    due + TRANSIT_TIME <= request.sent + request.kind.deadline()
+}
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -4,6 +4,8 @@
 
 use platform_standin::{client, runner::Run};
 
+use crate::plan::{Fault, Victim};
+
 /// A kind of request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum Kind {
@@ -60,10 +62,56 @@
     pub sent: Duration,
     /// When its response or the connection ended.
     pub ended: Duration,
+    /// When the response before it ended on the same connection; nothing if it is the connection's first.
+    pub kept_since: Option<Duration>,
     /// The response as far as it was received.
     pub response: client::Response,
 }
 
+/// A response that a target sent completely, or would have sent had the other side not closed the connection.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Number of the target.
+    pub target: usize,
+    /// Id of the request.
+    pub request: String,
+    /// When it was sent or would have been.
+    pub due: Duration,
+}
+
+/// A period in which a process or target had a fault.
+#[derive(Clone, Copy, Debug)]
+pub struct Disturbance {
+    /// The process or target.
+    pub victim: Victim,
+    /// The fault.
+    pub fault: Fault,
+    /// When it began.
+    pub from: Duration,
+    /// When it ended.
+    pub until: Duration,
+}
+
+impl Disturbance {
+    /// Whether it overlaps a period.
+    pub fn overlaps(&self, from: Duration, until: Duration) -> bool {
+        self.from <= until && from <= self.until
+    }
+}
+
+/// A change of the configuration that was sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Change {
+    /// Its version.
+    pub version: u64,
+    /// Longest time for which callers' connections are kept without a request.
+    pub idle_time: Duration,
+    /// When it was first sent.
+    pub sent: Duration,
+    /// When it was acknowledged.
+    pub acknowledged: Option<Duration>,
+}
+
 /// A configuration that was acknowledged.
 #[derive(Clone, Copy, Debug)]
 pub struct Acknowledgement {
@@ -126,6 +174,12 @@
     pub requests: Vec<Request>,
     /// Runs, each with the name of the target.
     pub runs: Vec<(String, Run)>,
+    /// Responses of targets that did not fail, break off or end.
+    pub answers: Vec<Answer>,
+    /// Faults, without pauses.
+    pub disturbances: Vec<Disturbance>,
+    /// Changes of the configuration.
+    pub changes: Vec<Change>,
     /// Orders, for each target in the order in which it received them.
     pub orders: Vec<Order>,
     /// Acknowledged configurations.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,8 +7,10 @@
 
 pub mod callers;
 pub mod checker;
+pub mod completion;
 pub mod fleet;
 pub mod history;
+pub mod idle;
 pub mod operator;
 pub mod plan;
 pub mod run;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -5,6 +5,9 @@
 use common::random::Random;
 use derive_more::Display;
 
+/// Number of data centres, to which the targets belong in turn.
+pub const DATA_CENTRES: usize = 2;
+
 /// Number of processes and targets of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -30,6 +33,12 @@
     /// A target; the engines come first, then the plain targets.
     #[display("target {_0}")]
     Target(usize),
+    /// All targets of a data centre.
+    #[display("targets of data centre {_0}")]
+    DataCentre(usize),
+    /// All targets.
+    #[display("all targets")]
+    Targets,
 }
 
 /// What happens to a victim.
@@ -44,6 +53,9 @@
     /// Its process is asked to stop, and started again once it has exited.
     #[display("stop")]
     Stop,
+    /// Its process is told to read its settings again.
+    #[display("hang up")]
+    Hangup,
     /// Its process is frozen.
     #[display("freeze")]
     Freeze,
@@ -77,6 +89,9 @@
     /// It accepts requests and never responds.
     #[display("mute")]
     Hang,
+    /// It sends nothing, and goes on afterwards.
+    #[display("pause")]
+    Pause,
     /// It stops at once, and another one starts at another address.
     #[display("replace")]
     Replace,
@@ -136,6 +151,45 @@
 /// One plan in this many kills all instances that keep state at the same time.
 const PLANS_PER_FULL_KILL: usize = 4;
 
+/// Mean interval between two pauses or other events that are no faults.
+const MEAN_WORK_INTERVAL: Duration = Duration::from_millis(600);
+const MIN_PAUSE: Duration = Duration::from_millis(500);
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// Has pauses and planned work drawn independently of the faults of the same seed.
+const WORK_SEED: u64 = 0x7061_7573_6573;
+
+/// Draws what sound targets and operators do beside the faults of a run: pauses, and instances that are told to read
+/// their settings or to stop.
+pub fn draw_work(seed: u64, size: Size, length: Duration, faults: &[Event]) -> Vec<Event> {
+    let mut random = Random::new(seed ^ WORK_SEED);
+    let mut events: Vec<Event> = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += MEAN_WORK_INTERVAL.mul_f64(2.0 * random.unit());
+        if at >= length {
+            return events;
+        }
+        let (victim, fault) = match random.below(8) {
+            0..3 => {
+                let target = random.below(size.engines + size.plain_targets);
+                (Victim::Target(target), Fault::Pause)
+            }
+            3 => (Victim::DataCentre(random.below(DATA_CENTRES)), Fault::Pause),
+            4..6 => (Victim::Targets, Fault::Pause),
+            6 => (Victim::Entry(random.below(size.entries)), Fault::Hangup),
+            _ => (Victim::Entry(random.below(size.entries)), Fault::Stop),
+        };
+        let duration = match fault {
+            Fault::Pause => MIN_PAUSE + (MAX_PAUSE - MIN_PAUSE).mul_f64(random.unit()),
+            _ => MIN_DURATION,
+        };
+        let event = Event { at, duration, victim, fault };
+        if faults.iter().chain(&events).all(|other| is_allowed(&event, other)) {
+            events.push(event);
+        }
+    }
+}
+
 /// Draws the faults of a run.
 ///
 /// Faults of one victim don't overlap. At most one disk is lost in a run, and only while no other instance that keeps
@@ -159,7 +213,7 @@
         let (victim, fault) = draw_one(&mut random, size);
         let duration = match victim {
             Victim::Control(_) => (MAX_CONTROL_DURATION - MIN_DURATION).mul_f64(random.unit()),
-            Victim::Entry(_) | Victim::Target(_) => {
+            Victim::Entry(_) | Victim::Target(_) | Victim::DataCentre(_) | Victim::Targets => {
                 (MAX_DURATION - MIN_DURATION).mul_f64(random.unit().powi(2))
             }
         };
@@ -195,8 +249,11 @@
 const CATCH_UP: Duration = Duration::from_secs(4);
 
 fn is_allowed(event: &Event, other: &Event) -> bool {
-    let overlaps = event.at <= other.at + other.duration + CATCH_UP
-        && other.at <= event.at + event.duration + CATCH_UP;
+    // A target that pauses has nothing to catch up with.
+    let pauses = event.fault == Fault::Pause || other.fault == Fault::Pause;
+    let margin = if pauses { Duration::ZERO } else { CATCH_UP };
+    let overlaps = event.at <= other.at + other.duration + margin
+        && other.at <= event.at + event.duration + margin;
     let same = event.victim == other.victim;
     let wipes = [event, other].iter().filter(|event| event.fault == Fault::Wipe).count();
     let both_control =
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! One seeded run: callers and operators during faults, then a period without faults in which everything must recover.
 
-use std::{io, path::Path, time::Duration};
+use std::{io, path::Path, sync::Arc, time::Duration};
 
 use common::cancel;
 use platform_standin::client;
@@ -21,6 +21,11 @@
 /// processes share a machine with others.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(24);
 
+/// Default of [`Options::length`].
+const LENGTH: Duration = Duration::from_secs(15);
+/// Time by which pauses and planned work go on after the last fault has started: the longest fault and some seconds.
+pub const CALM: Duration = Duration::from_secs(10);
+
 /// Parameters of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -30,15 +35,20 @@
     pub size: Size,
     /// Number of callers.
     pub callers: usize,
+    /// Number of further callers that seldom send a request.
+    pub seldom: usize,
     /// Length of the period in which faults start.
     pub length: Duration,
+    /// Length of the period in which targets pause and instances are told to read their settings or to stop; nothing of
+    /// this happens if it is zero.
+    pub work: Duration,
 }
 
 impl Options {
     /// Parameters of a run with a small fleet.
     pub fn new(seed: u64) -> Options {
         let size = Size { control: 3, entries: 3, engines: 4, plain_targets: 2 };
-        Options { seed, size, callers: 6, length: Duration::from_secs(15) }
+        Options { seed, size, callers: 6, seldom: 6, length: LENGTH, work: LENGTH + CALM }
     }
 }
 
@@ -59,28 +69,35 @@
 ///
 /// Returns the operating system's error when a process, target or proxy can't be started, or logs can't be copied.
 pub async fn execute(binary: &Path, options: Options, logs: &Path) -> io::Result<Report> {
-    let Options { seed, size, callers, length } = options;
-    let events = plan::draw(seed, size, length);
+    let Options { seed, size, callers, seldom, length, work } = options;
+    let mut events = plan::draw(seed, size, length);
+    events.extend(plan::draw_work(seed, size, work, &events));
+    events.sort_by_key(|event| event.at);
     let mut testbed = Testbed::start(binary, &format!("soak-{seed}"), size).await?;
-    testbed.fleet.declare_config(&client::distinct_config(operator::FIRST_VERSION)).await;
+    testbed.fleet.declare_config(&operator::config(operator::FIRST_VERSION)).await;
     testbed.fleet.until_ready().await;
     let start = testbed.started();
     let begin = start.elapsed();
+    let record = operator::Record::default();
+    operator::note_sent(&record, operator::FIRST_VERSION, Duration::ZERO);
+    operator::note_acknowledged(&record, begin);
     let (load, control) = (cancel::Token::new(), testbed.fleet.control_addresses());
-    let calls: Vec<_> = (0..callers)
-        .map(|number| {
-            let name = format!("{seed}-{number}");
-            let caller = Caller::new(&name, testbed.entries(), seed ^ number as u64, start);
-            tokio::spawn(caller.run(load.clone()))
-        })
-        .collect();
-    let changes = tokio::spawn(operator::change(control.clone(), seed, start, load.clone()));
+    let caller = |number: usize| {
+        let (name, seed) = (format!("{seed}-{number}"), seed ^ number as u64);
+        Caller::new(&name, testbed.entries(), seed, start, Arc::clone(&record))
+    };
+    let mut calls: Vec<_> =
+        (0..callers).map(|number| tokio::spawn(caller(number).run(load.clone()))).collect();
+    let seldom = (callers..callers + seldom).map(|number| caller(number).run_seldom(load.clone()));
+    calls.extend(seldom.map(tokio::spawn));
+    let changes = operator::change(control.clone(), seed, start, load.clone(), Arc::clone(&record));
+    let changes = tokio::spawn(changes);
     let reads = tokio::spawn(operator::read(control.clone(), start, load.clone()));
 
     let scheduled = events.iter().map(|event| Event { at: event.at + begin, ..*event });
     inject_faults(&mut testbed, scheduled.collect()).await?;
     testbed.note_ends();
-    wait_for_recovery(&mut testbed, seed).await;
+    wait_for_recovery(&mut testbed, seed, Arc::clone(&record)).await;
     load.cancel();
     for call in calls {
         testbed.history.requests.extend(call.await.map_err(io::Error::other)?);
@@ -88,6 +105,7 @@
     let changes = changes.await.map_err(io::Error::other)?;
     testbed.history.acknowledgements = changes.acknowledgements;
     testbed.history.refused_changes = changes.refused;
+    testbed.history.changes = std::mem::take(&mut record.lock().unwrap());
     testbed.history.reads.extend(reads.await.map_err(io::Error::other)?);
     check_final_config(&mut testbed, seed).await;
     testbed.note_ends();
@@ -122,10 +140,11 @@
 }
 
 /// Waits until every instance serves every kind of request.
-async fn wait_for_recovery(testbed: &mut Testbed, seed: u64) {
+async fn wait_for_recovery(testbed: &mut Testbed, seed: u64, changes: operator::Record) {
     let start = testbed.started();
     let deadline = Instant::now() + RECOVERY_LIMIT;
-    let mut caller = Caller::new(&format!("{seed}-recovery"), testbed.entries(), seed, start);
+    let name = format!("{seed}-recovery");
+    let mut caller = Caller::new(&name, testbed.entries(), seed, start, changes);
     for entry in 0..testbed.entries().len() {
         for kind in Kind::ALL {
             while !caller.is_served(entry, kind).await {
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, path::Path, time::Duration};
 
-use platform_standin::runner::{Behaviour, Options, Runner};
+use platform_standin::runner::{Behaviour, End, Options, Runner};
 use rustix::process::Signal;
 use standin::proxy::{Conditions, Flow, Proxy};
 use tokio::{net::TcpListener, time::Instant};
@@ -10,14 +10,16 @@
 use crate::{
     checker::EVENTS,
     fleet::{Daemon, Fleet, Links, Start},
-    history::{History, Order, Outage},
-    plan::{Event, Fault, Size, Victim},
+    history::{Answer, Disturbance, History, Order, Outage},
+    plan::{self, Event, Fault, Size, Victim},
 };
 
 /// Delay of a slow link; longer than any response of a stand-in takes.
 const DELAY: Duration = Duration::from_millis(150);
 /// Number of events of a stream that a target sends before it disconnects.
 const EVENTS_BEFORE_BREAK: u64 = 3;
+/// Names of the data centres of the targets.
+const DATA_CENTRES: [&str; plan::DATA_CENTRES] = ["suva", "nadi"];
 /// Time within which a process that is asked to stop must have exited; longer than its own limit.
 const STOP_LIMIT: Duration = Duration::from_secs(12);
 
@@ -99,9 +101,20 @@
             // The end is set when the process is started again or resumed.
             self.history.outages.push(Outage { entry, from, until: Duration::MAX });
         }
+        if !matches!(fault, Fault::Pause | Fault::Hangup) {
+            let (victim, from) = (event.victim, self.start.elapsed());
+            let disturbance = Disturbance { victim, fault, from, until: Duration::MAX };
+            self.history.disturbances.push(disturbance);
+        }
         match fault {
             Fault::Kill | Fault::Wipe => self.daemon(event.victim).kill(),
             Fault::Stop => self.daemon(event.victim).signal(Signal::TERM),
+            Fault::Hangup => {
+                let daemon = self.daemon(event.victim);
+                if daemon.is_running() {
+                    daemon.signal(Signal::HUP);
+                }
+            }
             Fault::Freeze => self.daemon(event.victim).signal(Signal::STOP),
             Fault::Delay => {
                 self.set(event.victim, Conditions { latency: DELAY, ..Conditions::default() });
@@ -130,6 +143,7 @@
             }
             Fault::Fail => self.set_behaviour(event.victim, Behaviour::Fail),
             Fault::Hang => self.set_behaviour(event.victim, Behaviour::Hang),
+            Fault::Pause => self.pause(event.victim, event.duration),
             Fault::Replace => self.end_target(event.victim),
             Fault::Leave => self.announce_leave(event.victim).await,
         }
@@ -172,7 +186,7 @@
             Fault::Delay | Fault::HoldInbound | Fault::HoldOutbound | Fault::Refuse => {
                 self.set(event.victim, Conditions::default());
             }
-            Fault::Reset | Fault::Silence => {}
+            Fault::Reset | Fault::Silence | Fault::Pause | Fault::Hangup => {}
             Fault::Reject | Fault::Disconnect | Fault::Fail | Fault::Hang => {
                 self.set_behaviour(event.victim, Behaviour::Serve);
             }
@@ -183,8 +197,11 @@
                 }
             }
         }
+        let until = self.start.elapsed();
+        let open = self.history.disturbances.iter_mut();
+        let open = open.filter(|other| other.victim == event.victim && other.fault == event.fault);
+        open.for_each(|other| other.until = other.until.min(until));
         if let Victim::Entry(entry) = event.victim {
-            let until = self.start.elapsed();
             let open = self.history.outages.iter_mut();
             let open = open.filter(|other| other.entry == entry && other.until == Duration::MAX);
             open.for_each(|outage| outage.until = until);
@@ -222,8 +239,8 @@
         match victim {
             Victim::Control(number) => &mut self.fleet.control[number],
             Victim::Entry(number) => &mut self.fleet.entries[number],
-            Victim::Target(_) => {
-                unreachable!("invariant: only processes are killed, stopped and frozen")
+            Victim::Target(_) | Victim::DataCentre(_) | Victim::Targets => {
+                unreachable!("invariant: only processes get signals")
             }
         }
     }
@@ -233,6 +250,7 @@
             Victim::Control(number) => self.proxies.get(number),
             Victim::Entry(number) => self.proxies.get(self.size.control + number),
             Victim::Target(number) => self.targets[number].proxy.as_ref(),
+            Victim::DataCentre(_) | Victim::Targets => None,
         };
         proxy.into_iter().for_each(act);
     }
@@ -248,6 +266,20 @@
         }
     }
 
+    fn pause(&self, victim: Victim, time: Duration) {
+        let is_meant = |number: usize| match victim {
+            Victim::Target(target) => target == number,
+            Victim::DataCentre(data_centre) => data_centre == number % DATA_CENTRES.len(),
+            Victim::Targets => true,
+            Victim::Control(_) | Victim::Entry(_) => false,
+        };
+        for (_, target) in self.targets.iter().enumerate().filter(|(number, _)| is_meant(*number)) {
+            if let Some(runner) = &target.runner {
+                runner.pause(time);
+            }
+        }
+    }
+
     async fn announce_leave(&self, victim: Victim) {
         let Victim::Target(number) = victim else {
             return;
@@ -269,6 +301,7 @@
             service: String::from(if is_engine { "engines" } else { "portal" }),
             stage: is_engine.then_some("decode"),
             software: String::from("v1"),
+            data_centre: String::from(DATA_CENTRES[number % DATA_CENTRES.len()]),
             events: if is_engine { EVENTS } else { 0 },
             control: self.fleet.control_addresses(),
             listener,
@@ -292,6 +325,15 @@
         let name = runner.name.clone();
         let runs = runner.runs().into_iter().map(|run| (name.clone(), run));
         self.history.runs.extend(runs);
+        for ending in runner.endings() {
+            let due = match ending.end {
+                End::Whole => ending.at,
+                End::Closed { due } => due,
+                End::Own => continue,
+            };
+            let due = due.saturating_duration_since(self.start.into_std());
+            self.history.answers.push(Answer { target: number, request: ending.id, due });
+        }
         for order in runner.orders() {
             let at = order.at.saturating_duration_since(self.start.into_std());
             let holder = order.body["holder"].as_str().unwrap_or_default().to_owned();
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -7,7 +7,11 @@
 use platform_standin::{client::Response, runner::Run};
 use soak::{
     checker::{self, Invariant},
-    history::{Acknowledgement, Content, History, Kind, Order, Outage, Read, Request},
+    history::{
+        Acknowledgement, Answer, Change, Content, Disturbance, History, Kind, Order, Outage, Read,
+        Request,
+    },
+    plan::{Fault, Victim},
 };
 use yare::parameterized;
 
@@ -25,7 +29,7 @@
         signature: Some(String::from("target-1.a")),
     };
     let (id, sent) = (String::from("a"), SECOND);
-    Request { id, kind, entry: 0, sent, ended: SECOND * 2, response }
+    Request { id, kind, entry: 0, sent, ended: SECOND * 2, kept_since: None, response }
 }
 
 fn answered(kind: Kind, change: impl FnOnce(&mut Response)) -> History {
@@ -52,6 +56,38 @@
     History { requests: vec![request], outages, ..History::default() }
 }
 
+/// A stream that was cut a second after it was sent, which its target sent or would have sent whole when it was due.
+fn cut(due: Duration, disturbance: Option<Disturbance>) -> History {
+    let mut history = answered(Kind::Summary, |response| {
+        response.whole = false;
+        response.body = String::from("id: 1\ndata: x\n\n");
+    });
+    history.answers = vec![Answer { target: 1, request: String::from("a"), due }];
+    history.disturbances = Vec::from_iter(disturbance);
+    history
+}
+
+/// A connection that was closed instead of serving a request five seconds after the last one, at idle times of which
+/// each was acknowledged when it was sent.
+fn closed(changes: &[(u32, u32)], disturbances: &[Disturbance]) -> History {
+    let mut history = answered(Kind::Lookup, |response| *response = Response::default());
+    let request = &mut history.requests[0];
+    (request.kept_since, request.sent, request.ended) = (Some(SECOND * 4), SECOND * 9, SECOND * 9);
+    let change = |(number, (at, idle_time)): (usize, &(u32, u32))| Change {
+        version: number as u64,
+        idle_time: SECOND * *idle_time,
+        sent: SECOND * *at,
+        acknowledged: Some(SECOND * *at),
+    };
+    history.changes = changes.iter().enumerate().map(change).collect();
+    history.disturbances = disturbances.to_vec();
+    history
+}
+
+fn disturbance(victim: Victim, fault: Fault, from: u32, until: u32) -> Disturbance {
+    Disturbance { victim, fault, from: SECOND * from, until: SECOND * until }
+}
+
 fn orders(orders: &[(&str, u64)], resumed_at: Vec<Duration>) -> History {
     let order = |(holder, fence): &(&str, u64)| Order {
         target: String::from("target-1"),
@@ -115,6 +151,59 @@
         answered(Kind::Draft, |response| response.body = String::from("id: 1\ndata: x\n\n")),
         Some(Invariant::Order)
     },
+    cut_before_its_target_would_have_ended = { cut(SECOND * 3, None), Some(Invariant::Completion) },
+    cut_although_its_target_ended = { cut(SECOND, None), Some(Invariant::Completion) },
+    cut_at_a_target_that_would_have_needed_longer_than_the_deadline = { cut(SECOND * 7, None), None },
+    cut_beside_a_fault_of_the_target = {
+        cut(SECOND * 3, Some(disturbance(Victim::Target(1), Fault::Delay, 1, 2))), None
+    },
+    cut_after_a_fault_of_the_target = {
+        cut(SECOND * 3, Some(disturbance(Victim::Target(1), Fault::Delay, 0, 0))),
+        Some(Invariant::Completion)
+    },
+    cut_beside_a_fault_of_another_target = {
+        cut(SECOND * 3, Some(disturbance(Victim::Target(0), Fault::Fail, 1, 2))),
+        Some(Invariant::Completion)
+    },
+    cut_by_a_kill = {
+        cut(SECOND * 3, Some(disturbance(Victim::Entry(0), Fault::Kill, 2, 3))), None
+    },
+    cut_beside_a_kill_of_another_instance = {
+        cut(SECOND * 3, Some(disturbance(Victim::Entry(1), Fault::Kill, 2, 3))),
+        Some(Invariant::Completion)
+    },
+    cut_by_an_instance_that_stops = {
+        cut(SECOND * 3, Some(disturbance(Victim::Entry(0), Fault::Stop, 1, 9))),
+        Some(Invariant::Completion)
+    },
+    cut_by_an_instance_that_was_frozen_for_a_moment = {
+        cut(SECOND * 3, Some(disturbance(Victim::Entry(0), Fault::Freeze, 1, 2))),
+        Some(Invariant::Completion)
+    },
+    cut_by_an_instance_that_was_frozen_until_the_deadline = {
+        cut(SECOND * 3, Some(disturbance(Victim::Entry(0), Fault::Freeze, 1, 7))), None
+    },
+    connection_closed_within_the_idle_time = {
+        closed(&[(0, 8)], &[]), Some(Invariant::Kept)
+    },
+    connection_closed_after_the_idle_time = { closed(&[(0, 5)], &[]), None },
+    connection_closed_after_an_earlier_idle_time_that_was_in_force = {
+        closed(&[(0, 3), (6, 8)], &[]), None
+    },
+    connection_closed_after_an_earlier_idle_time_that_was_not_in_force_any_more = {
+        closed(&[(0, 3), (3, 8)], &[]), Some(Invariant::Kept)
+    },
+    connection_closed_after_an_idle_time_that_may_be_in_force = { closed(&[(0, 8), (8, 3)], &[]), None },
+    connection_closed_while_a_longer_idle_time_is_held_up = {
+        closed(&[(0, 3), (3, 8)], &[disturbance(Victim::Control(0), Fault::Kill, 5, 6)]), None
+    },
+    connection_closed_by_an_instance_that_stops = {
+        closed(&[(0, 8)], &[disturbance(Victim::Entry(0), Fault::Stop, 8, 12)]), None
+    },
+    connection_closed_beside_another_instance_that_stops = {
+        closed(&[(0, 8)], &[disturbance(Victim::Entry(1), Fault::Stop, 8, 12)]),
+        Some(Invariant::Kept)
+    },
     in_time = { waited(Kind::Lodge, 4, Vec::new()), None },
     late = { waited(Kind::Lodge, 6, Vec::new()), Some(Invariant::Deadline) },
     late_during_outage = { waited(Kind::Lodge, 6, vec![outage(0)]), None },
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -47,6 +47,31 @@
     assert!(wiped > 50, "only {wiped} of 500 plans lose a disk, expected more than 50");
 }
 
+#[test]
+fn work_beside_the_faults_has_every_kind_and_no_process_has_two_events_at_once() {
+    let mut seen = std::collections::BTreeSet::new();
+    for seed in 0..500 {
+        let faults = plan::draw(seed, SIZE, LENGTH);
+        let work = plan::draw_work(seed, SIZE, LENGTH, &faults);
+        assert_eq!(work, plan::draw_work(seed, SIZE, LENGTH, &faults));
+        for (number, event) in work.iter().enumerate() {
+            let others = faults.iter().chain(&work[..number]);
+            let mut same = others.filter(|other| other.victim == event.victim);
+            let overlaps = same.any(|other| {
+                event.at <= other.at + other.duration && other.at <= event.at + event.duration
+            });
+            assert!(!overlaps, "{event:?} of {work:?} beside {faults:?}");
+        }
+        let pauses = work.iter().filter(|event| event.fault == Fault::Pause);
+        let (shortest, longest) = (Duration::from_millis(500), Duration::from_secs(2));
+        assert!(pauses.clone().all(|event| (shortest..=longest).contains(&event.duration)));
+        seen.extend(work.iter().map(|event| (event.fault.to_string(), event.victim)));
+    }
+    let count = |fault: &str| seen.iter().filter(|(name, _)| name == fault).count();
+    let pauses = 6 + plan::DATA_CENTRES + 1;
+    assert_eq!((count("pause"), count("hang up"), count("stop")), (pauses, 3, 3));
+}
+
 #[test]
 fn plans_contain_every_fault_and_some_kill_all_control_instances() {
     let all: Vec<Event> = plans().flatten().collect();
