Soak: later events no longer wait for a target's announcement

Its log shows SIGTERM 12 s after the planned time and a kill 0.4 s later: the event before, a target that leaves, had waited for the acknowledgement of a frozen control instance, and with it all later events; the limit of the stop ran from its planned time. The announcement is now given up after 100 ms (the next ones say the same), and the limit of 12 s runs from the signal.

--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -5,7 +5,10 @@
 use platform_standin::runner::{Behaviour, End, Options, Runner};
 use rustix::process::Signal;
 use standin::proxy::{Conditions, Flow, Proxy};
-use tokio::{net::TcpListener, time::Instant};
+use tokio::{
+    net::TcpListener,
+    time::{self, Instant},
+};
 
 use crate::{
     checker::EVENTS,
@@ -18,6 +21,8 @@
 const DELAY: Duration = Duration::from_millis(150);
 /// Number of events of a stream that a target sends before it disconnects.
 const EVENTS_BEFORE_BREAK: u64 = 3;
+/// Timeout of the first announcement of a target that leaves, which a frozen instance doesn't answer.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Names of the data centres of the targets.
 const DATA_CENTRES: [&str; plan::DATA_CENTRES] = ["suva", "nadi"];
 /// Time within which a process that is asked to stop must have exited; longer than its own limit.
@@ -164,7 +169,11 @@
                 }
             }
             Fault::Stop => {
-                let overdue = self.start.elapsed() > event.at + event.duration + STOP_LIMIT;
+                let stops = self.history.disturbances.iter();
+                let begun =
+                    stops.filter(|other| other.victim == event.victim).map(|other| other.from);
+                let begun = begun.max().unwrap_or(event.at);
+                let overdue = self.start.elapsed() > begun + STOP_LIMIT;
                 let daemon = self.daemon(event.victim);
                 if daemon.is_running() && !overdue {
                     return Ok(Progress::Pending);
@@ -286,7 +295,8 @@
         };
         if let Some(runner) = &self.targets[number].runner {
             // If this announcement is lost, its next ones say the same.
-            let _acknowledged = runner.drain(self.fleet.control[0].control()).await;
+            let announced = runner.drain(self.fleet.control[0].control());
+            let _acknowledged = time::timeout(ANNOUNCEMENT_TIMEOUT, announced).await;
         }
     }
 
