Soak: a connection that closes under a running request was not idle

A trial with a request that ends targets reported the invariant Kept for a connection that was used again after 87 ms and closed 418 ms later: the target of its stream had ended, and the instance cut the stream before its head (stream_cut, "targets full"). That is no idle connection, and Kept says nothing of it; whether the answer may end is for Completion, which leaves out targets that ended. Kept now counts requests that no target has run.

--- a/crates/soak/src/idle.rs
+++ b/crates/soak/src/idle.rs
@@ -1,6 +1,6 @@
 //! Decides for how long callers may keep a connection without a request, and checks that it is kept for so long.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use crate::{
     history::{Change, Disturbance, History, Request},
@@ -47,9 +47,13 @@
 }
 
 /// Requests on kept connections that were closed although an instance should have kept them.
+///
+/// A connection that closes under a request that a target has run was not idle.
 pub fn closed_early(history: &History) -> Vec<&Request> {
+    let runs: BTreeSet<&str> = history.runs.iter().map(|(_, run)| run.id.as_str()).collect();
     let unanswered = history.requests.iter().filter(|request| request.response.status.is_none());
-    let closed = unanswered.filter(|request| {
+    let closed = unanswered.filter(|request| !runs.contains(request.id.as_str()));
+    let closed = closed.filter(|request| {
         request.kept_since.is_some_and(|since| {
             let of_fleet = |other: &Disturbance| match other.victim {
                 Victim::Control(_) => true,
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -84,6 +84,12 @@
     history
 }
 
+/// Has the request run at a target.
+fn with_run(mut history: History) -> History {
+    history.runs = ran(Kind::Lookup, 200, &["target-1"]).runs;
+    history
+}
+
 fn disturbance(victim: Victim, fault: Fault, from: u32, until: u32) -> Disturbance {
     Disturbance { victim, fault, from: SECOND * from, until: SECOND * until }
 }
@@ -186,6 +192,7 @@
     connection_closed_within_the_idle_time = {
         closed(&[(0, 8)], &[]), Some(Invariant::Kept)
     },
+    connection_closed_under_a_request_that_runs = { with_run(closed(&[(0, 8)], &[])), None },
     connection_closed_after_the_idle_time = { closed(&[(0, 5)], &[]), None },
     connection_closed_after_an_earlier_idle_time_that_was_in_force = {
         closed(&[(0, 3), (6, 8)], &[]), None
