Soak: a request that ends targets

The invariant Crashes: later than 3 s after the third end it reaches targets at most three times more, from instances without a fault in the 3 s before; and half of the sound requests are served later than 6 s after it. The stand-in targets keep the ids of arrivals, so that each is matched with the instance that sent it.

--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -12,6 +12,7 @@
 
 use soak::{
     checker,
+    history::Kind,
     plan::Size,
     run::{self, Options},
 };
@@ -33,6 +34,8 @@
             optional --length-s length_s: u64
             /// Number of instances that serve callers; 3 by default.
             optional --entries entries: usize
+            /// Sends a request, of a kind drawn from the seed, that ends each target that begins to run it.
+            optional --crashing
             /// Binary of the daemon; target/release/daisydrum by default.
             optional --binary binary: PathBuf
             /// Folder for logs of failed runs; target/soak by default.
@@ -58,7 +61,8 @@
             }
             let options = Options::new(seed);
             let size = Size { entries, ..options.size };
-            let options = Options { size, length, work: length + run::CALM, ..options };
+            let crashing = flags.crashing.then(|| Kind::ALL[seed as usize % Kind::ALL.len()]);
+            let options = Options { size, length, work: length + run::CALM, crashing, ..options };
             if !holds(&binary, options, &run::log_folder(&logs, seed)) {
                 failed.fetch_add(1, Ordering::Relaxed);
             }
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -6,7 +6,7 @@
 use platform_standin::client;
 
 use crate::{
-    completion,
+    completion, crash,
     history::{Content, History, Kind, Request},
     idle,
     operator::APPLY_LIMIT,
@@ -39,6 +39,8 @@
     Denial,
     /// No answer ends before its target ends it, fails or reaches the deadline.
     Completion,
+    /// A request that ends targets reaches few more, and sound requests are served beside it.
+    Crashes,
     /// A connection is kept for the idle time of the configuration in force.
     Kept,
     /// Every request gets a response by its deadline.
@@ -103,6 +105,7 @@
     for what in &history.unexpected_exits {
         report(Invariant::End, what.clone());
     }
+    violations.extend(crash::check(history));
     violations
 }
 
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -99,6 +99,26 @@
     }
 }
 
+/// What is known of a request that ends targets, sent many times.
+#[derive(Clone, Debug, Default)]
+pub struct Crashing {
+    /// Its arrivals at targets.
+    pub arrivals: Vec<Arrival>,
+    /// When targets ended.
+    pub crashes: Vec<Duration>,
+    /// When it was sent last.
+    pub until: Duration,
+}
+
+/// A request that reached a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// When it arrived.
+    pub at: Duration,
+    /// Number of the instance that sent it.
+    pub entry: usize,
+}
+
 /// A change of the configuration that was sent.
 #[derive(Clone, Copy, Debug)]
 pub struct Change {
@@ -178,6 +198,8 @@
     pub answers: Vec<Answer>,
     /// Faults, without pauses.
     pub disturbances: Vec<Disturbance>,
+    /// The request that ends targets, if one was sent.
+    pub crashing: Crashing,
     /// Changes of the configuration.
     pub changes: Vec<Change>,
     /// Orders, for each target in the order in which it received them.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod callers;
 pub mod checker;
 pub mod completion;
+pub mod crash;
 pub mod fleet;
 pub mod history;
 pub mod idle;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -3,13 +3,14 @@
 use std::{io, path::Path, sync::Arc, time::Duration};
 
 use common::cancel;
-use platform_standin::client;
+use platform_standin::{client, runner};
 use tokio::time::{self, Instant};
 
 use crate::{
     callers::Caller,
     checker::{self, Violation},
-    history::{History, Kind},
+    crash,
+    history::{Arrival, History, Kind},
     operator,
     plan::{self, Event, Size},
     testbed::{Progress, Testbed},
@@ -42,13 +43,23 @@
     /// Length of the period in which targets pause and instances are told to read their settings or to stop; nothing of
     /// this happens if it is zero.
     pub work: Duration,
+    /// The kind of the request that ends targets, if one is sent.
+    pub crashing: Option<Kind>,
 }
 
 impl Options {
     /// Parameters of a run with a small fleet.
     pub fn new(seed: u64) -> Options {
         let size = Size { control: 3, entries: 3, engines: 4, plain_targets: 2 };
-        Options { seed, size, callers: 6, seldom: 6, length: LENGTH, work: LENGTH + CALM }
+        Options {
+            seed,
+            size,
+            callers: 6,
+            seldom: 6,
+            length: LENGTH,
+            work: LENGTH + CALM,
+            crashing: None,
+        }
     }
 }
 
@@ -69,7 +80,7 @@
 ///
 /// Returns the operating system's error when a process, target or proxy can't be started, or logs can't be copied.
 pub async fn execute(binary: &Path, options: Options, logs: &Path) -> io::Result<Report> {
-    let Options { seed, size, callers, seldom, length, work } = options;
+    let Options { seed, size, callers, seldom, length, work, crashing } = options;
     let mut events = plan::draw(seed, size, length);
     events.extend(plan::draw_work(seed, size, work, &events));
     events.sort_by_key(|event| event.at);
@@ -94,9 +105,16 @@
     let changes = tokio::spawn(changes);
     let reads = tokio::spawn(operator::read(control.clone(), start, load.clone()));
 
+    let crashes = cancel::Token::new();
+    let crashing = crashing.map(|kind| {
+        testbed.set_crashing(crash::content(kind));
+        tokio::spawn(crash::send(kind, testbed.entries(), seed, crashes.clone()))
+    });
     let scheduled = events.iter().map(|event| Event { at: event.at + begin, ..*event });
     inject_faults(&mut testbed, scheduled.collect()).await?;
     testbed.note_ends();
+    crashes.cancel();
+    testbed.history.crashing.until = start.elapsed();
     wait_for_recovery(&mut testbed, seed, Arc::clone(&record)).await;
     load.cancel();
     for call in calls {
@@ -110,6 +128,15 @@
     check_final_config(&mut testbed, seed).await;
     testbed.note_ends();
     testbed.stop().await;
+    if let Some(crashing) = crashing {
+        let sent = crashing.await.map_err(io::Error::other)?;
+        let arrival = |arrival: &runner::Arrival| {
+            let at = Instant::from_std(arrival.at).duration_since(start);
+            sent.get(&arrival.id).map(|entry| Arrival { at, entry: *entry })
+        };
+        let arrivals = testbed.crashing_arrivals().iter().filter_map(arrival).collect();
+        testbed.history.crashing.arrivals = arrivals;
+    }
 
     let violations = checker::check(&testbed.history);
     if !violations.is_empty() {
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, path::Path, time::Duration};
 
-use platform_standin::runner::{Behaviour, End, Options, Runner};
+use platform_standin::runner::{Arrival, Behaviour, Content, End, Options, Runner};
 use rustix::process::Signal;
 use standin::proxy::{Conditions, Flow, Proxy};
 use tokio::{
@@ -47,6 +47,10 @@
     size: Size,
     proxies: Vec<Proxy>,
     targets: Vec<Target>,
+    /// The request that ends targets.
+    crashing: Option<Content>,
+    /// Its arrivals at targets that were stopped.
+    arrivals: Vec<Arrival>,
     start: Instant,
 }
 
@@ -74,10 +78,16 @@
             fleet.add_entry();
         }
         let proxies = fleet.proxies().await?;
-        let targets = Vec::new();
-        let start = Instant::now();
-        let mut testbed =
-            Testbed { fleet, history: History::default(), size, proxies, targets, start };
+        let mut testbed = Testbed {
+            fleet,
+            history: History::default(),
+            size,
+            proxies,
+            targets: Vec::new(),
+            crashing: None,
+            arrivals: Vec::new(),
+            start: Instant::now(),
+        };
         for number in 0..size.engines + size.plain_targets {
             let target = Target { runner: None, proxy: None, generation: 0 };
             testbed.targets.push(target);
@@ -96,6 +106,19 @@
         self.fleet.entries.iter().map(Daemon::callers).collect()
     }
 
+    /// Has all targets, also those that start later, end when they begin to run requests with this content.
+    pub fn set_crashing(&mut self, content: Content) {
+        for runner in self.targets.iter().filter_map(|target| target.runner.as_ref()) {
+            runner.set_crashing_content(Some(content.clone()));
+        }
+        self.crashing = Some(content);
+    }
+
+    /// The arrivals of requests that end targets at the targets that were stopped.
+    pub fn crashing_arrivals(&self) -> &[Arrival] {
+        &self.arrivals
+    }
+
     /// Injects a fault.
     pub async fn begin(&mut self, event: &Event) {
         let fault = event.fault;
@@ -317,6 +340,7 @@
             listener,
             announced_address: proxy.address(),
         });
+        runner.set_crashing_content(self.crashing.clone());
         target.runner = Some(runner);
         target.proxy = Some(proxy);
         Ok(())
@@ -344,6 +368,11 @@
             let due = due.saturating_duration_since(self.start.into_std());
             self.history.answers.push(Answer { target: number, request: ending.id, due });
         }
+        let since_start = |at| Instant::from_std(at).duration_since(self.start);
+        self.history.crashing.crashes.extend(runner.crashes().into_iter().map(since_start));
+        if let Some(content) = &self.crashing {
+            self.arrivals.extend(runner.requests_with_content(content));
+        }
         for order in runner.orders() {
             let at = order.at.saturating_duration_since(self.start.into_std());
             let holder = order.body["holder"].as_str().unwrap_or_default().to_owned();
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -8,8 +8,8 @@
 use soak::{
     checker::{self, Invariant},
     history::{
-        Acknowledgement, Answer, Change, Content, Disturbance, History, Kind, Order, Outage, Read,
-        Request,
+        Acknowledgement, Answer, Arrival, Change, Content, Crashing, Disturbance, History, Kind,
+        Order, Outage, Read, Request,
     },
     plan::{Fault, Victim},
 };
@@ -90,6 +90,32 @@
     history
 }
 
+/// Targets that ended in the seconds 1 to 3 under a request that reached targets from instance 0 at these seconds.
+fn crashed(arrivals: &[u32], disturbance: Option<Disturbance>) -> History {
+    let arrival = |at: &u32| Arrival { at: SECOND * *at, entry: 0 };
+    let crashing = Crashing {
+        arrivals: arrivals.iter().map(arrival).collect(),
+        crashes: vec![SECOND * 3, SECOND, SECOND * 2],
+        until: SECOND * 20,
+    };
+    let disturbances = Vec::from_iter(disturbance);
+    History { crashing, disturbances, ..History::default() }
+}
+
+/// Requests, one in so many of them served, that were sent at this second beside one that ends targets.
+fn served_beside_crashes(sent: u32, one_in: usize) -> History {
+    let mut history = crashed(&[], None);
+    let response = |number: usize| match number % one_in {
+        0 => request(Kind::Lookup).response,
+        _ => Response { status: Some(503), ..Response::default() },
+    };
+    let (sent, ended) = (SECOND * sent, SECOND * (sent + 1));
+    history.requests = (0..30)
+        .map(|number| Request { sent, ended, response: response(number), ..request(Kind::Lookup) })
+        .collect();
+    history
+}
+
 fn disturbance(victim: Victim, fault: Fault, from: u32, until: u32) -> Disturbance {
     Disturbance { victim, fault, from: SECOND * from, until: SECOND * until }
 }
@@ -211,6 +237,22 @@
         closed(&[(0, 8)], &[disturbance(Victim::Entry(1), Fault::Stop, 8, 12)]),
         Some(Invariant::Kept)
     },
+    a_request_that_ends_targets_reaches_three_more = { crashed(&[1, 2, 3, 4, 5, 6, 7, 8, 9], None), None },
+    a_request_that_ends_targets_reaches_four_more = {
+        crashed(&[7, 8, 9, 10], None), Some(Invariant::Crashes)
+    },
+    a_request_that_ends_targets_reaches_more_from_an_instance_that_was_cut_off = {
+        crashed(&[7, 8, 9, 10], Some(disturbance(Victim::Entry(0), Fault::HoldInbound, 5, 7))), None
+    },
+    a_request_that_ends_targets_reaches_more_long_after_the_instance_was_cut_off = {
+        crashed(&[9, 10, 11, 12], Some(disturbance(Victim::Entry(0), Fault::HoldInbound, 4, 5))),
+        Some(Invariant::Crashes)
+    },
+    half_of_the_sound_requests_are_served = { served_beside_crashes(10, 2), None },
+    a_third_of_the_sound_requests_is_served = {
+        served_beside_crashes(10, 3), Some(Invariant::Crashes)
+    },
+    a_third_of_the_sound_requests_is_served_at_first = { served_beside_crashes(8, 3), None },
     in_time = { waited(Kind::Lodge, 4, Vec::new()), None },
     late = { waited(Kind::Lodge, 6, Vec::new()), Some(Invariant::Deadline) },
     late_during_outage = { waited(Kind::Lodge, 6, vec![outage(0)]), None },
