Soak: what another target breaks off after it has taken over a stream has ended there

Such a stream is left out only if the other target had sent events before it broke off or ended, and did so after the connection to the first one was closed. Nothing changes for other requests.

--- a/crates/soak/src/completion.rs
+++ b/crates/soak/src/completion.rs
@@ -11,6 +11,9 @@
 const TRANSIT_TIME: Duration = Duration::from_millis(500);
 
 /// The failed requests that a target without a fault answered or would have answered before the deadline.
+///
+/// A stream may go on at another target, and then no longer runs at the first one: what that target breaks off
+/// later has ended there.
 pub fn ended_early(history: &History) -> Vec<(&Request, &Answer)> {
     let mut answers: BTreeMap<&str, Vec<&Answer>> = BTreeMap::new();
     for answer in &history.answers {
@@ -19,7 +22,9 @@
     let failed = history.requests.iter().filter(|request| !is_complete(request));
     let early = failed.filter_map(|request| {
         let answers = answers.get(request.id.as_str())?;
-        let answer = answers.iter().find(|answer| is_due(request, answer, &history.disturbances));
+        let answer = answers.iter().find(|answer| {
+            is_due(request, answer, &history.disturbances) && !has_moved_on(history, answer)
+        });
         answer.map(|answer| (request, *answer))
     });
     early.collect()
@@ -46,3 +51,11 @@
     }
     due + TRANSIT_TIME <= request.sent + request.kind.deadline()
 }
+
+/// Whether the stream went on at another target, which broke it off after the connection to this one was closed.
+fn has_moved_on(history: &History, answer: &Answer) -> bool {
+    let mut broken_off = history.broken_off.iter();
+    broken_off.any(|other| {
+        other.request == answer.request && answer.closed.is_some_and(|closed| closed < other.at)
+    })
+}
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -77,6 +77,17 @@
     pub request: String,
     /// When it was sent or would have been.
     pub due: Duration,
+    /// When the other side closed the connection; nothing if it was sent completely.
+    pub closed: Option<Duration>,
+}
+
+/// A stream that a target broke off after some events.
+#[derive(Clone, Debug)]
+pub struct BrokenOff {
+    /// Id of the request.
+    pub request: String,
+    /// When it was broken off.
+    pub at: Duration,
 }
 
 /// A period in which a process or target had a fault.
@@ -196,6 +207,8 @@
     pub runs: Vec<(String, Run)>,
     /// Responses of targets that did not fail, break off or end.
     pub answers: Vec<Answer>,
+    /// Streams that targets broke off after some events, also by ending.
+    pub broken_off: Vec<BrokenOff>,
     /// Faults, without pauses.
     pub disturbances: Vec<Disturbance>,
     /// The request that ends targets, if one was sent.
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -13,7 +13,7 @@
 use crate::{
     checker::EVENTS,
     fleet::{Daemon, Fleet, Links, Start},
-    history::{Answer, Disturbance, History, Order, Outage},
+    history::{Answer, BrokenOff, Disturbance, History, Order, Outage},
     plan::{self, Event, Fault, Size, Victim},
 };
 
@@ -360,13 +360,20 @@
         let runs = runner.runs().into_iter().map(|run| (name.clone(), run));
         self.history.runs.extend(runs);
         for ending in runner.endings() {
-            let due = match ending.end {
-                End::Whole => ending.at,
-                End::Closed { due } => due,
-                End::Own => continue,
+            let since_start =
+                |at: std::time::Instant| at.saturating_duration_since(self.start.into_std());
+            let (request, at) = (ending.id, since_start(ending.at));
+            let (due, closed) = match ending.end {
+                End::Whole => (at, None),
+                End::Closed { due } => (since_start(due), Some(at)),
+                End::Own => {
+                    if ending.sent > 0 && number < self.size.engines {
+                        self.history.broken_off.push(BrokenOff { request, at });
+                    }
+                    continue;
+                }
             };
-            let due = due.saturating_duration_since(self.start.into_std());
-            self.history.answers.push(Answer { target: number, request: ending.id, due });
+            self.history.answers.push(Answer { target: number, request, due, closed });
         }
         let since_start = |at| Instant::from_std(at).duration_since(self.start);
         self.history.crashing.crashes.extend(runner.crashes().into_iter().map(since_start));
