--- a/crates/daisydrum/tests/soak.rs
+++ b/crates/daisydrum/tests/soak.rs
@@ -4,7 +4,10 @@
 
 use std::{path::Path, time::Duration};
 
-use soak::run::{self, Options};
+use soak::{
+    history::Kind,
+    run::{self, Options},
+};
 use yare::parameterized;
 
 #[parameterized(
@@ -27,6 +30,15 @@
     assert_no_violation(Options { length, work: length + run::CALM, ..Options::new(seed) });
 }
 
+#[parameterized(
+    call = { 4006, Kind::Lookup },
+)]
+fn a_seeded_run_with_a_request_that_ends_targets_violates_no_invariant(seed: u64, kind: Kind) {
+    let (length, crashing) = (Duration::from_secs(8), Some(kind));
+    let work = length + run::CALM;
+    assert_no_violation(Options { length, work, crashing, ..Options::new(seed) });
+}
+
 fn assert_no_violation(options: Options) {
     let seed = options.seed;
     let logs = run::log_folder(Path::new(env!("CARGO_TARGET_TMPDIR")), seed);
