--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -18,6 +18,8 @@
 const PEERS_PORT: u16 = 7_380;
 /// Added to the third octet of an instance's address to get the address of its proxy.
 const PROXY_OFFSET: u8 = 100;
+/// Added to the third octet for each 256 instances of a fleet.
+const LARGE_OFFSET: u8 = 50;
 /// Longest wait for a condition; long enough for a machine under load.
 const WAIT_LIMIT: Duration = Duration::from_secs(40);
 
@@ -85,8 +87,8 @@
             control: Vec::new(),
             entries: Vec::new(),
         };
-        fleet.seeds =
-            (1..=3).map(|host| SocketAddr::new(fleet.peers_host(host), CONTROL_PORT)).collect();
+        let seeds = (1..=3).map(|number| fleet.peers_host(fleet.host(number)));
+        fleet.seeds = seeds.map(|host| SocketAddr::new(host, CONTROL_PORT)).collect();
         fleet
     }
 
@@ -108,7 +110,7 @@
     pub async fn proxies(&self) -> io::Result<Vec<Proxy>> {
         let mut proxies = Vec::new();
         for daemon in self.control.iter().chain(&self.entries) {
-            let listen = SocketAddr::new(self.peers_host(host_number(daemon.address)), PEERS_PORT);
+            let listen = SocketAddr::new(self.peers_host(daemon.address), PEERS_PORT);
             let upstream = SocketAddr::new(daemon.address, PEERS_PORT);
             proxies.push(Proxy::start_on(listen, upstream).await?);
         }
@@ -118,7 +120,7 @@
     /// Adds and starts a control instance; returns its index.
     pub fn add_control(&mut self, start: Start) -> usize {
         let number = self.control.len() + 1;
-        let host = self.host(u8::try_from(number).unwrap());
+        let host = self.host(number);
         let settings = format!(
             "\"control\": \"{host}:{CONTROL_PORT}\", \"data_folder\": \"{}\", \"founding\": {},",
             self.data_folder(number).display(),
@@ -132,7 +134,7 @@
     /// Adds and starts an instance that serves callers; returns its index.
     pub fn add_entry(&mut self) -> usize {
         let number = self.entries.len() + 101;
-        let host = self.host(u8::try_from(number).unwrap());
+        let host = self.host(number);
         let settings = format!(
             "\"callers\": \"{host}:{CALLERS_PORT}\", \"readiness\": \"{host}:{READINESS_PORT}\","
         );
@@ -190,17 +192,20 @@
         }
     }
 
-    fn host(&self, host: u8) -> IpAddr {
+    fn host(&self, number: usize) -> IpAddr {
         let [a, b, c] = self.network;
-        IpAddr::from([a, b, c, host])
+        let (more, host) = (u8::try_from(number / 256).unwrap(), (number % 256) as u8);
+        IpAddr::from([a, b, c + more * LARGE_OFFSET, host])
     }
 
     /// The address at which other instances reach a host.
-    fn peers_host(&self, host: u8) -> IpAddr {
-        let [a, b, c] = self.network;
-        match self.links {
-            Links::Direct => self.host(host),
-            Links::Proxied => IpAddr::from([a, b, c + PROXY_OFFSET, host]),
+    fn peers_host(&self, host: IpAddr) -> IpAddr {
+        match (self.links, host) {
+            (Links::Proxied, IpAddr::V4(host)) => {
+                let [a, b, c, host] = host.octets();
+                IpAddr::from([a, b, c + PROXY_OFFSET, host])
+            }
+            (Links::Direct, _) | (_, IpAddr::V6(_)) => host,
         }
     }
 
@@ -214,7 +219,7 @@
             "{{ \"name\": \"{name}\", \"data_centre\": \"suva\", {settings}\n  \
              \"peers_listen\": \"{host}:{PEERS_PORT}\", \"peers_address\": \"{}:{PEERS_PORT}\", \"seeds\": [{}], \"announcement_ms\": 200,\n  \
              \"engines\": {{ \"turn_ms\": 200, \"prompt_share\": 0.7 }}, \"stop_s\": 8 }}",
-            self.peers_host(host_number(host)),
+            self.peers_host(host),
             seeds.join(", ")
         );
         let file = self.folder.path().join(format!("{name}.jsonc"));
@@ -337,13 +342,6 @@
     }
 }
 
-fn host_number(address: IpAddr) -> u8 {
-    match address {
-        IpAddr::V4(address) => address.octets()[3],
-        IpAddr::V6(_) => 0,
-    }
-}
-
 /// Waits until a condition holds.
 ///
 /// # Panics
