--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -2,22 +2,29 @@
 
 use std::{io, net::SocketAddr, path::Path, time::Duration};
 
-use platform_standin::runner::{Behaviour, Options, Runner};
+use platform_standin::runner::{Arrival, Behaviour, Content, End, Options, Runner};
 use rustix::process::Signal;
 use standin::proxy::{Conditions, Flow, Proxy};
-use tokio::{net::TcpListener, time::Instant};
+use tokio::{
+    net::TcpListener,
+    time::{self, Instant},
+};
 
 use crate::{
     checker::EVENTS,
     fleet::{Daemon, Fleet, Links, Start},
-    history::{History, Order, Outage},
-    plan::{Event, Fault, Size, Victim},
+    history::{Answer, BrokenOff, Disturbance, History, Order, Outage},
+    plan::{self, Event, Fault, Size, Victim},
 };
 
 /// Delay of a slow link; longer than any response of a stand-in takes.
 const DELAY: Duration = Duration::from_millis(150);
 /// Number of events of a stream that a target sends before it disconnects.
 const EVENTS_BEFORE_BREAK: u64 = 3;
+/// Timeout of the first announcement of a target that leaves, which a frozen instance doesn't answer.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Names of the data centres of the targets.
+const DATA_CENTRES: [&str; plan::DATA_CENTRES] = ["suva", "nadi"];
 /// Time within which a process that is asked to stop must have exited; longer than its own limit.
 const STOP_LIMIT: Duration = Duration::from_secs(12);
 
@@ -40,6 +47,10 @@
     size: Size,
     proxies: Vec<Proxy>,
     targets: Vec<Target>,
+    /// The request that ends targets.
+    crashing: Option<Content>,
+    /// Its arrivals at targets that were stopped.
+    arrivals: Vec<Arrival>,
     start: Instant,
 }
 
@@ -67,10 +78,16 @@
             fleet.add_entry();
         }
         let proxies = fleet.proxies().await?;
-        let targets = Vec::new();
-        let start = Instant::now();
-        let mut testbed =
-            Testbed { fleet, history: History::default(), size, proxies, targets, start };
+        let mut testbed = Testbed {
+            fleet,
+            history: History::default(),
+            size,
+            proxies,
+            targets: Vec::new(),
+            crashing: None,
+            arrivals: Vec::new(),
+            start: Instant::now(),
+        };
         for number in 0..size.engines + size.plain_targets {
             let target = Target { runner: None, proxy: None, generation: 0 };
             testbed.targets.push(target);
@@ -89,6 +106,19 @@
         self.fleet.entries.iter().map(Daemon::callers).collect()
     }
 
+    /// Has all targets, also those that start later, end when they begin to run requests with this content.
+    pub fn set_crashing(&mut self, content: Content) {
+        for runner in self.targets.iter().filter_map(|target| target.runner.as_ref()) {
+            runner.set_crashing_content(Some(content.clone()));
+        }
+        self.crashing = Some(content);
+    }
+
+    /// The arrivals of requests that end targets at the targets that were stopped.
+    pub fn crashing_arrivals(&self) -> &[Arrival] {
+        &self.arrivals
+    }
+
     /// Injects a fault.
     pub async fn begin(&mut self, event: &Event) {
         let fault = event.fault;
@@ -99,9 +129,20 @@
             // The end is set when the process is started again or resumed.
             self.history.outages.push(Outage { entry, from, until: Duration::MAX });
         }
+        if !matches!(fault, Fault::Pause | Fault::Hangup) {
+            let (victim, from) = (event.victim, self.start.elapsed());
+            let disturbance = Disturbance { victim, fault, from, until: Duration::MAX };
+            self.history.disturbances.push(disturbance);
+        }
         match fault {
             Fault::Kill | Fault::Wipe => self.daemon(event.victim).kill(),
             Fault::Stop => self.daemon(event.victim).signal(Signal::TERM),
+            Fault::Hangup => {
+                let daemon = self.daemon(event.victim);
+                if daemon.is_running() {
+                    daemon.signal(Signal::HUP);
+                }
+            }
             Fault::Freeze => self.daemon(event.victim).signal(Signal::STOP),
             Fault::Delay => {
                 self.set(event.victim, Conditions { latency: DELAY, ..Conditions::default() });
@@ -130,6 +171,7 @@
             }
             Fault::Fail => self.set_behaviour(event.victim, Behaviour::Fail),
             Fault::Hang => self.set_behaviour(event.victim, Behaviour::Hang),
+            Fault::Pause => self.pause(event.victim, event.duration),
             Fault::Replace => self.end_target(event.victim),
             Fault::Leave => self.announce_leave(event.victim).await,
         }
@@ -150,7 +192,11 @@
                 }
             }
             Fault::Stop => {
-                let overdue = self.start.elapsed() > event.at + event.duration + STOP_LIMIT;
+                let stops = self.history.disturbances.iter();
+                let begun =
+                    stops.filter(|other| other.victim == event.victim).map(|other| other.from);
+                let begun = begun.max().unwrap_or(event.at);
+                let overdue = self.start.elapsed() > begun + STOP_LIMIT;
                 let daemon = self.daemon(event.victim);
                 if daemon.is_running() && !overdue {
                     return Ok(Progress::Pending);
@@ -172,7 +218,7 @@
             Fault::Delay | Fault::HoldInbound | Fault::HoldOutbound | Fault::Refuse => {
                 self.set(event.victim, Conditions::default());
             }
-            Fault::Reset | Fault::Silence => {}
+            Fault::Reset | Fault::Silence | Fault::Pause | Fault::Hangup => {}
             Fault::Reject | Fault::Disconnect | Fault::Fail | Fault::Hang => {
                 self.set_behaviour(event.victim, Behaviour::Serve);
             }
@@ -183,8 +229,11 @@
                 }
             }
         }
+        let until = self.start.elapsed();
+        let open = self.history.disturbances.iter_mut();
+        let open = open.filter(|other| other.victim == event.victim && other.fault == event.fault);
+        open.for_each(|other| other.until = other.until.min(until));
         if let Victim::Entry(entry) = event.victim {
-            let until = self.start.elapsed();
             let open = self.history.outages.iter_mut();
             let open = open.filter(|other| other.entry == entry && other.until == Duration::MAX);
             open.for_each(|outage| outage.until = until);
@@ -222,8 +271,8 @@
         match victim {
             Victim::Control(number) => &mut self.fleet.control[number],
             Victim::Entry(number) => &mut self.fleet.entries[number],
-            Victim::Target(_) => {
-                unreachable!("invariant: only processes are killed, stopped and frozen")
+            Victim::Target(_) | Victim::DataCentre(_) | Victim::Targets => {
+                unreachable!("invariant: only processes get signals")
             }
         }
     }
@@ -233,6 +282,7 @@
             Victim::Control(number) => self.proxies.get(number),
             Victim::Entry(number) => self.proxies.get(self.size.control + number),
             Victim::Target(number) => self.targets[number].proxy.as_ref(),
+            Victim::DataCentre(_) | Victim::Targets => None,
         };
         proxy.into_iter().for_each(act);
     }
@@ -248,13 +298,28 @@
         }
     }
 
+    fn pause(&self, victim: Victim, time: Duration) {
+        let is_meant = |number: usize| match victim {
+            Victim::Target(target) => target == number,
+            Victim::DataCentre(data_centre) => data_centre == number % DATA_CENTRES.len(),
+            Victim::Targets => true,
+            Victim::Control(_) | Victim::Entry(_) => false,
+        };
+        for (_, target) in self.targets.iter().enumerate().filter(|(number, _)| is_meant(*number)) {
+            if let Some(runner) = &target.runner {
+                runner.pause(time);
+            }
+        }
+    }
+
     async fn announce_leave(&self, victim: Victim) {
         let Victim::Target(number) = victim else {
             return;
         };
         if let Some(runner) = &self.targets[number].runner {
             // If this announcement is lost, its next ones say the same.
-            let _acknowledged = runner.drain(self.fleet.control[0].control()).await;
+            let announced = runner.drain(self.fleet.control[0].control());
+            let _acknowledged = time::timeout(ANNOUNCEMENT_TIMEOUT, announced).await;
         }
     }
 
@@ -269,11 +334,13 @@
             service: String::from(if is_engine { "engines" } else { "portal" }),
             stage: is_engine.then_some("decode"),
             software: String::from("v1"),
+            data_centre: String::from(DATA_CENTRES[number % DATA_CENTRES.len()]),
             events: if is_engine { EVENTS } else { 0 },
             control: self.fleet.control_addresses(),
             listener,
             announced_address: proxy.address(),
         });
+        runner.set_crashing_content(self.crashing.clone());
         target.runner = Some(runner);
         target.proxy = Some(proxy);
         Ok(())
@@ -292,6 +359,27 @@
         let name = runner.name.clone();
         let runs = runner.runs().into_iter().map(|run| (name.clone(), run));
         self.history.runs.extend(runs);
+        for ending in runner.endings() {
+            let since_start =
+                |at: std::time::Instant| at.saturating_duration_since(self.start.into_std());
+            let (request, at) = (ending.id, since_start(ending.at));
+            let (due, closed) = match ending.end {
+                End::Whole => (at, None),
+                End::Closed { due } => (since_start(due), Some(at)),
+                End::Own => {
+                    if ending.sent > 0 && number < self.size.engines {
+                        self.history.broken_off.push(BrokenOff { request, at });
+                    }
+                    continue;
+                }
+            };
+            self.history.answers.push(Answer { target: number, request, due, closed });
+        }
+        let since_start = |at| Instant::from_std(at).duration_since(self.start);
+        self.history.crashing.crashes.extend(runner.crashes().into_iter().map(since_start));
+        if let Some(content) = &self.crashing {
+            self.arrivals.extend(runner.requests_with_content(content));
+        }
         for order in runner.orders() {
             let at = order.at.saturating_duration_since(self.start.into_std());
             let holder = order.body["holder"].as_str().unwrap_or_default().to_owned();
