Name what the reader of silent runs would stumble over; tests wait for the runs, not for a time

A request whose prompt is overdue is refused with a reason of its own; runs beside silent ones are counted apart from resumed streams; a flag was a number. The tests of pauses waited 60 and 500 ms for their requests to reach the targets; they wait for the runs now.

--- a/crates/daisydrum/tests/seeded/silence.rs
+++ b/crates/daisydrum/tests/seeded/silence.rs
@@ -92,6 +92,18 @@
     }
 }
 
+/// Waits until targets have begun to run this many requests whose ids begin with a prefix.
+async fn until_running(runners: &[Runner], prefix: &str, count: usize) {
+    fleet::until("the targets run the requests", async || {
+        let runs: Vec<_> = runners.iter().flat_map(Runner::runs).collect();
+        (0..count).all(|number| {
+            let id = format!("{prefix}{number}");
+            runs.iter().any(|run| run.id == id)
+        })
+    })
+    .await;
+}
+
 fn callers(fleet: &Fleet) -> Vec<SocketAddr> {
     fleet.entries.iter().map(Daemon::callers).collect()
 }
@@ -169,7 +181,7 @@
         let prefix = format!("r{round}-");
         let streams = assert_streams_are_whole(&callers, &prefix, 8);
         let pauses = async {
-            time::sleep(Duration::from_millis(60)).await;
+            until_running(&engines, &prefix, 8).await;
             for engine in &engines {
                 engine.pause(PAUSE);
                 if round < 2 {
@@ -261,7 +273,8 @@
     let streams = assert_streams_are_whole(&to, "w", 2 * entries);
     let requests = assert_requests_are_answered(&to, "v", 2 * entries);
     let work = async {
-        time::sleep(Duration::from_millis(500)).await;
+        until_running(&engines, "w", 2 * entries).await;
+        until_running(&portals, "v", 2 * entries).await;
         match work {
             Work::Configuration => {
                 for version in [4, 5, 6] {
--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -5,7 +5,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     task::{Context, Poll},
     time::Duration,
@@ -31,7 +31,7 @@
     /// When the last response ended, or the first byte of the next request was read.
     quiet_since: AtomicU64,
     /// Whether a part of the next request was read.
-    has_read: AtomicUsize,
+    has_read: AtomicBool,
     /// Idle limit in force when the last response ended, in milliseconds.
     limit_ms: AtomicU64,
 }
@@ -42,7 +42,7 @@
         Activity(Arc::new(State {
             in_progress: AtomicUsize::new(0),
             quiet_since: AtomicU64::new(now.0),
-            has_read: AtomicUsize::new(0),
+            has_read: AtomicBool::new(false),
             limit_ms: AtomicU64::new(milliseconds(limit)),
         }))
     }
@@ -72,7 +72,7 @@
 
     fn record_read(&self) {
         if self.0.in_progress.load(Ordering::Acquire) == 0
-            && self.0.has_read.swap(1, Ordering::AcqRel) == 0
+            && !self.0.has_read.swap(true, Ordering::AcqRel)
         {
             self.0.quiet_since.store(Moment::now().0, Ordering::Release);
         }
@@ -91,7 +91,7 @@
     fn drop(&mut self) {
         let state = &self.0.0;
         state.quiet_since.store(Moment::now().0, Ordering::Release);
-        state.has_read.store(0, Ordering::Release);
+        state.has_read.store(false, Ordering::Release);
         state.in_progress.fetch_sub(1, Ordering::AcqRel);
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -45,8 +45,8 @@
 const NEW_REQUEST_SHARE: f64 = 0.9;
 /// Time that a response needs on its way back to the caller.
 pub(crate) const RESPONSE_MARGIN: Duration = Duration::from_millis(20);
-/// Retry-After where targets rejected a request or could not be reached.
-const TARGETS_FULL_RETRY: Duration = Duration::from_millis(250);
+/// Retry-After where targets rejected a request, could not be reached or did not respond.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// A caller's request while it is served.
 #[derive(Debug)]
@@ -275,10 +275,14 @@
         }
     }
 
-    /// Refuses the request, since targets rejected it or didn't respond.
-    pub(crate) fn targets_full(&self) -> Error {
-        let retry_after = TARGETS_FULL_RETRY.min(self.remaining() / 3);
-        Error::Refused(Refusal { reason: Reason::TargetsFull, retry_after, expected: None })
+    fn targets_full(&self) -> Error {
+        self.refusal(Reason::TargetsFull)
+    }
+
+    /// A refusal of the request, which the caller may send again soon.
+    pub(crate) fn refusal(&self, reason: Reason) -> Error {
+        let retry_after = RETRY_AFTER.min(self.remaining() / 3);
+        Error::Refused(Refusal { reason, retry_after, expected: None })
     }
 
     /// Whether another engine may compute the prompt: once, and again while attempts are left for it and the run.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -16,7 +16,7 @@
 use fleet::config::{Delivery, Retry};
 use hyper::{Response, http::response};
 use placement::{
-    balancer::Key,
+    balancer::{Key, selection::Reason},
     hedge::{self, Another, Decision, Race},
 };
 use slog::{debug, info};
@@ -241,7 +241,11 @@
         };
         let run = self.race.start(limit, Moment::now());
         if run.0 > 0 {
-            metrics::counter!("daisydrum_streams_resumed_total").increment(1);
+            if beside > 0 {
+                metrics::counter!("daisydrum_streams_hedged_total").increment(1);
+            } else {
+                metrics::counter!("daisydrum_streams_resumed_total").increment(1);
+            }
             info!(request.gateway.log, "stream_resumed"; "id" => &request.metadata.id,
                 "run" => run.0, "beside" => beside, "target" => dispatch.target_name(target),
                 "last_event" => ?self.last_event_id, "ms" => request.age_ms());
@@ -416,7 +420,11 @@
 
     /// Refuses a request whose prompt is still awaited, so that its caller has the time to come back; it has not run.
     fn refuse_overdue(&self) -> Result<(), Error> {
-        if self.request.progress().close() { Err(self.request.targets_full()) } else { Ok(()) }
+        if self.request.progress().close() {
+            Err(self.request.refusal(Reason::PromptOverdue))
+        } else {
+            Ok(())
+        }
     }
 
     /// Time until [`Driver::refuse_overdue`] is due, if it is.
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -183,6 +183,7 @@
     (runs.swap_remove(index).run, ending)
 }
 
+/// Owns the dispatch, so that it counts at its target until the run ends or is dropped.
 async fn attempt(request: &Pending, dispatch: Dispatch) -> Ending {
     exchange(request, &dispatch).await
 }
--- a/crates/placement/src/balancer/selection.rs
+++ b/crates/placement/src/balancer/selection.rs
@@ -96,6 +96,9 @@
     /// Targets have failed or refused the request, and no other one can or may be tried.
     #[display("targets full")]
     TargetsFull,
+    /// No engine has computed the prompt in time.
+    #[display("the prompt was not computed in time")]
+    PromptOverdue,
     /// Engines end when they generate on a part of the prompt.
     #[display("a part of the prompt is quarantined")]
     Quarantined,
