Exchange: a notice of the services that an instance is cut off from

Callers of an instance that reaches no target are refused while its peers serve. To pass requests on, instances need to know which peers reach a service. A state has the process's start and a number, so that states merge in any order; instances of earlier builds can't decode it, so it travels in datagrams of its own, as the requests that end targets do, and these instances drop it alone. Nothing publishes it yet.

--- a/crates/daisydrum/src/seeded/notices.rs
+++ b/crates/daisydrum/src/seeded/notices.rs
@@ -122,9 +122,11 @@
 fn datagrams(notices: &[Notice]) -> Vec<Vec<u8>> {
     let mut earlier = Vec::new();
     let mut crashes = Vec::new();
+    let mut reaches = Vec::new();
     for notice in notices {
         match notice {
             Notice::Crashes(states) => crashes.extend_from_slice(states),
+            Notice::Reach(_) => reaches.push(exchange::encode(&[notice].as_slice())),
             other => earlier.push(other),
         }
     }
@@ -132,5 +134,5 @@
     let crashes = crashes
         .chunks(MAX_SUSPICIONS)
         .map(|states| exchange::encode(&vec![Notice::Crashes(states.to_vec())]));
-    earlier.chain(crashes).collect()
+    earlier.chain(crashes).chain(reaches).collect()
 }
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -178,18 +178,37 @@
     /// What the sender knows of requests on which targets have ended; at most [`MAX_SUSPICIONS`]. Instances of earlier
     /// builds can't decode it, so it travels apart from other notices.
     Crashes(Vec<Crashes>),
+    /// From which services' targets the sender is cut off. Travels apart from other notices, too.
+    Reach(Reach),
 }
 
 impl Notice {
     /// Whether instances of earlier builds can't decode it.
     pub fn is_recent(&self) -> bool {
-        matches!(self, Notice::Crashes(_))
+        matches!(self, Notice::Crashes(_) | Notice::Reach(_))
     }
 }
 
 /// Number of suspicions in one notice.
 pub const MAX_SUSPICIONS: usize = 16;
 
+/// From which services' targets an instance is cut off; of two states of an instance the one with the later start, then
+/// the higher number, holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reach {
+    /// The instance.
+    pub instance: name::Instance,
+    /// Start of its process, in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
+    /// Grows with each state that the process publishes.
+    pub number: u64,
+    /// At most [`MAX_CUT_OFF`].
+    pub cut_off: Vec<name::Service>,
+}
+
+/// Number of services in one [`Reach`], so that it fits into a datagram.
+pub const MAX_CUT_OFF: usize = 32;
+
 /// Stands for the content of a request: all that is the same when a caller sends it again. Two requests with different
 /// content don't have the same digest.
 #[derive(
--- a/crates/placement/src/balancer/notices.rs
+++ b/crates/placement/src/balancer/notices.rs
@@ -95,8 +95,11 @@
             Notice::Sent(dispatch) => self.apply_dispatch(dispatch, now),
             Notice::Computed { number } => drop(self.complete_prompt(*number, now)),
             Notice::Withdrawn { number } => drop(self.cancel_prompt(*number, now)),
-            // This instance's own connections show whether it reaches the target, and suspicions concern no target.
-            Notice::Unreached { .. } | Notice::Suspicions { .. } | Notice::Crashes(_) => {}
+            // This instance's own connections show whether it reaches the target; the others concern no single target.
+            Notice::Unreached { .. }
+            | Notice::Suspicions { .. }
+            | Notice::Crashes(_)
+            | Notice::Reach(_) => {}
             Notice::Condition { target, started_unix_ms, leaving, limit } => {
                 let report = Report { leaving: *leaving, retry_after: None, limit: *limit };
                 self.apply_condition(target, *started_unix_ms, &report, now);
