--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,7 +6,8 @@
 //! keeps what targets say of themselves, [`quota`] divides their limits among the instances. [`retry`] limits the
 //! retries of the whole fleet. [`quarantine`] finds the parts of prompts that end engines,
 //! [`continuity`] decides where a stream may go on that broke off, [`hedge`] which run goes on of a request whose target
-//! was silent.
+//! was silent. [`reach`] finds the services whose targets this instance can't reach, [`relay`] the peer that takes their
+//! requests.
 
 pub mod backlog;
 pub mod balancer;
@@ -17,6 +18,8 @@
 pub mod hedge;
 pub mod quarantine;
 pub mod quota;
+pub mod reach;
+pub mod relay;
 pub mod rendezvous;
 pub mod retry;
 pub mod speed;
