Setting targets_source: own address for connections to targets

Machines with several addresses can say from which one targets are reached; stand-ins of the network can then tell the instances apart, so that tests can cut some of them off from targets while others reach them.

Connections of the request path, of the list of cached parts and of orders to engines are opened from that address. Not set, the operating system chooses the address as before. Fleets of the tests set it for entry instances.

--- a/crates/daisydrum/src/seeded/entry.rs
+++ b/crates/daisydrum/src/seeded/entry.rs
@@ -61,6 +61,7 @@
             ratio: bounds.ratio,
             slack: bounds.slack,
         },
+        source: context.settings.targets_source,
         seed: clock::unix_ns(),
     };
     let (gateway, outgoing) = Gateway::new(options, context.log.clone());
--- a/crates/daisydrum/src/seeded/orders.rs
+++ b/crates/daisydrum/src/seeded/orders.rs
@@ -3,7 +3,7 @@
 //! Only the leader of the configuration's log does so, once it holds the lease on orders and no earlier holder's orders
 //! can take effect any more.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use common::{clock::Moment, collections::Map, name};
@@ -270,9 +270,10 @@
             fence: grant.fence,
             until: claimed_at + CLAIM_VALIDITY,
         };
+        let source = self.context.settings.targets_source;
         let orders = changes.into_iter().filter_map(|change| {
             let target = targets.iter().find(|target| target.name == change.target)?;
-            Some(send_order(lease.clone(), change, target.clone()))
+            Some(send_order(lease.clone(), change, target.clone(), source))
         });
         for (change, outcome) in futures::future::join_all(orders).await {
             info!(self.context.log, "order_given"; "target" => %change.target,
@@ -300,9 +301,14 @@
 /// has no effect.
 ///
 /// An engine that doesn't report its state in time got no order; only one that doesn't answer an order may carry it out.
-async fn send_order(lease: Lease, change: Change, target: Target) -> (Change, Outcome) {
+async fn send_order(
+    lease: Lease,
+    change: Change,
+    target: Target,
+    source: Option<IpAddr>,
+) -> (Change, Outcome) {
     let end = Instant::now() + CALL_TIMEOUT;
-    let prepared = time::timeout_at(end, prepare_order(&lease, &change, &target)).await;
+    let prepared = time::timeout_at(end, prepare_order(&lease, &change, &target, source)).await;
     let outcome = match prepared.unwrap_or(Err(Outcome::NotSent)) {
         Ok(prepared) => {
             let given = give_order(&lease, prepared);
@@ -324,8 +330,9 @@
     lease: &Lease,
     change: &Change,
     target: &Target,
+    source: Option<IpAddr>,
 ) -> Result<Prepared, Outcome> {
-    let Ok(mut connection) = Connection::open(target.address).await else {
+    let Ok(mut connection) = Connection::open(target.address, source).await else {
         return Err(Outcome::NotSent);
     };
     let question = request(Method::GET, engine::STATE_PATH, target, Bytes::new());
--- a/crates/daisydrum/src/seeded/warmup.rs
+++ b/crates/daisydrum/src/seeded/warmup.rs
@@ -16,7 +16,7 @@
     registry::Target,
     warmup,
 };
-use gateway::{connection::Connection, state::Gateway};
+use gateway::state::Gateway;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, header::HOST};
 use platform::engine;
@@ -146,7 +146,7 @@
 async fn ask_engines(directory: &Directory, gateway: &Gateway) {
     let (_, targets) = directory.changed_since(0);
     let engines = targets.into_iter().filter(|target| target.stage.is_some());
-    let lists = futures::future::join_all(engines.map(ask_engine)).await;
+    let lists = futures::future::join_all(engines.map(|target| ask_engine(gateway, target))).await;
     let mut tokens: u64 = 0;
     for notice in lists.into_iter().flatten() {
         if let Notice::Held { parts, .. } = &notice {
@@ -159,13 +159,13 @@
 
 /// Asks one engine for the parts that it has cached. If it doesn't respond in time they count as not cached and are
 /// computed again.
-async fn ask_engine(target: Target) -> Option<Notice> {
-    let list = time::timeout(CALL_TIMEOUT, read_list(&target)).await.ok()??;
+async fn ask_engine(gateway: &Gateway, target: Target) -> Option<Notice> {
+    let list = time::timeout(CALL_TIMEOUT, read_list(gateway, &target)).await.ok()??;
     Some(Notice::Held { target: target.name, parts: list })
 }
 
-async fn read_list(target: &Target) -> Option<Vec<Part>> {
-    let mut connection = Connection::open(target.address).await.ok()?;
+async fn read_list(gateway: &Gateway, target: &Target) -> Option<Vec<Part>> {
+    let mut connection = gateway.pool.open(target.address).await.ok()?;
     let request = Request::builder()
         .uri(engine::HOLDINGS_PATH)
         .header(HOST, target.address.to_string())
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,8 +1,8 @@
 //! HTTP/1.1 connections to targets.
 
 use std::{
-    io::ErrorKind,
-    net::SocketAddr,
+    io::{self, ErrorKind},
+    net::{IpAddr, SocketAddr},
     time::{Duration, Instant},
 };
 
@@ -17,7 +17,11 @@
     header::TRANSFER_ENCODING,
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::JoinHandle, time};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::JoinHandle,
+    time,
+};
 use wire::socket;
 
 use crate::transport::{Interim, Transport};
@@ -71,15 +75,15 @@
 }
 
 impl Connection {
-    /// Connects to a target.
+    /// Connects to a target, from `source` if it is given.
     ///
     /// # Errors
     ///
     /// Returns [`Error::Refused`] when nothing listens at the address, and [`Error::NotSent`] when no connection was
     /// established in time.
-    pub async fn open(address: SocketAddr) -> Result<Connection, Error> {
+    pub async fn open(address: SocketAddr, source: Option<IpAddr>) -> Result<Connection, Error> {
         let not_sent = |error: &dyn std::fmt::Display| Error::NotSent(error.to_string());
-        let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        let stream = time::timeout(CONNECT_TIMEOUT, connect(address, source))
             .await
             .map_err(|elapsed| not_sent(&elapsed))?
             .map_err(|error| match error.kind() {
@@ -139,3 +143,12 @@
         self.sender.is_ready() && self.idle_since.elapsed() < self.idle_limit
     }
 }
+
+async fn connect(address: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,8 +21,7 @@
 use tokio::time;
 
 use crate::{
-    connection::{self, Connection},
-    metric,
+    connection, metric,
     progress::Beginning,
     state::{Gateway, ms},
 };
@@ -134,7 +133,7 @@
         let Some(destination) = self.destination(self.plan.target) else {
             return false;
         };
-        match Connection::open(destination.address).await {
+        match self.gateway.pool.open(destination.address).await {
             Ok(connection) => {
                 self.gateway.pool.put(destination.address, connection);
                 true
@@ -174,7 +173,7 @@
         let Some(destination) = self.destination(key) else {
             return;
         };
-        match Connection::open(destination.address).await {
+        match self.gateway.pool.open(destination.address).await {
             Ok(connection) => self.gateway.pool.put(destination.address, connection),
             Err(connection::Error::Refused(_)) => {
                 self.record_outcome(key, Outcome::Unreached);
@@ -373,7 +372,7 @@
         if gateway.balancer().entry(key).is_none() {
             return;
         }
-        if let Ok(connection) = Connection::open(address).await {
+        if let Ok(connection) = gateway.pool.open(address).await {
             gateway.balancer().record_connected(key);
             gateway.pool.mark_alive(address);
             gateway.pool.put(address, connection);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,7 +1,7 @@
 //! Pool of idle connections to targets.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -22,6 +22,7 @@
 /// Idle connections by address; clones share them.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
+    source: Option<IpAddr>,
     targets: Arc<Mutex<Map<SocketAddr, Entry>>>,
 }
 
@@ -56,6 +57,20 @@
 }
 
 impl Pool {
+    /// Creates an empty pool whose connections are opened from `source`.
+    pub fn new(source: Option<IpAddr>) -> Pool {
+        Pool { source, ..Pool::default() }
+    }
+
+    /// Opens a connection that no request has used.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of [`Connection::open`].
+    pub async fn open(&self, address: SocketAddr) -> Result<Connection, Error> {
+        Connection::open(address, self.source).await
+    }
+
     /// Takes an idle connection or opens a new one.
     ///
     /// # Errors
@@ -69,7 +84,7 @@
         if let Some(connection) = self.take_idle(address, reuse) {
             return Ok((connection, Origin::Reused));
         }
-        let connection = Connection::open(address).await?;
+        let connection = self.open(address).await?;
         self.mark_alive(address);
         Ok((connection, Origin::New))
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! State that all requests of an instance share.
 
 use std::{
+    net::IpAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -28,6 +29,8 @@
     pub data_centre: name::DataCentre,
     /// Limits of the retries to targets, for the whole fleet.
     pub retries: retry::Bounds,
+    /// Own address from which connections to targets are opened; the operating system chooses one if there is none.
+    pub source: Option<IpAddr>,
     /// Seed of random choices.
     pub seed: u64,
 }
@@ -74,7 +77,7 @@
         let (origins, questions) = origins::Table::new();
         let gateway = Gateway {
             instance: options.instance.clone(),
-            pool: Pool::default(),
+            pool: Pool::new(options.source),
             log,
             config: watch::Sender::new(None),
             installed_at: Mutex::default(),
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -2,6 +2,8 @@
 //!
 //! Supports only the keywords that `schemars` generates for this crate's types.
 
+use std::net::{IpAddr, SocketAddr};
+
 use schemars::Schema;
 use serde_json::{Map, Value};
 
@@ -119,9 +121,12 @@
         let length = text.chars().count();
         let short = schema["minLength"].as_u64().is_some_and(|least| (length as u64) < least);
         let long = schema["maxLength"].as_u64().is_some_and(|most| length as u64 > most);
-        let address =
-            schema["format"] == "ip-port" && text.parse::<std::net::SocketAddr>().is_err();
-        if short || long || address {
+        let malformed = match schema["format"].as_str() {
+            Some("ip-port") => text.parse::<SocketAddr>().is_err(),
+            Some("ip") => text.parse::<IpAddr>().is_err(),
+            _ => false,
+        };
+        if short || long || malformed {
             self.mismatch(key, &Value::from(text), schema);
         }
     }
@@ -188,6 +193,7 @@
         "object" => "an object",
         "array" => "a list",
         "string" if schema["format"] == "ip-port" => "an address such as \"127.0.0.1:8080\"",
+        "string" if schema["format"] == "ip" => "an address such as \"127.0.0.1\"",
         "string" => "a string",
         "boolean" => "true or false",
         "integer" => "an integer",
--- a/crates/settings/src/seeded.rs
+++ b/crates/settings/src/seeded.rs
@@ -1,6 +1,6 @@
 //! Settings file of an instance that discovers the others through seeds.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -35,6 +35,11 @@
     #[serde(default)]
     #[schemars(extend("format" = "ip-port"))]
     pub peers_address: Option<SocketAddr>,
+    /// Own address from which connections to targets are opened, for machines with several addresses; the operating system
+    /// chooses one if it isn't set.
+    #[serde(default)]
+    #[schemars(extend("format" = "ip"))]
+    pub targets_source: Option<IpAddr>,
     /// Control addresses of the instances that are contacted first to discover the others.
     pub seeds: Vec<SocketAddr>,
     /// Folder for all files of the instance; required with `control`.
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -5,7 +5,9 @@
 use std::{fs, path::PathBuf};
 
 use expect_test::{Expect, expect};
-use settings::{check, document, error::Fault, instance::Instance, service::Service, tree};
+use settings::{
+    check, document, error::Fault, instance::Instance, seeded::Seeded, service::Service, tree,
+};
 use yare::parameterized;
 
 #[parameterized(
@@ -51,6 +53,14 @@
     .assert_eq(&fault.to_string());
 }
 
+#[test]
+fn invalid_source_of_connections_to_targets_is_reported() {
+    let text = r#"{ "name": "a", "data_centre": "suva", "targets_source": "127.0.0.1:1",
+        "peers_listen": "127.0.0.1:2", "seeds": [] }"#;
+    let fault = document::parse::<Seeded>("f", text).unwrap_err();
+    expect![[r#"f:1:39: targets_source: expected an address such as "127.0.0.1" or null, found "127.0.0.1:1""#]].assert_eq(&fault.to_string());
+}
+
 #[test]
 fn contradictions_in_the_settings_of_an_instance_are_reported() {
     let folder = Folder::new("instance");
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -136,7 +136,8 @@
         let number = self.entries.len() + 101;
         let host = self.host(number);
         let settings = format!(
-            "\"callers\": \"{host}:{CALLERS_PORT}\", \"readiness\": \"{host}:{READINESS_PORT}\","
+            "\"callers\": \"{host}:{CALLERS_PORT}\", \"readiness\": \"{host}:{READINESS_PORT}\", \
+             \"targets_source\": \"{host}\","
         );
         let daemon = self.daemon(&format!("entry-{number}"), host, &settings);
         self.entries.push(daemon);
