Quarantine: a lost path to a target is no evidence of its end

What callers saw: beside an instance that is cut off from a service's targets, connections are reset and new ones refused. The instance took each for the end of a process and blamed the request and the parts of its prompt; three equal polls would have been refused in the whole fleet.

Cause: `examine_end` counted "the connection was lost, a new one is refused" as an end. That is also the picture of a cut. The other way round, targets behind proxies that accept and reset never gave that picture, so no end was recorded there.

Change: an end needs evidence that a cut can't give. Peers are asked whether the process refuses them, too, while another target of the service accepts a connection (new question `Reach`); or a later process at the address is announced within 5 s; or, in a fleet of one, another target accepts. The decision is pure (`placement::end`). An instance that reaches no target of the service asks nobody.

Evidence: a_request_is_not_blamed_for_targets_that_were_only_out_of_reach failed before in 3 of 3 cases ("the request was blamed"), passes now. `seeded crash`: 23 of 23 passed. The lone instance among healthy peers is only shown by tables: all instances of a test reach targets from the same address.

--- a/crates/daisydrum/src/seeded.rs
+++ b/crates/daisydrum/src/seeded.rs
@@ -5,6 +5,7 @@
 mod context;
 mod control;
 mod directory;
+mod ends;
 mod entry;
 mod listener;
 mod notices;
--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -258,7 +258,8 @@
             Question::Holdings
             | Question::Suspicions
             | Question::RecordOrigin { .. }
-            | Question::Origin { .. } => Answer::Refused,
+            | Question::Origin { .. }
+            | Question::Reach(_) => Answer::Refused,
             Question::Fetch { above } => {
                 let held = self.document();
                 let newer = held.filter(|document| document.version > above);
--- a/crates/daisydrum/src/seeded/entry.rs
+++ b/crates/daisydrum/src/seeded/entry.rs
@@ -15,7 +15,8 @@
 use crate::{
     error::Error,
     seeded::{
-        context::Context, directory::Directory, listener as http_listener, notices, origins, warmup,
+        context::Context, directory::Directory, ends, listener as http_listener, notices, origins,
+        warmup,
     },
     signal,
 };
@@ -66,6 +67,7 @@
     let (gateway, outgoing) = Gateway::new(options, context.log.clone());
     notices::start(context, directory, &gateway, outgoing.notices).await?;
     origins::start(context, directory, &gateway, outgoing.questions);
+    ends::start(context, directory, outgoing.ends);
     spawn(context, follow_targets(directory.clone(), Arc::clone(&gateway)));
     spawn(context, follow_documents(directory.clone(), Arc::clone(&gateway)));
     spawn(context, maintain(Arc::clone(&gateway)));
--- a/crates/daisydrum/src/seeded/peers.rs
+++ b/crates/daisydrum/src/seeded/peers.rs
@@ -7,7 +7,7 @@
     exchange::{self, Answer, Question},
     warmup,
 };
-use gateway::state::Gateway;
+use gateway::{ends, state::Gateway};
 use replica::host::Handle;
 use tarpc::server::Channel;
 use wire::peer::{self, Peer};
@@ -86,6 +86,10 @@
                 self.origin(&stream, |gateway| gateway.origins.keep(&stream, origin))
             }
             Some(Question::Origin { stream }) => self.origin(&stream, |_| {}),
+            Some(Question::Reach(process)) => match &self.gateway {
+                Some(gateway) => Answer::Reach(ends::probe(gateway, &process).await),
+                None => Answer::Refused,
+            },
             Some(question) => self.directory.answer(question).await,
             None => Answer::Refused,
         };
--- a/crates/daisydrum/src/seeded/subscription.rs
+++ b/crates/daisydrum/src/seeded/subscription.rs
@@ -135,6 +135,7 @@
             | Answer::Holdings(_)
             | Answer::Suspicions(_)
             | Answer::Origin { .. }
+            | Answer::Reach(_)
             | Answer::Later
             | Answer::Refused => None,
         }
--- a/crates/daisydrum/src/seeded/warmup.rs
+++ b/crates/daisydrum/src/seeded/warmup.rs
@@ -135,7 +135,8 @@
                 | Answer::Document(_)
                 | Answer::Refused
                 | Answer::Suspicions(_)
-                | Answer::Origin { .. },
+                | Answer::Origin { .. }
+                | Answer::Reach(_),
             )
             | None => {}
         }
--- a/crates/daisydrum/tests/seeded/crash_request.rs
+++ b/crates/daisydrum/tests/seeded/crash_request.rs
@@ -255,3 +255,32 @@
     })
     .await;
 }
+
+#[parameterized(
+    idempotent = { "/lookup/7" },
+    at_most_once = { "/lodge/7" },
+    stream = { "/summary/7" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_request_is_not_blamed_for_targets_that_were_only_out_of_reach(path: &str) {
+    let name = format!("seeded-crash-cut{}", path.replace('/', "-"));
+    let (fleet, targets) = start(&name, 3, 3).await;
+    let copies = (0..12).map(|copy| {
+        let to = fleet.entries[copy % 3].callers();
+        async move { send(to, path, &format!("copy-{copy}"), "same").await }
+    });
+    let cut = async {
+        targets.iter().for_each(|target| target.pause(Duration::from_millis(600)));
+        time::sleep(Duration::from_millis(300)).await;
+        targets.iter().for_each(|target| target.refuse(Duration::from_millis(800)));
+    };
+    futures::future::join(futures::future::join_all(copies), cut).await;
+    until("the request is served", async || {
+        send(fleet.entries[0].callers(), path, "last", "same").await.status == Some(200)
+    })
+    .await;
+    for entry in &fleet.entries {
+        assert!(entry.log().contains("target_left_out"), "no connection was refused");
+        assert!(!entry.log().contains("_standing"), "the request was blamed");
+    }
+}
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -74,6 +74,41 @@
         /// Id of the request that began the stream.
         stream: String,
     },
+    /// Asks an entry instance whether a target's process accepts its connections.
+    Reach(Process),
+}
+
+/// A process of a target.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Process {
+    /// Name of the target.
+    pub target: name::Target,
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// Start of the process, in milliseconds since the Unix epoch by the target's clock.
+    pub started_unix_ms: u64,
+}
+
+impl From<&Target> for Process {
+    fn from(target: &Target) -> Process {
+        let Target { name, address, started_unix_ms, .. } = target;
+        Process { target: name.clone(), address: *address, started_unix_ms: *started_unix_ms }
+    }
+}
+
+/// Whether a target's process accepts the connections of an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reach {
+    /// The instance doesn't know the process, or no connection was made in time.
+    Unknown,
+    /// It accepts them.
+    Accepted,
+    /// It refuses them, and no other target of its service is known to accept one.
+    Refused,
+    /// It refuses them, and another target of its service accepts one.
+    RefusedAlone,
+    /// A later process has taken its place.
+    Replaced,
 }
 
 /// The service and the software version that began a stream.
@@ -128,6 +163,8 @@
         /// Time since the process started, in milliseconds; it knows of no origin from before.
         running_ms: u64,
     },
+    /// Answers [`Question::Reach`].
+    Reach(Reach),
 }
 
 /// Datagram between entry instances, so that each knows the load that all of them put on the targets.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,16 +5,13 @@
 use common::{clock::Moment, name, random};
 use fleet::{
     condition::Report,
-    exchange::{Crashes, Notice, Part, Suspicion},
+    exchange::{self, Notice, Part},
 };
 use placement::{
     balancer::{Entry, Key, selection::Plan},
     condition::Change,
     health::Outcome,
-    quarantine::{
-        self, Ticket,
-        request::{self, Content},
-    },
+    quarantine::{Ticket, request::Content},
 };
 use platform::request::Metadata;
 use slog::{debug, info};
@@ -22,6 +19,7 @@
 
 use crate::{
     connection::{self, Connection},
+    ends::{self, Blame},
     metric,
     progress::Beginning,
     state::{Gateway, ms},
@@ -156,8 +154,8 @@
         if generates && quarantine.is_any_unproven(&self.service, shared) { shared } else { &[] }
     }
 
-    /// Finds out whether the process of the target has ended, after a connection to it was lost, and if so blames the
-    /// request and the parts of the prompt.
+    /// Finds out whether the process of the target has ended, after a connection to it was lost, and if so has the
+    /// request and the parts of the prompt blamed, at once or when that shows within some seconds.
     pub(crate) async fn examine_end(&self) {
         let key = self.plan.target;
         let shared = self.suspected_parts();
@@ -168,27 +166,38 @@
         {
             return;
         }
-        let Some(process) = self.gateway.balancer().entry(key).map(process) else {
+        let Some((process, hash)) = self.gateway.balancer().entry(key).map(process) else {
             return;
         };
-        let Some(destination) = self.destination(key) else {
-            return;
-        };
-        match Connection::open(destination.address).await {
-            Ok(connection) => self.gateway.pool.put(destination.address, connection),
+        let refused = match Connection::open(process.address).await {
+            Ok(connection) => {
+                // A successor, or a proxy in front of a target that has ended.
+                self.gateway.pool.put(process.address, connection);
+                false
+            }
             Err(connection::Error::Refused(_)) => {
                 self.record_outcome(key, Outcome::Unreached);
-                let notices =
-                    self.gateway.quarantine.record_end(&self.service, shared, &self.ticket);
-                self.log_suspicions("engine_ended", &notices);
-                self.gateway.notify_peers(notices);
-                let notices = self.gateway.quarantine.record_request_end(self.content, process);
-                self.log_crashes("target_ended", &notices);
-                self.gateway.notify_peers(notices);
+                true
             }
             // A machine that is cut off or without power says nothing about the request.
-            Err(error) => info!(self.gateway.log, "target_not_examined"; "id" => &self.id,
-                "target" => %destination.name, "fault" => %error),
+            Err(error) => {
+                info!(self.gateway.log, "target_not_examined"; "id" => &self.id,
+                    "target" => %process.target, "fault" => %error);
+                return;
+            }
+        };
+        let blame = Blame {
+            service: self.service.clone(),
+            parts: shared.to_vec(),
+            ticket: self.ticket.clone(),
+            content: request_suspected.then_some(self.content),
+            process: hash,
+            id: self.id.clone(),
+            target: process.target.clone(),
+        };
+        self.gateway.ends.watch(&process, blame);
+        if refused {
+            ends::examine(&self.gateway, process, hash).await;
         }
     }
 
@@ -211,31 +220,19 @@
     }
 
     /// Logs the standings of requests that changed.
-    pub(crate) fn log_crashes(&self, event: &'static str, notices: &[Notice]) {
-        for notice in notices {
-            let Notice::Crashes(states) = notice else {
-                continue;
-            };
-            for Crashes { request, clearings, processes, trials, .. } in states {
-                info!(self.gateway.log, "request_standing"; "cause" => event, "id" => &self.id,
-                    "target" => self.target_name(self.plan.target), "digest" => %request,
-                    "clearings" => clearings, "ends" => processes.len(), "trials" => trials,
-                    "quarantined" => processes.len() >= request::MAX_ENDS);
-            }
-        }
+    pub(crate) fn log_crashes(&self, cause: &'static str, notices: &[Notice]) {
+        ends::log_crashes(
+            &self.gateway,
+            cause,
+            &self.id,
+            &self.target_name(self.plan.target),
+            notices,
+        );
     }
 
-    fn log_suspicions(&self, event: &'static str, notices: &[Notice]) {
-        for notice in notices {
-            if let Notice::Suspicions { suspicions, .. } = notice {
-                for Suspicion { part, clearings, ends, .. } in suspicions {
-                    info!(self.gateway.log, "part_standing"; "cause" => event, "id" => &self.id,
-                        "target" => self.target_name(self.plan.target),
-                        "part" => format!("{part:x}"), "clearings" => clearings, "ends" => ends,
-                        "quarantined" => *ends >= quarantine::MAX_ENDS);
-                }
-            }
-        }
+    fn log_suspicions(&self, cause: &'static str, notices: &[Notice]) {
+        let target = self.target_name(self.plan.target);
+        ends::log_suspicions(&self.gateway, cause, &self.id, &target, notices);
     }
 
     pub(crate) fn destination(&self, key: Key) -> Option<Destination> {
@@ -357,12 +354,13 @@
     }
 }
 
-/// Stands for the process of a target, by its name and start: a target may start again under the same name.
-fn process(entry: &Entry) -> u64 {
+/// The process of a target and its hash, by its name and start: a target may start again under the same name.
+fn process(entry: &Entry) -> (exchange::Process, u64) {
     let target = &entry.target;
     let name = target.name.0.bytes().map(u64::from);
     let fields = std::iter::once(target.started_unix_ms).chain(name);
-    fields.fold(0, |hash, field| random::mix(hash ^ field))
+    let hash = fields.fold(0, |hash, field| random::mix(hash ^ field));
+    (exchange::Process::from(target), hash)
 }
 
 /// Tries to connect to a target that could not be reached, so that no request has to.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,10 +3,11 @@
 //! [`listener`] accepts callers' connections and [`handler`] matches each request to a route. `request` selects
 //! targets and sends attempts to them, for `whole` (responses with a single body) and `stream` (event streams).
 //! [`connection`] and [`pool`] hold the connections to targets, [`state::Gateway`] the state that all requests share,
-//! [`quarantine`] the parts of prompts that end engines, and [`origins`] the software versions that began streams.
+//! [`quarantine`] the parts of prompts that end engines, [`ends`] the processes that may have ended, and [`origins`] the software versions that began streams.
 
 pub mod connection;
 pub mod content;
+pub mod ends;
 pub mod error;
 pub mod handler;
 pub mod listener;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,7 +14,7 @@
 use slog::Logger;
 use tokio::sync::{mpsc, watch};
 
-use crate::{buffer, origins, pool::Pool, quarantine};
+use crate::{buffer, ends, origins, pool::Pool, quarantine};
 
 /// Capacity of the queue of notices to other instances; notices that find it full are dropped.
 pub const MAX_QUEUED_NOTICES: usize = 256;
@@ -39,6 +39,8 @@
     pub notices: mpsc::Receiver<exchange::Notice>,
     /// Questions about streams to the instances that hold their origins.
     pub questions: mpsc::Receiver<origins::Question>,
+    /// Questions to some of them whether a target's process has ended.
+    pub ends: mpsc::Receiver<ends::Question>,
 }
 
 /// State that all requests of an instance share.
@@ -62,6 +64,8 @@
     pub quarantine: quarantine::Table,
     /// Software versions that began streams.
     pub origins: origins::Table,
+    /// Processes of targets that may have ended.
+    pub(crate) ends: ends::Table,
     /// Memory of responses that are held until they can be forwarded.
     pub(crate) buffers: buffer::Budget,
     outgoing_notices: mpsc::Sender<exchange::Notice>,
@@ -72,6 +76,7 @@
     pub fn new(options: Options, log: Logger) -> (Arc<Gateway>, Outgoing) {
         let (outgoing_notices, notices) = mpsc::channel(MAX_QUEUED_NOTICES);
         let (origins, questions) = origins::Table::new();
+        let (ends, end_questions) = ends::Table::new();
         let gateway = Gateway {
             instance: options.instance.clone(),
             pool: Pool::default(),
@@ -89,10 +94,11 @@
             holdings_known: AtomicBool::new(false),
             quarantine: quarantine::Table::default(),
             origins,
+            ends,
             buffers: buffer::Budget::default(),
             outgoing_notices,
         };
-        (Arc::new(gateway), Outgoing { notices, questions })
+        (Arc::new(gateway), Outgoing { notices, questions, ends: end_questions })
     }
 
     /// The configuration in force, if there is one.
@@ -139,6 +145,7 @@
     pub fn update_target(&self, target: &Target) {
         self.origins.see_target(target);
         self.balancer().update(target, Moment::now());
+        ends::record(self, &self.ends.see_target(target));
     }
 
     /// Renews the known software versions, and forgets those that have gone and the origins of ended streams.
--- a/crates/placement/src/balancer.rs
+++ b/crates/placement/src/balancer.rs
@@ -14,7 +14,7 @@
 use fleet::{
     condition::Report,
     config,
-    exchange::Notice,
+    exchange::{self, Notice},
     registry::{State, Target},
 };
 use slotmap::{SlotMap, new_key_type};
@@ -23,6 +23,7 @@
     backlog::Backlog,
     cache::Cache,
     condition::{Change, Condition},
+    end,
     health::{Availability, Health, Outcome},
     quota,
     speed::Speed,
@@ -211,6 +212,40 @@
         Some(self.entries.get(*key)?.target.address)
     }
 
+    /// Whether a later process has taken the place of a target's.
+    pub fn is_replaced(&self, process: &exchange::Process) -> bool {
+        self.entries.values().any(|entry| end::replaces(&entry.target, process))
+    }
+
+    /// Whether this is the process of a target that takes requests.
+    pub fn is_current(&self, process: &exchange::Process) -> bool {
+        let key = self.names.get(&process.target).copied();
+        let target = key.and_then(|key| self.entries.get(key)).map(|entry| &entry.target);
+        target.is_some_and(|target| exchange::Process::from(target) == *process)
+    }
+
+    /// Addresses of up to `count` other targets of the same service, drawn at random, those that take requests first.
+    pub fn others(&mut self, target: &name::Target, count: usize, now: Moment) -> Vec<SocketAddr> {
+        let Some(key) = self.names.get(target).copied() else {
+            return Vec::new();
+        };
+        let Some(service) = self.entries.get(key).map(|entry| entry.target.service.clone()) else {
+            return Vec::new();
+        };
+        let random = &mut self.random;
+        let mut others: Vec<(Availability, u64, SocketAddr)> = self
+            .entries
+            .iter()
+            .filter(|(other, entry)| *other != key && entry.target.service == service)
+            .filter(|(_, entry)| entry.target.state == State::Ready)
+            .map(|(_, entry)| {
+                (entry.health.availability(now), random.next_u64(), entry.target.address)
+            })
+            .collect();
+        others.sort_unstable();
+        others.into_iter().take(count).map(|(_, _, address)| address).collect()
+    }
+
     /// Service and software version of each known target.
     pub fn software(&self) -> impl Iterator<Item = (&name::Service, &name::Software)> {
         self.entries.values().map(|entry| (&entry.target.service, &entry.target.software))
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,7 +4,7 @@
 //! a request. It uses the models of each target: [`speed`] predicts prefill times, [`backlog`] the wait for requests
 //! sent earlier, [`cache`] which prompt prefixes are cached, and [`health`] which targets fail. [`condition`]
 //! keeps what targets say of themselves, [`quota`] divides their limits among the instances. [`retry`] limits the
-//! retries of the whole fleet. [`quarantine`] finds the parts of prompts that end engines,
+//! retries of the whole fleet. [`quarantine`] finds the parts of prompts that end engines, [`end`] decides whether a target has ended,
 //! [`continuity`] decides where a stream may go on that broke off, [`hedge`] which run goes on of a request whose target
 //! was silent.
 
@@ -13,6 +13,7 @@
 pub mod cache;
 pub mod condition;
 pub mod continuity;
+pub mod end;
 pub mod health;
 pub mod hedge;
 pub mod quarantine;
