--- a/crates/daisydrum/src/seeded/peers.rs
+++ b/crates/daisydrum/src/seeded/peers.rs
@@ -7,7 +7,7 @@
     exchange::{self, Answer, Question},
     warmup,
 };
-use gateway::{relay::server, state::Gateway};
+use gateway::{ends, relay::server, state::Gateway};
 use replica::host::Handle;
 use slog::debug;
 use tarpc::server::Channel;
@@ -88,6 +88,10 @@
                 self.origin(&stream, |gateway| gateway.origins.keep(&stream, origin))
             }
             Some(Question::Origin { stream }) => self.origin(&stream, |_| {}),
+            Some(Question::Access(process)) => match &self.gateway {
+                Some(gateway) => Answer::Access(ends::probe(gateway, &process).await),
+                None => Answer::Refused,
+            },
             Some(question) => self.directory.answer(question).await,
             None => Answer::Refused,
         };
--- a/crates/daisydrum/src/seeded/subscription.rs
+++ b/crates/daisydrum/src/seeded/subscription.rs
@@ -135,6 +135,7 @@
             | Answer::Holdings(_)
             | Answer::Suspicions(_)
             | Answer::Origin { .. }
+            | Answer::Access(_)
             | Answer::Later
             | Answer::Refused => None,
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,7 @@
 use slog::Logger;
 use tokio::sync::{mpsc, watch};
 
-use crate::{buffer, origins, pool::Pool, quarantine, relay};
+use crate::{buffer, ends, origins, pool::Pool, quarantine, relay};
 
 /// Capacity of the queue of notices to other instances; notices that find it full are dropped.
 pub const MAX_QUEUED_NOTICES: usize = 256;
@@ -45,6 +45,8 @@
     pub notices: mpsc::Receiver<exchange::Notice>,
     /// Questions about streams to the instances that hold their origins.
     pub questions: mpsc::Receiver<origins::Question>,
+    /// Questions to some of them whether a target's process has ended.
+    pub ends: mpsc::Receiver<ends::Question>,
 }
 
 /// State that all requests of an instance share.
@@ -70,6 +72,8 @@
     pub origins: origins::Table,
     /// Paths to targets, and the peers that serve requests where there is none.
     pub relay: relay::State,
+    /// Processes of targets that may have ended.
+    pub(crate) ends: ends::Table,
     /// Memory of responses that are held until they can be forwarded.
     pub(crate) buffers: buffer::Budget,
     outgoing_notices: mpsc::Sender<exchange::Notice>,
@@ -81,6 +85,7 @@
         let relay = relay::State::new(&options);
         let (outgoing_notices, notices) = mpsc::channel(MAX_QUEUED_NOTICES);
         let (origins, questions) = origins::Table::new();
+        let (ends, end_questions) = ends::Table::new();
         let gateway = Gateway {
             instance: options.instance.clone(),
             pool: Pool::new(options.source),
@@ -99,10 +104,11 @@
             quarantine: quarantine::Table::default(),
             origins,
             relay,
+            ends,
             buffers: buffer::Budget::default(),
             outgoing_notices,
         };
-        (Arc::new(gateway), Outgoing { notices, questions })
+        (Arc::new(gateway), Outgoing { notices, questions, ends: end_questions })
     }
 
     /// The configuration in force, if there is one.
@@ -151,7 +157,9 @@
     /// Adds a target or updates its state.
     pub fn update_target(&self, target: &Target) -> balancer::Update {
         self.origins.see_target(target);
-        self.balancer().update(target, Moment::now())
+        let update = self.balancer().update(target, Moment::now());
+        ends::record(self, &self.ends.see_target(target));
+        update
     }
 
     /// Renews the known software versions, and forgets those that have gone and the origins of ended streams.
