Targets: a request that is given up is not delivered any further

What callers saw: a request could reach a target after its caller had been answered, refused or had left: its bytes were still in the send buffer of the connection, and closing a connection delivers them.

Cause: a connection to a target was closed in order when it was given up. The user timeout of 2 s only bounded how late the request could arrive.

Change: wire::unanswered. A connection that is dropped while a request awaits the head of its response is reset, which discards what is unsent. One whose response has begun is closed as before.

Not covered: a response that begins before its request was read leaves the rest of the body in the send buffer; its target has begun to run the request by then.

--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -10,7 +10,7 @@
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::JoinHandle, time};
-use wire::socket;
+use wire::{socket, unanswered};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of bytes of a response that are read ahead of the caller.
@@ -29,11 +29,12 @@
     Call(hyper::Error),
 }
 
-/// A connection that is closed when it is dropped.
+/// A connection that is closed when it is dropped; a request that awaits its response is not delivered any further.
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    unanswered: unanswered::Request,
 }
 
 impl Drop for Connection {
@@ -54,6 +55,8 @@
             .map_err(|_elapsed| Error::Connect(std::io::ErrorKind::TimedOut.into()))?
             .map_err(Error::Connect)?;
         socket::configure(&stream).map_err(Error::Connect)?;
+        let unanswered = unanswered::Request::default();
+        let stream = unanswered::Stream::new(stream, unanswered.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -62,7 +65,7 @@
             // The exchange gets the same error.
             let _ended = connection.await;
         });
-        Ok(Connection { sender, driver })
+        Ok(Connection { sender, driver, unanswered })
     }
 
     /// Sends a request and returns the head of its response.
@@ -74,7 +77,10 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
-        Ok(self.sender.send_request(request).await?)
+        self.unanswered.begin();
+        let response = self.sender.send_request(request).await?;
+        self.unanswered.end();
+        Ok(response)
     }
 }
 
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -20,7 +20,7 @@
 use tokio::{net::TcpStream, task::JoinHandle, time};
 use wire::socket;
 
-use crate::transport::{Interim, Transport};
+use crate::transport::{Exchange, Transport};
 
 /// Timeout for establishing a connection; round trips take a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -54,12 +54,12 @@
         && !response.headers().contains_key(TRANSFER_ENCODING)
 }
 
-/// A connection that is closed when it is dropped.
+/// A connection that is closed when it is dropped; a request that awaits its response is not delivered any further.
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
-    interim: Interim,
+    exchange: Exchange,
     idle_limit: Duration,
     idle_since: Instant,
 }
@@ -87,10 +87,10 @@
                 _ => not_sent(&error),
             })?;
         socket::configure(&stream).map_err(|error| not_sent(&error))?;
-        let interim = Interim::default();
+        let exchange = Exchange::default();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(Transport::new(stream, interim.clone())))
+            .handshake(TokioIo::new(Transport::new(stream, exchange.clone())))
             .await
             .map_err(|error| not_sent(&error))?;
         let driver = tokio::spawn(async move {
@@ -98,7 +98,7 @@
             let _ended = connection.await;
         });
         let idle_since = Instant::now();
-        Ok(Connection { sender, driver, interim, idle_limit: MAX_IDLE_TIME, idle_since })
+        Ok(Connection { sender, driver, exchange, idle_limit: MAX_IDLE_TIME, idle_since })
     }
 
     /// Sends a request and returns the response head; the body is read from it.
@@ -110,9 +110,9 @@
         &mut self,
         mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
-        self.interim.reset();
-        let interim = self.interim.clone();
-        ext::on_informational(&mut request, move |_response| interim.count());
+        self.exchange.begin();
+        let exchange = self.exchange.clone();
+        ext::on_informational(&mut request, move |_response| exchange.count_interim_response());
         let response = self.sender.send_request(request).await;
         let response = response.map_err(|error| {
             if error.is_canceled() {
@@ -121,6 +121,7 @@
                 Error::MaybeSent(error)
             }
         })?;
+        self.exchange.record_head();
         if let Some(limit) = platform::response::keep_alive_timeout(response.headers()) {
             self.idle_limit = limit.mul_f64(KEEP_ALIVE_SHARE).min(MAX_IDLE_TIME);
         }
--- a/crates/gateway/src/transport.rs
+++ b/crates/gateway/src/transport.rs
@@ -14,40 +14,54 @@
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
+use wire::unanswered;
 
 /// Interim responses to a request before the connection is given up.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
-/// Interim responses to the current request of a connection; clones share the count.
+/// The current request of a connection and its interim responses; clones share both.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Interim(Arc<AtomicU32>);
+pub(crate) struct Exchange(Arc<State>);
 
-impl Interim {
-    /// Counts one more.
-    pub(crate) fn count(&self) {
-        self.0.fetch_add(1, Ordering::Relaxed);
+#[derive(Debug, Default)]
+struct State {
+    unanswered: unanswered::Request,
+    interim_responses: AtomicU32,
+}
+
+impl Exchange {
+    /// Begins with a request.
+    pub(crate) fn begin(&self) {
+        self.0.unanswered.begin();
+        self.0.interim_responses.store(0, Ordering::Relaxed);
+    }
+
+    /// Counts an interim response.
+    pub(crate) fn count_interim_response(&self) {
+        self.0.interim_responses.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Begins to count for the next request.
-    pub(crate) fn reset(&self) {
-        self.0.store(0, Ordering::Relaxed);
+    /// Records the head of the response.
+    pub(crate) fn record_head(&self) {
+        self.0.unanswered.end();
     }
 
     fn is_exceeded(&self) -> bool {
-        self.0.load(Ordering::Relaxed) > MAX_INTERIM_RESPONSES
+        self.0.interim_responses.load(Ordering::Relaxed) > MAX_INTERIM_RESPONSES
     }
 }
 
 /// The stream.
 #[derive(Debug)]
 pub(crate) struct Transport {
-    stream: TcpStream,
-    interim: Interim,
+    stream: unanswered::Stream,
+    exchange: Exchange,
 }
 
 impl Transport {
-    pub(crate) fn new(stream: TcpStream, interim: Interim) -> Transport {
-        Transport { stream, interim }
+    pub(crate) fn new(stream: TcpStream, exchange: Exchange) -> Transport {
+        let stream = unanswered::Stream::new(stream, exchange.0.unanswered.clone());
+        Transport { stream, exchange }
     }
 }
 
@@ -57,7 +71,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.interim.is_exceeded() {
+        if self.exchange.is_exceeded() {
             return Poll::Ready(Err(io::Error::other("too many interim responses")));
         }
         Pin::new(&mut self.stream).poll_read(context, buffer)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod socket;
 pub mod spread;
 pub mod target;
+pub mod unanswered;
