--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,3 +9,5 @@
 pub mod socket;
 pub mod spread;
 pub mod target;
+pub mod unanswered;
+pub mod unread;
