--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -22,9 +22,9 @@
     task::JoinHandle,
     time,
 };
-use wire::socket;
+use wire::socket::{self, Kind};
 
-use crate::transport::{Interim, Transport};
+use crate::transport::{Exchange, Transport};
 
 /// Timeout for establishing a connection; round trips take a few milliseconds.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -58,12 +58,12 @@
         && !response.headers().contains_key(TRANSFER_ENCODING)
 }
 
-/// A connection that is closed when it is dropped.
+/// A connection that is closed when it is dropped; a request that awaits its response is not delivered any further.
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
-    interim: Interim,
+    exchange: Exchange,
     idle_limit: Duration,
     idle_since: Instant,
 }
@@ -82,6 +82,26 @@
     /// Returns [`Error::Refused`] when nothing listens at the address, and [`Error::NotSent`] when no connection was
     /// established in time.
     pub async fn open(address: SocketAddr, source: Option<IpAddr>) -> Result<Connection, Error> {
+        Connection::open_as(Kind::Target, address, source).await
+    }
+
+    /// Connects to a target for an order.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Connection::open`].
+    pub async fn open_for_order(
+        address: SocketAddr,
+        source: Option<IpAddr>,
+    ) -> Result<Connection, Error> {
+        Connection::open_as(Kind::Order, address, source).await
+    }
+
+    async fn open_as(
+        kind: Kind,
+        address: SocketAddr,
+        source: Option<IpAddr>,
+    ) -> Result<Connection, Error> {
         let not_sent = |error: &dyn std::fmt::Display| Error::NotSent(error.to_string());
         let stream = time::timeout(CONNECT_TIMEOUT, connect(address, source))
             .await
@@ -90,11 +110,11 @@
                 ErrorKind::ConnectionRefused => Error::Refused(error.to_string()),
                 _ => not_sent(&error),
             })?;
-        socket::configure(&stream).map_err(|error| not_sent(&error))?;
-        let interim = Interim::default();
+        socket::configure(&stream, kind).map_err(|error| not_sent(&error))?;
+        let exchange = Exchange::default();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
-            .handshake(TokioIo::new(Transport::new(stream, interim.clone())))
+            .handshake(TokioIo::new(Transport::new(stream, exchange.clone())))
             .await
             .map_err(|error| not_sent(&error))?;
         let driver = tokio::spawn(async move {
@@ -102,7 +122,7 @@
             let _ended = connection.await;
         });
         let idle_since = Instant::now();
-        Ok(Connection { sender, driver, interim, idle_limit: MAX_IDLE_TIME, idle_since })
+        Ok(Connection { sender, driver, exchange, idle_limit: MAX_IDLE_TIME, idle_since })
     }
 
     /// Sends a request and returns the response head; the body is read from it.
@@ -114,9 +134,9 @@
         &mut self,
         mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
-        self.interim.reset();
-        let interim = self.interim.clone();
-        ext::on_informational(&mut request, move |_response| interim.count());
+        self.exchange.begin();
+        let exchange = self.exchange.clone();
+        ext::on_informational(&mut request, move |_response| exchange.count_interim_response());
         let response = self.sender.send_request(request).await;
         let response = response.map_err(|error| {
             if error.is_canceled() {
@@ -125,6 +145,7 @@
                 Error::MaybeSent(error)
             }
         })?;
+        self.exchange.record_head();
         if let Some(limit) = platform::response::keep_alive_timeout(response.headers()) {
             self.idle_limit = limit.mul_f64(KEEP_ALIVE_SHARE).min(MAX_IDLE_TIME);
         }
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -205,7 +205,7 @@
 async fn open(address: SocketAddr) -> io::Result<Channel> {
     let connect = async {
         let mut stream = TcpStream::connect(address).await?;
-        socket::configure(&stream)?;
+        socket::configure(&stream, socket::Kind::Peer)?;
         stream.write_all(&PREFACE).await?;
         let mut preface = [0; PREFACE.len()];
         stream.read_exact(&mut preface).await?;
