Stand-in: a proxy that cuts a target off from some instances

`standin::partition::Gate` stands in front of one target and tells instances apart by their source address. It cuts off any of them, in three shapes: connections hang, are reset, or live on while new ones are reset. Where a target is cut off from all, new connections are refused by the operating system.

What hangs is dropped by a socket filter, so the operating system sends it again: a connect times out, and bytes in flight arrive after the cut, also those of a connection that was closed meanwhile. A proxy that holds bytes can't show either.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod harness;
 pub mod http;
 pub mod output;
+pub mod partition;
 pub mod pause;
 pub mod plain;
 pub mod proxy;
