Tests that fail: instances that are cut off from targets

Callers of entry instances that reach no target of a service while other instances reach them are not served. The tests cut instances off by their address with `standin::partition`, in its three shapes: one of seven, a data centre, all but one; one service or all; requests of each kind, streams that are resumed, prompts computed elsewhere; beside a change of the configuration, SIGHUP and SIGTERM; with all notices between instances lost; again after the cut has healed; with no other instance. They also check that nothing ran that was told as not run, once late bytes have arrived, and that nobody is blamed.

What requests sent from 3 s after the cut on get is 503 where connections hang and 502 where they are accepted and reset.

--- a/crates/daisydrum/tests/seeded/main.rs
+++ b/crates/daisydrum/tests/seeded/main.rs
@@ -7,6 +7,7 @@
 mod control;
 mod crash;
 mod crash_request;
+mod cut_off;
 mod endless;
 mod fleet;
 mod framing;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -12,6 +12,8 @@
 use rustix::process::{Pid, Signal};
 use standin::{harness::folder::Folder, proxy::Proxy};
 
+/// Where instances are if nothing else is said.
+const DATA_CENTRE: &str = "suva";
 const CONTROL_PORT: u16 = 8_144;
 const CALLERS_PORT: u16 = 8_149;
 const READINESS_PORT: u16 = 8_141;
@@ -126,20 +128,25 @@
             self.data_folder(number).display(),
             start == Start::First
         );
-        let daemon = self.daemon(&format!("control-{number}"), host, &settings);
+        let daemon = self.daemon(&format!("control-{number}"), DATA_CENTRE, host, &settings);
         self.control.push(daemon);
         number - 1
     }
 
     /// Adds and starts an instance that serves callers; returns its index.
     pub fn add_entry(&mut self) -> usize {
+        self.add_entry_in(DATA_CENTRE)
+    }
+
+    /// Adds and starts an instance in a data centre that serves callers; returns its index.
+    pub fn add_entry_in(&mut self, data_centre: &str) -> usize {
         let number = self.entries.len() + 101;
         let host = self.host(number);
         let settings = format!(
             "\"callers\": \"{host}:{CALLERS_PORT}\", \"readiness\": \"{host}:{READINESS_PORT}\", \
              \"targets_source\": \"{host}\","
         );
-        let daemon = self.daemon(&format!("entry-{number}"), host, &settings);
+        let daemon = self.daemon(&format!("entry-{number}"), data_centre, host, &settings);
         self.entries.push(daemon);
         self.entries.len() - 1
     }
@@ -214,10 +221,10 @@
         self.folder.path().join(format!("data-{number}"))
     }
 
-    fn daemon(&self, name: &str, host: IpAddr, settings: &str) -> Daemon {
+    fn daemon(&self, name: &str, data_centre: &str, host: IpAddr, settings: &str) -> Daemon {
         let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let settings = format!(
-            "{{ \"name\": \"{name}\", \"data_centre\": \"suva\", {settings}\n  \
+            "{{ \"name\": \"{name}\", \"data_centre\": \"{data_centre}\", {settings}\n  \
              \"peers_listen\": \"{host}:{PEERS_PORT}\", \"peers_address\": \"{}:{PEERS_PORT}\", \"seeds\": [{}], \"announcement_ms\": 200,\n  \
              \"engines\": {{ \"turn_ms\": 200, \"prompt_share\": 0.7 }}, \"stop_s\": 8 }}",
             self.peers_host(host),
