Reach: targets that failed while others were reached don't count as a cut

Several dead targets that are tried again together, with no other connection made in between, looked like a cut each time, so that the state flapped and probes went out at each failure. A failure after which another target was reached is now blamed on its target for 5 s, unless too few others remain; so is one before a cut of less than 300 ms.

Ruled out: waiting before the verdict for the first round of probes; it delays the verdict of every real cut. The tests also cover the verdict, the pace of probes and what is published.

--- a/crates/placement/src/reach.rs
+++ b/crates/placement/src/reach.rs
@@ -1,7 +1,8 @@
 //! Which services' targets this instance is cut off from, by the connections that it tries to make to them.
 //!
 //! Failures to connect to several targets in a short time, with none of them reached in between, are taken for a fault
-//! on this instance's side. The first target that is reached ends it.
+//! on this instance's side. The first target that is reached ends it. A target that failed while others were reached is at
+//! fault itself, so that it doesn't count for some time.
 
 use std::time::Duration;
 
@@ -14,6 +15,12 @@
 const MIN_FAILED: usize = 3;
 /// Failures at a target that are closer together count once: attempts that begin together fail together.
 const MIN_SEPARATION: Duration = Duration::from_millis(20);
+/// Time for which a target that failed while others were reached doesn't count, since it last failed.
+const FAULT_TTL: Duration = Duration::from_secs(5);
+/// Targets that failed before a shorter cut are at fault themselves: the first probe reached another one.
+const MIN_CUT: Duration = Duration::from_millis(300);
+/// Targets at fault that are kept for a service.
+const MAX_FAULTS: usize = 32;
 /// Time between two rounds of probes to a service's targets.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -45,6 +52,8 @@
 struct Entry {
     /// At most [`MIN_FAILED`], of different targets, since one was last reached; the latest at the end.
     failures: Vec<Failure>,
+    /// Targets that failed while others were reached, at most [`MAX_FAULTS`], each with when it last failed.
+    faults: Vec<(name::Target, Moment)>,
     cut_off_since: Option<Moment>,
     probed_at: Option<Moment>,
 }
@@ -57,10 +66,14 @@
 
 impl Table {
     /// Records that a target of the service accepted a connection or sent something.
-    pub fn record_reached(&mut self, service: &name::Service, _now: Moment) -> Option<Change> {
+    pub fn record_reached(&mut self, service: &name::Service, now: Moment) -> Option<Change> {
         let entry = self.services.get_mut(service)?;
-        entry.failures.clear();
-        entry.cut_off_since.take().map(|_| Change::Reached)
+        let since = entry.cut_off_since.take();
+        if since.is_some_and(|since| now.since(since) >= MIN_CUT) {
+            entry.failures.clear();
+        }
+        entry.record_faults(now);
+        since.map(|_| Change::Reached)
     }
 
     /// Records that no connection could be made to a target; `targets` is the number of the service's targets that take
@@ -76,7 +89,7 @@
             self.services.insert(service.clone(), Entry::default());
         }
         let entry = self.services.get_mut(service)?;
-        entry.record_failure(target, now);
+        entry.record_failure(target, targets, now);
         if entry.cut_off_since.is_some() || !entry.is_verdict(targets) {
             return None;
         }
@@ -121,7 +134,15 @@
 }
 
 impl Entry {
-    fn record_failure(&mut self, target: &name::Target, now: Moment) {
+    fn record_failure(&mut self, target: &name::Target, targets: usize, now: Moment) {
+        self.faults.retain(|(_, failed)| now.since(*failed) <= FAULT_TTL);
+        let are_others_enough = targets >= self.faults.len() + MIN_FAILED;
+        if let Some((_, failed)) = self.faults.iter_mut().find(|(fault, _)| fault == target) {
+            *failed = now;
+            if are_others_enough {
+                return;
+            }
+        }
         self.failures.retain(|failure| now.since(failure.last) <= WINDOW);
         let known = self.failures.iter().position(|failure| failure.target == *target);
         let first = known.map_or(now, |index| self.failures.remove(index).first);
@@ -132,6 +153,17 @@
         self.failures.push(Failure { target: target.clone(), first, last: now });
     }
 
+    /// Blames the targets that failed while another one was reached.
+    fn record_faults(&mut self, now: Moment) {
+        for failure in self.failures.drain(..) {
+            self.faults.retain(|(fault, _)| *fault != failure.target);
+            if self.faults.len() == MAX_FAULTS {
+                self.faults.remove(0);
+            }
+            self.faults.push((failure.target, now));
+        }
+    }
+
     /// Whether the failures show that the instance, rather than the targets, is at fault.
     fn is_verdict(&self, targets: usize) -> bool {
         if self.failures.len() >= targets.clamp(2, MIN_FAILED) {
