--- a/crates/placement/src/relay.rs
+++ b/crates/placement/src/relay.rs
@@ -140,13 +140,8 @@
 
     /// Merges the state of another instance, in any order; `false` if it was known or older.
     pub fn merge(&mut self, reach: &exchange::Reach, now: Moment) -> bool {
-        if !self.keys.contains_key(&reach.instance) && self.entries.len() >= MAX_INSTANCES {
-            self.remove_entries(|entry| {
-                entry.place != Place::Unknown || entry.requests > 0 || entry.is_numbered(now)
-            });
-            if self.entries.len() >= MAX_INSTANCES {
-                return false;
-            }
+        if !self.keys.contains_key(&reach.instance) && !self.has_room(now) {
+            return false;
         }
         let key = self.key(&reach.instance);
         let entry = &mut self.entries[key];
@@ -287,6 +282,21 @@
         key
     }
 
+    /// Makes room for the state of another instance if it can.
+    fn has_room(&mut self, now: Moment) -> bool {
+        if self.entries.len() < MAX_INSTANCES {
+            return true;
+        }
+        let is_used = |entry: &Entry| {
+            entry.place != Place::Unknown || entry.requests > 0 || entry.is_numbered(now)
+        };
+        if self.entries.iter().all(is_used) {
+            return false;
+        }
+        self.remove_entries(is_used);
+        true
+    }
+
     fn remove_entries(&mut self, kept: impl Fn(&Entry) -> bool) {
         self.entries.retain(kept);
         self.keys = self
