--- a/crates/placement/src/relay.rs
+++ b/crates/placement/src/relay.rs
@@ -6,17 +6,14 @@
 
 use std::time::Duration;
 
-use common::{
-    clock::Moment,
-    collections::{Map, Set},
-    name,
-    random::Random,
-};
+use common::{clock::Moment, collections::Map, name, random::Random};
 use fleet::exchange::{self, MAX_CUT_OFF};
 
 /// Requests that all cut-off instances together have at one peer. Each of them takes an equal part, so that they need
 /// not coordinate.
 pub const MAX_RELAYED: usize = 1_024;
+/// Random peers that are tried before all are looked at.
+const MAX_DRAWS: usize = 16;
 /// Instances whose states are kept.
 pub const MAX_INSTANCES: usize = 4_096;
 /// Time after which a state that isn't renewed no longer holds.
@@ -100,23 +97,33 @@
     random: Random,
     entries: Vec<Entry>,
     keys: Map<name::Instance, usize>,
-}
-
-/// Peers that may take a request, by their keys.
-#[derive(Debug, Default)]
-struct Candidates {
+    /// Keys of the peers in the data centre of the instance.
     same: Vec<usize>,
+    /// Keys of the others.
     other: Vec<usize>,
-    /// Instances of this data centre that are cut off from the service, with this one.
-    cut_off_here: usize,
-    /// Instances of any data centre that pass requests on, with this one.
-    senders: usize,
+}
+
+/// What a peer must meet to take a request.
+struct Criteria<'request> {
+    service: &'request name::Service,
+    /// Keys of the peers that don't take it.
+    avoid: Vec<usize>,
+    /// Requests from here that a peer may have.
+    limit: usize,
+    now: Moment,
 }
 
 impl Peers {
     /// Creates the peers of an instance in a data centre.
     pub fn new(data_centre: name::DataCentre, seed: u64) -> Peers {
-        Peers { data_centre, random: Random::new(seed), entries: Vec::new(), keys: Map::default() }
+        Peers {
+            data_centre,
+            random: Random::new(seed),
+            entries: Vec::new(),
+            keys: Map::default(),
+            same: Vec::new(),
+            other: Vec::new(),
+        }
     }
 
     /// Sets the other entry instances.
@@ -174,13 +181,19 @@
         avoid: &[name::Instance],
         now: Moment,
     ) -> Option<name::Instance> {
-        let candidates = self.candidates(service, avoid, now);
-        let (first, second) = if self.prefers_same(&candidates) {
-            (&candidates.same, &candidates.other)
+        let avoid = avoid.iter().filter_map(|instance| self.keys.get(instance).copied()).collect();
+        let criteria = Criteria { service, avoid, limit: self.limit(now), now };
+        let (first, second) = if self.prefers_same(&criteria) {
+            (&self.same, &self.other)
         } else {
-            (&candidates.other, &candidates.same)
+            (&self.other, &self.same)
         };
-        let key = self.pick(first, now).or_else(|| self.pick(second, now))?;
+        let mut random = self.random;
+        let key = self
+            .pick(first, &criteria, &mut random)
+            .or_else(|| self.pick(second, &criteria, &mut random));
+        self.random = random;
+        let key = key?;
         let entry = &mut self.entries[key];
         entry.requests += 1;
         // One request tries a peer that wasn't reached; the others wait for its outcome.
@@ -222,56 +235,56 @@
             .any(|entry| entry.place != Place::Unknown && entry.may_reach(service, now))
     }
 
-    fn candidates(
-        &self,
-        service: &name::Service,
-        avoid: &[name::Instance],
-        now: Moment,
-    ) -> Candidates {
-        let avoid: Set<usize> =
-            avoid.iter().filter_map(|instance| self.keys.get(instance).copied()).collect();
-        let mut candidates = Candidates { cut_off_here: 1, senders: 1, ..Candidates::default() };
-        for (key, entry) in self.entries.iter().enumerate() {
-            if entry.place == Place::Unknown {
-                continue;
-            }
-            candidates.senders += usize::from(entry.is_sender(now));
-            if entry.is_cut_off(service, now) {
-                candidates.cut_off_here += usize::from(entry.place == Place::SameDataCentre);
-                continue;
-            }
-            if avoid.contains(&key) || !entry.is_reached(now) {
-                continue;
-            }
-            match entry.place {
-                Place::SameDataCentre => candidates.same.push(key),
-                Place::OtherDataCentre => candidates.other.push(key),
-                Place::Unknown => {}
-            }
-        }
-        let limit = (MAX_RELAYED / candidates.senders).max(1);
-        for keys in [&mut candidates.same, &mut candidates.other] {
-            keys.retain(|key| self.entries[*key].requests < limit);
-        }
-        candidates
+    /// Requests from here that a peer may have now, an equal part of [`MAX_RELAYED`].
+    fn limit(&self, now: Moment) -> usize {
+        let senders = self
+            .entries
+            .iter()
+            .filter(|entry| entry.place != Place::Unknown && entry.is_sender(now))
+            .count();
+        (MAX_RELAYED / (senders + 1)).max(1)
     }
 
     /// Whether a peer of this data centre is tried first. Each of them takes the requests of one cut-off instance at most;
     /// the rest go to other data centres.
-    fn prefers_same(&mut self, candidates: &Candidates) -> bool {
-        self.random.below(candidates.cut_off_here) < candidates.same.len()
+    fn prefers_same(&mut self, criteria: &Criteria<'_>) -> bool {
+        let is_cut_off =
+            |key: &&usize| self.entries[**key].is_cut_off(criteria.service, criteria.now);
+        let cut_off = 1 + self.same.iter().filter(is_cut_off).count();
+        let takers = self.same.iter().filter(|key| self.is_taker(**key, criteria)).count();
+        self.random.below(cut_off) < takers
+    }
+
+    fn is_taker(&self, key: usize, criteria: &Criteria<'_>) -> bool {
+        let entry = &self.entries[key];
+        entry.requests < criteria.limit
+            && !criteria.avoid.contains(&key)
+            && entry.may_reach(criteria.service, criteria.now)
     }
 
-    fn pick(&mut self, keys: &[usize], now: Moment) -> Option<usize> {
-        let first = *keys.get(self.random.below(keys.len()))?;
-        let second = keys[self.random.below(keys.len())];
+    /// The better one of two random peers among those with these keys.
+    fn pick(&self, keys: &[usize], criteria: &Criteria<'_>, random: &mut Random) -> Option<usize> {
+        let first = self.draw(keys, criteria, random)?;
+        let second = self.draw(keys, criteria, random)?;
         let load = |key: usize| {
             let entry = &self.entries[key];
-            (entry.is_busy(now), entry.requests)
+            (entry.is_busy(criteria.now), entry.requests)
         };
         Some(if load(second) < load(first) { second } else { first })
     }
 
+    fn draw(&self, keys: &[usize], criteria: &Criteria<'_>, random: &mut Random) -> Option<usize> {
+        for _ in 0..MAX_DRAWS {
+            let key = *keys.get(random.below(keys.len()))?;
+            if self.is_taker(key, criteria) {
+                return Some(key);
+            }
+        }
+        let takers: Vec<usize> =
+            keys.iter().copied().filter(|key| self.is_taker(*key, criteria)).collect();
+        takers.get(random.below(takers.len())).copied()
+    }
+
     fn key(&mut self, instance: &name::Instance) -> usize {
         if let Some(key) = self.keys.get(instance) {
             return *key;
@@ -305,6 +318,12 @@
             .enumerate()
             .map(|(key, entry)| (entry.instance.clone(), key))
             .collect();
+        self.same = self.keys_at(Place::SameDataCentre);
+        self.other = self.keys_at(Place::OtherDataCentre);
+    }
+
+    fn keys_at(&self, place: Place) -> Vec<usize> {
+        (0..self.entries.len()).filter(|key| self.entries[*key].place == place).collect()
     }
 }
 
