Relay: a connection that is closed at once is no target reached; a lost one is examined

A proxy on the way accepts connections before it finds that it reaches no target. Now a target counts as reached once it has answered over a new connection, or a probe's connection stayed open for a while.

--- a/crates/daisydrum/tests/seeded/cut_off.rs
+++ b/crates/daisydrum/tests/seeded/cut_off.rs
@@ -276,6 +276,12 @@
         client::plain_headers(id).to_vec()
     };
     headers[1].1 = "2500";
+    // A prompt whose own part is large enough to be computed elsewhere.
+    let own = id.bytes().fold(0_u32, |hash, byte| hash.wrapping_mul(31).wrapping_add(byte.into()));
+    let parts = format!("5c1e07a2:300,{own:x}:700");
+    if let Some(header) = headers.get_mut(4) {
+        header.1 = &parts;
+    }
     client::request(callers, Method::POST, &format!("/{kind}/1"), &headers, "body").await
 }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,6 +7,7 @@
     condition::Report,
     exchange::{self, Notice, Part},
 };
+use futures::future;
 use placement::{
     balancer::{Entry, Key, selection::Plan},
     condition::Change,
@@ -157,7 +158,7 @@
 
     /// Finds out whether the process of the target has ended, after a connection to it was lost, and if so has the
     /// request and the parts of the prompt blamed, at once or when that shows within some seconds.
-    pub(crate) async fn examine_end(&self) {
+    async fn examine_end(&self) {
         let key = self.plan.target;
         let shared = self.suspected_parts();
         let request_suspected = self.gateway.quarantine.is_request_unproven(self.content);
@@ -202,6 +203,12 @@
         }
     }
 
+    /// Finds out what a lost connection means: whether the process of the target has ended, and whether this instance still
+    /// reaches targets of the service.
+    pub(crate) async fn examine_loss(&self) {
+        future::join(self.examine_end(), probe::examine(&self.gateway, &self.service)).await;
+    }
+
     /// Records that the request has shown that neither it nor its parts end the target.
     pub(crate) fn record_success(&mut self) {
         if self.first_event_at.is_none() || std::mem::replace(&mut self.proven, true) {
@@ -382,7 +389,7 @@
         if gateway.relay.is_cut_off(&service) {
             continue;
         }
-        if let Ok(connection) = gateway.pool.open(address).await {
+        if let Ok(connection) = probe::open(&gateway, &service, address).await {
             gateway.balancer().record_connected(key);
             gateway.pool.mark_alive(address);
             gateway.pool.put(address, connection);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -42,12 +42,15 @@
 pub(crate) const CUT_OFF_RETRY: Duration = Duration::from_secs(1);
 
 /// What the instance knows of its paths to targets and of its peers.
-#[derive(Debug)]
+#[derive(derive_more::Debug)]
 pub struct State {
     inner: Mutex<Inner>,
     /// Services that the instance is cut off from, so that requests of the others don't wait for the lock.
     cut_off: AtomicUsize,
     pub(crate) idle: client::Pool,
+    /// The last round of probes of each service.
+    #[debug(skip)]
+    rounds: Mutex<Map<name::Service, probe::Round>>,
     /// Requests that are served for peers.
     pub served: TaskTracker,
 }
@@ -89,6 +92,7 @@
             inner: Mutex::new(inner),
             cut_off: AtomicUsize::new(0),
             idle: client::Pool::default(),
+            rounds: Mutex::default(),
             served: TaskTracker::new(),
         }
     }
@@ -134,7 +138,8 @@
     /// Forgets services that are no longer declared.
     pub(crate) fn retain(&self, declared: impl Fn(&name::Service) -> bool) {
         let mut inner = self.lock();
-        inner.table.retain(declared);
+        inner.table.retain(&declared);
+        self.rounds().retain(|service, _| declared(service));
         self.cut_off.store(inner.table.cut_off().count(), Ordering::Release);
     }
 
@@ -143,6 +148,10 @@
         self.idle.evict_expired();
     }
 
+    fn rounds(&self) -> MutexGuard<'_, Map<name::Service, probe::Round>> {
+        self.rounds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -173,7 +182,7 @@
 }
 
 impl Gateway {
-    /// Records that a target of the service accepted a connection.
+    /// Records that a target of the service was reached over a new connection.
     pub(crate) fn record_reached(&self, service: &name::Service) {
         let now = Moment::now();
         let mut inner = self.relay.lock();
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -49,9 +49,6 @@
                         return self.record_unreachable(dispatch, key, &destination, &error);
                     }
                 };
-            if origin == Origin::New {
-                self.gateway.record_reached(dispatch.service());
-            }
             if !self.begin(dispatch, &step) {
                 self.gateway.pool.put(destination.address, connection);
                 return Execution::NotRun;
@@ -79,11 +76,17 @@
                     info!(self.gateway.log, "attempt_failed"; "id" => &self.metadata.id,
                         "target" => %destination.name, "digest" => %self.content.whole,
                         "parts" => self.metadata.shared_part_ids(), "fault" => %error);
+                    if origin == Origin::New {
+                        self.gateway.record_unreached(dispatch.service(), &destination.name);
+                    }
                     dispatch.record_outcome(key, Outcome::Broken);
                     self.progress().avoid.push(key);
                     return Execution::Disconnected;
                 }
                 Ok(execution) => {
+                    if origin == Origin::New {
+                        self.gateway.record_reached(dispatch.service());
+                    }
                     match execution {
                         Execution::Responded(..) => {}
                         Execution::NotRun => self.progress().record_rejection(key),
--- a/crates/gateway/src/stream/run.rs
+++ b/crates/gateway/src/stream/run.rs
@@ -144,7 +144,7 @@
             }
             Execution::MayHaveRun => return Ok(Ending::Incomplete(Cause::ErrorResponse)),
             Execution::Disconnected => {
-                self.dispatch.examine_end().await;
+                self.dispatch.examine_loss().await;
                 return Ok(Ending::Incomplete(Cause::ConnectionLost));
             }
         };
@@ -246,7 +246,7 @@
             "ms" => self.request.age_ms());
         self.dispatch.record_outcome(key, Outcome::Broken);
         if cause == Cause::ConnectionLost {
-            self.dispatch.examine_end().await;
+            self.dispatch.examine_loss().await;
         }
         self.request.progress().avoid.push(key);
         Ok(Ending::Incomplete(cause))
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -234,7 +234,7 @@
         }
         Execution::MayHaveRun => return Ending::MayHaveRun,
         Execution::Disconnected => {
-            dispatch.examine_end().await;
+            dispatch.examine_loss().await;
             return Ending::MayHaveRun;
         }
     };
@@ -271,7 +271,7 @@
             info!(request.gateway.log, "response_not_read"; "id" => &request.metadata.id,
                 "digest" => %request.content.whole,
                 "target" => dispatch.target_name(dispatch.plan.target), "fault" => %error);
-            dispatch.examine_end().await;
+            dispatch.examine_loss().await;
             return None;
         }
     };
@@ -284,7 +284,7 @@
         if dispatch.is_listening().await {
             return Some(buffered);
         }
-        dispatch.examine_end().await;
+        dispatch.examine_loss().await;
         return None;
     }
     if let Some(destination) = dispatch.destination(dispatch.plan.target) {
