Gateway: what still works of a target's connections is kept

What callers saw: in a cut where connections to targets live on and new ones are refused, requests fail although the open connections work. Beside such a cut, instances that reach all targets open new connections to each.

Cause: one connection that failed to open closed the idle ones to the target and ejected it. And a notice that one instance couldn't reach a target made each other one distrust its own connections to it.

Change: a failed attempt to connect ejects a target only if no answer came since the last failure, or within 400 ms. Idle connections are kept at one if the target was active lately, as are those at the notice of a peer.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -18,7 +18,7 @@
 use tokio::time;
 
 use crate::{
-    connection::{self, Connection},
+    connection,
     ends::{self, Blame},
     metric,
     progress::Beginning,
@@ -132,7 +132,7 @@
         let Some(destination) = self.destination(self.plan.target) else {
             return false;
         };
-        match Connection::open(destination.address).await {
+        match self.gateway.pool.open(destination.address).await {
             Ok(connection) => {
                 self.gateway.pool.put(destination.address, connection);
                 true
@@ -169,7 +169,7 @@
         let Some((process, hash)) = self.gateway.balancer().entry(key).map(process) else {
             return;
         };
-        let refused = match Connection::open(process.address).await {
+        let refused = match self.gateway.pool.open(process.address).await {
             Ok(connection) => {
                 // A successor, or a proxy in front of a target that has ended.
                 self.gateway.pool.put(process.address, connection);
@@ -339,8 +339,10 @@
         let Some(destination) = self.destination(key) else {
             return;
         };
-        if matches!(outcome, Outcome::Broken | Outcome::Unreached) {
-            self.gateway.pool.remove(destination.address);
+        match outcome {
+            Outcome::Broken => self.gateway.pool.remove(destination.address),
+            Outcome::Unreached => self.gateway.pool.remove_unless_active(destination.address),
+            Outcome::Success | Outcome::Error | Outcome::Refusal | Outcome::Silent => {}
         }
         if outcome == Outcome::Unreached && ejected {
             self.gateway.notify_peers([Notice::Unreached { target: destination.name.clone() }]);
@@ -371,7 +373,7 @@
         if gateway.balancer().entry(key).is_none() {
             return;
         }
-        if let Ok(connection) = Connection::open(address).await {
+        if let Ok(connection) = gateway.pool.open(address).await {
             gateway.balancer().record_connected(key);
             gateway.pool.mark_alive(address);
             gateway.pool.put(address, connection);
--- a/crates/gateway/src/ends.rs
+++ b/crates/gateway/src/ends.rs
@@ -25,10 +25,7 @@
     time,
 };
 
-use crate::{
-    connection::{self, Connection},
-    state::Gateway,
-};
+use crate::{connection, state::Gateway};
 
 /// Capacity of the queue of questions to other instances; those that find it full are not asked.
 const MAX_QUEUED_QUESTIONS: usize = 64;
@@ -206,7 +203,7 @@
     if !current {
         return Reach::Unknown;
     }
-    match Connection::open(process.address).await {
+    match gateway.pool.open(process.address).await {
         Ok(connection) => {
             gateway.pool.put(process.address, connection);
             Reach::Accepted
@@ -224,7 +221,8 @@
     let others = gateway.balancer().others(&process.target, MAX_OTHERS, Moment::now());
     let mut attempts = JoinSet::new();
     for address in others {
-        attempts.spawn(async move { (address, Connection::open(address).await) });
+        let pool = gateway.pool.clone();
+        attempts.spawn(async move { (address, pool.open(address).await) });
     }
     while let Some(attempt) = attempts.join_next().await {
         if let Ok((address, Ok(connection))) = attempt {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -31,7 +31,7 @@
     idle: Vec<Connection>,
     /// When it last sent a response or accepted a connection.
     last_active: Option<Instant>,
-    /// Whether another instance has failed to reach it since then.
+    /// Whether one of its connections was silent since then, or another instance has failed to reach it.
     suspect: bool,
 }
 
@@ -56,6 +56,15 @@
 }
 
 impl Pool {
+    /// Opens a connection that no request has used.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of [`Connection::open`].
+    pub async fn open(&self, address: SocketAddr) -> Result<Connection, Error> {
+        Connection::open(address).await
+    }
+
     /// Takes an idle connection or opens a new one.
     ///
     /// # Errors
@@ -69,7 +78,7 @@
         if let Some(connection) = self.take_idle(address, reuse) {
             return Ok((connection, Origin::Reused));
         }
-        let connection = Connection::open(address).await?;
+        let connection = self.open(address).await?;
         self.mark_alive(address);
         Ok((connection, Origin::New))
     }
@@ -82,11 +91,19 @@
         entry.suspect = false;
     }
 
-    /// Records that another instance could not reach a target: the next request opens a new connection.
+    /// Records that a connection to a target is silent: the next request opens a new one.
     pub fn mark_suspect(&self, address: SocketAddr) {
         self.lock().entry(address).or_default().suspect = true;
     }
 
+    /// Records that another instance could not reach a target: unless it was active lately, the next request opens a new
+    /// connection. The other instance may be cut off, from many targets at once.
+    pub fn mark_suspect_unless_active(&self, address: SocketAddr) {
+        let mut targets = self.lock();
+        let entry = targets.entry(address).or_default();
+        entry.suspect |= !entry.is_recently_active();
+    }
+
     /// Returns a connection to the pool once its response is read completely.
     pub fn put(&self, address: SocketAddr, mut connection: Connection) {
         let pool = self.clone();
@@ -107,6 +124,15 @@
         self.lock().remove(&address);
     }
 
+    /// Closes the idle connections to a target that could not be connected to, unless it was active lately: connections
+    /// that are open may work while new ones are refused.
+    pub fn remove_unless_active(&self, address: SocketAddr) {
+        let mut targets = self.lock();
+        if !targets.get(&address).is_some_and(Entry::is_recently_active) {
+            targets.remove(&address);
+        }
+    }
+
     /// Closes connections whose idle time has expired.
     pub fn evict_expired(&self) {
         let mut targets = self.lock();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -174,7 +174,7 @@
             exchange::Notice::Unreached { target } => {
                 let address = self.balancer().address(target);
                 if let Some(address) = address {
-                    self.pool.mark_suspect(address);
+                    self.pool.mark_suspect_unless_active(address);
                 }
             }
             exchange::Notice::Suspicions { service, suspicions } => {
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -1,7 +1,8 @@
 //! Passive health checks: targets that fail are ejected by the outcomes of the requests sent to them.
 //!
 //! An ejected target gets no requests for a time that doubles with each ejection. After it, single requests probe
-//! the target until one succeeds. A target that can't be connected to stays ejected until a connection is made.
+//! the target until one succeeds. A target that can't be connected to stays ejected until a connection is made, unless
+//! answers come over other connections.
 //!
 //! Silence is not a failure: a target that was silent is ejected until it sends something, and its failure rate remains.
 
@@ -23,6 +24,8 @@
 const MIN_EJECTION: Duration = Duration::from_millis(1_000);
 /// Longest ejection.
 const MAX_EJECTION: Duration = Duration::from_secs(8);
+/// Time for which an answer shows that connections to a target live on, though a new one fails.
+const ANSWER_TTL: Duration = Duration::from_millis(400);
 
 /// Outcome of an exchange with a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,8 +57,10 @@
     ejected_until: Option<Moment>,
     /// When the last probe was sent to the ejected target.
     probed_at: Option<Moment>,
-    /// Whether the last attempt to connect to it failed.
+    /// Whether the last attempt to connect to it failed, with no answer over another connection shortly before.
     unreached: bool,
+    /// When it last answered, unless an attempt to connect has failed since then.
+    answered_at: Option<Moment>,
     /// Whether it is ejected for its silence alone.
     ejected_for_silence: bool,
 }
@@ -110,6 +115,10 @@
     /// Returns whether this begins an ejection, rather than prolonging one.
     pub fn record_outcome(&mut self, outcome: Outcome, service_rate: f64, now: Moment) -> bool {
         if outcome == Outcome::Unreached {
+            let answered_at = self.answered_at.take();
+            if answered_at.is_some_and(|answered| now.since(answered) < ANSWER_TTL) {
+                return false;
+            }
             // The caller tries to connect in the background until it succeeds.
             return !std::mem::replace(&mut self.unreached, true);
         }
@@ -121,6 +130,7 @@
             self.ejected_for_silence = false;
         } else {
             self.record_heard();
+            self.answered_at = Some(now);
         }
         let failed = outcome != Outcome::Success;
         self.outcomes = self.outcomes.saturating_add(1);
--- a/crates/placement/tests/parts.rs
+++ b/crates/placement/tests/parts.rs
@@ -157,6 +157,27 @@
     assert_eq!(health.availability(NOW + Duration::from_secs(60)), Availability::Available);
 }
 
+#[test]
+fn a_target_whose_other_connections_carry_answers_is_not_ejected_as_unreached() {
+    let at = |ms| NOW + Duration::from_millis(ms);
+    let mut health = Health::default();
+    for ms in (0..2_000).step_by(200) {
+        health.record_outcome(Outcome::Success, 0.0, at(ms));
+        assert!(!health.record_outcome(Outcome::Unreached, 0.0, at(ms + 150)));
+        assert_eq!(health.availability(at(ms + 150)), Availability::Available);
+    }
+    // Without another answer the next failure counts.
+    assert!(health.record_outcome(Outcome::Unreached, 0.0, at(1_960)));
+    assert_eq!(health.availability(at(1_960)), Availability::Ejected);
+}
+
+#[test]
+fn a_target_that_answered_long_ago_is_ejected_as_unreached() {
+    let mut health = Health::default();
+    health.record_outcome(Outcome::Success, 0.0, NOW);
+    assert!(health.record_outcome(Outcome::Unreached, 0.0, NOW + Duration::from_millis(500)));
+}
+
 #[test]
 fn errors_as_frequent_as_those_of_the_service_eject_no_target() {
     let mut health = Health::default();
