Gateway: a slow connection is no proof that nothing is there

What callers saw: 503 "targets full" for one of many requests that began at once at the only target of a service; unframed responses that were complete, dropped.

Cause: a connection that wasn't made within 200 ms was taken for the absence of its target. The only target was then avoided, and the request refused. A target whose queue is full drops the first packet of a connection; the next comes after a second.

Ruled out: refused connections, which still count at once.

Change: the attempt goes on in the background for up to 3.5 s and its connection goes into the pool. The request tries another target; if there is none, it waits for the connection as long as its deadline allows. Other requests prefer other targets meanwhile, as before. An unframed response waits for half of the time left, so that another run can follow.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -17,13 +17,16 @@
     header::TRANSFER_ENCODING,
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::JoinHandle, time};
+use tokio::{net::TcpStream, sync::oneshot, task::JoinHandle, time};
 use wire::socket;
 
 use crate::transport::{Interim, Transport};
 
 /// Timeout for establishing a connection; round trips take a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Timeout for a connection that is established in the background. A connection whose first packet was lost, or found the
+/// target's queue full, takes one second, or three.
+pub(crate) const SLOW_CONNECT_TIMEOUT: Duration = Duration::from_millis(3_500);
 /// Maximum size of a connection's read buffer, in bytes.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Idle time up to which a connection is reused; a shorter one follows if the target announces a short timeout.
@@ -43,11 +46,33 @@
     /// No byte of the request was sent: nothing listens at the address, though the machine answers.
     #[display("the request was not sent: {_0}")]
     Refused(#[error(not(source))] String),
+    /// No byte of the request was sent: no connection was made yet, but it may be.
+    #[display("the request was not sent: no connection within {CONNECT_TIMEOUT:?}")]
+    Slow(#[error(not(source))] Pending),
     /// The target may have received the request.
     #[display("the request may have been sent, but there is no response: {_0}")]
     MaybeSent(hyper::Error),
 }
 
+/// An attempt to connect that goes on. The connection goes into the pool if this is dropped before it is made.
+#[derive(Debug)]
+pub struct Pending(pub(crate) oneshot::Receiver<Result<Connection, Error>>);
+
+impl Pending {
+    /// Waits until the connection is made.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Refused`] or [`Error::NotSent`] when the attempt fails, or isn't over after `limit`.
+    pub async fn wait(self, limit: Duration) -> Result<Connection, Error> {
+        match time::timeout(limit, self.0).await {
+            Ok(Ok(opened)) => opened,
+            Ok(Err(ended)) => Err(Error::NotSent(ended.to_string())),
+            Err(elapsed) => Err(Error::NotSent(elapsed.to_string())),
+        }
+    }
+}
+
 /// Whether the end of a response's body is shown only by the end of its connection (RFC 9112, section 6.3, item 8).
 pub fn is_unframed(response: &Response<Incoming>) -> bool {
     response.body().size_hint().exact().is_none()
@@ -78,8 +103,16 @@
     /// Returns [`Error::Refused`] when nothing listens at the address, and [`Error::NotSent`] when no connection was
     /// established in time.
     pub async fn open(address: SocketAddr) -> Result<Connection, Error> {
+        Connection::open_within(address, CONNECT_TIMEOUT).await
+    }
+
+    /// [`Connection::open`] with a limit of its own.
+    pub(crate) async fn open_within(
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Connection, Error> {
         let not_sent = |error: &dyn std::fmt::Display| Error::NotSent(error.to_string());
-        let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        let stream = time::timeout(limit, TcpStream::connect(address))
             .await
             .map_err(|elapsed| not_sent(&elapsed))?
             .map_err(|error| match error.kind() {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -128,11 +128,13 @@
 
     /// Whether the target still accepts connections, after one to it ended. An unframed response that is complete and one
     /// whose process has ended look alike otherwise.
-    pub(crate) async fn is_listening(&self) -> bool {
+    ///
+    /// A connection that isn't made within `limit` counts as not accepted.
+    pub(crate) async fn is_listening(&self, limit: Duration) -> bool {
         let Some(destination) = self.destination(self.plan.target) else {
             return false;
         };
-        match self.gateway.pool.open(destination.address).await {
+        match self.gateway.pool.connect(destination.address).wait(limit).await {
             Ok(connection) => {
                 self.gateway.pool.put(destination.address, connection);
                 true
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -7,9 +7,9 @@
 };
 
 use common::collections::Map;
-use tokio::time;
+use tokio::{sync::oneshot, time};
 
-use crate::connection::{Connection, Error};
+use crate::connection::{CONNECT_TIMEOUT, Connection, Error, Pending, SLOW_CONNECT_TIMEOUT};
 
 /// Idle connections that are kept for each target; more concurrent requests to one are rare.
 const MAX_IDLE: usize = 8;
@@ -69,7 +69,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the error of [`Connection::open`].
+    /// Returns the error of [`Connection::open`], or [`Error::Slow`] if the connection isn't made in time: the attempt goes
+    /// on.
     pub async fn take(
         &self,
         address: SocketAddr,
@@ -78,11 +79,31 @@
         if let Some(connection) = self.take_idle(address, reuse) {
             return Ok((connection, Origin::Reused));
         }
-        let connection = self.open(address).await?;
-        self.mark_alive(address);
+        let mut pending = self.connect(address);
+        let connection = match time::timeout(CONNECT_TIMEOUT, &mut pending.0).await {
+            Ok(Ok(opened)) => opened?,
+            Ok(Err(ended)) => return Err(Error::NotSent(ended.to_string())),
+            Err(_elapsed) => return Err(Error::Slow(pending)),
+        };
         Ok((connection, Origin::New))
     }
 
+    /// Begins to open a connection in the background; it goes into the pool if nothing waits for it.
+    pub(crate) fn connect(&self, address: SocketAddr) -> Pending {
+        let (sender, receiver) = oneshot::channel();
+        let pool = self.clone();
+        tokio::spawn(async move {
+            let opened = Connection::open_within(address, SLOW_CONNECT_TIMEOUT).await;
+            if opened.is_ok() {
+                pool.mark_alive(address);
+            }
+            if let Err(Ok(connection)) = sender.send(opened) {
+                pool.put(address, connection);
+            }
+        });
+        Pending(receiver)
+    }
+
     /// Records that a target sent a response or accepted a connection.
     pub fn mark_alive(&self, address: SocketAddr) {
         let mut targets = self.lock();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -122,6 +122,11 @@
         self.deadline.since(Moment::now())
     }
 
+    /// Longest wait for a target to accept a connection after an unframed response; another run still has time after it.
+    pub(crate) fn listening_limit(&self) -> Duration {
+        self.remaining().saturating_sub(RESPONSE_MARGIN) / 2
+    }
+
     /// Selects a target, pays for the send from the retry budget and counts the request at the target.
     ///
     /// A target whose run is silent is selected only if there is no other; its next run uses a new connection.
@@ -193,6 +198,18 @@
         }
     }
 
+    /// Whether a target besides `key` may be tried.
+    pub(crate) fn has_other_target(&self, service: &name::Service, key: Key) -> bool {
+        let progress = self.progress();
+        if progress.unreached + 1 >= MAX_UNREACHED {
+            return false;
+        }
+        let tried = progress.avoid.iter().chain(&progress.silent).copied();
+        let avoid: Vec<Key> = tried.chain([key]).collect();
+        let criteria = Criteria { avoid: &avoid, ..self.criteria(service, &progress) };
+        self.choose(&mut self.gateway.balancer(), &criteria, Moment::now()).is_ok()
+    }
+
     /// Admits the request unless targets end on it, or engines on a part of its prompt.
     fn admit(
         &self,
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -14,7 +14,7 @@
     connection::{self, Connection},
     dispatch::{Destination, Dispatch},
     pool::{Origin, Reuse},
-    request::{Execution, Pending},
+    request::{Execution, Pending, RESPONSE_MARGIN},
     state::ms,
 };
 
@@ -45,8 +45,12 @@
                 match self.gateway.pool.take(destination.address, reuse).await {
                     Ok(taken) => taken,
                     Err(error) => {
-                        self.progress().record_unreached(key);
-                        return self.record_unreachable(dispatch, key, &destination, &error);
+                        self.record_unreachable(dispatch, key, &destination, &error);
+                        let Some(connection) = self.wait_for(error, dispatch, key).await else {
+                            self.progress().record_unreached(key);
+                            return Execution::NotRun;
+                        };
+                        (connection, Origin::New)
                     }
                 };
             if !self.begin(dispatch, &step) {
@@ -125,11 +129,39 @@
         key: Key,
         destination: &Destination,
         error: &connection::Error,
-    ) -> Execution {
+    ) {
         info!(self.gateway.log, "target_not_reached"; "id" => &self.metadata.id,
             "target" => %destination.name, "fault" => %error);
         dispatch.record_outcome(key, Outcome::Unreached);
-        Execution::NotRun
+    }
+
+    /// Waits for a connection that is not made yet, if there is no other target, as long as the deadline allows.
+    async fn wait_for(
+        &self,
+        error: connection::Error,
+        dispatch: &Dispatch,
+        key: Key,
+    ) -> Option<Connection> {
+        let connection::Error::Slow(pending) = error else {
+            return None;
+        };
+        if self.has_other_target(dispatch.service(), key) {
+            return None;
+        }
+        let limit = self.remaining().saturating_sub(RESPONSE_MARGIN);
+        match pending.wait(limit).await {
+            Ok(connection) => {
+                self.gateway.balancer().record_connected(key);
+                info!(self.gateway.log, "slow_connection_made"; "id" => &self.metadata.id,
+                    "target" => dispatch.target_name(key));
+                Some(connection)
+            }
+            Err(error) => {
+                info!(self.gateway.log, "slow_connection_failed"; "id" => &self.metadata.id,
+                    "target" => dispatch.target_name(key), "fault" => %error);
+                None
+            }
+        }
     }
 
     async fn exchange(
--- a/crates/gateway/src/stream/run.rs
+++ b/crates/gateway/src/stream/run.rs
@@ -216,7 +216,7 @@
         let cause = loop {
             let bytes = match body.frame().await {
                 None if splitter.is_empty()
-                    && (!unframed || (has_events && self.dispatch.is_listening().await)) =>
+                    && (!unframed || (has_events && self.is_target_listening().await)) =>
                 {
                     self.dispatch.record_outcome(key, Outcome::Success);
                     self.dispatch.record_success();
@@ -250,6 +250,11 @@
         Ok(Ending::Incomplete(cause))
     }
 
+    /// Whether the target still accepts connections after an unframed response.
+    async fn is_target_listening(&self) -> bool {
+        self.dispatch.is_listening(self.request.listening_limit()).await
+    }
+
     /// Reads the error response of a target. One that would tell the caller that the request did not run is dropped.
     async fn read_error(&self, head: Parts, body: Incoming) -> Ending {
         let key = self.dispatch.plan.target;
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -248,7 +248,7 @@
         return None;
     }
     if unframed {
-        if dispatch.is_listening().await {
+        if dispatch.is_listening(request.listening_limit()).await {
             return Some(buffered);
         }
         dispatch.examine_end().await;
