--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -130,11 +130,13 @@
 
     /// Whether the target still accepts connections, after one to it ended. An unframed response that is complete and one
     /// whose process has ended look alike otherwise.
-    pub(crate) async fn is_listening(&self) -> bool {
+    ///
+    /// A connection that isn't made within `limit` counts as not accepted.
+    pub(crate) async fn is_listening(&self, limit: Duration) -> bool {
         let Some(destination) = self.destination(self.plan.target) else {
             return false;
         };
-        match self.gateway.pool.open(destination.address).await {
+        match self.gateway.pool.connect(destination.address).wait(limit).await {
             Ok(connection) => {
                 self.gateway.pool.put(destination.address, connection);
                 true
@@ -351,8 +353,10 @@
             self.gateway.record_unreached(&self.service, &destination.name);
             probe::start_if_due(&self.gateway, &self.service);
         }
-        if matches!(outcome, Outcome::Broken | Outcome::Unreached) {
-            self.gateway.pool.remove(destination.address);
+        match outcome {
+            Outcome::Broken => self.gateway.pool.remove(destination.address),
+            Outcome::Unreached => self.gateway.pool.remove_unless_active(destination.address),
+            Outcome::Success | Outcome::Error | Outcome::Refusal | Outcome::Silent => {}
         }
         if outcome == Outcome::Unreached && ejected {
             self.gateway.notify_peers([Notice::Unreached { target: destination.name.clone() }]);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -7,9 +7,9 @@
 };
 
 use common::collections::Map;
-use tokio::time;
+use tokio::{sync::oneshot, time};
 
-use crate::connection::{Connection, Error};
+use crate::connection::{CONNECT_TIMEOUT, Connection, Error, Pending, SLOW_CONNECT_TIMEOUT};
 
 /// Idle connections that are kept for each target; more concurrent requests to one are rare.
 const MAX_IDLE: usize = 8;
@@ -32,7 +32,7 @@
     idle: Vec<Connection>,
     /// When it last sent a response or accepted a connection.
     last_active: Option<Instant>,
-    /// Whether another instance has failed to reach it since then.
+    /// Whether one of its connections was silent since then, or another instance has failed to reach it.
     suspect: bool,
 }
 
@@ -75,7 +75,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the error of [`Connection::open`].
+    /// Returns the error of [`Connection::open`], or [`Error::Slow`] if the connection isn't made in time: the attempt goes
+    /// on.
     pub async fn take(
         &self,
         address: SocketAddr,
@@ -84,11 +85,31 @@
         if let Some(connection) = self.take_idle(address, reuse) {
             return Ok((connection, Origin::Reused));
         }
-        let connection = self.open(address).await?;
-        self.mark_alive(address);
+        let mut pending = self.connect(address);
+        let connection = match time::timeout(CONNECT_TIMEOUT, &mut pending.0).await {
+            Ok(Ok(opened)) => opened?,
+            Ok(Err(ended)) => return Err(Error::NotSent(ended.to_string())),
+            Err(_elapsed) => return Err(Error::Slow(pending)),
+        };
         Ok((connection, Origin::New))
     }
 
+    /// Begins to open a connection in the background; it goes into the pool if nothing waits for it.
+    pub(crate) fn connect(&self, address: SocketAddr) -> Pending {
+        let (sender, receiver) = oneshot::channel();
+        let pool = self.clone();
+        tokio::spawn(async move {
+            let opened = Connection::open_within(address, pool.source, SLOW_CONNECT_TIMEOUT).await;
+            if opened.is_ok() {
+                pool.mark_alive(address);
+            }
+            if let Err(Ok(connection)) = sender.send(opened) {
+                pool.put(address, connection);
+            }
+        });
+        Pending(receiver)
+    }
+
     /// Records that a target sent a response or accepted a connection.
     pub fn mark_alive(&self, address: SocketAddr) {
         let mut targets = self.lock();
@@ -106,11 +127,19 @@
         targets.get(&address).is_some_and(usable)
     }
 
-    /// Records that another instance could not reach a target: the next request opens a new connection.
+    /// Records that a connection to a target is silent: the next request opens a new one.
     pub fn mark_suspect(&self, address: SocketAddr) {
         self.lock().entry(address).or_default().suspect = true;
     }
 
+    /// Records that another instance could not reach a target: unless it was active lately, the next request opens a new
+    /// connection. The other instance may be cut off, from many targets at once.
+    pub fn mark_suspect_unless_active(&self, address: SocketAddr) {
+        let mut targets = self.lock();
+        let entry = targets.entry(address).or_default();
+        entry.suspect |= !entry.is_recently_active();
+    }
+
     /// Returns a connection to the pool once its response is read completely.
     pub fn put(&self, address: SocketAddr, mut connection: Connection) {
         let pool = self.clone();
@@ -131,6 +160,15 @@
         self.lock().remove(&address);
     }
 
+    /// Closes the idle connections to a target that could not be connected to, unless it was active lately: connections
+    /// that are open may work while new ones are refused.
+    pub fn remove_unless_active(&self, address: SocketAddr) {
+        let mut targets = self.lock();
+        if !targets.get(&address).is_some_and(Entry::is_recently_active) {
+            targets.remove(&address);
+        }
+    }
+
     /// Closes connections whose idle time has expired.
     pub fn evict_expired(&self) {
         let mut targets = self.lock();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -29,6 +29,7 @@
     relay::{self, Peers},
 };
 use slog::info;
+use tokio::sync::Notify;
 use tokio_util::{codec::LengthDelimitedCodec, task::TaskTracker};
 
 use crate::{
@@ -47,6 +48,8 @@
     inner: Mutex<Inner>,
     /// Services that the instance is cut off from, so that requests of the others don't wait for the lock.
     cut_off: AtomicUsize,
+    /// Notified when the instance becomes cut off from a service.
+    became_cut_off: Notify,
     pub(crate) idle: client::Pool,
     /// The last round of probes of each service.
     #[debug(skip)]
@@ -91,6 +94,7 @@
         State {
             inner: Mutex::new(inner),
             cut_off: AtomicUsize::new(0),
+            became_cut_off: Notify::new(),
             idle: client::Pool::default(),
             rounds: Mutex::default(),
             served: TaskTracker::new(),
@@ -113,6 +117,17 @@
         self.cut_off.load(Ordering::Acquire) > 0 && self.lock().table.is_cut_off(service)
     }
 
+    /// Waits until the instance is cut off from the service.
+    pub(crate) async fn until_cut_off(&self, service: &name::Service) {
+        loop {
+            let changed = self.became_cut_off.notified();
+            if self.is_cut_off(service) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// The services that the instance is cut off from.
     pub fn cut_off(&self) -> Vec<name::Service> {
         self.lock().table.cut_off().map(|(service, _since)| service.clone()).collect()
@@ -167,7 +182,7 @@
         let mut inner = gateway.relay.lock();
         let peer = inner.peers.choose(service, avoid, Moment::now())?;
         // The caller may leave before there is an outcome.
-        let outcome = relay::Outcome::Answered;
+        let outcome = relay::Outcome::Abandoned;
         let Some(address) = inner.addresses.get(&peer).copied() else {
             inner.peers.record_end(&peer, service, outcome, Moment::now());
             return None;
@@ -207,6 +222,7 @@
         self.relay.cut_off.store(inner.table.cut_off().count(), Ordering::Release);
         drop(inner);
         if change == Some(reach::Change::CutOff) {
+            self.relay.became_cut_off.notify_waiters();
             metrics::counter!("daisydrum_services_cut_off_total").increment(1);
             info!(self.log, "service_cut_off"; "service" => %service, "targets" => targets,
                 "last" => %target);
--- a/crates/gateway/src/relay/probe.rs
+++ b/crates/gateway/src/relay/probe.rs
@@ -30,10 +30,12 @@
 /// A round of probes, which all that wait for it share.
 pub(crate) type Round = Shared<BoxFuture<'static, ()>>;
 
-/// Probes the services that the instance is cut off from, until one of their targets accepts a connection.
+/// Probes the services that the instance is cut off from, until one of their targets accepts a connection, and renews what
+/// peers know of that.
 pub async fn run(gateway: Arc<Gateway>) {
     loop {
         time::sleep(CHECK_INTERVAL).await;
+        gateway.notify_peers(gateway.relay.notice());
         for service in gateway.relay.cut_off() {
             start_if_due(&gateway, &service);
         }
--- a/crates/placement/src/relay.rs
+++ b/crates/placement/src/relay.rs
@@ -49,6 +49,8 @@
     Busy,
     /// The peer wasn't reached, or vanished.
     Unreached,
+    /// Its caller left before there was an outcome.
+    Abandoned,
 }
 
 /// Where an instance is.
@@ -216,16 +218,14 @@
         };
         let entry = &mut self.entries[key];
         entry.requests = entry.requests.saturating_sub(1);
-        if outcome == Outcome::Unreached {
-            entry.record_unreached(now);
-            return;
-        }
-        entry.unreached = None;
         match outcome {
+            Outcome::Abandoned => return,
+            Outcome::Unreached => return entry.record_unreached(now),
             Outcome::CutOff => entry.record_refused(service, now),
             Outcome::Busy => entry.busy_until = Some(now + BUSY_PAUSE),
-            Outcome::Answered | Outcome::Unreached => entry.busy_until = None,
+            Outcome::Answered => entry.busy_until = None,
         }
+        entry.unreached = None;
     }
 
     /// Whether any peer may reach the service.
