Soak: instances that are cut off from targets

No plan parted some entry instances from targets that others reach, so the soak could not see that their callers aren't served. `--cut-off` (`Options::with_cuts`) cuts one or all but one off from engines, plain targets or both, in the three shapes of `standin::partition`, which stands in front of the targets' proxies. Other faults go on; the instances that are compared have none. Invariant CutOff takes the operators' bounds.

The proxy passes on that its other side was reset, so that what stands behind it looks as before.

Completion leaves out answers of targets whose instance was cut off from them while connections hang or are reset.

Of the checker's new cases, the one that expects CutOff and the one of a stream that is cut with its instance fail without the change.

--- a/crates/daisydrum/tests/seeded/cut_off.rs
+++ b/crates/daisydrum/tests/seeded/cut_off.rs
@@ -176,7 +176,7 @@
     }
 
     fn heal(&self) {
-        self.targets.iter().for_each(|target| target.gate.heal());
+        self.targets.iter().for_each(|target| target.gate.heal_all());
     }
 
     /// Sends requests of all kinds to these instances for a time.
--- a/crates/daisydrum/tests/soak.rs
+++ b/crates/daisydrum/tests/soak.rs
@@ -39,6 +39,17 @@
     assert_no_violation(Options { length, work, crashing, ..Options::new(seed) });
 }
 
+#[parameterized(
+    refused = { 7001 },
+    silent = { 7005 },
+    reset = { 7008 },
+)]
+fn a_seeded_run_with_instances_cut_off_from_targets_violates_no_invariant(seed: u64) {
+    let length = Duration::from_secs(8);
+    let work = length + run::CALM;
+    assert_no_violation(Options { length, work, ..Options::new(seed).with_cuts(length) });
+}
+
 fn assert_no_violation(options: Options) {
     let seed = options.seed;
     let logs = run::log_folder(Path::new(env!("CARGO_TARGET_TMPDIR")), seed);
--- a/crates/soak/examples/soak.rs
+++ b/crates/soak/examples/soak.rs
@@ -36,6 +36,8 @@
             optional --entries entries: usize
             /// Sends a request, of a kind drawn from the seed, that ends each target that begins to run it.
             optional --crashing
+            /// Cuts instances that serve callers off from targets.
+            optional --cut-off
             /// Binary of the daemon; target/release/daisydrum by default.
             optional --binary binary: PathBuf
             /// Folder for logs of failed runs; target/soak by default.
@@ -63,6 +65,7 @@
             let size = Size { entries, ..options.size };
             let crashing = flags.crashing.then(|| Kind::ALL[seed as usize % Kind::ALL.len()]);
             let options = Options { size, length, work: length + run::CALM, crashing, ..options };
+            let options = if flags.cut_off { options.with_cuts(length) } else { options };
             if !holds(&binary, options, &run::log_folder(&logs, seed)) {
                 failed.fetch_add(1, Ordering::Relaxed);
             }
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -6,7 +6,7 @@
 use platform_standin::client;
 
 use crate::{
-    completion, crash,
+    completion, crash, cut_off,
     history::{Content, History, Kind, Request},
     idle,
     operator::APPLY_LIMIT,
@@ -41,6 +41,8 @@
     Completion,
     /// A request that ends targets reaches few more, and sound requests are served beside it.
     Crashes,
+    /// Instances that are cut off from targets serve requests as others do.
+    CutOff,
     /// A connection is kept for the idle time of the configuration in force.
     Kept,
     /// Every request gets a response by its deadline.
@@ -106,6 +108,7 @@
         report(Invariant::End, what.clone());
     }
     violations.extend(crash::check(history));
+    violations.extend(cut_off::check(history));
     violations
 }
 
--- a/crates/soak/src/completion.rs
+++ b/crates/soak/src/completion.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use standin::partition::Shape;
+
 use crate::{
     history::{Answer, Disturbance, History, Request},
     plan::{Fault, Victim},
@@ -43,7 +45,8 @@
         }
         if disturbance.victim == Victim::Entry(request.entry) {
             match disturbance.fault {
-                Fault::Kill => return false,
+                // What the target sends doesn't reach the instance.
+                Fault::Kill | Fault::CutOff(Shape::Hang | Shape::Reset, _) => return false,
                 Fault::Freeze => due = due.max(disturbance.until),
                 _ => {}
             }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod checker;
 pub mod completion;
 pub mod crash;
+pub mod cut_off;
 pub mod fleet;
 pub mod history;
 pub mod idle;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -4,6 +4,7 @@
 
 use common::random::Random;
 use derive_more::Display;
+use standin::partition::Shape;
 
 /// Number of data centres, to which the targets belong in turn.
 pub const DATA_CENTRES: usize = 2;
@@ -53,6 +54,9 @@
     /// Its process is asked to stop, and started again once it has exited.
     #[display("stop")]
     Stop,
+    /// It is cut off from the targets of services, which others reach.
+    #[display("cut off from {_1} ({_0:?})")]
+    CutOff(Shape, Services),
     /// Its process is told to read its settings again.
     #[display("hang up")]
     Hangup,
@@ -100,6 +104,27 @@
     Leave,
 }
 
+/// The services whose targets an instance doesn't reach.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Services {
+    /// Those of engines.
+    #[display("engines")]
+    Engines,
+    /// Those of plain targets.
+    #[display("plain targets")]
+    Plain,
+    /// All.
+    #[display("all targets")]
+    All,
+}
+
+impl Services {
+    /// Whether those of engines, or else those of plain targets, are among them.
+    pub fn include(self, other: Services) -> bool {
+        self == Services::All || self == other
+    }
+}
+
 /// A planned fault.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Event {
@@ -190,6 +215,44 @@
     }
 }
 
+const SHAPES: [Shape; 3] = [Shape::Hang, Shape::Reset, Shape::Refuse];
+const LOST_SERVICES: [Services; 3] = [Services::Engines, Services::Plain, Services::All];
+/// Time before each cut in which the instances recover from the last one.
+const MIN_LINKED: Duration = Duration::from_secs(2);
+const MAX_LINKED: Duration = Duration::from_secs(4);
+/// Cuts last longer than the operators' bound on the time until callers are served again.
+const MIN_CUT: Duration = Duration::from_millis(5_500);
+const MAX_CUT: Duration = Duration::from_millis(7_500);
+/// Has cuts drawn independently of the faults of the same seed.
+const CUT_SEED: u64 = 0x6375_7473;
+
+/// Draws the cuts of a run: one after the other, one instance that serves callers or all but one lose the targets of
+/// services. These instances have no fault of `events` meanwhile, nor has the only one that is left.
+pub fn draw_cuts(seed: u64, size: Size, length: Duration, events: &mut Vec<Event>) {
+    let mut random = Random::new(seed ^ CUT_SEED);
+    let mut at = Duration::ZERO;
+    loop {
+        at += MIN_LINKED + (MAX_LINKED - MIN_LINKED).mul_f64(random.unit());
+        if at >= length {
+            return;
+        }
+        let duration = MIN_CUT + (MAX_CUT - MIN_CUT).mul_f64(random.unit());
+        let shape = SHAPES[random.below(SHAPES.len())];
+        let fault = Fault::CutOff(shape, LOST_SERVICES[random.below(LOST_SERVICES.len())]);
+        let (one, all_but_one) = (random.below(size.entries), random.below(2) == 0);
+        let cut = |entry| Event { at, duration, victim: Victim::Entry(entry), fault };
+        let is_cut_off = |entry: &usize| (*entry == one) != all_but_one;
+        let calm = (0..size.entries).filter(|entry| all_but_one || *entry == one);
+        let calm: Vec<Event> = calm.map(cut).collect();
+        events.retain(|event| {
+            matches!(event.fault, Fault::CutOff(..))
+                || calm.iter().all(|other| is_allowed(event, other))
+        });
+        events.extend((0..size.entries).filter(is_cut_off).map(cut));
+        at += duration;
+    }
+}
+
 /// Draws the faults of a run.
 ///
 /// Faults of one victim don't overlap. At most one disk is lost in a run, and only while no other instance that keeps
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,6 +22,8 @@
 /// processes share a machine with others.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(24);
 
+/// Number of callers of a run with cuts.
+const CALLERS_BESIDE_CUTS: usize = 24;
 /// Default of [`Options::length`].
 const LENGTH: Duration = Duration::from_secs(15);
 /// Time by which pauses and planned work go on after the last fault has started: the longest fault and some seconds.
@@ -43,6 +45,8 @@
     /// Length of the period in which targets pause and instances are told to read their settings or to stop; nothing of
     /// this happens if it is zero.
     pub work: Duration,
+    /// Length of the period in which instances that serve callers are cut off from targets; none is if it is zero.
+    pub cuts: Duration,
     /// The kind of the request that ends targets, if one is sent.
     pub crashing: Option<Kind>,
 }
@@ -58,9 +62,15 @@
             seldom: 6,
             length: LENGTH,
             work: LENGTH + CALM,
+            cuts: Duration::ZERO,
             crashing: None,
         }
     }
+
+    /// The same run with cuts in a period of this length, and enough callers to compare instances.
+    pub fn with_cuts(self, cuts: Duration) -> Options {
+        Options { cuts, callers: CALLERS_BESIDE_CUTS, ..self }
+    }
 }
 
 /// The result of a run.
@@ -80,9 +90,10 @@
 ///
 /// Returns the operating system's error when a process, target or proxy can't be started, or logs can't be copied.
 pub async fn execute(binary: &Path, options: Options, logs: &Path) -> io::Result<Report> {
-    let Options { seed, size, callers, seldom, length, work, crashing } = options;
+    let Options { seed, size, callers, seldom, length, work, cuts, crashing } = options;
     let mut events = plan::draw(seed, size, length);
     events.extend(plan::draw_work(seed, size, work, &events));
+    plan::draw_cuts(seed, size, cuts, &mut events);
     events.sort_by_key(|event| event.at);
     let mut testbed = Testbed::start(binary, &format!("soak-{seed}"), size).await?;
     testbed.fleet.declare_config(&operator::config(operator::FIRST_VERSION)).await;
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -1,10 +1,18 @@
 //! The processes and targets of a run, and the injection of faults into them.
 
-use std::{io, net::SocketAddr, path::Path, time::Duration};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    path::Path,
+    time::Duration,
+};
 
 use platform_standin::runner::{Arrival, Behaviour, Content, End, Options, Runner};
 use rustix::process::Signal;
-use standin::proxy::{Conditions, Flow, Proxy};
+use standin::{
+    partition::{Gate, Shape},
+    proxy::{Conditions, Flow, Proxy},
+};
 use tokio::{
     net::TcpListener,
     time::{self, Instant},
@@ -14,7 +22,7 @@
     checker::EVENTS,
     fleet::{Daemon, Fleet, Links, Start},
     history::{Answer, BrokenOff, Disturbance, History, Order, Outage},
-    plan::{self, Event, Fault, Size, Victim},
+    plan::{self, Event, Fault, Services, Size, Victim},
 };
 
 /// Delay of a slow link; longer than any response of a stand-in takes.
@@ -28,15 +36,24 @@
 /// Time within which a process that is asked to stop must have exited; longer than its own limit.
 const STOP_LIMIT: Duration = Duration::from_secs(12);
 
-/// A target with the proxy in front of it.
+/// A target with the proxy in front of it, and another one in front of that which tells the instances apart.
 #[derive(Debug)]
 struct Target {
     runner: Option<Runner>,
     proxy: Option<Proxy>,
+    gate: Option<Gate>,
     /// Number of targets started under this index so far.
     generation: u32,
 }
 
+/// An instance that is cut off from targets.
+#[derive(Clone, Copy, Debug)]
+struct Cut {
+    source: IpAddr,
+    shape: Shape,
+    services: Services,
+}
+
 /// The processes and targets of a run.
 #[derive(Debug)]
 pub struct Testbed {
@@ -47,6 +64,7 @@
     size: Size,
     proxies: Vec<Proxy>,
     targets: Vec<Target>,
+    cuts: Vec<Cut>,
     /// The request that ends targets.
     crashing: Option<Content>,
     /// Its arrivals at targets that were stopped.
@@ -84,12 +102,13 @@
             size,
             proxies,
             targets: Vec::new(),
+            cuts: Vec::new(),
             crashing: None,
             arrivals: Vec::new(),
             start: Instant::now(),
         };
         for number in 0..size.engines + size.plain_targets {
-            let target = Target { runner: None, proxy: None, generation: 0 };
+            let target = Target { runner: None, proxy: None, gate: None, generation: 0 };
             testbed.targets.push(target);
             testbed.start_target(number).await?;
         }
@@ -137,6 +156,7 @@
         match fault {
             Fault::Kill | Fault::Wipe => self.daemon(event.victim).kill(),
             Fault::Stop => self.daemon(event.victim).signal(Signal::TERM),
+            Fault::CutOff(shape, services) => self.cut_off(event.victim, shape, services),
             Fault::Hangup => {
                 let daemon = self.daemon(event.victim);
                 if daemon.is_running() {
@@ -218,6 +238,7 @@
             Fault::Delay | Fault::HoldInbound | Fault::HoldOutbound | Fault::Refuse => {
                 self.set(event.victim, Conditions::default());
             }
+            Fault::CutOff(..) => self.link(event.victim),
             Fault::Reset | Fault::Silence | Fault::Pause | Fault::Hangup => {}
             Fault::Reject | Fault::Disconnect | Fault::Fail | Fault::Hang => {
                 self.set_behaviour(event.victim, Behaviour::Serve);
@@ -312,6 +333,29 @@
         }
     }
 
+    fn cut_off(&mut self, victim: Victim, shape: Shape, services: Services) {
+        let cut = Cut { source: self.daemon(victim).callers().ip(), shape, services };
+        self.cuts.push(cut);
+        (0..self.targets.len()).for_each(|number| self.apply(cut, number));
+    }
+
+    /// Applies a cut to a target of its services.
+    fn apply(&self, cut: Cut, number: usize) {
+        let services = if number < self.size.engines { Services::Engines } else { Services::Plain };
+        if let Some(gate) = &self.targets[number].gate
+            && cut.services.include(services)
+        {
+            gate.cut(&[cut.source], cut.shape);
+        }
+    }
+
+    fn link(&mut self, victim: Victim) {
+        let source = self.daemon(victim).callers().ip();
+        self.cuts.retain(|cut| cut.source != source);
+        let gates = self.targets.iter().filter_map(|target| target.gate.as_ref());
+        gates.for_each(|gate| gate.heal(&[source]));
+    }
+
     async fn announce_leave(&self, victim: Victim) {
         let Victim::Target(number) = victim else {
             return;
@@ -326,6 +370,7 @@
     async fn start_target(&mut self, number: usize) -> io::Result<()> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let proxy = Proxy::start(listener.local_addr()?).await?;
+        let gate = Gate::start(proxy.address())?;
         let target = &mut self.targets[number];
         target.generation += 1;
         let is_engine = number < self.size.engines;
@@ -338,11 +383,13 @@
             events: if is_engine { EVENTS } else { 0 },
             control: self.fleet.control_addresses(),
             listener,
-            announced_address: proxy.address(),
+            announced_address: gate.address(),
         });
         runner.set_crashing_content(self.crashing.clone());
         target.runner = Some(runner);
         target.proxy = Some(proxy);
+        target.gate = Some(gate);
+        self.cuts.iter().for_each(|cut| self.apply(*cut, number));
         Ok(())
     }
 
@@ -352,7 +399,7 @@
             return;
         };
         let target = &mut self.targets[number];
-        target.proxy = None;
+        (target.proxy, target.gate) = (None, None);
         let Some(runner) = target.runner.take() else {
             return;
         };
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -11,8 +11,9 @@
         Acknowledgement, Answer, Arrival, BrokenOff, Change, Content, Crashing, Disturbance,
         History, Kind, Order, Outage, Read, Request,
     },
-    plan::{Fault, Victim},
+    plan::{Fault, Services, Victim},
 };
+use standin::partition::Shape;
 use yare::parameterized;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -125,6 +126,24 @@
     history
 }
 
+/// Requests sent at this second, some of them served, at instance 0 that was cut off from engines from second 2 to 9, and as
+/// many at another one, all of them served.
+fn cut_off(sent: u32, kind: Kind, served: usize, beside: Option<Disturbance>) -> History {
+    let requests = (0..40).map(|number| {
+        let entry = number % 2;
+        let mut request =
+            Request { entry, sent: SECOND * sent, ended: SECOND * sent, ..request(kind) };
+        if entry == 0 && number / 2 >= served {
+            request.response = Response { status: Some(503), ..Response::default() };
+        }
+        request
+    });
+    let fault = Fault::CutOff(Shape::Hang, Services::Engines);
+    let mut disturbances = vec![disturbance(Victim::Entry(0), fault, 2, 9)];
+    disturbances.extend(beside);
+    History { requests: requests.collect(), disturbances, ..History::default() }
+}
+
 fn disturbance(victim: Victim, fault: Fault, from: u32, until: u32) -> Disturbance {
     Disturbance { victim, fault, from: SECOND * from, until: SECOND * until }
 }
@@ -269,6 +288,27 @@
         served_beside_crashes(10, 3), Some(Invariant::Crashes)
     },
     a_third_of_the_sound_requests_is_served_at_first = { served_beside_crashes(8, 3), None },
+    served_alike_at_a_cut_off_instance = { cut_off(6, Kind::Draft, 14, None), None },
+    served_worse_at_a_cut_off_instance = { cut_off(6, Kind::Draft, 9, None), Some(Invariant::CutOff) },
+    served_worse_but_few_fail_at_a_cut_off_instance = { cut_off(6, Kind::Draft, 10, None), None },
+    served_worse_at_the_beginning_of_a_cut = { cut_off(4, Kind::Draft, 0, None), None },
+    served_worse_after_a_cut = { cut_off(9, Kind::Draft, 0, None), None },
+    served_worse_by_targets_that_are_reached = { cut_off(6, Kind::Lodge, 0, None), None },
+    served_worse_at_a_cut_off_instance_that_was_killed = {
+        cut_off(6, Kind::Draft, 0, Some(disturbance(Victim::Entry(0), Fault::Kill, 1, 4))), None
+    },
+    stream_cut_as_its_instance_is_cut_off = {
+        cut(SECOND * 3, Some(disturbance(
+            Victim::Entry(0), Fault::CutOff(Shape::Reset, Services::Engines), 1, 2
+        ))),
+        None
+    },
+    stream_cut_though_its_connection_lives_on = {
+        cut(SECOND * 3, Some(disturbance(
+            Victim::Entry(0), Fault::CutOff(Shape::Refuse, Services::Engines), 1, 2
+        ))),
+        Some(Invariant::Completion)
+    },
     in_time = { waited(Kind::Lodge, 4, Vec::new()), None },
     late = { waited(Kind::Lodge, 6, Vec::new()), Some(Invariant::Deadline) },
     late_during_outage = { waited(Kind::Lodge, 6, vec![outage(0)]), None },
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -72,6 +72,32 @@
     assert_eq!((count("pause"), count("hang up"), count("stop")), (pauses, 3, 3));
 }
 
+#[test]
+fn cuts_have_every_shape_and_leave_an_instance_that_reaches_all_targets() {
+    let (mut seen, mut repeated) = (std::collections::BTreeSet::new(), 0);
+    for seed in 0..500 {
+        let mut events = plan::draw(seed, SIZE, LENGTH);
+        plan::draw_cuts(seed, SIZE, LENGTH, &mut events);
+        let is_cut = |event: &&Event| matches!(event.fault, Fault::CutOff(..));
+        let cuts: Vec<&Event> = events.iter().filter(is_cut).collect();
+        let times: std::collections::BTreeSet<_> = cuts.iter().map(|cut| cut.at).collect();
+        repeated += usize::from(times.len() > 1);
+        for cut in &cuts {
+            let overlaps = |other: &&&Event| {
+                cut.at <= other.at + other.duration && other.at <= cut.at + cut.duration
+            };
+            let together: Vec<_> = cuts.iter().filter(overlaps).collect();
+            assert!(together.iter().all(|other| other.at == cut.at), "{cuts:?}");
+            assert!(together.len() == 1 || together.len() == SIZE.entries - 1, "{cuts:?}");
+            let same = events.iter().filter(|other| other.victim == cut.victim);
+            assert_eq!(same.filter(|other| overlaps(&other)).count(), 1, "{events:?}");
+            seen.insert((cut.fault.to_string(), together.len()));
+        }
+    }
+    assert_eq!(seen.len(), 3 * 3 * 2, "{seen:?}");
+    assert!(repeated > 400, "{repeated} of 500 plans cut again, expected more than 400");
+}
+
 #[test]
 fn plans_contain_every_fault_and_some_kill_all_control_instances() {
     let all: Vec<Event> = plans().flatten().collect();
--- a/crates/standin/src/partition.rs
+++ b/crates/standin/src/partition.rs
@@ -98,8 +98,13 @@
         self.cuts.send_modify(|cuts| cuts.others = Some(shape));
     }
 
+    /// Ends the cuts from these sources.
+    pub fn heal(&self, sources: &[IpAddr]) {
+        self.cuts.send_modify(|cuts| cuts.sources.retain(|source, _| !sources.contains(source)));
+    }
+
     /// Ends all cuts.
-    pub fn heal(&self) {
+    pub fn heal_all(&self) {
         self.cuts.send_replace(Cuts::default());
     }
 }
@@ -202,7 +207,7 @@
         let there = pump(far_write, near_read, None);
         let back = pump(near_write, far_read, Some(Link { source, cuts: cuts.clone() }));
         tokio::select! {
-            _ = async { tokio::join!(there, back) } => false,
+            ended = async { tokio::try_join!(there, back) } => ended.is_err(),
             () = until_reset(&socket, source, cuts.clone()) => true,
         }
     };
@@ -241,21 +246,21 @@
     }
 }
 
-/// Forwards one direction, each part once its link doesn't hang.
+/// Forwards one direction until it ends, each part once its link doesn't hang.
 async fn pump(
     mut write: impl AsyncWrite + Unpin,
     mut read: impl AsyncRead + Unpin,
     mut link: Option<Link>,
-) {
+) -> io::Result<()> {
     let mut bytes = vec![0; BUFFER_BYTES];
     loop {
-        let length = read.read(&mut bytes).await.unwrap_or(0);
+        let length = read.read(&mut bytes).await?;
         if let Some(link) = &mut link {
             link.until_passable().await;
         }
-        if length == 0 || write.write_all(&bytes[..length]).await.is_err() {
-            let _closed = write.shutdown().await;
-            return;
+        if length == 0 {
+            return write.shutdown().await;
         }
+        write.write_all(&bytes[..length]).await?;
     }
 }
--- a/crates/standin/tests/partition.rs
+++ b/crates/standin/tests/partition.rs
@@ -51,7 +51,7 @@
             (new_state(&gate, CUT).await, new_state(&gate, OTHER).await),
             (new, State::Open)
         );
-        gate.heal();
+        gate.heal_all();
         time::sleep(SILENCE).await;
         assert_eq!(new_state(&gate, CUT).await, State::Open);
     }
@@ -70,7 +70,7 @@
     gate.cut_all(shape);
     time::sleep(SILENCE).await;
     assert_eq!((state(&mut stream).await, new_state(&gate, CUT).await), (open, new));
-    gate.heal();
+    gate.heal_all();
     time::sleep(SILENCE).await;
     assert_eq!(new_state(&gate, CUT).await, State::Open);
 }
@@ -83,7 +83,7 @@
     gate.cut(&[CUT], Shape::Hang);
     time::sleep(SILENCE).await;
     assert_eq!(state(&mut stream).await, State::Silent);
-    gate.heal();
+    gate.heal_all();
     let read = time::timeout(LIMIT, stream.read(&mut [0; 8])).await.unwrap();
     assert_eq!(read.unwrap(), 4);
 }
