Test: a request in flight in a cut doesn't run after its caller was told that it didn't

Bytes that an instance has sent when it is cut off arrive at the target once the cut has healed, also when their request has ended meanwhile: in one of two runs a request that got 504 ran after the cut. No run was seen of one that got 503 (not run).

--- a/crates/daisydrum/tests/seeded/cut_off.rs
+++ b/crates/daisydrum/tests/seeded/cut_off.rs
@@ -35,6 +35,8 @@
 const MIN_SHARE: f64 = 2.0 / 3.0;
 /// Longest time for which a request waits that no instance can serve.
 const LONGEST_REFUSAL: Duration = Duration::from_millis(500);
+/// Time after a short cut within which the operating system has sent again what was in flight.
+const RETRANSMISSION: Duration = Duration::from_secs(3);
 const DATA_CENTRES: [&str; 2] = ["suva", "nadi"];
 /// By kind of request, the first part of its path and the service.
 const KINDS: [(&str, Service); 4] = [
@@ -521,6 +523,60 @@
     }
 }
 
+/// Sends requests of all kinds to an instance for a time, many of them over connections that were just used, with a deadline
+/// that passes in a short cut.
+async fn send_hastily(site: &Site, prefix: &str, length: Duration) -> Vec<Record> {
+    let callers = site.fleet.entries[0].callers();
+    let start = Instant::now();
+    let mut sent = Vec::new();
+    for number in 0.. {
+        if start.elapsed() >= length {
+            break;
+        }
+        let (kind, service) = KINDS[number % KINDS.len()];
+        let id = format!("{prefix}-{number}");
+        sent.push(tokio::spawn(async move {
+            let sent = start.elapsed();
+            let mut headers = client::stream_headers(&id);
+            headers[1].1 = "800";
+            let path = format!("/{kind}/1");
+            let response = client::request(callers, Method::POST, &path, &headers, "body").await;
+            let took = start.elapsed() - sent;
+            Record { id, kind, service, entry: 0, sent, took, response }
+        }));
+        time::sleep(INTERVAL / 10).await;
+    }
+    let records = futures::future::join_all(sent).await;
+    records.into_iter().map(Result::unwrap).collect()
+}
+
+#[parameterized(
+    one_instance = { 1 },
+    two_instances = { 2 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_request_that_was_in_flight_in_a_cut_does_not_run_after_it_was_told_as_not_run(
+    entries: usize,
+) {
+    let name = format!("seeded-cut-late-{entries}");
+    let site = Site::start(&name, [entries, 0], Links::Direct).await;
+    let mut records = Vec::new();
+    for round in 0..2 {
+        let prefix = format!("l{round}");
+        let load = send_hastily(&site, &prefix, 9 * INTERVAL);
+        let cut = async {
+            time::sleep(4 * INTERVAL).await;
+            site.cut(&[0], Shape::Hang, ALL_SERVICES);
+        };
+        let (sent, ()) = tokio::join!(load, cut);
+        site.heal();
+        site.until_served(&[0]).await;
+        records.extend(sent);
+    }
+    time::sleep(RETRANSMISSION).await;
+    site.assert_truthful(&records);
+}
+
 #[parameterized(
     one_instance = { 1 },
     three_instances = { 3 },
