Tests of cut-off instances: requests run and connections are open when the cut begins

Without traffic before the cut an instance had no connection to lose: nothing was in flight, and where new connections are refused none lived on. Requests now begin half a second before it.

--- a/crates/daisydrum/tests/seeded/cut_off.rs
+++ b/crates/daisydrum/tests/seeded/cut_off.rs
@@ -24,6 +24,8 @@
 
 use crate::fleet::{Fleet, until};
 
+/// Time before a cut in which connections to targets are opened.
+const LINKED: Duration = Duration::from_millis(500);
 /// Time after the beginning of a cut from which callers of a cut-off instance are served.
 const CONTACT: Duration = Duration::from_millis(3_000);
 /// For how long requests are observed from then on.
@@ -336,12 +338,17 @@
     let name = format!("seeded-cut-{scope:?}-{shape:?}").to_lowercase();
     let site = Site::start(&name, [4, 3], Links::Direct).await;
     let cut_off = scope.entries();
-    site.cut(&cut_off, shape, services);
-    let records = site.load(&site.all(), "c", CONTACT + OBSERVATION).await;
+    let all = site.all();
+    let load = site.load(&all, "c", LINKED + CONTACT + OBSERVATION);
+    let cut = async {
+        time::sleep(LINKED).await;
+        site.cut(&cut_off, shape, services);
+    };
+    let (records, ()) = tokio::join!(load, cut);
     site.heal();
     site.until_served(&cut_off).await;
     site.assert_truthful(&records);
-    assert_served_alike(&records, &cut_off, CONTACT);
+    assert_served_alike(&records, &cut_off, LINKED + CONTACT);
     site.assert_nobody_is_blamed(&cut_off);
 }
 
