--- a/crates/daisydrum/tests/seeded/cut_off.rs
+++ b/crates/daisydrum/tests/seeded/cut_off.rs
@@ -415,7 +415,16 @@
     }
     site.until_known().await;
     site.cut(&[0], Shape::Hang, &[Service::Engines]);
-    // The other instance has no measured speeds yet, and has the first prompts of the cut-off one computed elsewhere.
+    // Once the other instance has measured the engines' speeds, or knows the prompts, it has them computed where they run.
+    // So none reaches it before the cut-off one passes requests on.
+    let callers = site.fleet.entries[0].callers();
+    until("the instance knows that it is cut off", async || {
+        let mut headers = client::stream_headers("short");
+        headers[1].1 = "300";
+        client::request(callers, Method::POST, "/summary/1", &headers, "body").await;
+        site.fleet.entries[0].log().contains("service_cut_off")
+    })
+    .await;
     let first = site.load(&[0], "p", CONTACT).await;
     let records = site.load(&[0, 1], "q", OBSERVATION).await;
     site.heal();
