Quarantine: ends that fall together count once for a request that just succeeded

What callers saw: polls that ran while all targets ended, and again as soon as they were back, were refused for 97 to 115 s (simulated fleets of 1, 7 and 70 instances).

Cause, traced in the simulation: between the two ends there is no time for a success, the last one is more than 2 s old, and the second end adds six processes at once: quarantined. The first trial, 5 s later, met the next common end while it ran; the next trial comes 150 s after it. An end that shows late (at the start of a later process) had the same effect after a single common end, since successes before it were forgotten by then.

Change: ends within 0.3 s of each other count once for a request that has succeeded within the 5 s before, also at instances that learn this from others. A late end counts by the time at which the connection was lost.

Ruled out: a second early trial (a crashing request would be sent twice), and counting in turn without a recent success (a request sent to several targets at once would be quarantined too late).

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -159,6 +159,7 @@
     /// Finds out whether the process of the target has ended, after a connection to it was lost, and if so has the
     /// request and the parts of the prompt blamed, at once or when that shows within some seconds.
     pub(crate) async fn examine_end(&self) {
+        let lost_at = Moment::now();
         let key = self.plan.target;
         let shared = self.suspected_parts();
         let request_suspected = self.gateway.quarantine.is_request_unproven(self.content);
@@ -194,6 +195,7 @@
             ticket: self.ticket.clone(),
             content: request_suspected.then_some(self.content),
             process: hash,
+            lost_at,
             id: self.id.clone(),
             target: process.target.clone(),
         };
--- a/crates/gateway/src/ends.rs
+++ b/crates/gateway/src/ends.rs
@@ -60,6 +60,8 @@
     pub(crate) content: Option<Content>,
     /// Stands for the process.
     pub(crate) process: u64,
+    /// When the connection to it was lost.
+    pub(crate) lost_at: Moment,
     /// Id of the request, for logs.
     pub(crate) id: String,
     /// Name of the target, for logs.
@@ -76,7 +78,7 @@
         let Some(content) = self.content else {
             return;
         };
-        let notices = quarantine.record_request_end(content, self.process);
+        let notices = quarantine.record_request_end(content, self.process, self.lost_at);
         log_crashes(gateway, "target_ended", &self.id, &self.target.0, &notices);
         gateway.notify_peers(notices);
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -140,9 +140,16 @@
         self.lock_requests().is_unproven(content, Moment::now())
     }
 
-    /// Records that a process of a target ended while it had a request; returns the notices for the other instances.
-    pub(crate) fn record_request_end(&self, content: Content, process: u64) -> Vec<Notice> {
-        let changed = self.lock_requests().record_end(content, process, Moment::now());
+    /// Records that a process of a target has ended at `ended_at`, while it had a request; returns the notices for the other
+    /// instances.
+    pub(crate) fn record_request_end(
+        &self,
+        content: Content,
+        process: u64,
+        ended_at: Moment,
+    ) -> Vec<Notice> {
+        let now = Moment::now();
+        let changed = self.lock_requests().record_late_end(content, process, ended_at, now);
         crash_notices(&changed)
     }
 
--- a/crates/placement/src/quarantine/ledger.rs
+++ b/crates/placement/src/quarantine/ledger.rs
@@ -133,6 +133,11 @@
         self.last.get(&suspect).is_some_and(|success| now.since(*success) < self.ttl)
     }
 
+    /// Whether a suspect has succeeded within `age`, at most the longest of those that it was created with.
+    pub(super) fn is_recent(&self, suspect: K, age: Duration, now: Moment) -> bool {
+        self.last.get(&suspect).is_some_and(|success| now.since(*success) < age)
+    }
+
     /// Records a success; when there are too many, those that have expired go, if most have not, the older half.
     pub(super) fn record(&mut self, suspect: K, now: Moment) {
         self.last.insert(suspect, now);
--- a/crates/placement/src/quarantine/request.rs
+++ b/crates/placement/src/quarantine/request.rs
@@ -13,15 +13,15 @@
 
 use std::time::Duration;
 
-use common::clock::Moment;
+use common::{clock::Moment, random};
 use fleet::exchange::{Crashes, Digest};
 
 use crate::quarantine::ledger::{self, Ledger, Standing as _, Successes};
 
 /// Processes of targets that ended under a request at which it is quarantined.
 pub const MAX_ENDS: usize = 3;
-/// Time from the quarantine until the first trial. By then targets that ended together are back.
-const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(5);
+/// Time from the quarantine until the first trial. By then targets that ended together are back or about to be.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(3);
 /// Time from one trial to the next, and by how much it grows with each.
 const TRIAL_DELAY: Duration = Duration::from_secs(150);
 const TRIAL_DELAY_FACTOR: u32 = 4;
@@ -33,6 +33,11 @@
 /// Time for which a success shows that a request is sound. Longer than targets take to end together, and short, since a
 /// request may begin to end targets at any time.
 const SUCCESS_TTL: Duration = Duration::from_secs(2);
+/// Age of a success up to which processes that end at the same time count as one: targets that ended together, and do so
+/// again when they are back, have had no time for another success.
+const RECENT_SUCCESS_AGE: Duration = Duration::from_secs(5);
+/// Time within which such processes end.
+const TURN_OF_ENDS: Duration = Duration::from_millis(300);
 /// Requests whose standing is kept. A target that ends adds as many as it has slots.
 const MAX_REQUESTS: usize = 4_096;
 /// Requests whose last success is kept.
@@ -82,6 +87,28 @@
         }
     }
 
+    /// Stands for the ends of one turn, as far as they count once: the request has succeeded not long ago, or another
+    /// instance where it has counts this turn so.
+    fn turn(&self, request: Digest, recent: bool, since: Moment, ended_at: Moment) -> Option<u64> {
+        let known = self.processes.len();
+        let apart = ended_at.since(since).max(since.since(ended_at));
+        if let Some(last) = known.checked_sub(1).filter(|_| apart < TURN_OF_ENDS) {
+            let process = self.turn_number(request, last);
+            return (recent || self.processes.contains(&process)).then_some(process);
+        }
+        recent.then(|| self.turn_number(request, known))
+    }
+
+    fn turn_number(&self, request: Digest, number: usize) -> u64 {
+        let low = u64::try_from(request.0 & u128::from(u64::MAX)).unwrap_or_default();
+        let fields = [low, u64::from(self.clearings), u64::try_from(number).unwrap_or(u64::MAX)];
+        fields.into_iter().fold(0, |hash, field| random::mix(hash ^ field))
+    }
+
+    fn was_cleared(&self) -> bool {
+        self.clearings > 0 && self.is_clear()
+    }
+
     fn is_clear(&self) -> bool {
         self.processes.is_empty() && self.trials == 0
     }
@@ -189,7 +216,7 @@
             (digest, Standing { trials, ..entry.standing.clone() })
         };
         let tried: Vec<(Digest, Standing)> = self.quarantined(content).map(tried).collect();
-        let raise = |(digest, standing)| self.raise(digest, standing, now);
+        let raise = |(digest, standing)| self.raise(digest, standing, now, now);
         Ok(tried.into_iter().filter_map(raise).collect())
     }
 
@@ -198,30 +225,56 @@
         !self.successes.is_proven(content.into().whole, now)
     }
 
-    /// Records that a process of a target ended while it had a request; returns the states that changed, for the other
-    /// instances.
+    /// Records that a process of a target ended now while it had a request; returns the states that changed, for the
+    /// other instances.
     pub fn record_end(
         &mut self,
         content: impl Into<Content>,
         process: u64,
         now: Moment,
+    ) -> Vec<Crashes> {
+        self.record_late_end(content, process, now, now)
+    }
+
+    /// [`Quarantine::record_end`] of a process that ended at `ended_at`, which shows only now. Successes count by that time.
+    pub fn record_late_end(
+        &mut self,
+        content: impl Into<Content>,
+        process: u64,
+        ended_at: Moment,
+        now: Moment,
     ) -> Vec<Crashes> {
         let Content { whole, without_parts } = content.into();
-        let mut changed = Vec::from_iter(self.add_end(whole, process, now));
+        let mut changed = Vec::from_iter(self.add_end(whole, process, ended_at, now));
         // The low half of the digest stands for all ends with these parts.
         let variant = u64::try_from(whole.0 & u128::from(u64::MAX)).unwrap_or_default();
-        changed.extend(without_parts.and_then(|digest| self.add_end(digest, variant, now)));
+        changed
+            .extend(without_parts.and_then(|digest| self.add_end(digest, variant, ended_at, now)));
         changed
     }
 
-    fn add_end(&mut self, request: Digest, process: u64, now: Moment) -> Option<Crashes> {
-        if self.successes.is_proven(request, now) {
+    fn add_end(
+        &mut self,
+        request: Digest,
+        process: u64,
+        ended_at: Moment,
+        now: Moment,
+    ) -> Option<Crashes> {
+        if self.successes.is_proven(request, ended_at) {
             return None;
         }
-        let mut standing =
-            self.entries.get(request).map(|entry| entry.standing.clone()).unwrap_or_default();
+        let (mut standing, since) = self
+            .entries
+            .get(request)
+            .map_or_else(Default::default, |entry| (entry.standing.clone(), entry.since));
+        if standing.was_cleared() && since > ended_at {
+            return None;
+        }
+        let recent = self.successes.is_recent(request, RECENT_SUCCESS_AGE, ended_at)
+            || (standing.was_cleared() && ended_at.since(since) < RECENT_SUCCESS_AGE);
+        let process = standing.turn(request, recent, since, ended_at).unwrap_or(process);
         standing.add_process(process);
-        self.raise(request, standing, now)
+        self.raise(request, standing, ended_at, now)
     }
 
     /// Records that a request succeeded; returns the states that changed, for the other instances.
@@ -246,11 +299,13 @@
         }
         let since = now - Duration::from_millis(crashes.age_ms);
         self.entries.raise(crashes.request, standing, since, now);
-        if self.successes.is_proven(crashes.request, now) {
-            self.clear(crashes.request, now)
-        } else {
-            None
+        if self.successes.is_proven(crashes.request, since) {
+            return self.clear(crashes.request, now);
+        }
+        if self.successes.is_recent(crashes.request, RECENT_SUCCESS_AGE, since) {
+            return self.count_as_turns(crashes.request, since, now);
         }
+        None
     }
 
     /// The states that an instance which starts should have, the quarantined requests first.
@@ -281,18 +336,40 @@
         self.entries.quarantined()
     }
 
+    /// Has the ends that others count one by one count as turns, of a request that succeeded here not long ago.
+    fn count_as_turns(&mut self, request: Digest, since: Moment, now: Moment) -> Option<Crashes> {
+        let known = &self.entries.get(request)?.standing;
+        let numbers = (0..MAX_ENDS).map(|number| known.turn_number(request, number));
+        let turns = numbers.filter(|number| known.processes.contains(number)).count();
+        if known.processes.len() < 2 || turns == known.processes.len() {
+            return None;
+        }
+        let clearings = known.clearings.saturating_add(1);
+        let mut standing = Standing { clearings, ..Standing::default() };
+        for number in 0..turns.max(1) {
+            standing.add_process(standing.turn_number(request, number));
+        }
+        self.raise(request, standing, since, now)
+    }
+
     fn clear(&mut self, request: Digest, now: Moment) -> Option<Crashes> {
         let standing = &self.entries.get(request)?.standing;
         if standing.is_clear() {
             return None;
         }
         let clearings = standing.clearings.saturating_add(1);
-        self.raise(request, Standing { clearings, ..Standing::default() }, now)
+        self.raise(request, Standing { clearings, ..Standing::default() }, now, now)
     }
 
-    fn raise(&mut self, request: Digest, standing: Standing, now: Moment) -> Option<Crashes> {
-        let state = crashes(request, &standing, Duration::ZERO);
-        self.entries.raise(request, standing, now, now).then_some(state)
+    fn raise(
+        &mut self,
+        request: Digest,
+        standing: Standing,
+        since: Moment,
+        now: Moment,
+    ) -> Option<Crashes> {
+        let state = crashes(request, &standing, now.since(since));
+        self.entries.raise(request, standing, since, now).then_some(state)
     }
 }
 
