Relay: a peer has one attempt; requests wait for a slow connection unless a peer serves them

A relayed request was hedged at both instances. Now the peer has one attempt, and further ones are counted and made by the instance that passed it on.

--- a/crates/gateway/src/ends.rs
+++ b/crates/gateway/src/ends.rs
@@ -35,6 +35,8 @@
 const MAX_PROBES: usize = 32;
 /// Other targets of a service that are tried when one refuses connections.
 const MAX_OTHERS: usize = 3;
+/// Time after which another target is tried once more: a cut doesn't reach all connections at the same moment.
+const RECHECK_DELAY: Duration = Duration::from_millis(50);
 /// Longest time for which a request waits for the verdict before it is sent again; the examination goes on afterwards.
 const LONGEST_DELAY: Duration = Duration::from_millis(150);
 
@@ -227,10 +229,15 @@
     let mut attempts = JoinSet::new();
     for address in others {
         let pool = gateway.pool.clone();
-        attempts.spawn(async move { (address, pool.open(address).await) });
+        attempts.spawn(async move {
+            // The first connection may have been made right before a cut that ended the one that was lost.
+            let _first = pool.open(address).await?;
+            time::sleep(RECHECK_DELAY).await;
+            pool.open(address).await.map(|connection| (address, connection))
+        });
     }
     while let Some(attempt) = attempts.join_next().await {
-        if let Ok((address, Ok(connection))) = attempt {
+        if let Ok(Ok((address, connection))) = attempt {
             gateway.pool.put(address, connection);
             return true;
         }
--- a/crates/gateway/src/handler.rs
+++ b/crates/gateway/src/handler.rs
@@ -135,6 +135,8 @@
         relayed.began.map(|began| Beginning { service: began.service, software: began.software });
     let mut request = assemble(gateway, (config, route, metadata), head, body, (arrived, timeout));
     request.source = Source::Peer;
+    // The peer counts attempts, and has further ones made elsewhere.
+    request.max_attempts = relayed.used.runs + 1;
     request.progress = Shared::new(Progress::relayed(relayed.used, began));
     serve(Arc::new(request)).await
 }
@@ -182,6 +184,7 @@
         random::mix(stream.bytes().fold(0, |hash, byte| random::mix(hash ^ u64::from(byte))));
     let shared_parts = metadata.shared_parts();
     let content = content::content(&head.method, &head.uri, &head.headers, &body, shared_parts);
+    let max_attempts = config.routes[route].max_attempts;
     Pending {
         gateway: Arc::clone(gateway),
         config,
@@ -196,6 +199,7 @@
         deadline: arrived + timeout,
         draw,
         source: Source::Caller,
+        max_attempts,
         progress: Shared::default(),
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -117,11 +117,11 @@
         self.cut_off.load(Ordering::Acquire) > 0 && self.lock().table.is_cut_off(service)
     }
 
-    /// Waits until the instance is cut off from the service.
-    pub(crate) async fn until_cut_off(&self, service: &name::Service) {
+    /// Waits until the instance is cut off from the service, unless no peer reaches it either.
+    pub(crate) async fn until_relayed(&self, service: &name::Service) {
         loop {
             let changed = self.became_cut_off.notified();
-            if self.is_cut_off(service) {
+            if self.is_cut_off(service) && self.lock().peers.may_reach(service, Moment::now()) {
                 return;
             }
             changed.await;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -72,6 +72,8 @@
     /// split route in the same order.
     pub(crate) draw: u64,
     pub(crate) source: Source,
+    /// Runs that it may have: those of its route, or one at the instance that a peer passes it to.
+    pub(crate) max_attempts: u32,
     /// What happened in its attempts so far.
     pub(crate) progress: Shared,
 }
@@ -386,7 +388,7 @@
         let route = self.route();
         progress.prefills == 0
             || (route.retry != Retry::Never
-                && progress.runs + progress.prefills < route.max_attempts)
+                && progress.runs + progress.prefills < self.max_attempts)
     }
 
     /// Whether the request is quarantined, so that a single send to a target tries it.
@@ -402,7 +404,7 @@
     /// Whether the route allows another run, besides those that have ended and those that are live.
     pub(crate) fn has_attempts_left(&self) -> bool {
         let route = self.route();
-        route.retry != Retry::Never && self.progress().attempts() < route.max_attempts
+        route.retry != Retry::Never && self.progress().attempts() < self.max_attempts
     }
 
     /// [`Pending::may_retry`], for the decisions of [`placement::hedge`].
@@ -435,7 +437,7 @@
     pub(crate) async fn claim(&self) -> Option<Claim<'_>> {
         let limit = match self.route().retry {
             Retry::Never => 1,
-            Retry::Idempotent | Retry::Resume => self.route().max_attempts.max(1),
+            Retry::Idempotent | Retry::Resume => self.max_attempts.max(1),
         };
         self.progress.claim(limit).await
     }
--- a/crates/gateway/src/request/relayed.rs
+++ b/crates/gateway/src/request/relayed.rs
@@ -33,7 +33,10 @@
     ) -> Passed {
         let reuse = if self.has_attempts_left() { Reuse::Any } else { Reuse::Never };
         let request = self.relayed(resume_after);
-        self.progress().relays += 1;
+        let mut progress = self.progress();
+        progress.relays += 1;
+        progress.record_send();
+        drop(progress);
         let idle = &self.gateway.relay.idle;
         let sent = idle.send(assignment.address, reuse, &request, &self.body).await;
         let (passed, outcome) = match sent {
@@ -54,6 +57,9 @@
             }
         };
         assignment.set_outcome(outcome);
+        if matches!(passed, Passed::NotRun | Passed::Refused(_)) {
+            self.progress().withdraw_send();
+        }
         if matches!(passed, Passed::NotRun | Passed::MayHaveRun) {
             self.progress().avoided_peers.push(assignment.peer.clone());
         }
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -159,7 +159,7 @@
         let connection = tokio::select! {
             connection = pending.wait(limit) => connection,
             // A peer may serve the request.
-            () = self.gateway.relay.until_cut_off(service) => return None,
+            () = self.gateway.relay.until_relayed(service) => return None,
         };
         match connection {
             Ok(connection) => {
