Callers: a connection with bytes of an answer unsent is not idle

What callers saw: an answer cut short at a caller that read nothing for longer than the idle time, with no fault anywhere.

Cause: gateway::activity took a request for finished once hyper had taken the last part of its body, although up to `max_header_bytes` of it were still in hyper's write buffer. After `idle_timeout_ms` the connection was dropped with them. The user timeout of callers' connections hid that: it ended them earlier.

Change: gateway::activity records whether a write waits for the caller, and when the last one was accepted. Such a connection is not idle; wire::unread still ends it if the caller takes nothing for 60 s.

Ruled out: the header timeouts of hyper at the other listeners. They begin only once the write buffer is flushed.

It raises `max_header_bytes` so that the window is wide; with the usual 16 KB only the last 16 KB of an answer are in it.

--- a/crates/daisydrum/tests/seeded/paused_caller.rs
+++ b/crates/daisydrum/tests/seeded/paused_caller.rs
@@ -14,7 +14,7 @@
     runner::{Options, Runner},
 };
 use rustix::process::Signal;
-use serde_json::json;
+use serde_json::{Value, json};
 use standin::http;
 use tokio::{net::TcpListener, time};
 use yare::parameterized;
@@ -69,11 +69,15 @@
 }
 
 async fn declare(fleet: &Fleet, version: u64, timeout_ms: u64) {
+    fleet.declare_config(&config(version, timeout_ms)).await;
+}
+
+fn config(version: u64, timeout_ms: u64) -> Value {
     let mut config = client::config(version);
     for route in config["routes"].as_array_mut().unwrap() {
         route["timeout_ms"] = json!(timeout_ms);
     }
-    fleet.declare_config(&config).await;
+    config
 }
 
 /// Sends a request as a caller with a small receive buffer; returns the response once its head has arrived.
@@ -166,6 +170,22 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_not_sent_completely_outlasts_the_idle_time() {
+    let scripted = start("seeded-paused-idle", 1, WHOLE).await;
+    let mut config = config(4, TIMEOUT_MS);
+    // The limit of heads is also that of the answer's bytes that are buffered for the caller.
+    config["limits"]["max_header_bytes"] = json!(2 * WHOLE_BYTES);
+    config["limits"]["header_timeout_ms"] = json!(500);
+    config["limits"]["idle_timeout_ms"] = json!(1_000);
+    scripted.fleet.declare_config(&config).await;
+    let entry = &scripted.fleet.entries[0];
+    fleet::until("it is in force", async || entry.log().contains("version=4")).await;
+    let response = send(entry.callers(), WHOLE, "i").await;
+    time::sleep(PAUSE).await;
+    assert_is_whole(response, WHOLE).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_target_is_left_soon_after_a_caller_with_unread_events_has_closed_its_connection() {
     let script = Script::Events { events: u64::MAX, event_bytes: 500 };
--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -27,9 +27,11 @@
 
 #[derive(Debug)]
 struct State {
-    /// Requests whose responses have not been sent completely.
+    /// Requests whose responses have not been handed over to the connection completely.
     in_progress: AtomicUsize,
-    /// When the last response ended, or the first byte of the next request was read.
+    /// Whether the caller has yet to take bytes of a response whose body has been handed over.
+    has_unsent: AtomicBool,
+    /// When the last response was sent, or the first byte of the next request was read.
     quiet_since: AtomicU64,
     /// Whether a part of the next request was read.
     has_read: AtomicBool,
@@ -42,6 +44,7 @@
     pub(crate) fn new(limit: Duration, now: Moment) -> Activity {
         Activity(Arc::new(State {
             in_progress: AtomicUsize::new(0),
+            has_unsent: AtomicBool::new(false),
             quiet_since: AtomicU64::new(now.0),
             has_read: AtomicBool::new(false),
             limit_ms: AtomicU64::new(milliseconds(limit)),
@@ -54,7 +57,9 @@
     /// `limit` in force now allows. A request that is not read completely within that time counts as idle, too.
     pub(crate) fn time_left(&self, limit: Duration, now: Moment) -> Duration {
         let limit = limit.max(Duration::from_millis(self.0.limit_ms.load(Ordering::Acquire)));
-        if self.0.in_progress.load(Ordering::Acquire) > 0 {
+        if self.0.in_progress.load(Ordering::Acquire) > 0
+            || self.0.has_unsent.load(Ordering::Acquire)
+        {
             return limit;
         }
         (Moment(self.0.quiet_since.load(Ordering::Acquire)) + limit).since(now)
@@ -78,13 +83,18 @@
             self.0.quiet_since.store(Moment::now().0, Ordering::Release);
         }
     }
+
+    fn record_write<T>(&self, written: &Poll<T>) {
+        self.0.quiet_since.store(Moment::now().0, Ordering::Release);
+        self.0.has_unsent.store(written.is_pending(), Ordering::Release);
+    }
 }
 
 fn milliseconds(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// A request whose response has not been sent completely.
+/// A request whose response has not been handed over to the connection completely.
 #[derive(Debug)]
 pub(crate) struct InProgress(Activity);
 
@@ -124,7 +134,7 @@
     }
 }
 
-/// A connection whose reads are recorded.
+/// A connection whose reads and writes are recorded.
 #[derive(Debug)]
 pub(crate) struct Stream {
     pub(crate) inner: unread::Stream<TcpStream>,
@@ -152,7 +162,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.activity.record_write(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -168,7 +180,9 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.inner).poll_write_vectored(context, buffers);
+        self.activity.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
