Callers: one that reads slowly is not disconnected

What callers saw: with a long answer ahead of it, a caller that reads less than about 22 KB/s is disconnected after 60 s, although it reads all the time.

Cause: wire::unread waits for the kernel to report space, which it does only once a third of the send buffer is free (up to 4 MB are in use: 1.3 MB in 60 s). What the caller takes below that is not seen.

Change: when the limit is reached, the write is tried once more. The kernel takes what fits, also before it reports that. Only a write of which nothing is accepted then ends the connection.

--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -15,10 +15,7 @@
 use common::clock::Moment;
 use entry::body::{Body, Truncated};
 use hyper::body::{self, Frame, SizeHint};
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use wire::unread;
 
 /// Use of one connection; clones share it.
@@ -137,7 +134,7 @@
 /// A connection whose reads and writes are recorded.
 #[derive(Debug)]
 pub(crate) struct Stream {
-    pub(crate) inner: unread::Stream<TcpStream>,
+    pub(crate) inner: unread::Stream,
     pub(crate) activity: Activity,
 }
 
--- a/crates/wire/src/unread.rs
+++ b/crates/wire/src/unread.rs
@@ -8,38 +8,41 @@
     time::Duration,
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
     time::{self, Sleep},
 };
 
 /// A caller that takes nothing for this time is disconnected, so that its response doesn't occupy memory for longer.
 ///
-/// The kernel accepts more data once about a third of its send buffer (`tcp_wmem`, 4 MB at most by default) is free; a
-/// caller with more than that ahead of it has to read a third of it in this time.
+/// One that reads slowly takes something in this time, although the kernel reports space only once about a third of the
+/// send buffer (`tcp_wmem`, 4 MB at most by default) is free.
 pub const LIMIT: Duration = Duration::from_secs(60);
 
-/// A connection that fails once it has accepted no data for a time.
+/// A connection that fails once its caller has taken no data for a time.
 #[derive(Debug)]
-pub struct Stream<S> {
-    inner: S,
+pub struct Stream {
+    inner: TcpStream,
     limit: Duration,
     /// Ends when the limit is reached; nothing while data is accepted.
     expiry: Option<Pin<Box<Sleep>>>,
 }
 
-impl<S> Stream<S> {
+impl Stream {
     /// Wraps a connection.
-    pub fn new(inner: S, limit: Duration) -> Stream<S> {
+    pub fn new(inner: TcpStream, limit: Duration) -> Stream {
         Stream { inner, limit, expiry: None }
     }
 
-    /// Fails a write that was not accepted if the limit is reached.
-    fn check<T>(
+    /// Tries a write that was not accepted once more when the limit is reached, and fails if that isn't accepted either.
+    fn check(
         &mut self,
         context: &mut Context<'_>,
-        written: Poll<io::Result<T>>,
-    ) -> Poll<io::Result<T>> {
+        written: Poll<io::Result<usize>>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
         if written.is_ready() {
             self.expiry = None;
             return written;
@@ -49,11 +52,19 @@
         if expiry.as_mut().poll(context).is_pending() {
             return Poll::Pending;
         }
-        Poll::Ready(Err(io::Error::new(ErrorKind::TimedOut, "the caller reads nothing")))
+        self.expiry = None;
+        // The kernel takes what fits, also before it reports that there is space.
+        match SockRef::from(&self.inner).send_vectored(buffers) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                let error = io::Error::new(ErrorKind::TimedOut, "the caller reads nothing");
+                Poll::Ready(Err(error))
+            }
+            sent => Poll::Ready(sent),
+        }
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for Stream<S> {
+impl AsyncRead for Stream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -63,14 +74,14 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for Stream<S> {
+impl AsyncWrite for Stream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.inner).poll_write(context, bytes);
-        self.check(context, written)
+        self.check(context, written, &[IoSlice::new(bytes)])
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -87,7 +98,7 @@
         buffers: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.inner).poll_write_vectored(context, buffers);
-        self.check(context, written)
+        self.check(context, written, buffers)
     }
 
     fn is_write_vectored(&self) -> bool {
