Tests: a caller that reads nothing while its instance is asked to stop

The rule for planned work names SIGTERM, too; paused_caller had changes of the configuration and SIGHUP.

--- a/crates/daisydrum/tests/seeded/paused_caller.rs
+++ b/crates/daisydrum/tests/seeded/paused_caller.rs
@@ -129,6 +129,7 @@
     Nothing,
     Configuration,
     Hangup,
+    Stop,
 }
 
 #[parameterized(
@@ -138,6 +139,8 @@
     whole_beside_configurations = { "whole-config", 1, WHOLE, Work::Configuration },
     stream_beside_hangup = { "stream-hangup", 1, STREAM, Work::Hangup },
     whole_beside_hangup = { "whole-hangup", 1, WHOLE, Work::Hangup },
+    stream_beside_stop = { "stream-stop", 1, STREAM, Work::Stop },
+    whole_beside_stop = { "whole-stop", 1, WHOLE, Work::Stop },
     stream_at_seven_instances = { "stream-seven", 7, STREAM, Work::Configuration },
     whole_at_seven_instances = { "whole-seven", 7, WHOLE, Work::Configuration },
 )]
@@ -163,6 +166,7 @@
             }
         }
         Work::Hangup => scripted.fleet.entries.iter().for_each(|entry| entry.signal(Signal::HUP)),
+        Work::Stop => scripted.fleet.entries.iter().for_each(|entry| entry.signal(Signal::TERM)),
     }
     time::sleep(resumed_at.saturating_duration_since(Instant::now())).await;
     for response in responses {
