--- a/crates/daisydrum/tests/seeded/paused_caller.rs
+++ b/crates/daisydrum/tests/seeded/paused_caller.rs
@@ -215,13 +215,17 @@
     assert!(began.elapsed() < Duration::from_secs(10), "{:?}", began.elapsed());
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn callers_that_never_read_their_streams_cost_bounded_memory() {
-    let scripted = start("seeded-unread-streams", 1, STREAM).await;
+#[parameterized(
+    streams = { "streams", STREAM },
+    whole_responses = { "whole", WHOLE },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn callers_that_never_read_cost_bounded_memory(name: &str, script: Script) {
+    let scripted = start(&format!("seeded-unread-{name}"), 1, script).await;
     let entry = &scripted.fleet.entries[0];
     let mut unread = Vec::new();
     for number in 0..CALLERS_THAT_NEVER_READ {
-        unread.push(send(entry.callers(), STREAM, &format!("u{number}")).await);
+        unread.push(send(entry.callers(), script, &format!("u{number}")).await);
     }
     time::sleep(Duration::from_secs(2)).await;
     let memory = endless::peak_memory_kb(entry);
