--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -108,6 +108,12 @@
         self.avoid.push(key);
     }
 
+    /// Records that the request is passed to a peer, which sends it.
+    pub(crate) fn record_relay(&mut self) {
+        self.relays += 1;
+        self.sends += 1;
+    }
+
     /// Records that the request is sent to a target.
     pub(crate) fn record_send(&mut self) {
         self.sends += 1;
--- a/crates/gateway/src/request/relayed.rs
+++ b/crates/gateway/src/request/relayed.rs
@@ -33,10 +33,7 @@
     ) -> Passed {
         let reuse = if self.has_attempts_left() { Reuse::Any } else { Reuse::Never };
         let request = self.relayed(resume_after);
-        let mut progress = self.progress();
-        progress.relays += 1;
-        progress.record_send();
-        drop(progress);
+        self.progress().record_relay();
         let idle = &self.gateway.relay.idle;
         let sent = idle.send(assignment.address, reuse, &request, &self.body).await;
         let (passed, outcome) = match sent {
