Streams: a response is complete only if its sender says so

What callers saw: a stream that ended as if it were complete, with events missing, when the task that sends it ended for another reason: a panic, or, at the own interface, a caller that left no room for a part or for the final error for 60 s.

Cause: entry::body::Body ended when its sender was dropped, so a task that ended in any way completed its response.

Change: entry::body::Sender. A body whose sender is dropped is truncated, which closes the connection; Sender::finish alone completes it, and waits for nothing. It is called in two places: gateway's Driver when a run is complete, entry's Driver::finish. Failing and truncating no longer wait for room in the queue.

Checked: every sender of a body (entry::output, gateway::stream::output, the example first_byte).

--- a/crates/entry/examples/first_byte.rs
+++ b/crates/entry/examples/first_byte.rs
@@ -14,7 +14,7 @@
 use entry::body::Body;
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::{runtime, sync::mpsc, time};
+use tokio::{runtime, time};
 
 const EVENTS: usize = 40;
 const GAP: Duration = Duration::from_millis(50);
@@ -88,16 +88,17 @@
 }
 
 async fn respond(_request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
-    let (sender, receiver) = mpsc::channel(1);
+    let (sender, body) = Body::stream(1);
     tokio::spawn(async move {
         for _ in 0..EVENTS {
             time::sleep(GAP).await;
-            if sender.send(Ok(Bytes::from_static(EVENT))).await.is_err() {
+            if sender.send(Bytes::from_static(EVENT)).await.is_err() {
                 return;
             }
         }
+        sender.finish();
     });
-    Ok(Response::new(Body::stream(receiver)))
+    Ok(Response::new(body))
 }
 
 fn read_with_socket(address: SocketAddr) -> io::Result<Times> {
--- a/crates/entry/src/driver.rs
+++ b/crates/entry/src/driver.rs
@@ -228,7 +228,7 @@
             Step::Part(part) => self.send_part(number, part).await,
             Step::End => self.finish(number).await,
             Step::Cut => {
-                self.output.truncate().await;
+                self.output.truncate();
                 self.end_attempt(number, Event::Finished).await
             }
             Step::Oversized => {
@@ -331,6 +331,7 @@
 
     /// Ends the call after a complete response.
     async fn finish(&mut self, number: u32) -> Flow {
+        self.output.finish();
         self.progress.record(&self.call.binding.service.owner);
         self.end_attempt(number, Event::Finished).await
     }
--- a/crates/entry/src/output.rs
+++ b/crates/entry/src/output.rs
@@ -2,14 +2,11 @@
 
 use bytes::Bytes;
 use hyper::{Response, http};
-use tokio::{
-    sync::{mpsc, oneshot},
-    time,
-};
+use tokio::{sync::oneshot, time};
 use wire::{outcome, unread};
 
 use crate::{
-    body::{Body, Truncated},
+    body::{self, Body},
     response,
 };
 
@@ -31,7 +28,7 @@
     /// Nothing was sent yet.
     Head(Head),
     /// The head was sent; parts follow.
-    Stream(mpsc::Sender<Result<Bytes, Truncated>>),
+    Stream(body::Sender),
     /// The response is complete or truncated.
     Closed,
 }
@@ -45,8 +42,8 @@
     /// Sends the head of a stream, unless one was sent before.
     pub(crate) fn begin(&mut self, head: http::response::Parts) {
         if let Output::Head(_) = self {
-            let (sender, parts) = mpsc::channel(STREAM_PARTS);
-            let mut response = Response::from_parts(head, Body::stream(parts));
+            let (sender, body) = Body::stream(STREAM_PARTS);
+            let mut response = Response::from_parts(head, body);
             response::set_execution(&mut response, outcome::Execution::Ran);
             self.send(Ok(response));
             *self = Output::Stream(sender);
@@ -58,15 +55,14 @@
         let Output::Stream(sender) = self else {
             return Err(Gone);
         };
-        let sent = time::timeout(unread::LIMIT, sender.send(Ok(part))).await;
-        sent.map_err(|_elapsed| Gone)?.map_err(|_closed| Gone)
+        let sent = time::timeout(unread::LIMIT, sender.send(part)).await;
+        sent.map_err(|_elapsed| Gone)?.map_err(|_dropped| Gone)
     }
 
     /// Sends a comment in an open stream, so that the caller doesn't take the pause for a dead connection.
     pub(crate) fn send_heartbeat(&self) {
         if let Output::Stream(sender) = self {
-            // If the queue is full, the caller still has parts to read.
-            let _unsent = sender.try_send(Ok(Bytes::from_static(HEARTBEAT)));
+            sender.send_optional(Bytes::from_static(HEARTBEAT));
         }
     }
 
@@ -79,22 +75,22 @@
     pub(crate) async fn fail(&mut self, error: response::Error) {
         if let Output::Stream(sender) = self {
             let event = Bytes::from(format!("data: {}\n\n", error.json()));
-            let sent = time::timeout(unread::LIMIT, sender.send(Ok(event))).await;
-            if sent.is_ok_and(|sent| sent.is_ok()) {
-                // This fails only if the caller has disconnected.
-                let _unsent = sender.send(Err(Truncated)).await;
-            }
+            // This fails only if the caller has disconnected or doesn't read.
+            let _unsent = time::timeout(unread::LIMIT, sender.send(event)).await;
         }
         self.send(Err(error));
     }
 
+    /// Ends an open stream as complete.
+    pub(crate) fn finish(&mut self) {
+        if let Output::Stream(sender) = std::mem::replace(self, Output::Closed) {
+            sender.finish();
+        }
+    }
+
     /// Ends an open stream with an error, which closes the connection, so that the caller sees that the response is
     /// incomplete.
-    pub(crate) async fn truncate(&mut self) {
-        if let Output::Stream(sender) = self {
-            // This fails only if the caller has disconnected or doesn't read.
-            let _unsent = time::timeout(unread::LIMIT, sender.send(Err(Truncated))).await;
-        }
+    pub(crate) fn truncate(&mut self) {
         *self = Output::Closed;
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -165,7 +165,7 @@
                 "events" => self.event_count, "ms" => request.age_ms());
         }
         if let Err(error) = outcome {
-            self.fail(error).await;
+            self.fail(error);
         }
     }
 
@@ -369,6 +369,7 @@
             Ending::Complete => {
                 self.win(run);
                 let _closed = self.forward_head(run);
+                self.finish();
                 return Ok(Flow::Finished);
             }
             Ending::Unclaimed => Another::Denied,
--- a/crates/gateway/src/stream/output.rs
+++ b/crates/gateway/src/stream/output.rs
@@ -2,28 +2,25 @@
 
 use common::clock::Moment;
 use entry::{
-    body::{Body, Truncated},
+    body::{self, Body, Truncated},
     event::Event,
 };
 use hyper::Response;
 use placement::hedge;
 use slog::info;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use crate::{error::Error, stream::Driver};
 
 /// Events that are queued for a caller that reads slowly.
 const MAX_QUEUED_EVENTS: usize = 32;
 
-/// Events on their way to the caller.
-type Events = mpsc::Sender<Result<bytes::Bytes, Truncated>>;
-
 /// The caller's end of the response.
 pub(super) enum Output {
     /// The caller waits for the response head.
     Head(oneshot::Sender<Result<Response<Body>, Error>>),
     /// The caller has the head and receives events.
-    Events(Events),
+    Events(body::Sender),
     /// The response has ended or the caller has closed the connection.
     Closed,
 }
@@ -38,8 +35,8 @@
         let Some(head) = live.and_then(|live| live.head.take()) else {
             return Err(Truncated);
         };
-        let (events, queue) = mpsc::channel(MAX_QUEUED_EVENTS);
-        let mut response = Response::new(Body::stream(queue));
+        let (events, body) = Body::stream(MAX_QUEUED_EVENTS);
+        let mut response = Response::new(body);
         *response.status_mut() = head.status;
         *response.headers_mut() = platform::request::end_to_end_headers(&head.headers);
         match std::mem::replace(&mut self.output, Output::Events(events)) {
@@ -58,12 +55,19 @@
         }
         self.last_event_at = now;
         match &self.output {
-            Output::Events(events) => events.send(Ok(event.0)).await.is_ok(),
+            Output::Events(events) => events.send(event.0).await.is_ok(),
             Output::Head(_) | Output::Closed => false,
         }
     }
 
-    pub(super) async fn fail(&mut self, error: Error) {
+    /// Ends the response as complete.
+    pub(super) fn finish(&mut self) {
+        if let Output::Events(events) = std::mem::replace(&mut self.output, Output::Closed) {
+            events.finish();
+        }
+    }
+
+    pub(super) fn fail(&mut self, error: Error) {
         match std::mem::replace(&mut self.output, Output::Closed) {
             Output::Head(caller) => {
                 // The target's error says more than that no target gave a response.
@@ -73,7 +77,8 @@
                 };
                 let _closed = caller.send(response);
             }
-            Output::Events(events) => {
+            // Dropping the sender truncates the response.
+            Output::Events(_) => {
                 let cause = self.cause.map(|cause| cause.to_string()).unwrap_or_default();
                 metrics::counter!("daisydrum_streams_cut_total", "cause" => cause.clone())
                     .increment(1);
@@ -83,7 +88,6 @@
                     "denied" => self.denied.take().unwrap_or_default(),
                     "ms" => self.request.age_ms(), "fault" => %error,
                     "config" => self.request.config.version);
-                let _closed = events.send(Err(Truncated)).await;
             }
             Output::Closed => {}
         }
