Callers: unread whole responses cost bounded memory

What callers saw: callers that read nothing of whole responses of 6 MB made an entry instance take memory for each of them, until its machine ended it and with it the requests of all others.

Cause: a whole response counted for buffer::Budget only until it was handed over to the caller's connection. From then on its bytes waited there uncounted, since for up to 60 s without progress.

Change: gateway::delivery. Whole responses of 64 KiB or more count until the kernel has accepted their last byte or their connection has ended, 64 MiB for all together. One that finds no room waits, still counted as read, and callers that have taken nothing for a second or longer are disconnected, the longest first and no more than it takes (delivery::decide, pure). A caller that takes its response is never disconnected; without one that stalls the response waits until others have left. Bodies of a known length no longer occupy up to twice their size.

Alternative: not to take a response into memory without room. Its target has run the request by then, so that callers who read would get errors because of those who don't.

Not covered: crates/entry (the own interface) holds whole responses of up to 16 MB without such a bound.

--- a/crates/daisydrum/tests/seeded/paused_caller.rs
+++ b/crates/daisydrum/tests/seeded/paused_caller.rs
@@ -203,3 +203,19 @@
     let memory = endless::peak_memory_kb(entry);
     assert!(memory < endless::MEMORY_LIMIT_KB, "{memory} KB");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_never_read_whole_responses_cost_bounded_memory_and_cut_nobody_who_reads() {
+    let scripted = start("seeded-unread-wholes", 1, WHOLE).await;
+    let entry = &scripted.fleet.entries[0];
+    let mut unread = Vec::new();
+    for number in 0..CALLERS_THAT_NEVER_READ {
+        unread.push(send(entry.callers(), WHOLE, &format!("u{number}")).await);
+        if number % 10 == 9 {
+            assert_is_whole(send(entry.callers(), WHOLE, &format!("r{number}")).await, WHOLE).await;
+        }
+    }
+    time::sleep(Duration::from_secs(2)).await;
+    let memory = endless::peak_memory_kb(entry);
+    assert!(memory < endless::MEMORY_LIMIT_KB, "{memory} KB");
+}
--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -1,4 +1,4 @@
-//! Whether a caller's connection is idle, and since when.
+//! Use of a caller's connection: whether it is idle, and when its caller last took a part of a response.
 
 use std::{
     io,
@@ -12,7 +12,7 @@
 };
 
 use bytes::Bytes;
-use common::clock::Moment;
+use common::{cancel, clock::Moment};
 use entry::body::{Body, Truncated};
 use hyper::body::{self, Frame, SizeHint};
 use tokio::{
@@ -35,6 +35,10 @@
     has_read: AtomicBool,
     /// Idle limit in force when the last response ended, in milliseconds.
     limit_ms: AtomicU64,
+    /// When the kernel last accepted a part of a response.
+    written_at: AtomicU64,
+    /// Cancelled when the connection is to be closed at once.
+    disconnected: cancel::Token,
 }
 
 impl Activity {
@@ -45,9 +49,28 @@
             quiet_since: AtomicU64::new(now.0),
             has_read: AtomicBool::new(false),
             limit_ms: AtomicU64::new(milliseconds(limit)),
+            written_at: AtomicU64::new(now.0),
+            disconnected: cancel::Token::new(),
         }))
     }
 
+    /// When the kernel last accepted a part of a response.
+    pub(crate) fn written_at(&self) -> Moment {
+        Moment(self.0.written_at.load(Ordering::Acquire))
+    }
+
+    /// Has the connection closed at once; returns whether nobody did before.
+    pub(crate) fn disconnect(&self) -> bool {
+        let first = !self.0.disconnected.is_cancelled();
+        self.0.disconnected.cancel();
+        first
+    }
+
+    /// Waits until the connection is to be closed at once.
+    pub(crate) async fn disconnected(&self) {
+        self.0.disconnected.cancelled().await;
+    }
+
     /// Time until the connection may be closed; zero if that is now.
     ///
     /// A caller may reuse it for as long as the limit allowed when its last response ended, and for as long as the
@@ -71,6 +94,12 @@
         self.0.limit_ms.store(milliseconds(limit), Ordering::Release);
     }
 
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(1..)) = written {
+            self.0.written_at.store(Moment::now().0, Ordering::Release);
+        }
+    }
+
     fn record_read(&self) {
         if self.0.in_progress.load(Ordering::Acquire) == 0
             && !self.0.has_read.swap(true, Ordering::AcqRel)
@@ -124,7 +153,7 @@
     }
 }
 
-/// A connection whose reads are recorded.
+/// A connection whose reads and writes are recorded.
 #[derive(Debug)]
 pub(crate) struct Stream {
     pub(crate) inner: unread::Stream<TcpStream>,
@@ -152,7 +181,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.activity.record_write(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -168,7 +199,9 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.inner).poll_write_vectored(context, buffers);
+        self.activity.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/buffer.rs
+++ b/crates/gateway/src/buffer.rs
@@ -8,9 +8,10 @@
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 
-/// Bytes that all responses together may hold. Buffers grow by doubling, so their memory is up to twice as much.
+/// Bytes that all responses together may hold. Buffers of responses without a length grow by doubling, so their memory
+/// is up to twice as much.
 const TOTAL_BYTES: usize = 32 * 1024 * 1024;
 
 /// Why a body was not read completely.
@@ -63,7 +64,8 @@
 
     /// Reads a body of at most `limit` bytes.
     pub(crate) async fn read(&mut self, mut body: Incoming, limit: usize) -> Result<Bytes, Error> {
-        let mut read = BytesMut::new();
+        let length = usize::try_from(body.size_hint().lower()).unwrap_or(limit);
+        let mut read = BytesMut::with_capacity(length.min(limit));
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(Error::Truncated)?.into_data() else {
                 continue;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! [`listener`] accepts callers' connections and [`handler`] matches each request to a route. `request` selects
 //! targets and sends attempts to them, for `whole` (responses with a single body) and `stream` (event streams).
+//! [`delivery`] bounds the memory of whole responses that callers have not taken yet.
 //! [`connection`] and [`pool`] hold the connections to targets, [`state::Gateway`] the state that all requests share,
 //! [`quarantine`] the parts of prompts that end engines, and [`origins`] the software versions that began streams.
 
 pub mod connection;
 pub mod content;
+pub mod delivery;
 pub mod error;
 pub mod handler;
 pub mod listener;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -77,7 +77,9 @@
             let (gateway, drain) = (Arc::clone(&gateway), drain.clone());
             let activity = activity.clone();
             async move {
-                let mut response = response.await?;
+                let response = response.await?;
+                let mut response =
+                    gateway.deliveries.admit(response, &activity, &gateway.log).await;
                 if drain.is_cancelled() {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -103,9 +105,13 @@
         tokio::select! {
             biased;
             ended = connection.as_mut() => break ended,
+            () = activity.disconnected() => return,
             () = shutdown.close.cancelled() => {
                 connection.as_mut().graceful_shutdown();
-                break connection.await;
+                tokio::select! {
+                    ended = connection.as_mut() => break ended,
+                    () = activity.disconnected() => return,
+                }
             }
             () = time::sleep(idle) => {}
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,7 @@
 use slog::Logger;
 use tokio::sync::{mpsc, watch};
 
-use crate::{buffer, origins, pool::Pool, quarantine};
+use crate::{buffer, delivery, origins, pool::Pool, quarantine};
 
 /// Capacity of the queue of notices to other instances; notices that find it full are dropped.
 pub const MAX_QUEUED_NOTICES: usize = 256;
@@ -67,6 +67,8 @@
     pub origins: origins::Table,
     /// Memory of responses that are held until they can be forwarded.
     pub(crate) buffers: buffer::Budget,
+    /// Whole responses on their way to callers.
+    pub(crate) deliveries: delivery::Table,
     outgoing_notices: mpsc::Sender<exchange::Notice>,
 }
 
@@ -93,6 +95,7 @@
             quarantine: quarantine::Table::default(),
             origins,
             buffers: buffer::Budget::default(),
+            deliveries: delivery::Table::default(),
             outgoing_notices,
         };
         (Arc::new(gateway), Outgoing { notices, questions })
--- a/crates/gateway/src/stream/run.rs
+++ b/crates/gateway/src/stream/run.rs
@@ -265,7 +265,7 @@
                 return Ending::Error(None);
             }
         };
-        let buffered = Buffered { head, body, _reservation: reservation };
+        let buffered = Buffered { head, body, reservation };
         let forwarded = !buffered.head.status.is_success() && !buffered.reads_as_not_run();
         Ending::Error(forwarded.then_some(buffered))
     }
--- a/crates/gateway/src/whole.rs
+++ b/crates/gateway/src/whole.rs
@@ -3,6 +3,7 @@
 use std::{
     future::{self, Future},
     pin::Pin,
+    sync::Arc,
     task::Poll,
     time::Duration,
 };
@@ -40,8 +41,8 @@
 pub(crate) struct Buffered {
     pub(crate) head: response::Parts,
     pub(crate) body: Bytes,
-    /// Memory of the body, until it is forwarded.
-    pub(crate) _reservation: buffer::Reservation,
+    /// Memory of the body, until it is handed over to the caller's connection.
+    pub(crate) reservation: buffer::Reservation,
 }
 
 impl Buffered {
@@ -61,6 +62,8 @@
         let mut response = Response::new(Body::whole(self.body));
         *response.status_mut() = self.head.status;
         *response.headers_mut() = platform::request::end_to_end_headers(&self.head.headers);
+        // The extensions are dropped once the head is written.
+        response.extensions_mut().insert(Arc::new(self.reservation));
         response
     }
 }
@@ -242,7 +245,7 @@
             return None;
         }
     };
-    let buffered = Buffered { head, body, _reservation: reservation };
+    let buffered = Buffered { head, body, reservation };
     let authentic = platform::response::is_authentic(&buffered.head.headers);
     if buffered.reads_as_not_run() || (buffered.head.status.is_success() && !authentic) {
         return None;
