Tests: configurations that take away what requests in progress use

seeded config_taken_away: streams that may be resumed, streams that run at most once, idempotent requests and requests that run at most once are in progress; then routes, services or both are taken away, the targets drain too, or the routes lead to other services. Also with prompts computed elsewhere, and with a target of each service that ends afterwards, so that its requests go on at another one (1 and 7 instances). They are answered whole, each event once; new requests get 404, or 503 where the route leads to a service without targets.

That the cases do what they say is asserted: engines ran resumed streams, and took prompts over, exactly in the cases that are about it.

--- a/crates/daisydrum/tests/seeded/main.rs
+++ b/crates/daisydrum/tests/seeded/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod conditions;
+mod config_taken_away;
 mod content;
 mod control;
 mod crash;
