--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! [`listener`] accepts callers' connections and [`handler`] matches each request to a route. `request` selects
 //! targets and sends attempts to them, for `whole` (responses with a single body) and `stream` (event streams).
+//! [`delivery`] bounds the memory of whole responses that callers have not taken yet.
 //! [`connection`] and [`pool`] hold the connections to targets, [`state::Gateway`] the state that all requests share,
 //! [`quarantine`] the parts of prompts that end engines, [`ends`] the processes that may have ended, [`origins`] the
 //! software versions that began streams, and [`relay`] has a peer serve the requests of services that this instance is
@@ -9,6 +10,7 @@
 
 pub mod connection;
 pub mod content;
+pub mod delivery;
 pub mod ends;
 pub mod error;
 pub mod handler;
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -171,7 +171,7 @@
             body.extend_from_slice(&bytes);
         }
         let body = body.freeze();
-        Ok(Buffered { head: self.head, body, _reservation: reservation })
+        Ok(Buffered { head: self.head, body, reservation })
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -18,7 +18,7 @@
 use slog::Logger;
 use tokio::sync::{mpsc, watch};
 
-use crate::{buffer, ends, origins, pool::Pool, quarantine, relay};
+use crate::{buffer, delivery, ends, origins, pool::Pool, quarantine, relay};
 
 /// Capacity of the queue of notices to other instances; notices that find it full are dropped.
 pub const MAX_QUEUED_NOTICES: usize = 256;
@@ -76,6 +76,8 @@
     pub(crate) ends: ends::Table,
     /// Memory of responses that are held until they can be forwarded.
     pub(crate) buffers: buffer::Budget,
+    /// Whole responses on their way to callers.
+    pub(crate) deliveries: delivery::Table,
     outgoing_notices: mpsc::Sender<exchange::Notice>,
 }
 
@@ -106,6 +108,7 @@
             relay,
             ends,
             buffers: buffer::Budget::default(),
+            deliveries: delivery::Table::default(),
             outgoing_notices,
         };
         (Arc::new(gateway), Outgoing { notices, questions, ends: end_questions })
