Gateway: a request doesn't wait for a target that has been absent for long

What callers would have seen since slow connections are waited for: where connections to the only target of a service hang, each request is held for up to 3.5 s before its 503.

Cause: a slow target and one that is gone look alike during one attempt.

Change: a target that has accepted no connection for 1.5 s, with each attempt since then failed, is taken for absent and is not waited for.

Evidence: a_request_is_not_held_for_a_target_that_has_accepted_nothing_for_ long failed before (503 after 2.98 s where 1 s is allowed), passes now.

--- a/crates/daisydrum/tests/seeded/connect.rs
+++ b/crates/daisydrum/tests/seeded/connect.rs
@@ -1,6 +1,10 @@
 //! Targets that accept connections slowly.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use hyper::Method;
 use platform_standin::{
@@ -20,6 +24,10 @@
 /// Time for which the queue stays full after a request was sent. The next packet of its connection comes after a second.
 const FULL_TIME: Duration = Duration::from_millis(500);
 
+/// Time after which a target whose queue stays full counts as absent, and longest time until a request is refused then.
+const LONG_TIME: Duration = Duration::from_millis(2_500);
+const LONGEST_REFUSAL: Duration = Duration::from_millis(1_000);
+
 /// Listener in front of a target whose queue is full until it is opened.
 struct Front {
     address: SocketAddr,
@@ -103,3 +111,21 @@
     assert_eq!((response.status, response.whole), (Some(200), true));
     assert_eq!(runner.runs().len(), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_not_held_for_a_target_that_has_accepted_nothing_for_long() {
+    let (fleet, _runner, _front) = start("seeded-connect-absent", "portal").await;
+    let callers = fleet.entries[0].callers();
+    let first = client::plain_headers("slow-1").to_vec();
+    let first = client::request(callers, Method::POST, "/lookup/1", &first, "body");
+    let second = async {
+        time::sleep(LONG_TIME).await;
+        let begin = Instant::now();
+        let headers = client::plain_headers("slow-2").to_vec();
+        let response = client::request(callers, Method::POST, "/lookup/2", &headers, "body").await;
+        (response.status, begin.elapsed())
+    };
+    let (_first, (status, took)) = futures::future::join(first, second).await;
+    assert_eq!(status, Some(503));
+    assert!(took < LONGEST_REFUSAL, "{took:?}");
+}
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -141,7 +141,8 @@
         dispatch.record_outcome(key, Outcome::Unreached);
     }
 
-    /// Waits for a connection that is not made yet, if there is no other target, as long as the deadline allows.
+    /// Waits for a connection that is not made yet, if there is no other target and the target accepted one not long ago, as
+    /// long as the deadline allows.
     async fn wait_for(
         &self,
         error: connection::Error,
@@ -152,7 +153,8 @@
             return None;
         };
         let service = dispatch.service();
-        if self.has_other_target(service, key) {
+        let absent = self.gateway.balancer().is_absent(key, Moment::now());
+        if absent || self.has_other_target(service, key) {
             return None;
         }
         let limit = self.remaining().saturating_sub(RESPONSE_MARGIN);
--- a/crates/placement/src/balancer.rs
+++ b/crates/placement/src/balancer.rs
@@ -267,6 +267,11 @@
         others.into_iter().take(count).map(|(_, _, address)| address).collect()
     }
 
+    /// Whether no connection could be made to a target for so long that waiting for one is in vain.
+    pub fn is_absent(&self, key: Key, now: Moment) -> bool {
+        self.entries.get(key).is_none_or(|entry| entry.health.is_absent(now))
+    }
+
     /// Service and software version of each known target.
     pub fn software(&self) -> impl Iterator<Item = (&name::Service, &name::Software)> {
         self.entries.values().map(|entry| (&entry.target.service, &entry.target.software))
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -44,6 +44,9 @@
     Unreached,
 }
 
+/// Time without a connection after which a target is taken for absent, rather than slow to accept one.
+const SLOW_TIME: Duration = Duration::from_millis(1_500);
+
 /// Health of one target.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
@@ -59,6 +62,8 @@
     probed_at: Option<Moment>,
     /// Whether the last attempt to connect to it failed, with no answer over another connection shortly before.
     unreached: bool,
+    /// Since when `unreached` holds.
+    unreached_since: Option<Moment>,
     /// When it last answered, unless an attempt to connect has failed since then.
     answered_at: Option<Moment>,
     /// Whether it is ejected for its silence alone.
@@ -97,6 +102,11 @@
         self.unreached
     }
 
+    /// Whether no connection could be made to it for so long that waiting for one is in vain.
+    pub fn is_absent(&self, now: Moment) -> bool {
+        self.unreached_since.is_some_and(|since| now.since(since) >= SLOW_TIME)
+    }
+
     /// Records that a request was sent, which probes the target if it is ejected.
     pub fn record_sent(&mut self, now: Moment) {
         if self.ejected_until.is_some() {
@@ -124,10 +134,12 @@
             if answered_at.is_some_and(|answered| now.since(answered) < ANSWER_TTL) {
                 return false;
             }
+            self.unreached_since = self.unreached_since.or(Some(now));
             // The caller tries to connect in the background until it succeeds.
             return !std::mem::replace(&mut self.unreached, true);
         }
         self.unreached = false;
+        self.unreached_since = None;
         if outcome == Outcome::Silent {
             return self.record_silence(now);
         }
--- a/crates/placement/tests/parts.rs
+++ b/crates/placement/tests/parts.rs
@@ -157,6 +157,19 @@
     assert_eq!(health.availability(NOW + Duration::from_secs(60)), Availability::Available);
 }
 
+#[test]
+fn a_target_without_a_connection_is_slow_at_first_and_absent_later() {
+    let at = |ms| NOW + Duration::from_millis(ms);
+    let mut health = Health::default();
+    for ms in [0, 700, 1_400] {
+        health.record_outcome(Outcome::Unreached, 0.0, at(ms));
+        assert!(!health.is_absent(at(ms)), "{ms}");
+    }
+    assert!(health.is_absent(at(1_500)));
+    health.record_connected();
+    assert!(!health.is_absent(at(1_500)));
+}
+
 #[test]
 fn a_target_whose_other_connections_carry_answers_is_not_ejected_as_unreached() {
     let at = |ms| NOW + Duration::from_millis(ms);
