--- a/crates/daisydrum/tests/seeded/config_taken_away.rs
+++ b/crates/daisydrum/tests/seeded/config_taken_away.rs
@@ -109,7 +109,8 @@
     if is_stream(path) {
         return client::post_stream(entry, path, id).await;
     }
-    let headers = [("x-request-id", id), ("x-deadline-ms", "6000")];
+    let mut headers = client::plain_headers(id);
+    headers[1].1 = "6000";
     client::request(entry, Method::POST, path, &headers, "body").await
 }
 
--- a/crates/daisydrum/tests/seeded/paused_caller.rs
+++ b/crates/daisydrum/tests/seeded/paused_caller.rs
@@ -95,11 +95,12 @@
     let is_stream = matches!(script, Script::Events { .. });
     let path = if is_stream { "/summary/1" } else { "/lookup/1" };
     let mut request = Request::post(path).header(HOST, client::HOST_NAME);
-    for (name, value) in client::stream_headers(id) {
-        if is_stream || name == "x-request-id" {
-            let value = if name == "x-deadline-ms" { deadline_ms.as_str() } else { value };
-            request = request.header(name, value);
-        }
+    let mut headers = client::stream_headers(id);
+    headers[1].1 = &deadline_ms;
+    // A plain request has an id alone.
+    let sent = if is_stream { headers.len() } else { 1 };
+    for (name, value) in &headers[..sent] {
+        request = request.header(*name, *value);
     }
     let request = request.body(Full::new(Bytes::from_static(b"prompt"))).unwrap();
     http::open_with_receive_buffer(to, request, RECEIVE_BUFFER).await.unwrap()
