Records: a control instance that can't save an origin doesn't have it

Cause: one whose disk is full answers that, but counted as one that may have the record, so that a stream at a newer version ended before its first event if a majority of the three was full.

Change: such an answer counts as no record, and the stream begins at the oldest version at once. Found by reading; the test of the decision is new, the disk was not filled in a test.

--- a/crates/daisydrum/src/seeded/origins.rs
+++ b/crates/daisydrum/src/seeded/origins.rs
@@ -173,7 +173,8 @@
         let change: fn(&mut Tally) = match answer {
             Some(Answer::Kept) => |tally| tally.kept += 1,
             Some(Answer::Refused) => |tally| tally.refused += 1,
-            // It couldn't save them in time, or has none to keep any more.
+            Some(Answer::Later) => |tally| tally.unsaved += 1,
+            // All were withdrawn.
             _ => return,
         };
         records.iter().for_each(|record| record.recording.apply(change));
--- a/crates/placement/src/continuity/tally.rs
+++ b/crates/placement/src/continuity/tally.rs
@@ -13,6 +13,8 @@
     pub kept: usize,
     /// Those of them that keep no records, since they are of an earlier build.
     pub refused: usize,
+    /// Those of them that could not save it, and don't have it.
+    pub unsaved: usize,
     /// Whether an entry instance keeps it.
     pub kept_at_entry: bool,
     /// Whether it is sent to no further instances.
@@ -50,7 +52,7 @@
     /// Stops waiting for acknowledgements.
     pub fn withdraw(&mut self) -> Outcome {
         self.withdrawn = true;
-        let may_have = self.sent.saturating_sub(self.refused);
+        let may_have = self.sent.saturating_sub(self.refused + self.unsaved);
         if self.is_recorded() {
             Outcome::Recorded
         } else if self.control > 0 && may_have >= testimony::majority(self.control) {
--- a/crates/placement/tests/continuity.rs
+++ b/crates/placement/tests/continuity.rs
@@ -10,7 +10,7 @@
 use placement::continuity::{
     self, Answers, Decision, Origins, Versions,
     ledger::Ledger,
-    tally::Tally,
+    tally::{Outcome, Tally},
     testimony::{self, Verdict},
 };
 use returns::{Plan, Power, simulate};
@@ -236,6 +236,23 @@
     assert_eq!(versions.sole(), Some(&name::Software::from("v2")));
 }
 
+#[parameterized(
+    nobody_was_sent_it = { Tally { control: 3, ..Tally::default() }, Outcome::Unrecorded },
+    one_may_have_it = { Tally { control: 3, sent: 1, ..Tally::default() }, Outcome::Unrecorded },
+    two_may_have_it = { Tally { control: 3, sent: 2, ..Tally::default() }, Outcome::Uncertain },
+    two_could_not_save_it = { Tally { control: 3, sent: 3, unsaved: 2, ..Tally::default() }, Outcome::Unrecorded },
+    earlier_builds = { Tally { control: 3, sent: 3, refused: 2, ..Tally::default() }, Outcome::Unrecorded },
+    two_have_it = { Tally { control: 3, sent: 3, kept: 2, ..Tally::default() }, Outcome::Recorded },
+)]
+fn a_record_that_is_withdrawn_is_uncertain_if_a_majority_may_have_it(
+    tally: Tally,
+    expected: Outcome,
+) {
+    let mut tally = tally;
+    assert_eq!(tally.withdraw(), expected);
+    assert!(!tally.send(), "it must not be sent any more");
+}
+
 #[test]
 fn of_several_origins_that_of_the_latest_run_holds_in_any_order() {
     for order in [[0, 1], [1, 0]] {
