--- a/review/src/bin/forgotten_quarantine.rs
+++ b/review/src/bin/forgotten_quarantine.rs
@@ -1,10 +1,10 @@
-//! Case: a restart of all `front` machines forgets which request crashes runners.
+//! Case: after all processes were killed, it is forgotten which request crashes runners.
 
 use std::{path::Path, time::Duration};
 
 use review::{
     case,
-    fleet::{Fleet, Net},
+    fleet::{Daemon, Fleet, Net},
     http,
     record::Record,
     runner::{Options, Runner, read_log, rotated},
@@ -74,10 +74,15 @@
         let crashed = read_log(&log).iter().filter(|line| line.what == "crash").count();
         if trouble() && !restarted && crashed >= 3 && unix_ms() >= begin + 30_000 {
             restarted = true;
-            fleet.entries.iter_mut().for_each(|entry| entry.kill());
+            let kill = |daemons: &mut Vec<Daemon>| daemons.iter_mut().for_each(Daemon::kill);
+            let start = |daemons: &mut Vec<Daemon>| daemons.iter_mut().for_each(Daemon::start);
+            kill(&mut fleet.control);
+            kill(&mut fleet.entries);
             sleep_ms(500);
-            fleet.entries.iter_mut().for_each(|entry| entry.start());
-            next_copy = unix_ms() + CONTACT_MS + 1_500;
+            start(&mut fleet.control);
+            start(&mut fleet.entries);
+            // Machines are in touch again after twice contact_ms, since most of the core was hit.
+            next_copy = unix_ms() + 2 * CONTACT_MS + 1_500;
             fleet.until_ready();
         }
         if unix_ms() >= next_copy {
