--- a/review/src/bin/forgotten_quarantine.rs
+++ b/review/src/bin/forgotten_quarantine.rs
@@ -45,6 +45,7 @@
         work_ms: 20,
         first_ping_ms: 0,
         poison: POISON.to_owned(),
+        stage: String::new(),
     };
     let mut runners: Vec<(Runner, u32, Option<u64>)> = (0..RUNNERS)
         .map(|number| (Runner::start(options(number, 0), &log, record), 0, None))
--- a/review/src/bin/left_runner.rs
+++ b/review/src/bin/left_runner.rs
@@ -40,6 +40,7 @@
         work_ms: 300,
         first_ping_ms: 0,
         poison: String::new(),
+        stage: String::new(),
     };
     let mut runners: Vec<Runner> =
         (0..RUNNERS).map(|number| Runner::start(options(number), &log, record)).collect();
--- a/review/src/bin/relayed_origin.rs
+++ b/review/src/bin/relayed_origin.rs
@@ -40,6 +40,7 @@
             work_ms: EVENT_MS,
             first_ping_ms: 0,
             poison: String::new(),
+            stage: String::new(),
         };
         runners.push(Runner::start(options, &log, record));
     }
--- a/review/src/bin/restarted_version.rs
+++ b/review/src/bin/restarted_version.rs
@@ -35,6 +35,7 @@
         work_ms: EVENT_MS,
         first_ping_ms,
         poison: String::new(),
+        stage: String::new(),
     };
     let mut runners: Vec<Runner> =
         (0..RUNNERS).map(|number| Runner::start(options(number, "v1", 0), &log, record)).collect();
--- a/review/src/bin/rolled_back.rs
+++ b/review/src/bin/rolled_back.rs
@@ -38,6 +38,7 @@
         work_ms: EVENT_MS,
         first_ping_ms: 0,
         poison: String::new(),
+        stage: String::new(),
     };
     let mut earlier: Vec<Runner> =
         (0..2).map(|number| Runner::start(options(number, "v1"), &log, record)).collect();
--- a/review/src/bin/runner.rs
+++ b/review/src/bin/runner.rs
@@ -1,6 +1,6 @@
 //! A runner as the operators' pages describe it: serves requests, or streams, and sends pings.
 //!
-//! ID SERVICE VERSION LISTEN ANNOUNCED CONTROL,... EVENTS WORK_MS FIRST_PING_MS POISON LOG
+//! ID SERVICE VERSION LISTEN ANNOUNCED CONTROL,... EVENTS WORK_MS FIRST_PING_MS POISON LOG STAGE
 
 use std::{
     fs::{File, OpenOptions},
@@ -8,7 +8,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::Duration,
@@ -22,6 +22,9 @@
 /// `heartbeat_interval_ms` of the settings.
 const PING_INTERVAL_MS: u64 = 1_200;
 
+/// `switch_s`: time of a change of stage.
+const SWITCH_MS: u64 = 3_000;
+
 struct Runner {
     id: String,
     service: String,
@@ -30,6 +33,10 @@
     events: u64,
     work_ms: u64,
     poison: String,
+    /// `prefill` or `decode` for an engine; empty for other runners.
+    stage: Mutex<String>,
+    /// Orders accepted since the start.
+    orders: AtomicU64,
     log: Mutex<File>,
     born: u64,
     left: AtomicBool,
@@ -66,6 +73,8 @@
         events: number(6),
         work_ms: number(7),
         poison: arguments[9].clone(),
+        stage: Mutex::new(arguments[11].clone()),
+        orders: AtomicU64::new(0),
         log: Mutex::new(log),
         born: unix_ms(),
         left: AtomicBool::new(false),
@@ -101,8 +110,16 @@
     let (mut sequence, mut next) = (0_u64, 0);
     while !runner.left.load(Ordering::Acquire) {
         sequence += 1;
+        let stage = runner.stage.lock().unwrap().clone();
+        let engine = if stage.is_empty() {
+            String::new()
+        } else {
+            format!(
+                "\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],"
+            )
+        };
         let body = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"suva\",\"version\":\"{}\",\"slots\":64,\
+            "{{{engine}\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"suva\",\"version\":\"{}\",\"slots\":64,\
              \"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
             runner.service, runner.announced, runner.version, runner.born
         );
@@ -146,7 +163,7 @@
     }
 }
 
-fn serve(runner: &Runner, stream: TcpStream) {
+fn serve(runner: &Arc<Runner>, stream: TcpStream) {
     let _ignored = stream.set_nodelay(true);
     let Ok(mut writer) = stream.try_clone() else { return };
     let mut reader = BufReader::new(stream);
@@ -161,7 +178,7 @@
 }
 
 fn respond(
-    runner: &Runner,
+    runner: &Arc<Runner>,
     head: &Head,
     body: &[u8],
     writer: &mut TcpStream,
@@ -180,6 +197,12 @@
             "",
         );
     }
+    let stage = runner.stage.lock().unwrap().clone();
+    if !stage.is_empty()
+        && let Some(answered) = respond_as_engine(runner, head, &id, &stage, writer)
+    {
+        return answered;
+    }
     if id.is_empty() {
         return plain(writer, "400 Bad Request", &[("X-Not-Run", "1")], "");
     }
@@ -214,6 +237,61 @@
     write!(writer, "0\r\n\r\n")
 }
 
+/// Calls that engines have besides, and those that the stage forbids.
+fn respond_as_engine(
+    runner: &Arc<Runner>,
+    head: &Head,
+    id: &str,
+    stage: &str,
+    writer: &mut TcpStream,
+) -> Option<std::io::Result<()>> {
+    let (method, path) = head
+        .first
+        .split_once(' ')
+        .map(|(method, rest)| (method, rest.split(' ').next().unwrap_or("/")))?;
+    let json = |writer: &mut TcpStream, status: &str, body: String| {
+        plain(writer, status, &[("Content-Type", "application/json"), ("X-Request-Id", id)], &body)
+    };
+    let orders = runner.orders.load(Ordering::Acquire);
+    match (method, path) {
+        ("GET", "/-/report") => {
+            let body = format!(
+                "{{\"stage\":\"{stage}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
+                 \"busy\":false,\"sequence\":{orders},\"queued\":0,\"running\":0,\"kv_used\":0,\
+                 \"kv_total\":509868,\"handles\":0}}"
+            );
+            Some(json(writer, "200 OK", body))
+        }
+        ("POST", "/-/order") => {
+            runner.log("order", id, stage);
+            runner.orders.fetch_add(1, Ordering::AcqRel);
+            let next = if stage == "prefill" { "decode" } else { "prefill" };
+            let runner = Arc::clone(runner);
+            thread::spawn(move || {
+                sleep_ms(SWITCH_MS);
+                *runner.stage.lock().unwrap() = String::from(next);
+            });
+            Some(plain(writer, "202 Accepted", &[], ""))
+        }
+        ("GET", path) if path.starts_with("/-/kv-list") => {
+            Some(json(writer, "200 OK", String::from("{\"epoch\":1,\"next\":1,\"held\":[]}")))
+        }
+        ("DELETE", _) => Some(plain(writer, "200 OK", &[], "")),
+        _ if head.get("x-serving-stage") == Some("prefill") && stage == "prefill" => {
+            runner.log("prefill", id, path);
+            sleep_ms(20);
+            let body = format!("{{\"handle\":\"{id}\",\"tokens\":1460,\"version\":1}}");
+            Some(json(writer, "200 OK", body))
+        }
+        _ if stage == "prefill" || head.get("x-serving-stage") == Some("prefill") => {
+            runner.log("wrong-stage", id, path);
+            let headers = [("X-Not-Run", "1"), ("X-Request-Id", id)];
+            Some(plain(writer, "421 Misdirected Request", &headers, ""))
+        }
+        _ => None,
+    }
+}
+
 fn plain(
     writer: &mut TcpStream,
     status: &str,
--- a/review/src/runner.rs
+++ b/review/src/runner.rs
@@ -33,6 +33,8 @@
     pub first_ping_ms: u64,
     /// A request with this body crashes it when it begins to run it; empty for none.
     pub poison: String,
+    /// `prefill` or `decode` for an engine; empty for other runners.
+    pub stage: String,
 }
 
 /// A runner; its process is killed when this is dropped.
@@ -82,6 +84,7 @@
             )
             .arg(&options.poison)
             .arg(log)
+            .arg(&options.stage)
             .stdin(Stdio::piped())
             .stdout(Stdio::null())
             .spawn();
--- a/review/src/story.rs
+++ b/review/src/story.rs
@@ -30,6 +30,16 @@
     )
 }
 
+/// The same, of a service of engines.
+pub fn engine_config(timeout_ms: u64) -> String {
+    config(timeout_ms).replace(
+        "\"protocol\":\"h1\"",
+        "\"engine\":{\"slots\":64,\"kv_capacity_tokens\":509868,\"kv_token_bytes\":327680,\
+         \"link_mbps\":3800000.0,\"moves\":true,\"backups\":true,\"stride\":10,\"most\":12,\"handle_ttl_s\":5.0,\
+         \"switch_s\":3.0,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\"models\":[{\"name\":\"m\"}]},\"protocol\":\"h1\"",
+    )
+}
+
 /// Sends a request in a thread of its own, and records what it gets.
 pub fn begin(
     to: SocketAddr,
@@ -67,6 +77,15 @@
             ("X-Deadline-Ms", deadline.as_str()),
             ("Content-Type", "application/json"),
         ];
+        // A prompt that no other request shares; it says nothing to runners that aren't engines.
+        let story = from.as_ref().map_or(id.as_str(), |(first, _)| first);
+        let own = story.bytes().fold(7_u32, |hash, byte| hash.wrapping_mul(31) ^ u32::from(byte));
+        let parts = format!("{:x}:800,{own:x}:410", own ^ 0x5a5a_0000);
+        headers.extend([
+            ("X-Model", "m"),
+            ("X-Token-Count", "1210,80"),
+            ("X-Prompt-Prefix", &parts),
+        ]);
         let last = from.as_ref().map(|(_, last)| last.to_string()).unwrap_or_default();
         if let Some((first, _)) = &from {
             headers.push(("Resumes", first));
@@ -77,7 +96,6 @@
         } else {
             record.line(format!("consumer: {id} is sent to {to}"));
         }
-        let story = from.as_ref().map_or(id.as_str(), |(first, _)| first);
         let path = format!("/s/{story}");
         let limit = Duration::from_millis(deadline_ms + 1_000);
         let answer = http::request(to, "POST", &path, &headers, &format!("story {story}"), limit);
