--- a/review/src/bin/rolled_back.rs
+++ b/review/src/bin/rolled_back.rs
@@ -17,6 +17,8 @@
 const STREAMS: usize = 40;
 /// One of them is killed: a share of 0.17.
 const ENTRIES: u8 = 6;
+/// Runners of the service; each release replaces one of them: a share of 0.33.
+const RUNNERS: u8 = 3;
 
 fn main() {
     case::main(run);
@@ -41,18 +43,20 @@
         stage: String::new(),
     };
     let mut earlier: Vec<Runner> =
-        (0..2).map(|number| Runner::start(options(number, "v1"), &log, record)).collect();
+        (0..RUNNERS).map(|number| Runner::start(options(number, "v1"), &log, record)).collect();
     fleet.until_ready();
     fleet.end_bootstrap();
     sleep_ms(6_000);
-    record.line("release: two runners of v2 start, then those of v1 leave");
-    let runners: Vec<Runner> =
-        (2..4).map(|number| Runner::start(options(number, "v2"), &log, record)).collect();
-    sleep_ms(2_000);
-    earlier.iter_mut().for_each(Runner::leave);
-    // They serve for drain_timeout_ms (2 s) and a little longer.
-    sleep_ms(3_500);
-    earlier.iter_mut().for_each(Runner::kill);
+    let mut runners = Vec::new();
+    for (number, old) in earlier.iter_mut().enumerate() {
+        record.line("release: a runner of v2 starts, then one of v1 leaves");
+        runners.push(Runner::start(options(RUNNERS + number as u8, "v2"), &log, record));
+        sleep_ms(2_000);
+        old.leave();
+        // It serves for drain_timeout_ms (2 s) and a little longer.
+        sleep_ms(3_500);
+        old.kill();
+    }
     sleep_ms(PAUSE_MS);
     let callers: Vec<_> = fleet.entries.iter().map(|entry| entry.callers()).collect();
     let begun: Vec<_> = (0..STREAMS)
@@ -61,8 +65,8 @@
     sleep_ms(700);
     let mut returned = Vec::new();
     if std::env::var("TAKEN_BACK").map_or(true, |value| value != "0") {
-        record.line("the release is taken back: two runners of v1 start again");
-        returned.extend((4..6).map(|number| Runner::start(options(number, "v1"), &log, record)));
+        record.line("the releases are taken back: a first runner of v1 starts again");
+        returned.push(Runner::start(options(2 * RUNNERS, "v1"), &log, record));
     }
     sleep_ms(800);
     if trouble() {
