--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds every stand-in that the scripts of the second review (review/6 to review/10) start. Needs no network.
+set -eu
+cd "$(dirname "$0")/standins-2"
+exec cargo build --release --offline --locked
--- /dev/null
+++ b/review/standins-2/src/runner.rs
@@ -0,0 +1,1 @@
+//! Runners: not needed by all cases.
