--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -158,6 +158,17 @@
         }
     }
 
+    /// Resident memory of an instance's process; 0 if it isn't running.
+    pub fn memory_bytes(&self, index: usize) -> u64 {
+        let Some(child) = &self.daemons[index].child else {
+            return 0;
+        };
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) * 1024
+    }
+
     /// Whether an instance's process has ended by itself.
     pub fn has_ended(&mut self, index: usize) -> bool {
         let child = self.daemons[index].child.as_mut();
--- a/review/standins-2/src/operator.rs
+++ b/review/standins-2/src/operator.rs
@@ -76,6 +76,15 @@
 
 /// A config with a route to each of these services, in the order of the fields.
 pub fn config(version: u64, routes: &[Route]) -> String {
+    encode(version, routes, routes)
+}
+
+/// A config with these routes, which all lead to the service of one route.
+pub fn config_with_service(version: u64, routes: &[Route], service: &Route) -> String {
+    encode(version, routes, std::slice::from_ref(service))
+}
+
+fn encode(version: u64, routes: &[Route], services: &[Route]) -> String {
     let route = |route: &Route| {
         format!(
             r#"{{"name":"{name}","host":"vents.example","path_prefix":"/{name}/","route_type":"{kind}","timeout_ms":{timeout},"target_latency_ms":{latency},"priority":1,"service":"{service}","max_attempts":{attempts},"session_affinity":{affinity},"resumable":{resumable},"gap_target_ms":250}}"#,
@@ -101,7 +110,7 @@
         )
     };
     let routes_text: Vec<String> = routes.iter().map(route).collect();
-    let services: Vec<String> = routes.iter().map(service).collect();
+    let services: Vec<String> = services.iter().map(service).collect();
     format!(
         r#"{{"version":{version},"routes":[{}],"services":[{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#,
         routes_text.join(","),
