--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -141,10 +141,9 @@
         let sent = self.state.record.ms();
         let status = self.announce(control);
         let acknowledged = Instant::now();
-        self.state.record.line(format!(
-            "{}: draining, sent at {sent} ms to {control}: {status}",
-            self.name()
-        ));
+        self.state
+            .record
+            .line(format!("{}: draining, sent at {sent} ms to {control}: {status}", self.name()));
         (status == 200).then_some(acknowledged)
     }
 
@@ -187,7 +186,8 @@
         );
         let fields = [("Content-Type", "application/json")];
         let path = format!("/-/instances/{name}");
-        http::request(control, "PUT", &path, &fields, body.as_bytes(), Duration::from_secs(1)).status
+        http::request(control, "PUT", &path, &fields, body.as_bytes(), Duration::from_secs(1))
+            .status
     }
 
     fn accept(&self) {
@@ -233,12 +233,15 @@
         if head.target().1 == "/health" {
             let draining = self.state.draining.load(Ordering::SeqCst);
             let status = if draining { "503 Service Unavailable" } else { "200 OK" };
-            return format!("HTTP/1.1 {status}\r\nX-Instance-Id: {name}\r\nContent-Length: 0\r\n\r\n")
-                .into_bytes();
+            return format!(
+                "HTTP/1.1 {status}\r\nX-Instance-Id: {name}\r\nContent-Length: 0\r\n\r\n"
+            )
+            .into_bytes();
         }
         let id = head.field("x-request-id").unwrap_or_default().to_owned();
         if id.is_empty() {
-            return b"HTTP/1.1 400 Bad Request\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".to_vec();
+            return b"HTTP/1.1 400 Bad Request\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+                .to_vec();
         }
         self.state.record.line(format!("{name}: runs {id}"));
         self.state.runs.lock().unwrap().push(Run { id: id.clone(), at: Instant::now(), body });
