A replica that joins is never needed for the quorum

What callers saw: a control instance that lost its disk again while it came back left all control instances without a quorum for good.

Cause: the new replica of an instance that had lost its disk got its vote before the old one, which is gone, was removed. In between the quorum was larger by one, and the new replica had to be part of it. It counted as caught up before it had answered at all. A replica on a new instance had the same effect while a lost voter was still a member.

Change: no step of a replacement changes the size of a quorum. While the number of voters is odd, a voter that is gone (its instance has a new replica, or it has been silent) is removed before its successor gets a vote; while it is even, the successor gets its vote first. A replica that replaces none gets a vote only once all voters have confirmed it, or those that are silent were removed. A learner has caught up once it has confirmed the change that added it. A learner that is lost before it gets its vote is replaced in one step and keeps what it replaces.

Weighed against it: a joint change needs a second form of configuration, which the build before can't read; to exchange two identities in one step is safe only as long as the old one is really gone, also its votes under way. Each step here changes one member, so earlier builds follow it; one that leads plans as before.

--- a/crates/consensus/src/member.rs
+++ b/crates/consensus/src/member.rs
@@ -47,7 +47,7 @@
 /// A change of one member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
-    /// Adds a learner.
+    /// Adds a learner, which takes the place of another learner on its instance.
     #[serde(rename = "Learn")]
     AddLearner(Member),
     /// Makes a learner a voter.
@@ -65,7 +65,8 @@
     /// The replica is not a member.
     #[display("the replica is not a member")]
     Unknown,
-    /// The learner lags by more than [`max_promotion_lag`](crate::options::Options::max_promotion_lag).
+    /// The learner lags by more than [`max_promotion_lag`](crate::options::Options::max_promotion_lag), or has not confirmed
+    /// the change that added it.
     #[display("the learner has not caught up with the leader's log")]
     Behind,
     /// The change would leave no voter.
@@ -122,7 +123,10 @@
             Change::AddLearner(member) if self.member(member.id).is_some() => {
                 return Err(Error::Known);
             }
-            Change::AddLearner(member) => members.push(Member { voter: false, ..member.clone() }),
+            Change::AddLearner(member) => {
+                members.retain(|other| other.voter || other.instance != member.instance);
+                members.push(Member { voter: false, ..member.clone() });
+            }
             Change::Promote(id) => {
                 let learner = members.iter_mut().find(|member| member.id == *id);
                 learner.ok_or(Error::Unknown)?.voter = true;
--- a/crates/consensus/src/node/change.rs
+++ b/crates/consensus/src/node/change.rs
@@ -40,15 +40,27 @@
     }
 
     fn check_change(&self, change: &Change) -> Result<Config, Error> {
-        if let Change::Promote(id) = change {
-            let lag = self.log.last().index.saturating_sub(self.leader_state.match_index(*id));
-            if lag > self.options.max_promotion_lag {
-                return Err(Error::Behind);
-            }
+        if let Change::Promote(id) = change
+            && !self.is_up_to_date(*id)
+        {
+            return Err(Error::Behind);
         }
         self.log.config().with_change(change)
     }
 
+    /// Whether a peer holds the newest configuration and, but for a few, all entries.
+    fn is_up_to_date(&self, id: Id) -> bool {
+        let held = self.leader_state.match_index(id);
+        let lag = self.log.last().index.saturating_sub(held);
+        held >= self.log.config_index() && lag <= self.options.max_promotion_lag
+    }
+
+    /// Whether this replica leads, and a peer is up to date and has replied within the shortest election timeout.
+    pub fn has_caught_up(&self, id: Id, now: Moment) -> bool {
+        let answers = |silence| silence < self.options.election_timeout_min;
+        self.is_up_to_date(id) && self.silence(id, now).is_some_and(answers)
+    }
+
     /// Starts a leadership transfer: refuses proposals until `to` has all entries and can start its election.
     pub(super) fn transfer_leadership(&mut self, to: Id, now: Moment) {
         let votes = self.log.config().is_voter(to) && to != self.hard.id;
--- a/crates/consensus/src/reconfiguration.rs
+++ b/crates/consensus/src/reconfiguration.rs
@@ -1,16 +1,24 @@
 //! Plans membership changes, one at a time.
 //!
 //! A replacement in progress is recorded in the configuration ([`Member::replaces`]), so a later leader continues it.
+//!
+//! A replica that has just joined may be lost at any moment, so the log must never need it for a quorum: as long as the
+//! number of voters is odd, a voter that is gone for good is removed before its successor gets a vote, and while it is
+//! even the successor gets its vote first. Neither step changes the size of a quorum.
 
 use std::time::Duration;
 
-use common::name;
+use common::{clock::Moment, name};
 
 use crate::{
-    member::{Change, Id, Member},
+    member::{Change, Config, Id, Member},
+    node::Node,
     status::Status,
 };
 
+/// Time without a reply after which a voter on another instance than its successor is removed before that one votes.
+const REPLACED_AFTER: Duration = Duration::from_secs(3);
+
 /// When a leader removes members that don't reply.
 ///
 /// Otherwise a member that never returns would count for the quorum forever. One that returns asks to join again, with
@@ -23,10 +31,12 @@
     pub min_voters: usize,
 }
 
-/// The next change that a leader should propose to continue a replacement, if any.
+/// The next change that a leader should propose to continue a replacement or an addition, if any.
 ///
-/// A learner that lags by at most `max_promotion_lag` entries is promoted, then the member that it replaces is removed.
-pub fn next_change(status: &Status, max_promotion_lag: u64) -> Option<Change> {
+/// A learner that has caught up gets a vote, and the member that it replaces is removed. With a `removal` policy a voter
+/// that doesn't reply makes way for a learner that replaces none.
+pub fn next_change(node: &Node, now: Moment, removal: Option<&Removal>) -> Option<Change> {
+    let status = node.status();
     if !status.settled {
         return None;
     }
@@ -40,13 +50,35 @@
     if let Some(old) = replaced {
         return Some(Change::Remove(old));
     }
-    let caught_up =
-        |id| status.lags.iter().any(|lag| lag.id == id && lag.entries <= max_promotion_lag);
-    config
+    let learner = config
         .members()
         .iter()
-        .find(|member| !member.voter && caught_up(member.id))
-        .map(|member| Change::Promote(member.id))
+        .find(|member| !member.voter && node.has_caught_up(member.id, now))?;
+    if config.voters().count().is_multiple_of(2) {
+        return Some(Change::Promote(learner.id));
+    }
+    let lost = lost_voter(node, config, learner, now)
+        .or_else(|| silent_voter(node, config, now, removal?.after));
+    if let Some(lost) = lost {
+        return Some(Change::Remove(lost));
+    }
+    // The quorum grows by one, so all voters must be there. One that was lost before the learner came has not confirmed it.
+    let confirmed = |id: Id| id == status.id || node.has_caught_up(id, now);
+    config.voters().all(confirmed).then_some(Change::Promote(learner.id))
+}
+
+/// The voter that a learner replaces, if that one is gone: its instance runs the learner, so that its state is lost, or it
+/// has not replied for a while.
+fn lost_voter(node: &Node, config: &Config, learner: &Member, now: Moment) -> Option<Id> {
+    let old = config.member(learner.replaces?).filter(|old| old.voter)?;
+    let is_silent = || node.silence(old.id, now).is_some_and(|silence| silence >= REPLACED_AFTER);
+    (old.instance == learner.instance || is_silent()).then_some(old.id)
+}
+
+/// The voter that has not replied for longest, if that is at least `after`.
+fn silent_voter(node: &Node, config: &Config, now: Moment, after: Duration) -> Option<Id> {
+    let silences = config.voters().filter_map(|id| Some((node.silence(id, now)?, id)));
+    silences.filter(|(silence, _)| *silence >= after).max().map(|(_, id)| id)
 }
 
 /// The change that removes the member that has not replied for longest, if that is long enough.
@@ -88,24 +120,16 @@
 
 /// The change with which a replica that lost its state, and so has a new identity, replaces its instance's old replica.
 ///
-/// First removes a learner of the instance that was never promoted. Returns none if `id` is a member, if this replica
-/// accepts no change now, or if `instance` has no member; see [`add`] for a replica on a new instance.
+/// It also takes the place of a learner of the instance that was never promoted. Returns none if `id` is a member, if this
+/// replica accepts no change now, or if `instance` has no member; see [`add`] for a replica on a new instance.
 pub fn rejoin(status: &Status, id: Id, instance: &name::Instance) -> Option<Change> {
     if !status.settled || status.config.member(id).is_some() {
         return None;
     }
-    let at_instance = |member: &&Member| member.instance == *instance;
-    let unpromoted =
-        status.config.members().iter().filter(at_instance).find(|member| !member.voter);
-    if let Some(learner) = unpromoted {
-        return Some(Change::Remove(learner.id));
-    }
-    let newest = |member: &&Member| {
-        let replaced = |other: &Member| other.replaces == Some(member.id);
-        !status.config.members().iter().any(replaced)
-    };
-    let old = status.config.members().iter().filter(at_instance).find(newest)?;
-    let replaces = Some(old.id);
+    let members = || status.config.members().iter();
+    let newest = |member: &&Member| !members().any(|other| other.replaces == Some(member.id));
+    let old = members().filter(|member| member.instance == *instance).find(newest)?;
+    let replaces = if old.voter { Some(old.id) } else { old.replaces };
     Some(Change::AddLearner(Member { id, instance: instance.clone(), voter: false, replaces }))
 }
 
--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -239,7 +239,7 @@
     for index in 2..=5 {
         let status = driver.node.status();
         let change = reconfiguration::rejoin(&status, Id(9), &"instance-3".into())
-            .or_else(|| reconfiguration::next_change(&status, 0));
+            .or_else(|| reconfiguration::next_change(&driver.node, driver.now, None));
         steps.push(format!("{change:?}"));
         if let Some(change) = change {
             driver.step(Event::Change(OperationId(index), change));
@@ -249,8 +249,8 @@
     }
     expect![[r#"
         Some(AddLearner(Member { id: Id(9), instance: Instance("instance-3"), voter: false, replaces: Some(Id(3)) }))
-        Some(Promote(Id(9)))
         Some(Remove(Id(3)))
+        Some(Promote(Id(9)))
         None"#]]
     .assert_eq(&steps.join("\n"));
 }
--- a/crates/consensus/tests/schedules.rs
+++ b/crates/consensus/tests/schedules.rs
@@ -42,7 +42,11 @@
 }
 
 fn check(seed: u64, cases: u32) {
-    let result = runner(seed, cases).run(&plan::plans(), |plan| {
+    check_plans(seed, cases, &plan::plans());
+}
+
+fn check_plans(seed: u64, cases: u32, plans: &impl Strategy<Value = Plan>) {
+    let result = runner(seed, cases).run(plans, |plan| {
         let result = Cluster::new(plan, Bug::None).run();
         prop_assert_eq!(result, Ok(()));
         Ok(())
@@ -68,6 +72,14 @@
     }
 }
 
+/// Guards against a log that needs a replica which has just joined: its loss in that moment took the quorum for good.
+#[test]
+fn no_schedule_of_repeated_losses_takes_the_quorum() {
+    for seed in SEEDS {
+        check_plans(seed, CASES, &plan::plans_of_losses());
+    }
+}
+
 #[test]
 fn disks_slower_than_the_election_timeout_stop_no_progress() {
     for seed in 0..20 {
@@ -105,6 +117,7 @@
 fn no_schedule_of_a_long_run_violates_safety_or_stops_progress() {
     let seed = std::env::var("DAISYDRUM_SEED").map_or(7, |seed| seed.parse().unwrap());
     check(seed, LONG_CASES);
+    check_plans(seed, LONG_CASES, &plan::plans_of_losses());
 }
 
 #[test]
--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -1,6 +1,10 @@
 //! A deterministic simulation of replicas, their network and their clients.
 
-use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeSet, BinaryHeap},
+    time::Duration,
+};
 
 use common::{clock::Moment, random::Random};
 use consensus::{
@@ -26,7 +30,7 @@
 const RECOVERY_MS: u64 = 60_000;
 const COMPACT_ENTRIES: u64 = 25;
 /// Shorter than most faults, so that replicas are removed and return.
-const REMOVAL: Removal = Removal { after: Duration::from_millis(1_500), min_voters: 3 };
+const REMOVE_AFTER: Duration = Duration::from_millis(1_500);
 
 pub struct Cluster {
     plan: Plan,
@@ -44,6 +48,8 @@
     next_number: u64,
     /// Whether all faults have ended.
     faults_ended: bool,
+    /// Hosts whose disks were lost since all replicas were voters.
+    lost: BTreeSet<usize>,
 }
 
 impl Cluster {
@@ -79,6 +85,7 @@
             checker: Checker::default(),
             next_number: 0,
             faults_ended: false,
+            lost: BTreeSet::new(),
             plan,
         };
         cluster.schedule_all();
@@ -157,6 +164,14 @@
             && self.hosts.iter().all(|host| status.config.is_voter(host.id))
     }
 
+    /// Whether the disk of a host may be lost: with those that were lost since all replicas were voters, a minority.
+    fn may_lose(&mut self, host: usize) -> bool {
+        if self.is_fully_replicated() {
+            self.lost.clear();
+        }
+        self.lost.contains(&host) || self.lost.len() < (self.hosts.len() - 1) / 2
+    }
+
     fn schedule_at(&mut self, time: u64, action: Action) {
         self.queue.push(Reverse((time, self.actions.len() as u64)));
         self.actions.push(Some(action));
@@ -375,10 +390,11 @@
         if status.role != Role::Leader {
             return None;
         }
+        let removal = Removal { after: REMOVE_AFTER, min_voters: self.plan.min_voters };
         let silence = |id| leader.silence(id, self.now);
         self.join(&status)
-            .or_else(|| reconfiguration::next_change(&status, self.options.max_promotion_lag))
-            .or_else(|| reconfiguration::remove_silent(&status, silence, &REMOVAL))
+            .or_else(|| reconfiguration::next_change(leader, self.now, Some(&removal)))
+            .or_else(|| reconfiguration::remove_silent(&status, silence, &removal))
     }
 
     /// The change with which the first replica that runs and is no member joins.
@@ -410,7 +426,16 @@
                 self.wipe(at);
                 self.hosts[at].instance = format!("instance-{}", self.hosts[at].id).as_str().into();
             }
-            Kind::Wipe | Kind::Replace => {}
+            Kind::WipeAgain | Kind::ReplaceAgain if self.may_lose(at) => {
+                self.lost.insert(at);
+                self.crash(at, fault.lasts_ms);
+                self.wipe(at);
+                if matches!(fault.kind, Kind::ReplaceAgain) {
+                    self.hosts[at].instance =
+                        format!("instance-{}", self.hosts[at].id).as_str().into();
+                }
+            }
+            Kind::Wipe | Kind::Replace | Kind::WipeAgain | Kind::ReplaceAgain => {}
             Kind::Pause => {
                 self.hosts[at].paused_until = self.now + Duration::from_millis(fault.lasts_ms);
             }
--- a/crates/consensus/tests/support/plan.rs
+++ b/crates/consensus/tests/support/plan.rs
@@ -7,6 +7,8 @@
 pub struct Plan {
     pub seed: u64,
     pub replicas: usize,
+    /// Fewest voters that the removal of silent ones leaves.
+    pub min_voters: usize,
     /// Probability in percent that a message is lost.
     pub loss: u64,
     /// Probability in percent that a message arrives twice.
@@ -36,6 +38,11 @@
     Wipe,
     /// The replica is lost with its disk, and one on a new instance starts. Skipped like [`Kind::Wipe`].
     Replace,
+    /// As [`Kind::Wipe`], also while this replica or another one is being replaced, if that loses no more disks than a
+    /// minority.
+    WipeAgain,
+    /// As [`Kind::Replace`], under the condition of [`Kind::WipeAgain`].
+    ReplaceAgain,
     /// The process stops for a while.
     Pause,
     /// The replica neither receives nor sends messages.
@@ -51,10 +58,20 @@
 impl Plan {
     /// A plan with a fast network and fast disks, without faults.
     pub fn without_faults(seed: u64, replicas: usize) -> Plan {
-        Plan { seed, replicas, loss: 0, duplicates: 0, delay_ms: 5, sync_ms: 5, faults: Vec::new() }
+        Plan {
+            seed,
+            replicas,
+            min_voters: MIN_VOTERS,
+            loss: 0,
+            duplicates: 0,
+            delay_ms: 5,
+            sync_ms: 5,
+            faults: Vec::new(),
+        }
     }
 }
 
+const MIN_VOTERS: usize = 3;
 /// Faults begin before this time.
 pub const FAULTS_MS: u64 = 15_000;
 
@@ -66,6 +83,7 @@
         |(seed, replicas, loss, duplicates, delay_ms, sync_ms, faults)| Plan {
             seed,
             replicas,
+            min_voters: MIN_VOTERS,
             loss,
             duplicates,
             delay_ms,
@@ -75,6 +93,34 @@
     )
 }
 
+/// Plans in which replicas are lost again and again while they come back, beside crashes, pauses and cuts of others.
+pub fn plans_of_losses() -> impl Strategy<Value = Plan> {
+    let kind = prop_oneof![
+        12 => Just(Kind::WipeAgain),
+        4 => Just(Kind::ReplaceAgain),
+        1 => Just(Kind::Crash),
+        1 => Just(Kind::Pause),
+        1 => Just(Kind::Isolate),
+        1 => Just(Kind::Transfer),
+    ];
+    let fault = (0..FAULTS_MS, 0..5_usize, 1..1_500_u64, kind)
+        .prop_map(|(at_ms, host, lasts_ms, kind)| Fault { at_ms, host, lasts_ms, kind });
+    let replicas = prop_oneof![Just(3_usize), Just(5)];
+    let faults = collection::vec(fault, 10..60);
+    (any::<u64>(), replicas, 1..60_u64, 1..100_u64, faults).prop_map(
+        |(seed, replicas, delay_ms, sync_ms, faults)| Plan {
+            seed,
+            replicas,
+            min_voters: replicas,
+            loss: 0,
+            duplicates: 0,
+            delay_ms,
+            sync_ms,
+            faults,
+        },
+    )
+}
+
 fn faults() -> impl Strategy<Value = Fault> {
     let kind = prop_oneof![
         3 => Just(Kind::Crash),
--- a/crates/replica/src/host.rs
+++ b/crates/replica/src/host.rs
@@ -313,7 +313,6 @@
         let worker = Worker {
             instance: settings.instance.clone(),
             node: Node::new(initial, settings.options),
-            options: settings.options,
             join_policy: settings.join_policy,
             machine: self.machine,
             applied: snapshot,
--- a/crates/replica/src/worker.rs
+++ b/crates/replica/src/worker.rs
@@ -15,7 +15,6 @@
     member::{Change, Config, Id, Member},
     message::Envelope,
     node::Node,
-    options::Options,
     reconfiguration,
     status::{Role, Status},
 };
@@ -55,7 +54,6 @@
 pub(crate) struct Worker<M> {
     pub instance: name::Instance,
     pub node: Node,
-    pub options: Options,
     pub join_policy: JoinPolicy,
     pub machine: M,
     pub applied: u64,
@@ -387,7 +385,11 @@
         if status.role != Role::Leader {
             return;
         }
-        let change = reconfiguration::next_change(&status, self.options.max_promotion_lag)
+        let removal = match &self.join_policy {
+            JoinPolicy::Manual => None,
+            JoinPolicy::Automatic(removal) => Some(removal),
+        };
+        let change = reconfiguration::next_change(&self.node, Moment::now(), removal)
             .or_else(|| self.remove_silent(&status));
         if let Some(change) = change {
             let (responder, _unread) = tokio::sync::oneshot::channel();
