A member and its successor vote in a joint configuration

Change: as long as a member and its successor both vote, a quorum takes a majority of the voters without the successor and one of those without the member (joint consensus). The record of it is the one that builds have already. Builds that take a majority of all of these voters instead have a common member with each joint quorum, so both can run side by side: with 2k+1 voters and a successor, k+1 and k+2 of 2k+2; with 2k, k+1 and k+1 of 2k+1. A learner that replaces none gets its vote once all voters have confirmed it, or replaces the one that has been silent for longest, if the voters that answer are a majority. The record of a replacement ends with it.

In the plans an instance may lose its disk again and again, as long as no more instances than a minority lose theirs until all are voters again.

--- a/crates/consensus/src/member.rs
+++ b/crates/consensus/src/member.rs
@@ -47,7 +47,7 @@
 /// A change of one member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
-    /// Adds a learner, which takes the place of another learner on its instance.
+    /// Adds a learner, which takes the place of another learner on its instance, or changes what a learner replaces.
     #[serde(rename = "Learn")]
     AddLearner(Member),
     /// Makes a learner a voter.
@@ -101,15 +101,46 @@
         self.members.iter().filter(|member| member.voter).map(|member| member.id)
     }
 
-    /// Number of voters that form a quorum: a majority.
-    pub fn quorum(&self) -> usize {
-        self.voters().count() / 2 + 1
+    /// Identities of the voters whose successors vote, too.
+    pub fn replaced_voters(&self) -> impl Iterator<Item = Id> {
+        let successors = self.members.iter().filter(|member| member.voter);
+        successors.filter_map(|member| member.replaces).filter(|old| self.is_voter(*old))
     }
 
-    /// Whether the voters for which `holds` returns true form a quorum.
+    /// Whether the voters for which `holds` returns true form a quorum: a majority.
+    ///
+    /// As long as voters are members beside their successors, it takes a majority of those before the replacement and one of
+    /// those after it (joint consensus; Ongaro's dissertation, section 4.3). Builds that take a majority of all voters
+    /// instead have a common member with each such quorum.
     pub fn has_quorum(&self, holds: impl Fn(Id) -> bool) -> bool {
-        let count = self.voters().filter(|id| holds(*id)).count();
-        count >= self.quorum()
+        let is_majority = |voters: Vec<Id>| {
+            let count = voters.iter().filter(|id| holds(**id)).count();
+            count > voters.len() / 2
+        };
+        is_majority(self.voters_before()) && is_majority(self.voters_after())
+    }
+
+    /// The highest index up to which a quorum holds the log, where `held` returns that of a voter.
+    pub fn quorum_index(&self, held: impl Fn(Id) -> u64) -> u64 {
+        let median = |voters: Vec<Id>| {
+            let mut indexes: Vec<u64> = voters.into_iter().map(&held).collect();
+            indexes.sort_unstable_by(|left, right| right.cmp(left));
+            indexes.get(indexes.len() / 2).copied().unwrap_or(0)
+        };
+        median(self.voters_before()).min(median(self.voters_after()))
+    }
+
+    /// The voters without those that have taken the place of another one.
+    fn voters_before(&self) -> Vec<Id> {
+        let succeeds = |member: &Member| member.replaces.is_some_and(|old| self.is_voter(old));
+        let voters = self.members.iter().filter(|member| member.voter);
+        voters.filter(|member| !succeeds(member)).map(|member| member.id).collect()
+    }
+
+    /// The voters without those whose place another one has taken.
+    fn voters_after(&self) -> Vec<Id> {
+        let replaced: Vec<Id> = self.replaced_voters().collect();
+        self.voters().filter(|id| !replaced.contains(id)).collect()
     }
 
     /// The configuration after `change`.
@@ -120,11 +151,16 @@
     pub fn with_change(&self, change: &Change) -> Result<Config, Error> {
         let mut members = self.members.clone();
         match change {
-            Change::AddLearner(member) if self.member(member.id).is_some() => {
+            Change::AddLearner(member)
+                if self
+                    .member(member.id)
+                    .is_some_and(|known| known.voter || known.replaces == member.replaces) =>
+            {
                 return Err(Error::Known);
             }
             Change::AddLearner(member) => {
                 members.retain(|other| other.voter || other.instance != member.instance);
+                forget(&mut members, member.id);
                 members.push(Member { voter: false, ..member.clone() });
             }
             Change::Promote(id) => {
@@ -132,9 +168,18 @@
                 learner.ok_or(Error::Unknown)?.voter = true;
             }
             Change::Remove(id) if self.member(*id).is_none() => return Err(Error::Unknown),
-            Change::Remove(id) => members.retain(|member| member.id != *id),
+            Change::Remove(id) => {
+                members.retain(|member| member.id != *id);
+                forget(&mut members, *id);
+            }
         }
         let config = Config::new(members);
         if config.voters().next().is_none() { Err(Error::Last) } else { Ok(config) }
     }
 }
+
+/// Forgets that a replica was replaced: it may return with its identity.
+fn forget(members: &mut [Member], replaced: Id) {
+    let successors = members.iter_mut().filter(|member| member.replaces == Some(replaced));
+    successors.for_each(|successor| successor.replaces = None);
+}
--- a/crates/consensus/src/node/change.rs
+++ b/crates/consensus/src/node/change.rs
@@ -11,6 +11,9 @@
     status::Role,
 };
 
+/// Heartbeats without a reply up to which a replica counts as one that answers.
+const MAX_MISSED_HEARTBEATS: u32 = 3;
+
 impl Node {
     pub(super) fn change(&mut self, operation: OperationId, change: &Change, now: Moment) {
         if self.role != Role::Leader {
@@ -55,9 +58,9 @@
         held >= self.log.config_index() && lag <= self.options.max_promotion_lag
     }
 
-    /// Whether this replica leads, and a peer is up to date and has replied within the shortest election timeout.
+    /// Whether this replica leads, and a peer is up to date and has replied to one of the last heartbeats.
     pub fn has_caught_up(&self, id: Id, now: Moment) -> bool {
-        let answers = |silence| silence < self.options.election_timeout_min;
+        let answers = |silence| silence < self.options.heartbeat_interval * MAX_MISSED_HEARTBEATS;
         self.is_up_to_date(id) && self.silence(id, now).is_some_and(answers)
     }
 
--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -221,9 +221,7 @@
         let held = |id: Id| {
             if id == self.hard.id { self.durable_index } else { self.leader_state.match_index(id) }
         };
-        let mut indexes: Vec<u64> = config.voters().map(held).collect();
-        indexes.sort_unstable_by(|left, right| right.cmp(left));
-        let index = indexes.get(config.quorum() - 1).copied().unwrap_or(0);
+        let index = config.quorum_index(held);
         if index <= self.commit || index < self.leader_state.first_index {
             return;
         }
--- a/crates/consensus/src/reconfiguration.rs
+++ b/crates/consensus/src/reconfiguration.rs
@@ -2,9 +2,11 @@
 //!
 //! A replacement in progress is recorded in the configuration ([`Member::replaces`]), so a later leader continues it.
 //!
-//! A replica that has just joined may be lost at any moment, so the log must never need it for a quorum: as long as the
-//! number of voters is odd, a voter that is gone for good is removed before its successor gets a vote, and while it is
-//! even the successor gets its vote first. Neither step changes the size of a quorum.
+//! A replica that has just joined may be lost at any moment, so the log must not come to need it for a quorum. While a
+//! member and its successor both vote, the configuration is a joint one
+//! ([`Config::has_quorum`](crate::member::Config::has_quorum)), whose quorums the others
+//! can form alone. A replica that replaces none makes quorums larger where the number of voters is odd; it gets its vote
+//! there only if all voters have confirmed it, or else in the place of the one that has been silent for longest.
 
 use std::time::Duration;
 
@@ -16,9 +18,6 @@
     status::Status,
 };
 
-/// Time without a reply after which a voter on another instance than its successor is removed before that one votes.
-const REPLACED_AFTER: Duration = Duration::from_secs(3);
-
 /// When a leader removes members that don't reply.
 ///
 /// Otherwise a member that never returns would count for the quorum forever. One that returns asks to join again, with
@@ -33,46 +32,33 @@
 
 /// The next change that a leader should propose to continue a replacement or an addition, if any.
 ///
-/// A learner that has caught up gets a vote, and the member that it replaces is removed. With a `removal` policy a voter
-/// that doesn't reply makes way for a learner that replaces none.
+/// A learner that has caught up gets a vote, then the member that it replaces is removed. With a `removal` policy a learner
+/// that replaces none may take the place of a voter that doesn't reply.
 pub fn next_change(node: &Node, now: Moment, removal: Option<&Removal>) -> Option<Change> {
     let status = node.status();
     if !status.settled {
         return None;
     }
     let config = &status.config;
-    let replaced = config
-        .members()
-        .iter()
-        .filter(|member| member.voter)
-        .filter_map(|member| member.replaces)
-        .find(|old| config.member(*old).is_some());
-    if let Some(old) = replaced {
+    if let Some(old) = config.replaced_voters().next() {
         return Some(Change::Remove(old));
     }
     let learner = config
         .members()
         .iter()
         .find(|member| !member.voter && node.has_caught_up(member.id, now))?;
-    if config.voters().count().is_multiple_of(2) {
+    let replaces_voter = learner.replaces.is_some_and(|old| config.is_voter(old));
+    let is_even = config.voters().count().is_multiple_of(2);
+    if replaces_voter || is_even {
         return Some(Change::Promote(learner.id));
     }
-    let lost = lost_voter(node, config, learner, now)
-        .or_else(|| silent_voter(node, config, now, removal?.after));
-    if let Some(lost) = lost {
-        return Some(Change::Remove(lost));
+    let confirmed = |id: &Id| *id == status.id || node.has_caught_up(*id, now);
+    if config.voters().all(|id| confirmed(&id)) {
+        return Some(Change::Promote(learner.id));
     }
-    // The quorum grows by one, so all voters must be there. One that was lost before the learner came has not confirmed it.
-    let confirmed = |id: Id| id == status.id || node.has_caught_up(id, now);
-    config.voters().all(confirmed).then_some(Change::Promote(learner.id))
-}
-
-/// The voter that a learner replaces, if that one is gone: its instance runs the learner, so that its state is lost, or it
-/// has not replied for a while.
-fn lost_voter(node: &Node, config: &Config, learner: &Member, now: Moment) -> Option<Id> {
-    let old = config.member(learner.replaces?).filter(|old| old.voter)?;
-    let is_silent = || node.silence(old.id, now).is_some_and(|silence| silence >= REPLACED_AFTER);
-    (old.instance == learner.instance || is_silent()).then_some(old.id)
+    let silent = silent_voter(node, config, now, removal?.after)?;
+    let is_enough = config.voters().filter(confirmed).count() > config.voters().count() / 2;
+    is_enough.then(|| Change::AddLearner(Member { replaces: Some(silent), ..learner.clone() }))
 }
 
 /// The voter that has not replied for longest, if that is at least `after`.
--- a/crates/consensus/tests/node.rs
+++ b/crates/consensus/tests/node.rs
@@ -249,8 +249,8 @@
     }
     expect![[r#"
         Some(AddLearner(Member { id: Id(9), instance: Instance("instance-3"), voter: false, replaces: Some(Id(3)) }))
-        Some(Remove(Id(3)))
         Some(Promote(Id(9)))
+        Some(Remove(Id(3)))
         None"#]]
     .assert_eq(&steps.join("\n"));
 }
--- a/crates/consensus/tests/support/cluster.rs
+++ b/crates/consensus/tests/support/cluster.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use common::{clock::Moment, random::Random};
+use common::{clock::Moment, name, random::Random};
 use consensus::{
     effect::{Effect, Event, OperationId, Proposal},
     entry::Entry,
@@ -48,8 +48,8 @@
     next_number: u64,
     /// Whether all faults have ended.
     faults_ended: bool,
-    /// Hosts whose disks were lost since all replicas were voters.
-    lost: BTreeSet<usize>,
+    /// Instances whose disks were lost since all replicas were voters.
+    lost: BTreeSet<name::Instance>,
 }
 
 impl Cluster {
@@ -164,12 +164,14 @@
             && self.hosts.iter().all(|host| status.config.is_voter(host.id))
     }
 
-    /// Whether the disk of a host may be lost: with those that were lost since all replicas were voters, a minority.
+    /// Whether the disk of a host may be lost: with the instances that lost theirs since all replicas were voters, no more
+    /// than a minority.
     fn may_lose(&mut self, host: usize) -> bool {
         if self.is_fully_replicated() {
             self.lost.clear();
         }
-        self.lost.contains(&host) || self.lost.len() < (self.hosts.len() - 1) / 2
+        let tolerated = (self.hosts.len() - 1) / 2;
+        self.lost.contains(&self.hosts[host].instance) || self.lost.len() < tolerated
     }
 
     fn schedule_at(&mut self, time: u64, action: Action) {
@@ -427,13 +429,14 @@
                 self.hosts[at].instance = format!("instance-{}", self.hosts[at].id).as_str().into();
             }
             Kind::WipeAgain | Kind::ReplaceAgain if self.may_lose(at) => {
-                self.lost.insert(at);
+                let lost = self.hosts[at].instance.clone();
+                self.lost.insert(lost.clone());
                 self.crash(at, fault.lasts_ms);
                 self.wipe(at);
-                if matches!(fault.kind, Kind::ReplaceAgain) {
-                    self.hosts[at].instance =
-                        format!("instance-{}", self.hosts[at].id).as_str().into();
-                }
+                self.hosts[at].instance = match fault.kind {
+                    Kind::ReplaceAgain => format!("instance-{}", self.hosts[at].id).as_str().into(),
+                    _ => lost,
+                };
             }
             Kind::Wipe | Kind::Replace | Kind::WipeAgain | Kind::ReplaceAgain => {}
             Kind::Pause => {
--- a/crates/consensus/tests/support/plan.rs
+++ b/crates/consensus/tests/support/plan.rs
@@ -38,8 +38,8 @@
     Wipe,
     /// The replica is lost with its disk, and one on a new instance starts. Skipped like [`Kind::Wipe`].
     Replace,
-    /// As [`Kind::Wipe`], also while this replica or another one is being replaced, if that loses no more disks than a
-    /// minority.
+    /// As [`Kind::Wipe`], also while this replica or another one is being replaced, if no more instances than a minority
+    /// lose theirs.
     WipeAgain,
     /// As [`Kind::Replace`], under the condition of [`Kind::WipeAgain`].
     ReplaceAgain,
