The replicated log is bounded in bytes

At a start the log was held twice, as it is stored and decoded, and once more when it was applied, each entry by itself to the directory.

The entries kept for replicas that lag, and the uncommitted ones, are bounded in bytes, too (4 and 8 MiB). Copies of an entry share its command: those for other replicas, for the disk and for the state machine. At a start entries are decoded one after the other, and the state is published once for a batch. Configurations that are offered at the same time are bounded to 16 MiB.

--- a/crates/consensus/src/entry.rs
+++ b/crates/consensus/src/entry.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::member::Config;
@@ -31,8 +32,8 @@
 pub enum Payload {
     /// No content; the first entry of each leader.
     Empty,
-    /// A command for the state machine.
-    Command(Vec<u8>),
+    /// A command for the state machine. Copies of an entry share it.
+    Command(Bytes),
     /// The configuration that applies from this entry on, committed or not.
     Config(Config),
 }
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -118,9 +118,20 @@
         }
     }
 
-    /// Replaces the snapshot, and drops the entries before it except the last `retained`.
-    pub(crate) fn compact(&mut self, snapshot: Snapshot, retained: u64) {
-        let base = snapshot.last.index.saturating_sub(retained);
+    /// Approximate size of the entries after `index`, in bytes.
+    pub(crate) fn bytes_after(&self, index: u64) -> usize {
+        let later = self.entries.iter().rev().take_while(|entry| entry.position.index > index);
+        later.map(Entry::size_bytes).sum()
+    }
+
+    /// Replaces the snapshot, and drops the entries before it except the last `retained`, which have at most
+    /// `retained_bytes`.
+    pub(crate) fn compact(&mut self, snapshot: Snapshot, retained: u64, retained_bytes: usize) {
+        let last = snapshot.last.index;
+        let mut base = last.saturating_sub(retained);
+        while base < last && self.bytes_after(base) - self.bytes_after(last) > retained_bytes {
+            base += 1;
+        }
         self.snapshot = snapshot;
         while let Some(entry) = self.entries.front().filter(|entry| entry.position.index <= base) {
             self.base = entry.position;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -160,6 +160,11 @@
         self.log.term(index)
     }
 
+    /// Approximate size of the entries in memory, in bytes.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes_after(self.log.base().index)
+    }
+
     fn tick(&mut self, now: Moment) {
         match self.role {
             Role::Leader => self.tick_leader(now),
@@ -216,7 +221,8 @@
         if snapshot.last.index <= self.log.snapshot.last.index {
             return;
         }
-        self.log.compact(snapshot.clone(), self.options.retained_entries);
+        let (entries, bytes) = (self.options.retained_entries, self.options.retained_bytes);
+        self.log.compact(snapshot.clone(), entries, bytes);
         self.write.snapshot = Some(snapshot);
     }
 
--- a/crates/consensus/src/node/leader.rs
+++ b/crates/consensus/src/node/leader.rs
@@ -90,13 +90,15 @@
             return self.refuse_all(&proposals, &refusal);
         }
         let waiting = self.log.last().index - self.commit + proposals.len() as u64;
+        let waiting_bytes = self.log.bytes_after(self.commit);
         if self.leader_state.leadership_transfer.is_some()
             || waiting > self.options.max_uncommitted_entries
+            || waiting_bytes >= self.options.max_uncommitted_bytes
         {
             return self.refuse_all(&proposals, &Refusal::Busy);
         }
         for proposal in proposals {
-            let position = self.append(Payload::Command(proposal.command));
+            let position = self.append(Payload::Command(proposal.command.into()));
             self.effects.push(Effect::Appended(proposal.operation, position));
         }
         self.replicate(now);
--- a/crates/consensus/src/options.rs
+++ b/crates/consensus/src/options.rs
@@ -28,8 +28,12 @@
     pub snapshot_chunk_bytes: usize,
     /// Proposals are refused when more entries than this would be uncommitted.
     pub max_uncommitted_entries: u64,
+    /// Proposals are refused while uncommitted entries have this many bytes or more.
+    pub max_uncommitted_bytes: usize,
     /// Entries before a snapshot that are kept in memory, so that a peer that lags slightly needs no snapshot.
     pub retained_entries: u64,
+    /// Most bytes of these entries.
+    pub retained_bytes: usize,
     /// Most entries that a learner may lack when it is promoted.
     pub max_promotion_lag: u64,
 }
@@ -46,7 +50,9 @@
             max_inflight_bytes: 1024 * 1024,
             snapshot_chunk_bytes: 1024 * 1024,
             max_uncommitted_entries: 4_096,
+            max_uncommitted_bytes: 8 * 1024 * 1024,
             retained_entries: 1_024,
+            retained_bytes: 4 * 1024 * 1024,
             max_promotion_lag: 64,
         }
     }
--- a/crates/consensus/tests/support/checker.rs
+++ b/crates/consensus/tests/support/checker.rs
@@ -156,7 +156,7 @@
 /// The number in an entry's command, if it is a command.
 pub fn command(entry: &Entry) -> Option<u64> {
     match &entry.payload {
-        Payload::Command(bytes) => Some(u64::from_le_bytes(bytes.as_slice().try_into().unwrap())),
+        Payload::Command(bytes) => Some(u64::from_le_bytes(bytes[..].try_into().unwrap())),
         Payload::Empty | Payload::Config(_) => None,
     }
 }
--- a/crates/daisydrum/src/seeded/control.rs
+++ b/crates/daisydrum/src/seeded/control.rs
@@ -47,6 +47,8 @@
 const MAX_ANNOUNCEMENT_BYTES: usize = 64 * 1024;
 /// Configurations that are read from the log at a time.
 const MAX_READERS: usize = 2;
+/// Size of the configurations that are offered to the log at a time, in KiB: each is held several times meanwhile.
+const MAX_OFFERED_KIB: usize = 16 * 1024;
 /// Number of announcement intervals without an announcement after which a target is lost; a single announcement may be
 /// seconds late.
 const LOST_AFTER_ANNOUNCEMENTS: u32 = 10;
@@ -70,6 +72,8 @@
     occupants: Occupants,
     /// Places for operators that read the configuration.
     readers: Arc<Semaphore>,
+    /// Room for configurations that are offered to the log, in KiB.
+    offered: Arc<Semaphore>,
     metrics: metric::Renderer,
 }
 
@@ -97,6 +101,7 @@
         usage: usage::keeper::Keeper::start(context, directory),
         occupants: Occupants::default(),
         readers: Arc::new(Semaphore::new(MAX_READERS)),
+        offered: Arc::new(Semaphore::new(MAX_OFFERED_KIB)),
         metrics: metric::install(),
     };
     saved_targets::start(context, directory, control.departures.saved_members());
@@ -219,20 +224,23 @@
             Ok(read) => read,
             Err(response) => return response,
         };
-        let config = match platform::config::decode(&body) {
-            Ok(config) => config,
+        let kib = u32::try_from(body.len().div_ceil(1024)).unwrap_or(u32::MAX);
+        let Ok(_room) = self.offered.acquire_many(kib).await else {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "the instance stops\n");
+        };
+        let version = match platform::config::decode(&body) {
+            Ok(config) => config.version,
             Err(error) => {
                 info!(self.context.log, "config_refused"; "fault" => %error);
                 return text(StatusCode::BAD_REQUEST, format!("{error}\n"));
             }
         };
-        let version = config.version;
         if self.directory.version() >= version {
             info!(self.context.log, "config_held"; "version" => version,
                 "held" => self.directory.version());
             return text(StatusCode::OK, "held already\n");
         }
-        let document = Document { version, bytes: body.to_vec() };
+        let document = Document { version, bytes: body.into() };
         match self.replicas.offer(document).await {
             Ok(held) => {
                 info!(self.context.log, "config_accepted"; "version" => version, "held" => held);
--- a/crates/daisydrum/src/seeded/replicas.rs
+++ b/crates/daisydrum/src/seeded/replicas.rs
@@ -95,9 +95,11 @@
     type Error = String;
 
     fn apply(&mut self, index: u64, command: &Command) -> Reply {
-        let reply = self.register.apply(index, command);
+        self.register.apply(index, command)
+    }
+
+    fn finish_batch(&self) {
         self.publish();
-        reply
     }
 
     fn query(&self, query: &Query) -> Option<Document> {
--- a/crates/replica/src/host.rs
+++ b/crates/replica/src/host.rs
@@ -208,7 +208,8 @@
     };
     let Recovery { snapshot, entries, .. } = recovery;
     let snapshot = snapshot.as_ref().map(codec::load_snapshot).transpose()?;
-    let entries = entries.iter().map(codec::load_entry).collect::<Result<Vec<Entry>, _>>()?;
+    // Frees each stored entry as soon as it is decoded: a log may take much of the memory.
+    let entries = entries.into_iter().map(codec::load_entry).collect::<Result<Vec<Entry>, _>>()?;
     let machine = match &snapshot {
         Some(snapshot) => initial
             .decode(&snapshot.data)
--- a/crates/replica/src/state_machine.rs
+++ b/crates/replica/src/state_machine.rs
@@ -19,6 +19,9 @@
     /// Applies the command at `index` of the log. Each index is greater than the previous one.
     fn apply(&mut self, index: u64, command: &Self::Command) -> Self::Reply;
 
+    /// Called after a batch of commands has been applied, before their replies are given.
+    fn finish_batch(&self) {}
+
     /// Answers a query.
     fn query(&self, query: &Self::Query) -> Self::Answer;
 
--- a/crates/replica/src/worker.rs
+++ b/crates/replica/src/worker.rs
@@ -35,8 +35,10 @@
 const TICK: Duration = Duration::from_millis(20);
 const BATCH_INPUTS: usize = 512;
 const MAX_PENDING: usize = 4_096;
-/// Fewest entries between two snapshots.
+/// Fewest entries between two snapshots, unless they are large.
 const SNAPSHOT_ENTRIES: u64 = 256;
+/// Size of the entries between two snapshots, in bytes, from which on their number doesn't matter.
+const SNAPSHOT_BYTES: usize = 8 * 1024 * 1024;
 
 /// Input of a worker.
 #[derive(Debug)]
@@ -231,28 +233,33 @@
     }
 
     fn apply(&mut self, entries: &[Entry]) {
+        let mut replies = Vec::new();
         for entry in entries {
             self.applied = entry.position.index;
             self.state.applied_bytes += entry.size_bytes();
             let responder = self.state.pending.applied(entry.position);
             match &entry.payload {
                 Payload::Empty => {}
-                Payload::Command(command) => self.apply_command(entry.position, command, responder),
+                Payload::Command(command) => {
+                    let reply = self.apply_command(entry.position, command);
+                    replies.extend(responder.map(|responder| (responder, codec::encode(&reply))));
+                }
                 Payload::Config(config) => self.apply_config(config, responder),
             }
         }
+        self.machine.finish_batch();
+        for (responder, reply) in replies {
+            pending::respond(responder, Outcome::Done(reply));
+        }
         if self.is_snapshot_due() {
             self.take_snapshot();
         }
     }
 
-    fn apply_command(&mut self, position: Position, command: &[u8], responder: Option<Responder>) {
+    fn apply_command(&mut self, position: Position, command: &[u8]) -> M::Reply {
         let command: M::Command =
             codec::decode(command).expect("invariant: a command is checked before it is proposed");
-        let reply = self.machine.apply(position.index, &command);
-        if let Some(responder) = responder {
-            pending::respond(responder, Outcome::Done(codec::encode(&reply)));
-        }
+        self.machine.apply(position.index, &command)
     }
 
     fn apply_config(&mut self, config: &Config, responder: Option<Responder>) {
@@ -269,10 +276,11 @@
     }
 
     /// Whether to take a snapshot: the entries since the last one are at least as large as it, so that the cost of
-    /// snapshots for each byte of entries is bounded.
+    /// snapshots for each byte of entries is bounded, and they are many or large, so that the log is bounded, too.
     fn is_snapshot_due(&self) -> bool {
-        self.applied >= self.state.snapshot_index + SNAPSHOT_ENTRIES
-            && self.state.applied_bytes >= self.state.snapshot_bytes
+        let is_long = self.applied >= self.state.snapshot_index + SNAPSHOT_ENTRIES;
+        let is_large = self.state.applied_bytes >= SNAPSHOT_BYTES;
+        (is_long || is_large) && self.state.applied_bytes >= self.state.snapshot_bytes
     }
 
     fn take_snapshot(&mut self) {
