A replica notices that its disk thread has ended; logging outlives a full disk

Found on the way: (1) a write that fails ends the disk thread, but the worker noticed only when it had the next write. Until then a leader went on with heartbeats, and the change that had failed stayed unanswered until its caller gave up. The worker now ends with its disk thread, and the replica is opened again. (2) A log line that can't be written ended the thread that writes log lines: an instance whose log is on a full disk logged nothing any more, also once there was room. Such lines are dropped and counted now. (3) Each time a replica was opened again another task that asks to join was left behind; it ends with its run now. (4) A limit on the size of files ended the process by SIGXFSZ; now the write fails.

Evidence: the tests set such a limit on the daemons. a_leader_that_cannot_write_answers_at_once_* covers (1), an_instance_that_starts_with_a_full_disk_joins_once_it_has_room covers (2) and (4).

--- a/crates/daisydrum/src/signal.rs
+++ b/crates/daisydrum/src/signal.rs
@@ -4,15 +4,20 @@
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+/// SIGXFSZ on Linux: a write exceeds the limit on the size of files.
+const FILE_SIZE: i32 = 25;
+
 /// Receives SIGTERM and SIGINT.
 #[derive(Debug)]
 pub struct Stop {
     terminate: Signal,
     interrupt: Signal,
+    /// Handled so that such a write fails as on a full disk, instead of ending the process.
+    _file_size: Signal,
 }
 
 impl Stop {
-    /// Installs handlers for both signals.
+    /// Installs handlers for these signals.
     ///
     /// # Errors
     ///
@@ -21,6 +26,7 @@
         Ok(Stop {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
+            _file_size: signal(SignalKind::from_raw(FILE_SIZE))?,
         })
     }
 
--- a/crates/daisydrum/tests/seeded/main.rs
+++ b/crates/daisydrum/tests/seeded/main.rs
@@ -16,6 +16,7 @@
 mod endless;
 mod fleet;
 mod framing;
+mod full_disk;
 mod idle;
 mod keepers;
 mod leaving;
--- a/crates/replica/src/codec.rs
+++ b/crates/replica/src/codec.rs
@@ -29,7 +29,7 @@
     stored::Entry { position: store_position(entry.position), payload: encode(&entry.payload) }
 }
 
-pub(crate) fn load_entry(entry: stored::Entry) -> Result<Entry, postcard::Error> {
+pub(crate) fn load_entry(entry: &stored::Entry) -> Result<Entry, postcard::Error> {
     Ok(Entry { position: load_position(entry.position), payload: decode(&entry.payload)? })
 }
 
--- a/crates/replica/src/host.rs
+++ b/crates/replica/src/host.rs
@@ -209,7 +209,8 @@
     let Recovery { snapshot, entries, .. } = recovery;
     let snapshot = snapshot.as_ref().map(codec::load_snapshot).transpose()?;
     // Frees each stored entry as soon as it is decoded: a log may take much of the memory.
-    let entries = entries.into_iter().map(codec::load_entry).collect::<Result<Vec<Entry>, _>>()?;
+    let entries = entries.into_iter().map(|entry| codec::load_entry(&entry));
+    let entries = entries.collect::<Result<Vec<Entry>, _>>()?;
     let machine = match &snapshot {
         Some(snapshot) => initial
             .decode(&snapshot.data)
@@ -293,6 +294,7 @@
         let settings = self.settings;
         let transport = Transport::start(&settings);
         let (jobs, queue) = ring::bounded(disk::RING_JOBS);
+        let disk_ended = cancel::Token::new();
         let synced = Arc::new(AtomicU64::new(0));
         let writer = Writer {
             log: self.log,
@@ -324,12 +326,18 @@
             status: Arc::clone(&status),
             logger: settings.logger.clone(),
             end: settings.end.clone(),
+            disk_ended: disk_ended.clone(),
             state: worker::State::at_snapshot(snapshot),
         };
-        settings.runtime.spawn(bootstrap::join(settings.clone(), id, status));
-        let disk_thread = thread::Builder::new()
-            .name(format!("disk-{}", settings.branch))
-            .spawn(move || writer.run());
+        let joining = settings.end.child_token();
+        let _joined = joining.clone().drop_guard();
+        let join = bootstrap::join(settings.clone(), id, status);
+        settings.runtime.spawn(async move { joining.run_until_cancelled(join).await });
+        let disk_thread =
+            thread::Builder::new().name(format!("disk-{}", settings.branch)).spawn(move || {
+                let _ended = disk_ended.drop_guard();
+                writer.run();
+            });
         match disk_thread {
             Ok(disk_thread) => {
                 worker.run();
--- a/crates/replica/src/worker.rs
+++ b/crates/replica/src/worker.rs
@@ -66,6 +66,8 @@
     pub status: Arc<Mutex<Option<Status>>>,
     pub logger: Logger,
     pub end: cancel::Token,
+    /// Cancelled when the disk thread has ended.
+    pub disk_ended: cancel::Token,
     pub state: State,
 }
 
@@ -96,11 +98,11 @@
 }
 
 impl<M: StateMachine> Worker<M> {
-    /// Runs until the token is cancelled or the disk fails.
+    /// Runs until the token is cancelled or the disk fails. A replica that can't write must not go on as the leader.
     pub(crate) fn run(mut self) {
         self.update_instances();
         let mut ticked = Moment::now();
-        while !self.end.is_cancelled() && !self.state.stopped {
+        while !self.end.is_cancelled() && !self.disk_ended.is_cancelled() && !self.state.stopped {
             let first = self.inputs.recv_timeout(TICK).ok();
             let rest: Vec<Input> = self.inputs.try_iter().take(BATCH_INPUTS).collect();
             self.process(first.into_iter().chain(rest).collect());
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -29,12 +29,31 @@
 /// of higher levels are not limited. While the ring to the thread is full, lines are dropped and counted in a later
 /// line, so that a slow terminal never delays a request. Dropping the [`Flush`] writes the last lines.
 pub fn start(level: Level, details_per_s: u64) -> (Logger, Flush) {
-    let drain = Logfmt::new(io::stderr()).set_prefix(prefix).print_msg(false).build().fuse();
-    let (writer, flush) = Writer::new(drain);
+    let drain = Logfmt::new(io::stderr()).set_prefix(prefix).print_msg(false).build();
+    let (writer, flush) = Writer::new(Lossy(drain));
     let drain = writer.filter_level(level).fuse();
     (Logger::root(Limiter::new(drain, details_per_s).fuse(), o!()), flush)
 }
 
+/// A drain that drops and counts the lines that another one can't write, such as those for a file on a full disk.
+struct Lossy<D>(D);
+
+impl<D: Drain> Drain for Lossy<D> {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(
+        &self,
+        record: &slog::Record<'_>,
+        values: &slog::OwnedKVList,
+    ) -> Result<(), slog::Never> {
+        if self.0.log(record, values).is_err() {
+            metrics::counter!("daisydrum_log_lines_dropped_total").increment(1);
+        }
+        Ok(())
+    }
+}
+
 /// Passes lines to the thread that writes them, and drops lines while the ring to the thread is full.
 pub struct Writer {
     ring: AsyncCore,
