A request that waits for a connection is not sent to a target that leaves

Cause: after the wait for a slow connection the key and the quarantine of a request were checked again, but not whether the target still takes requests.

Change: the wait ends as soon as the target says that it leaves, or is gone. The request has not run then; it goes to another target or is refused at once.

--- a/crates/daisydrum/tests/seeded/connect.rs
+++ b/crates/daisydrum/tests/seeded/connect.rs
@@ -129,3 +129,20 @@
     assert_eq!(status, Some(503));
     assert!(took < LONGEST_REFUSAL, "{took:?}");
 }
+
+/// Guards against requests to a target that has long been draining: its state wasn't checked after the wait for a connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_waits_for_a_connection_does_not_reach_a_target_that_leaves_meanwhile() {
+    let (fleet, runner, front) = start("seeded-connect-leaving", "portal").await;
+    let callers = fleet.entries[0].callers();
+    let headers = client::plain_headers("slow-1").to_vec();
+    let request = client::request(callers, Method::POST, "/lodge/1", &headers, "body");
+    let leaving = async {
+        time::sleep(FULL_TIME).await;
+        assert!(runner.drain(fleet.control[0].control()).await);
+        front.open.notify_one();
+    };
+    let (response, ()) = futures::future::join(request, leaving).await;
+    assert_eq!(response.status, Some(503));
+    assert_eq!(runner.runs().len(), 0);
+}
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -27,6 +27,9 @@
 /// Longest wait for an engine to say when its process started; sound ones answer within milliseconds.
 const LONGEST_IDENTIFICATION: Duration = Duration::from_millis(300);
 
+/// Time between two checks whether a target leaves while a connection to it is awaited.
+const LEAVE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 impl Pending {
     /// Sends the request to a target and waits for the response head.
     pub(crate) async fn send(
@@ -226,7 +229,7 @@
     }
 
     /// Waits for a connection that is not made yet, if there is no other target and the target accepted one not long ago, as
-    /// long as the deadline allows.
+    /// long as the deadline allows and the target doesn't leave.
     async fn wait_for(
         &self,
         error: connection::Error,
@@ -243,6 +246,12 @@
         }
         let limit = self.remaining().saturating_sub(RESPONSE_MARGIN);
         let connection = tokio::select! {
+            biased;
+            () = self.until_leaving(key) => {
+                info!(self.gateway.log, "slow_connection_given_up"; "id" => &self.metadata.id,
+                    "target" => dispatch.target_name(key));
+                return None;
+            }
             connection = pending.wait(limit) => connection,
             // A peer may serve the request.
             () = self.gateway.relay.until_relayed(service) => return None,
@@ -262,6 +271,13 @@
         }
     }
 
+    /// Waits until a target has said that it leaves, or is gone.
+    async fn until_leaving(&self, key: Key) {
+        while self.gateway.balancer().is_staying(key) {
+            time::sleep(LEAVE_CHECK_INTERVAL).await;
+        }
+    }
+
     async fn exchange(
         &self,
         dispatch: &Dispatch,
