Name the transfer module for what it does; report configurations that can't be decoded

Reading of the diff: the module of the directory had the name of the crate it uses, the delay of a hedge was called a timeout, and an entry instance that couldn't decode a configuration no longer said so. It logs `config_not_received` with the reason now.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -160,11 +160,6 @@
         self.log.term(index)
     }
 
-    /// Approximate size of the entries in memory, in bytes.
-    pub fn log_bytes(&self) -> usize {
-        self.log.bytes_after(self.log.base().index)
-    }
-
     fn tick(&mut self, now: Moment) {
         match self.role {
             Role::Leader => self.tick_leader(now),
--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -1,9 +1,9 @@
 //! State of the fleet as this instance knows it: targets, other instances and the newest configuration.
 
 mod delivery;
-mod distribution;
 mod instances;
 mod predecessor;
+mod transfer;
 mod versions;
 
 use std::{
@@ -14,13 +14,13 @@
     time::Duration,
 };
 
-use ::distribution::{download::Download, history::History as Patches};
 use common::{
     clock::{self, Moment},
     collections::Map,
     name,
 };
 use credentials::lease::Reading;
+use distribution::{download::Download, history};
 use fleet::{
     config::Config,
     departure::{Departure, Restored},
@@ -51,15 +51,14 @@
     /// Number of polls received; each poll carries the revision that its subscriber has reached.
     polled: watch::Sender<u64>,
     document: watch::Sender<Option<Arc<Document>>>,
-    /// The newest known configuration, decoded, and the newest version that others hold.
-    config: watch::Sender<Newest>,
+    newest: watch::Sender<Newest>,
     contact: watch::Sender<Contact>,
     /// The transfer of a newer configuration to this instance.
     download: Arc<Mutex<Download>>,
     /// Held while a segment of it is asked for, unless that takes long.
     download_turn: Arc<tokio::sync::Mutex<()>>,
     /// What this instance serves to others.
-    patches: Arc<Mutex<Patches>>,
+    patches: Arc<Mutex<history::History>>,
     /// The last reading of the configuration's version through the leader, and when it began.
     reading: Arc<Mutex<Option<(u64, Moment)>>>,
 }
@@ -73,7 +72,7 @@
     Lost,
 }
 
-/// What is known of the newest configuration.
+/// The newest configuration, decoded, and whether others hold a newer one.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Newest {
     /// The newest one that this instance holds.
@@ -152,7 +151,7 @@
             changed: watch::Sender::new(0),
             polled: watch::Sender::new(0),
             document: watch::Sender::new(None),
-            config: watch::Sender::default(),
+            newest: watch::Sender::default(),
             contact: watch::Sender::new(Contact::Lost),
             download: Arc::default(),
             download_turn: Arc::default(),
@@ -168,12 +167,12 @@
 
     /// Watches the newest known configuration and the newest version that others hold.
     pub(crate) fn newest(&self) -> watch::Receiver<Newest> {
-        self.config.subscribe()
+        self.newest.subscribe()
     }
 
     /// The newest known configuration, decoded.
     pub(crate) fn config(&self) -> Option<Arc<Config>> {
-        self.config.borrow().held.clone()
+        self.newest.borrow().held.clone()
     }
 
     /// Installs a configuration unless one of the same version or a newer one is known.
@@ -207,7 +206,7 @@
         let services = config.services.iter().map(|service| service.name.clone());
         inner.registry.set_services(config.version, services);
         drop(inner);
-        self.config.send_if_modified(|newest| {
+        self.newest.send_if_modified(|newest| {
             let newer = newest.held.as_ref().is_none_or(|held| held.version < config.version);
             if newer {
                 newest.held = Some(Arc::new(config));
@@ -218,7 +217,7 @@
 
     /// Records that a control instance holds a version, which this instance may not have yet.
     pub(crate) fn announce_version(&self, version: u64) {
-        self.config.send_if_modified(|newest| {
+        self.newest.send_if_modified(|newest| {
             let newer = newest.announced < version;
             newest.announced = newest.announced.max(version);
             newer
--- a/crates/daisydrum/src/seeded/directory/distribution.rs
+++ b/crates/daisydrum/src/seeded/directory/transfer.rs
@@ -1,13 +1,25 @@
 //! Transfers of the configuration: to this instance, and from a control instance to others.
 
-use std::sync::{Arc, MutexGuard, PoisonError};
+use std::sync::{MutexGuard, PoisonError};
 
-use distribution::download::{Download, Error, Step};
+use derive_more::{Display, Error, From};
+use distribution::download::{self, Download, Step};
 use fleet::exchange::segment::{Segment, Wanted};
 use tokio::task;
 
 use crate::seeded::directory::Directory;
 
+/// Why a configuration is not received.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum Error {
+    /// The transfer begins anew.
+    #[display("{_0}")]
+    Transfer(download::Error),
+    /// It is complete and can't be decoded.
+    #[display("{_0}")]
+    Content(platform::config::Error),
+}
+
 impl Directory {
     /// Waits for the turn to ask for a segment: concurrent transfers would share the bandwidth of a slow link.
     pub(crate) async fn take_download_turn(&self) -> tokio::sync::MutexGuard<'_, ()> {
@@ -23,13 +35,12 @@
     ///
     /// # Errors
     ///
-    /// Returns why the transfer begins anew.
+    /// Returns an [`enum@Error`] if the transfer or the configuration can't be used.
     pub(crate) fn receive(&self, segment: &Segment) -> Result<(), Error> {
         let held = self.document();
         let step = self.download().receive(segment, held.as_deref())?;
         if let Step::Complete(document) = step {
-            // A control instance has decoded it before it accepted it.
-            let _decoded = self.install(document);
+            self.install(document)?;
         }
         Ok(())
     }
@@ -57,7 +68,7 @@
     fn record_patch(&self) {
         let mut patches = self.patches.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(document) = self.document() {
-            patches.record(&Arc::clone(&document));
+            patches.record(&document);
         }
     }
 }
--- a/crates/daisydrum/src/seeded/subscription.rs
+++ b/crates/daisydrum/src/seeded/subscription.rs
@@ -2,6 +2,7 @@
 //! the updates of the others.
 
 use std::{
+    fmt::Display,
     net::SocketAddr,
     pin::pin,
     sync::Arc,
@@ -215,7 +216,7 @@
             let held = self.directory.document();
             let (wanted, hedge_delay) = {
                 let download = self.directory.download();
-                (download.wanted(held.as_deref()), download.timeout())
+                (download.wanted(held.as_deref()), download.hedge_delay())
             };
             let question = Question::FetchSegment(wanted);
             let mut answer = pin!(self.ask(&question, hedge_delay.max(SEGMENT_TIMEOUT)));
@@ -235,9 +236,7 @@
             metrics::counter!("daisydrum_config_received_bytes_total")
                 .increment(segment.bytes.len() as u64);
             if let Err(error) = self.directory.receive(&segment) {
-                warn!(self.context.log, "config_not_received"; "address" => %self.address,
-                    "version" => segment.key.version, "fault" => %error);
-                return;
+                return self.report_not_received(segment.key.version, &error);
             }
         }
     }
@@ -249,11 +248,18 @@
         if let Some(Answer::Document(Some(document))) = answer {
             metrics::counter!("daisydrum_config_received_bytes_total")
                 .increment(document.bytes.len() as u64);
-            // A control instance has decoded it before it accepted it.
-            let _decoded = self.directory.install(document);
+            let version = document.version;
+            if let Err(error) = self.directory.install(document) {
+                self.report_not_received(version, &error);
+            }
         }
     }
 
+    fn report_not_received(&self, version: u64, error: &impl Display) {
+        warn!(self.context.log, "config_not_received"; "address" => %self.address,
+            "version" => version, "fault" => %error);
+    }
+
     async fn ask(&self, question: &Question, limit: Duration) -> Option<Answer> {
         ask(&self.context, self.address, question, limit).await
     }
--- a/crates/distribution/src/download.rs
+++ b/crates/distribution/src/download.rs
@@ -17,7 +17,7 @@
 const SEGMENT_BYTES: u32 = 64 * 1024;
 const MIN_SEGMENT_BYTES: u32 = 4 * 1024;
 /// Time that a segment has at first, after which another instance is asked, too.
-const SEGMENT_TIMEOUT: Duration = Duration::from_millis(400);
+const HEDGE_DELAY: Duration = Duration::from_millis(400);
 /// Most doublings of that time.
 const MAX_DOUBLINGS: u32 = 3;
 /// Largest package that is accepted, in bytes.
@@ -74,8 +74,8 @@
 
     /// Time after which another instance is asked for the next segment. After each failure it is longer and the segment
     /// smaller, so that a transfer over a slow link advances.
-    pub fn timeout(&self) -> Duration {
-        SEGMENT_TIMEOUT * 2_u32.pow(self.failures.min(MAX_DOUBLINGS))
+    pub fn hedge_delay(&self) -> Duration {
+        HEDGE_DELAY * 2_u32.pow(self.failures.min(MAX_DOUBLINGS))
     }
 
     /// Records that a segment did not arrive in time.
