Large configurations are decoded beside the log and the requests

Cause: the thread of the log decoded each committed configuration, and the thread of the runtime, which sends the heartbeats, each one that an operator sent; neither did anything else meanwhile. On entry instances the same decoding delayed the requests.

--- a/crates/daisydrum/src/seeded.rs
+++ b/crates/daisydrum/src/seeded.rs
@@ -49,6 +49,7 @@
         let mut signals = signal::Stop::new()?;
         let context = Context::new(settings, log);
         let directory = directory::Directory::new(context.identity.clone());
+        entry::spawn(&context, directory.clone().follow_documents(context.clone()));
         let entry = entry::start(&context, &directory).await?;
         let control = control::start(&context, &directory, runtime.handle()).await?;
         peers::start(&context, &directory, entry.as_ref(), control.as_ref()).await?;
--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -1,5 +1,6 @@
 //! State of the fleet as this instance knows it: targets, other instances and the newest configuration.
 
+pub(crate) mod decoding;
 mod delivery;
 mod instances;
 mod predecessor;
@@ -176,16 +177,7 @@
     }
 
     /// Installs a configuration unless one of the same version or a newer one is known.
-    ///
-    /// # Errors
-    ///
-    /// Returns why it can't be decoded. It is kept nevertheless, as it has been accepted.
-    pub(crate) fn install(&self, document: Document) -> Result<(), platform::config::Error> {
-        if self.version() >= document.version {
-            return Ok(());
-        }
-        let decoded =
-            platform::config::decode(&document.bytes).map(|config| self.apply_config(config));
+    pub(crate) fn install(&self, document: Document) {
         self.document.send_if_modified(|held| {
             let newer = held.as_ref().is_none_or(|held| held.version < document.version);
             if newer {
@@ -193,26 +185,6 @@
             }
             newer
         });
-        decoded
-    }
-
-    fn apply_config(&self, config: Config) {
-        let health_paths = config
-            .services
-            .iter()
-            .filter_map(|service| Some((service.name.clone(), service.health_path.clone()?)));
-        let mut inner = self.lock();
-        inner.health_paths = health_paths.collect();
-        let services = config.services.iter().map(|service| service.name.clone());
-        inner.registry.set_services(config.version, services);
-        drop(inner);
-        self.newest.send_if_modified(|newest| {
-            let newer = newest.held.as_ref().is_none_or(|held| held.version < config.version);
-            if newer {
-                newest.held = Some(Arc::new(config));
-            }
-            newer
-        });
     }
 
     /// Records that a control instance holds a version, which this instance may not have yet.
--- a/crates/daisydrum/src/seeded/directory/transfer.rs
+++ b/crates/daisydrum/src/seeded/directory/transfer.rs
@@ -2,24 +2,12 @@
 
 use std::sync::{MutexGuard, PoisonError};
 
-use derive_more::{Display, Error, From};
 use distribution::download::{self, Download, Step};
 use fleet::exchange::segment::{Segment, Wanted};
 use tokio::task;
 
 use crate::seeded::directory::Directory;
 
-/// Why a configuration is not received.
-#[derive(Debug, Display, Error, From)]
-pub(crate) enum Error {
-    /// The transfer begins anew.
-    #[display("{_0}")]
-    Transfer(download::Error),
-    /// It is complete and can't be decoded.
-    #[display("{_0}")]
-    Content(platform::config::Error),
-}
-
 impl Directory {
     /// Waits for the turn to ask for a segment: concurrent transfers would share the bandwidth of a slow link.
     pub(crate) async fn take_download_turn(&self) -> tokio::sync::MutexGuard<'_, ()> {
@@ -35,12 +23,12 @@
     ///
     /// # Errors
     ///
-    /// Returns an [`enum@Error`] if the transfer or the configuration can't be used.
-    pub(crate) fn receive(&self, segment: &Segment) -> Result<(), Error> {
+    /// Returns a [`download::Error`] if the transfer can't be used; it begins anew.
+    pub(crate) fn receive(&self, segment: &Segment) -> Result<(), download::Error> {
         let held = self.document();
         let step = self.download().receive(segment, held.as_deref())?;
         if let Step::Complete(document) = step {
-            self.install(document)?;
+            self.install(document);
         }
         Ok(())
     }
--- a/crates/daisydrum/src/seeded/replicas.rs
+++ b/crates/daisydrum/src/seeded/replicas.rs
@@ -81,8 +81,7 @@
         });
         let newest = self.register.newest();
         if let Some(document) = newest.filter(|newest| newest.version > self.directory.version()) {
-            // It was decoded before it was offered.
-            let _decoded = self.directory.install(document.clone());
+            self.directory.install(document.clone());
         }
     }
 }
--- a/crates/daisydrum/src/seeded/subscription.rs
+++ b/crates/daisydrum/src/seeded/subscription.rs
@@ -2,7 +2,6 @@
 //! the updates of the others.
 
 use std::{
-    fmt::Display,
     net::SocketAddr,
     pin::pin,
     sync::Arc,
@@ -236,7 +235,9 @@
             metrics::counter!("daisydrum_config_received_bytes_total")
                 .increment(segment.bytes.len() as u64);
             if let Err(error) = self.directory.receive(&segment) {
-                return self.report_not_received(segment.key.version, &error);
+                warn!(self.context.log, "config_not_received"; "address" => %self.address,
+                    "version" => segment.key.version, "fault" => %error);
+                return;
             }
         }
     }
@@ -248,18 +249,10 @@
         if let Some(Answer::Document(Some(document))) = answer {
             metrics::counter!("daisydrum_config_received_bytes_total")
                 .increment(document.bytes.len() as u64);
-            let version = document.version;
-            if let Err(error) = self.directory.install(document) {
-                self.report_not_received(version, &error);
-            }
+            self.directory.install(document);
         }
     }
 
-    fn report_not_received(&self, version: u64, error: &impl Display) {
-        warn!(self.context.log, "config_not_received"; "address" => %self.address,
-            "version" => version, "fault" => %error);
-    }
-
     async fn ask(&self, question: &Question, limit: Duration) -> Option<Answer> {
         ask(&self.context, self.address, question, limit).await
     }
--- a/crates/daisydrum/tests/seeded/main.rs
+++ b/crates/daisydrum/tests/seeded/main.rs
@@ -19,6 +19,7 @@
 mod full_disk;
 mod idle;
 mod keepers;
+mod large_config;
 mod leaving;
 mod left_target;
 mod metrics;
--- a/crates/fleet/src/register.rs
+++ b/crates/fleet/src/register.rs
@@ -18,6 +18,12 @@
     pub bytes: Vec<u8>,
 }
 
+impl AsRef<[u8]> for Document {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// A command of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
