--- a/crates/daisydrum/src/seeded/control.rs
+++ b/crates/daisydrum/src/seeded/control.rs
@@ -27,7 +27,7 @@
         context::Context,
         currency,
         departures::Departures,
-        directory::{Contact, Directory, decoding},
+        directory::{self, Contact, Directory},
         entry::{bind, spawn},
         ledger::Ledger,
         listener::{self, Handler, HttpResponse, json, read_body, text},
@@ -228,7 +228,7 @@
         let Ok(_room) = self.offered.acquire_many(kib).await else {
             return text(StatusCode::SERVICE_UNAVAILABLE, "the instance stops\n");
         };
-        let version = match decoding::decode(body.clone()).await {
+        let version = match directory::config::decode(body.clone()).await {
             Ok(config) => config.version,
             Err(error) => {
                 info!(self.context.log, "config_refused"; "fault" => %error);
--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -1,6 +1,6 @@
 //! State of the fleet as this instance knows it: targets, other instances and the newest configuration.
 
-pub(crate) mod decoding;
+pub(crate) mod config;
 mod delivery;
 mod instances;
 mod predecessor;
@@ -161,46 +161,6 @@
         }
     }
 
-    /// The newest known configuration, as the operator sent it.
-    pub(crate) fn document(&self) -> Option<Arc<Document>> {
-        self.document.borrow().clone()
-    }
-
-    /// Watches the newest known configuration and the newest version that others hold.
-    pub(crate) fn newest(&self) -> watch::Receiver<Newest> {
-        self.newest.subscribe()
-    }
-
-    /// The newest known configuration, decoded.
-    pub(crate) fn config(&self) -> Option<Arc<Config>> {
-        self.newest.borrow().held.clone()
-    }
-
-    /// Installs a configuration unless one of the same version or a newer one is known.
-    pub(crate) fn install(&self, document: Document) {
-        self.document.send_if_modified(|held| {
-            let newer = held.as_ref().is_none_or(|held| held.version < document.version);
-            if newer {
-                *held = Some(Arc::new(document));
-            }
-            newer
-        });
-    }
-
-    /// Records that a control instance holds a version, which this instance may not have yet.
-    pub(crate) fn announce_version(&self, version: u64) {
-        self.newest.send_if_modified(|newest| {
-            let newer = newest.announced < version;
-            newest.announced = newest.announced.max(version);
-            newer
-        });
-    }
-
-    /// Version of the newest known configuration; 0 for none.
-    pub(crate) fn version(&self) -> u64 {
-        self.document.borrow().as_ref().map_or(0, |document| document.version)
-    }
-
     pub(crate) fn contact(&self) -> Contact {
         *self.contact.borrow()
     }
