--- a/crates/distribution/tests/transfer.rs
+++ b/crates/distribution/tests/transfer.rs
@@ -13,12 +13,12 @@
 use fleet::{exchange::segment::Wanted, register::Document};
 use proptest::prelude::*;
 
-/// A configuration of so many routes, as an operator sends it.
+/// A configuration of so many routes, of about the size and repetition of those that operators send.
 fn document(version: u64, routes: u64) -> Arc<Document> {
     let route = |number: u64| {
         let id = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
         format!(
-            "{{\"name\":\"r-{id:x}\",\"host\":\"{:x}.example\",\"path_prefix\":\"/{:x}/\",\
+            "{{\"name\":\"r-{id:x}\",\"host\":\"{:x}.example\",\"prefix_path\":\"/{:x}/\",\
              \"route_type\":\"streaming\",\"timeout_ms\":3000,\"target_latency_ms\":1000,\
              \"priority\":1,\"service\":\"engines\",\"max_attempts\":1,\
              \"session_affinity\":true,\"resumable\":false,\"gap_target_ms\":250}}",
