--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -89,6 +89,9 @@
     pub events: u64,
     pub event_ms: u64,
     pub work_ms: u64,
+    pub slots: u64,
+    /// Requests that wait for a slot.
+    pub queue: u64,
     /// How late its pings arrive at first.
     pub late_ms: u64,
 }
@@ -141,17 +144,22 @@
             self.controls.push(process);
         }
         for index in 0..fronts {
-            let host = index + 101;
-            let settings = format!(
-                "\"callers\": \"{}\", \"readiness\": \"{}\",",
-                self.callers(index),
-                self.address(host, READY_PORT)
-            );
-            let process = self.daemon(&format!("front-suva-{}", index + 1), host, &settings);
+            let process = self.front(index);
             self.fronts.push(process);
         }
     }
 
+    /// Starts a daemon of the front.
+    pub fn front(&mut self, index: u8) -> Process {
+        let host = index + 101;
+        let settings = format!(
+            "\"callers\": \"{}\", \"readiness\": \"{}\",",
+            self.callers(index),
+            self.address(host, READY_PORT)
+        );
+        self.daemon(&format!("front-suva-{}", index + 1), host, &settings)
+    }
+
     /// Starts a daemon with the command of the deploy file and its template of settings.
     fn daemon(&mut self, name: &str, host: u8, settings: &str) -> Process {
         let seeds: Vec<String> =
@@ -199,6 +207,8 @@
             .arg(format!("events={}", options.events))
             .arg(format!("event_ms={}", options.event_ms))
             .arg(format!("work_ms={}", options.work_ms))
+            .arg(format!("slots={}", options.slots))
+            .arg(format!("queue={}", options.queue))
             .arg(format!("late_ms={}", options.late_ms))
             .arg("beat_ms=1200")
             .arg(format!("record={}", self.runs_file().display()))
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod http;
 mod restart;
+mod roll;
 mod runner;
 
 use std::{collections::HashMap, path::PathBuf, process::ExitCode};
@@ -32,6 +33,7 @@
     let record = PathBuf::from(rest.first().cloned().unwrap_or_else(|| String::from("record.txt")));
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let code = match name.as_str() {
+        "roll" => roll::run(&record, trouble),
         "restart" => restart::run(&record, trouble),
         _ => 2,
     };
--- a/review/standins-3/src/restart.rs
+++ b/review/standins-3/src/restart.rs
@@ -35,6 +35,8 @@
         events: EVENTS,
         event_ms: 100,
         work_ms: 0,
+        slots: 64,
+        queue: 0,
         late_ms: 0,
     }
 }
--- a/review/standins-3/src/runner.rs
+++ b/review/standins-3/src/runner.rs
@@ -8,7 +8,7 @@
     io::{self, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex,
+        Arc, Condvar, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
@@ -30,10 +30,17 @@
     events: u64,
     event_ms: u64,
     work_ms: u64,
+    /// Requests that it runs at once.
+    slots: u64,
+    /// Requests that wait for a slot.
+    queue: u64,
     sequence: AtomicU64,
     orders: AtomicU64,
     busy: AtomicBool,
     running: AtomicU64,
+    /// Requests at work.
+    working: Mutex<u64>,
+    ended: Condvar,
     record: Mutex<File>,
 }
 
@@ -62,10 +69,14 @@
         events: number("events"),
         event_ms: number("event_ms"),
         work_ms: number("work_ms"),
+        slots: number("slots").max(1),
+        queue: number("queue"),
         sequence: AtomicU64::new(0),
         orders: AtomicU64::new(0),
         busy: AtomicBool::new(false),
         running: AtomicU64::new(0),
+        working: Mutex::new(0),
+        ended: Condvar::new(),
         record: Mutex::new(record),
     });
     runner.note(&format!("start born={}", runner.born));
@@ -114,12 +125,13 @@
                 )
             });
             let body = format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":64,\
+                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{},\
                  \"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":{},\"born\":{}{stage}}}",
                 self.service,
                 self.address,
                 self.zone,
                 self.version,
+                self.slots,
                 self.sequence.fetch_add(1, Ordering::Relaxed),
                 self.born
             );
@@ -219,8 +231,20 @@
         let after: u64 =
             request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         self.note(&format!("run {id} after={after} {}", request.start));
-        self.running.fetch_add(1, Ordering::Relaxed);
+        if self.running.fetch_add(1, Ordering::Relaxed) >= self.slots + self.queue {
+            self.running.fetch_sub(1, Ordering::Relaxed);
+            self.note(&format!("full {id}"));
+            return respond(stream, "503 Service Unavailable", &not_run, "");
+        }
+        let mut working = self.working.lock().unwrap();
+        while *working >= self.slots {
+            working = self.ended.wait(working).unwrap();
+        }
+        *working += 1;
+        drop(working);
         let ended = self.work(stream, &id, after);
+        *self.working.lock().unwrap() -= 1;
+        self.ended.notify_one();
         self.running.fetch_sub(1, Ordering::Relaxed);
         ended
     }
