Case 11: streams from before a change of the timeouts go on at other software (ORDER)

Cause: the time for which a software version that has gone still counts is derived from the longest timeout of the config that is in force when a stream is taken up. Streams that began under a config with a longer timeout are still running, and have no record since there was one version when they began.

--- a/review/standins-3/src/client.rs
+++ b/review/standins-3/src/client.rs
@@ -17,6 +17,7 @@
     /// Whether the response ended as complete.
     pub whole: bool,
     pub stamp: String,
+    pub retry_after: Option<Duration>,
 }
 
 impl Answer {
@@ -73,6 +74,10 @@
     let message = http::read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
     answer.status = message.status();
     answer.stamp = message.header("x-server-stamp").unwrap_or_default().to_owned();
+    answer.retry_after = message
+        .header("retry-after")
+        .and_then(|seconds| seconds.parse().ok())
+        .map(Duration::from_secs_f64);
     match http::framing(&message) {
         http::Framing::Length(length) => {
             let mut bytes = vec![0; length];
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -8,6 +8,7 @@
 mod restart;
 mod roll;
 mod runner;
+mod upgrade;
 
 use std::{collections::HashMap, path::PathBuf, process::ExitCode};
 
@@ -33,6 +34,7 @@
     let record = PathBuf::from(rest.first().cloned().unwrap_or_else(|| String::from("record.txt")));
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let code = match name.as_str() {
+        "upgrade" => upgrade::run(&record, trouble),
         "roll" => roll::run(&record, trouble),
         "restart" => restart::run(&record, trouble),
         _ => 2,
--- a/review/standins-3/src/runner.rs
+++ b/review/standins-3/src/runner.rs
@@ -37,6 +37,8 @@
     sequence: AtomicU64,
     orders: AtomicU64,
     busy: AtomicBool,
+    /// It leaves: it says so once, goes on serving and announces itself no more.
+    leaving: AtomicBool,
     running: AtomicU64,
     /// Requests at work.
     working: Mutex<u64>,
@@ -74,6 +76,7 @@
         sequence: AtomicU64::new(0),
         orders: AtomicU64::new(0),
         busy: AtomicBool::new(false),
+        leaving: AtomicBool::new(false),
         running: AtomicU64::new(0),
         working: Mutex::new(0),
         ended: Condvar::new(),
@@ -117,7 +120,7 @@
         thread::sleep(late);
         let limit = Duration::from_secs(1);
         let mut next = 0;
-        loop {
+        while !self.leaving.load(Ordering::Relaxed) {
             let stage = self.stage.lock().unwrap().clone();
             let stage = stage.map_or(String::new(), |stage| {
                 format!(
@@ -148,6 +151,19 @@
         }
     }
 
+    /// Says that it leaves, until a daemon acknowledges it.
+    fn leave(&self) -> bool {
+        self.leaving.store(true, Ordering::Relaxed);
+        let path = format!("/-/instances/{}", self.id);
+        let limit = Duration::from_secs(1);
+        let acknowledged = self.control.iter().any(|to| {
+            let answer = http::call(*to, "DELETE", &path, "", limit);
+            answer.is_ok_and(|answer| answer.status() / 100 == 2)
+        });
+        self.note(&format!("leaves, acknowledged {acknowledged}"));
+        acknowledged
+    }
+
     fn serve(self: &Arc<Self>, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = BufReader::new(stream.try_clone()?);
@@ -183,6 +199,10 @@
                 respond(stream, "200 OK", &[("Content-Type", "application/json")], &body)
             }
             ("GET", "/health") => respond(stream, "200 OK", &[("X-Instance-Id", &self.id)], ""),
+            ("POST", "/script/leave") => {
+                let status = if self.leave() { "200 OK" } else { "500 Internal Server Error" };
+                respond(stream, status, &[], "")
+            }
             ("POST", "/-/order") => self.take_order(stream, request),
             ("DELETE", _) => respond(stream, "200 OK", &[], ""),
             _ => self.run(stream, request),
