Case 12: long streams are taken up at other software after a rolling restart of the fronts (ORDER)

Cause: the core keeps the record of where a stream began for 30 s, whatever the timeouts of the routes are. Once the fronts have started again, a stream without a record is taken for one of the oldest version.

--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -5,9 +5,11 @@
 mod client;
 mod fleet;
 mod http;
+mod long;
 mod restart;
 mod roll;
 mod runner;
+mod stream;
 mod upgrade;
 
 use std::{collections::HashMap, path::PathBuf, process::ExitCode};
@@ -35,6 +37,7 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let code = match name.as_str() {
         "upgrade" => upgrade::run(&record, trouble),
+        "long" => long::run(&record, trouble),
         "roll" => roll::run(&record, trouble),
         "restart" => restart::run(&record, trouble),
         _ => 2,
