Case 13: a longer timeout in a new config has streams refused that are taken up (LOST)

Cause: the time for which a software version that has gone still counts is derived from the longest timeout of the config in force. A longer one brings a version back that was forgotten when the streams began, so that those without a record are taken for its own and refused.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-3/release/standins-3
 [ -x "$program" ] && [ -x target/release/daisydrum ] || exit 2
-"$program" restart review/13/record.txt
+"$program" raise review/13/record.txt
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod http;
 mod long;
+mod raise;
 mod restart;
 mod roll;
 mod runner;
@@ -38,6 +39,7 @@
     let code = match name.as_str() {
         "upgrade" => upgrade::run(&record, trouble),
         "long" => long::run(&record, trouble),
+        "raise" => raise::run(&record, trouble),
         "roll" => roll::run(&record, trouble),
         "restart" => restart::run(&record, trouble),
         _ => 2,
--- a/review/standins-3/src/stream.rs
+++ b/review/standins-3/src/stream.rs
@@ -50,7 +50,17 @@
 
 /// Starts the consumers, which have this time for all of their tries.
 pub fn start(fronts: [SocketAddr; 2], budget: Duration) -> Vec<JoinHandle<Tries>> {
-    (0..STREAMS).map(|number| thread::spawn(move || consume(number, fronts, budget))).collect()
+    start_from(0, fronts, budget)
+}
+
+/// The same with streams of higher numbers.
+pub fn start_from(
+    first: usize,
+    fronts: [SocketAddr; 2],
+    budget: Duration,
+) -> Vec<JoinHandle<Tries>> {
+    let numbers = first..first + STREAMS;
+    numbers.map(|number| thread::spawn(move || consume(number, fronts, budget))).collect()
 }
 
 /// One consumer: takes its stream up at another front each time, and returns what its tries brought.
