--- a/review/standins-3/src/long.rs
+++ b/review/standins-3/src/long.rs
@@ -61,6 +61,7 @@
     let consumers = stream::start(fronts, BUDGET);
     thread::sleep(Duration::from_secs(28));
     if trouble && !restart(&mut fleet, 1) {
+        fleet.end();
         return 2;
     }
     thread::sleep(Duration::from_secs(1));
--- a/review/standins-3/src/raise.rs
+++ b/review/standins-3/src/raise.rs
@@ -60,6 +60,7 @@
     if trouble {
         fleet.note("the config lengthens the timeout from 3 s to 30 s");
         if !fleet.put_config(&stream::config(4, 30_000)) {
+            fleet.end();
             return 2;
         }
     }
--- a/review/standins-3/src/roll.rs
+++ b/review/standins-3/src/roll.rs
@@ -44,10 +44,18 @@
     )
 }
 
-/// Sends the requests to the fronts that take connections; returns when they were sent, and how many were served.
-fn send_all(fronts: &[std::net::SocketAddr], open: &[AtomicBool]) -> (Vec<u64>, usize) {
+/// A request: when it was sent, to which front, and what came back.
+struct Sent {
+    at: u64,
+    id: String,
+    front: usize,
+    answer: client::Answer,
+}
+
+/// Sends the requests to the fronts that take connections.
+fn send_all(fronts: &[std::net::SocketAddr], open: &[AtomicBool]) -> Vec<Sent> {
     let start = Instant::now();
-    let (mut times, mut tasks, mut front) = (Vec::new(), Vec::new(), 0);
+    let (mut tasks, mut front) = (Vec::new(), 0);
     for number in 0..REQUESTS {
         let at = Duration::from_millis(1_000 * number / REQUESTS_A_SECOND);
         thread::sleep(at.saturating_sub(start.elapsed()));
@@ -58,15 +66,15 @@
             }
         }
         let address = fronts[front];
-        times.push(unix_ms());
+        let (at, id) = (unix_ms(), format!("q{number:05}"));
         tasks.push(thread::spawn(move || {
-            let (id, path) = (format!("q{number:05}"), format!("/lookup/{number}"));
             let headers = [("X-Request-Id", id.as_str())];
-            client::send(address, "GET", &path, &headers, "", LIMIT, LIMIT)
+            let path = format!("/lookup/{number}");
+            let answer = client::send(address, "GET", &path, &headers, "", LIMIT, LIMIT);
+            Sent { at, id, front: front + 1, answer }
         }));
     }
-    let answers = tasks.into_iter().map(|task| task.join().unwrap_or_default());
-    (times, answers.filter(|answer| answer.status == 200).count())
+    tasks.into_iter().filter_map(|task| task.join().ok()).collect()
 }
 
 /// Tells the fronts to stop one after the other, and starts each again when it has ended.
@@ -144,7 +152,13 @@
     if trouble {
         roll(&mut fleet, &open);
     }
-    let (times, served) = sender.join().unwrap();
+    let sent = sender.join().unwrap();
+    for Sent { at, id, front, answer } in &sent {
+        let client::Answer { status, stamp, .. } = answer;
+        fleet.note(&format!("{id} sent at {at} to front {front}: status {status}, stamp {stamp}"));
+    }
+    let times: Vec<u64> = sent.iter().map(|request| request.at).collect();
+    let served = sent.iter().filter(|request| request.answer.status == 200).count();
     let lines = fleet.runs();
     let mut arrivals: Vec<(u64, &str)> = Vec::new();
     for line in &lines {
--- a/review/standins-3/src/upgrade.rs
+++ b/review/standins-3/src/upgrade.rs
@@ -64,6 +64,7 @@
         until(2_600);
         fleet.note("the config shortens the timeout from 12 s to 3 s");
         if !fleet.put_config(&stream::config(4, 3_000)) {
+            fleet.end();
             return 2;
         }
         until(7_600);
