--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -92,7 +92,7 @@
     pub slots: u64,
     /// Requests that wait for a slot.
     pub queue: u64,
-    /// How late its pings arrive at first.
+    /// Time from its start to its first ping.
     pub late_ms: u64,
 }
 
@@ -216,7 +216,7 @@
             .spawn()
             .unwrap();
         self.note(&format!(
-            "runner {id} {version} started, its pings are late by {} ms",
+            "runner {id} {version} started, its first ping comes after {} ms",
             options.late_ms
         ));
         Process(Some(child))
--- a/review/standins-3/src/restart.rs
+++ b/review/standins-3/src/restart.rs
@@ -1,4 +1,4 @@
-//! A runner starts again under its id with another version of its software, and its pings are late.
+//! A runner starts again under its id with another version of its software; its first ping comes an interval later.
 
 use std::{path::Path, thread, time::Duration};
 
@@ -72,9 +72,9 @@
         fleet.note("i-third crashes");
         runners[7].kill();
         thread::sleep(Duration::from_millis(2_000));
-        let again = RunnerOptions { version: "v2", late_ms: 3_000, ..decode[2].clone() };
+        let again = RunnerOptions { version: "v2", late_ms: 1_200, ..decode[2].clone() };
         runners[7] = fleet.runner(&again);
-        thread::sleep(Duration::from_millis(500));
+        thread::sleep(Duration::from_millis(100));
     }
     let callers = fleet.callers(0);
     let streams: Vec<_> = (0..STREAMS)
@@ -92,11 +92,11 @@
                 let (limit, pause) = (Duration::from_secs(12), Duration::from_secs(4));
                 client::send(callers, "POST", &path, &headers, "a prompt", limit, pause)
             });
-            thread::sleep(Duration::from_millis(20));
+            thread::sleep(Duration::from_millis(5));
             stream
         })
         .collect();
-    thread::sleep(Duration::from_millis(500));
+    thread::sleep(Duration::from_millis(350));
     if trouble {
         fleet.note("i-first crashes");
         runners[5].kill();
