What is remembered of a stream and of a version follows the stream's lifetime

Cause: what was true when a stream began was judged by what is in force when it is taken up. By reading, and shown by a test: while a service had one version, streams of a minute had no record and outlived the memory of their version.

Change: the caller's time, stated with the request that begins the stream, is its lifetime. A record carries until when it counts and is kept until then, on disk too; the most that expire next go when there are too many. Streams above 15 s are always recorded, so that those without a record began within 20 s, which is how long a version that has gone counts, under any configuration. A ledger that dropped or may have lost a record isn't complete until that stream has ended; one that doesn't know, for 2 h. Instances that are not complete are left out if a majority is: with the former rule one lost disk of three would have streams refused for those 2 h. Lifetimes follow the messages and records that the build before knows; it leaves them unread.

The simulations have long-lived streams now.

Tests that changed: `continuity` a_majority_has_none: two instances, of which one may have lost a record, answer "unclear" where they answered "unrecorded", after which the stream was refused; now the third one is waited for. Four rows state the new rule. `version_return` waits for 26 s instead of 14, since instances forget a version after 22 s.

--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -30,14 +30,15 @@
     registry::{Merge, Registry, State, Target},
     roster,
 };
-use placement::continuity::{History, ledger::Ledger};
+use placement::continuity::{History, ledger::Ledger, lifetime};
 use tokio::{sync::watch, time};
 
 /// Time without a poll after which another instance counts as gone; instances poll at least once a second.
 const INSTANCE_TIMEOUT: Duration = roster::TIMEOUT;
 
-/// Time for which software versions are kept that no target has any more.
-const VERSION_RETENTION: Duration = Duration::from_secs(120);
+/// Time for which software versions are kept that no target has any more: a record of any lifetime may be lost that names
+/// one.
+const VERSION_RETENTION: Duration = lifetime::LONGEST.saturating_add(lifetime::MARGIN);
 
 /// State of the fleet as this instance knows it; clones share it.
 #[derive(Clone, Debug)]
--- a/crates/daisydrum/src/seeded/directory/versions.rs
+++ b/crates/daisydrum/src/seeded/directory/versions.rs
@@ -5,6 +5,7 @@
     exchange::{Beginning, ServiceVersions, Testimony},
     registry::State,
 };
+use placement::continuity::lifetime;
 
 use crate::seeded::directory::{Directory, Inner, VERSION_RETENTION};
 
@@ -82,10 +83,13 @@
     }
 
     /// Keeps the origins of streams that were recorded at `at`.
-    pub(crate) fn keep_origins(&self, beginnings: Vec<Beginning>, at: Moment) {
+    pub(crate) fn keep_origins(&self, beginnings: Vec<Beginning>, at: Moment, now: Moment) {
         let mut inner = self.lock();
-        for Beginning { stream, origin } in beginnings {
-            inner.ledger.keep(&stream, origin, at);
+        for Beginning { stream, origin, lifetime_ms } in beginnings {
+            let until = at + lifetime::recorded(lifetime_ms);
+            if until > now {
+                inner.ledger.keep(&stream, origin, until, now);
+            }
         }
     }
 
@@ -99,13 +103,15 @@
         self.lock().ledger.restore(since);
     }
 
-    /// The streams whose origins are kept, with the time of each record.
-    pub(crate) fn origins(&self) -> Vec<(Beginning, Moment)> {
+    /// The streams whose origins are kept.
+    pub(crate) fn origins(&self, now: Moment) -> Vec<Beginning> {
         let inner = self.lock();
         let origins = inner.ledger.origins();
         origins
-            .map(|(stream, origin, at)| {
-                (Beginning { stream: stream.to_owned(), origin: origin.clone() }, at)
+            .map(|(stream, origin, until)| Beginning {
+                stream: stream.to_owned(),
+                origin: origin.clone(),
+                lifetime_ms: u64::try_from(until.since(now).as_millis()).ok(),
             })
             .collect()
     }
--- a/crates/daisydrum/src/seeded/ledger.rs
+++ b/crates/daisydrum/src/seeded/ledger.rs
@@ -29,6 +29,8 @@
 
 const FILE_NAME: &str = "origins";
 const TEMPORARY_FILE_NAME: &str = "origins.new";
+/// Streams in one frame of a file that is written anew.
+const MAX_FRAME_STREAMS: usize = 1_024;
 /// Batches that wait for the disk; those that find the queue full are not acknowledged.
 const MAX_QUEUED: usize = 1_024;
 /// Longest wait until a new version is synced, after which it is passed on all the same: a disk may hang.
@@ -42,7 +44,7 @@
 /// What the file holds, one frame for each: its length and checksum, 4 bytes little-endian each, then its encoding.
 #[derive(Debug, Serialize, Deserialize)]
 enum Record {
-    /// Streams that began.
+    /// Streams that began; their lifetimes, from `at_unix_ms` on, follow the record.
     Begun {
         /// Milliseconds since the Unix epoch.
         at_unix_ms: u64,
@@ -54,6 +56,16 @@
     Complete { since_unix_ms: u64 },
 }
 
+impl Record {
+    /// The streams whose origins it holds.
+    fn beginnings(&mut self) -> &mut [Beginning] {
+        match self {
+            Record::Begun { beginnings, .. } => beginnings,
+            Record::Versions { .. } | Record::Complete { .. } => &mut [],
+        }
+    }
+}
+
 /// What the writer is asked to save.
 #[derive(Debug)]
 struct Job {
@@ -85,12 +97,18 @@
     /// Loads what is on disk and starts to save what is recorded; without a data folder, only memory is used.
     pub(crate) fn start(context: &Context, directory: &Directory) -> Ledger {
         let folder = context.settings.data_folder.clone().map(PathBuf::from);
+        let loaded = folder.as_deref().map(|folder| load(folder, directory));
+        match &loaded {
+            Some(Ok(records)) => info!(context.log, "origins_loaded"; "records" => records,
+                "streams" => directory.origins(Moment::now()).len()),
+            Some(Err(cause)) => info!(context.log, "origins_not_loaded"; "cause" => %cause),
+            None => {}
+        }
+        if context.settings.founding && !matches!(loaded, Some(Ok(_))) {
+            // No earlier process of the fleet has acknowledged any.
+            directory.restore_origins(Moment::default());
+        }
         let jobs = folder.map(|folder| {
-            match load(&folder, directory) {
-                Ok(records) => info!(context.log, "origins_loaded"; "records" => records,
-                    "streams" => directory.origins().len()),
-                Err(cause) => info!(context.log, "origins_not_loaded"; "cause" => %cause),
-            }
             let (jobs, receiver) = mpsc::channel(MAX_QUEUED);
             spawn(context, write(context.clone(), directory.clone(), folder, receiver));
             jobs
@@ -117,7 +135,8 @@
                 return Answer::Later;
             }
         }
-        self.directory.keep_origins(beginnings, Moment::now());
+        let now = Moment::now();
+        self.directory.keep_origins(beginnings, now, now);
         Answer::Kept
     }
 
@@ -221,13 +240,14 @@
 fn snapshot(directory: &Directory, now: Moment) -> Vec<Record> {
     let at_unix_ms = clock::unix_ms();
     let versions = Record::Versions { at_unix_ms, versions: directory.versions(now) };
-    let complete = now.since(directory.complete_since());
-    let complete_ms = u64::try_from(complete.as_millis()).unwrap_or(u64::MAX);
-    let complete = Record::Complete { since_unix_ms: at_unix_ms.saturating_sub(complete_ms) };
-    let begun = directory.origins().into_iter().map(|(beginning, at)| {
-        let age_ms = u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
-        Record::Begun { at_unix_ms: at_unix_ms.saturating_sub(age_ms), beginnings: vec![beginning] }
-    });
+    // While a record may be missing this is in the future.
+    let since = directory.complete_since();
+    let since_unix_ms = at_unix_ms.saturating_add(since.0).saturating_sub(now.0);
+    let complete = Record::Complete { since_unix_ms };
+    let origins = directory.origins(now);
+    let begun = origins
+        .chunks(MAX_FRAME_STREAMS)
+        .map(|beginnings| Record::Begun { at_unix_ms, beginnings: beginnings.to_vec() });
     [versions, complete].into_iter().chain(begun).collect()
 }
 
@@ -269,7 +289,10 @@
 }
 
 fn frame(record: &Record) -> Vec<u8> {
-    let payload = exchange::encode(record);
+    let payload = match record {
+        Record::Begun { beginnings, .. } => exchange::encode_beginnings(record, beginnings),
+        Record::Versions { .. } | Record::Complete { .. } => exchange::encode(record),
+    };
     let length = u32::try_from(payload.len()).unwrap_or(u32::MAX);
     let checksum = crc32fast::hash(&payload);
     [length.to_le_bytes().as_slice(), &checksum.to_le_bytes(), &payload].concat()
@@ -298,7 +321,7 @@
     if crc32fast::hash(payload) != u32::from_le_bytes(*checksum) {
         return None;
     }
-    Some((exchange::decode(payload)?, &rest[length..]))
+    Some((exchange::decode_beginnings(payload, Record::beginnings)?, &rest[length..]))
 }
 
 fn apply(directory: &Directory, record: Record, now: Moment, now_unix_ms: u64) {
@@ -306,13 +329,14 @@
     match record {
         Record::Begun { at_unix_ms, beginnings } => {
             let at = now - Duration::from_millis(age(at_unix_ms));
-            directory.keep_origins(beginnings, at);
+            directory.keep_origins(beginnings, at, now);
         }
         Record::Versions { at_unix_ms, versions } => {
             directory.restore_versions(&versions, now - Duration::from_millis(age(at_unix_ms)));
         }
         Record::Complete { since_unix_ms } => {
-            directory.restore_origins(now - Duration::from_millis(age(since_unix_ms)));
+            let since = now.0.saturating_add(since_unix_ms).saturating_sub(now_unix_ms);
+            directory.restore_origins(Moment(since));
         }
     }
 }
--- a/crates/daisydrum/src/seeded/origins.rs
+++ b/crates/daisydrum/src/seeded/origins.rs
@@ -3,13 +3,13 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use common::{collections::Map, name};
+use common::{clock::Moment, collections::Map, name};
 use fleet::exchange::{self, Answer, Beginning, Identity, Question, Testimony};
 use futures::{StreamExt, stream::FuturesUnordered};
 use gateway::{origins, recording::Recording, state::Gateway};
 use placement::{
     continuity::{
-        Answers, HOLDERS,
+        Answers, HOLDERS, RETENTION,
         tally::Tally,
         testimony::{self, Verdict},
     },
@@ -50,8 +50,8 @@
         let mut begun = Vec::new();
         for question in batch.drain(..) {
             match question {
-                origins::Question::Record { stream, origin, recording } => {
-                    begun.push(Record { beginning: Beginning { stream, origin }, recording });
+                origins::Question::Record { stream, origin, until, recording } => {
+                    begun.push(Record { stream, origin, until, recording });
                 }
                 origins::Question::Find { stream, service, answers } => {
                     let holders = Holders::of(&context, &directory, stream.as_deref());
@@ -104,16 +104,29 @@
 /// What an instance is asked to keep.
 #[derive(Clone, Debug)]
 struct Record {
-    beginning: Beginning,
+    stream: String,
+    origin: exchange::Origin,
+    until: Moment,
     recording: Recording,
 }
 
+impl Record {
+    /// Time from now on until which the stream may be taken up, in milliseconds.
+    fn lifetime_ms(&self) -> Option<u64> {
+        u64::try_from(self.until.since(Moment::now()).as_millis()).ok()
+    }
+
+    fn beginning(&self) -> Beginning {
+        let Record { stream, origin, .. } = self.clone();
+        Beginning { stream, origin, lifetime_ms: self.lifetime_ms() }
+    }
+}
+
 /// Has the holders keep the origins of streams, those of one control instance in one call.
 fn record(context: &Context, directory: &Directory, records: Vec<Record>) {
     let mut calls: Map<SocketAddr, Vec<Record>> = Map::default();
     for record in records {
-        let Holders { control, entries } =
-            Holders::of(context, directory, Some(&record.beginning.stream));
+        let Holders { control, entries } = Holders::of(context, directory, Some(&record.stream));
         record.recording.set_holders(control.len());
         for address in control {
             calls.entry(address).or_default().push(record.clone());
@@ -135,8 +148,9 @@
 }
 
 async fn record_at_entry(context: Context, address: SocketAddr, record: Record) {
-    let Record { beginning: Beginning { stream, origin }, recording } = record;
-    let question = Question::RecordOrigin { stream, origin };
+    let lifetime_ms = record.lifetime_ms();
+    let Record { stream, origin, recording, .. } = record;
+    let question = Question::RecordOrigin { stream, origin, lifetime_ms };
     for _ in 0..RECORD_ATTEMPTS {
         let answer = subscription::ask(&context, address, &question, ANSWER_TIMEOUT).await;
         if matches!(answer, Some(Answer::Origin { .. })) {
@@ -158,8 +172,8 @@
             if records.is_empty() {
                 return Ok(Vec::new());
             }
-            let beginnings = records.iter().map(|record| record.beginning.clone()).collect();
-            let question = exchange::encode(&Question::KeepOrigins(beginnings));
+            let beginnings = records.iter().map(Record::beginning).collect();
+            let question = exchange::encode_question(&Question::KeepOrigins(beginnings));
             client.exchange(deadline, question).await
         };
         let answer = match context.link(address).call(ANSWER_TIMEOUT, call).await {
@@ -192,8 +206,7 @@
 ) -> Answers {
     let named = stream.is_some();
     let stream = stream.unwrap_or_default();
-    let retention = gateway.origins.retention();
-    let control = ask_control(context, &holders.control, &stream, service, retention);
+    let control = ask_control(context, &holders.control, &stream, service);
     let entries = async {
         if named {
             ask_entries(context, gateway, holders.entries, &stream).await
@@ -252,7 +265,6 @@
     holders: &[SocketAddr],
     stream: &str,
     service: Option<name::Service>,
-    retention: Duration,
 ) -> Control {
     let question = &Question::Testify { stream: stream.to_owned(), service };
     let mut calls: FuturesUnordered<_> =
@@ -265,7 +277,7 @@
             Some(Answer::Refused) => refused += 1,
             _ => {}
         }
-        match testimony::judge(&testimonies, holders.len(), retention) {
+        match testimony::judge(&testimonies, holders.len(), RETENTION) {
             Verdict::Recorded(origin) => return Control::Known(origin),
             Verdict::Unrecorded => return Control::Testified(testimonies),
             Verdict::Unclear => {}
@@ -290,7 +302,6 @@
     holders: Vec<SocketAddr>,
     stream: &str,
 ) -> AtEntries {
-    let retention = gateway.origins.retention();
     let question = &Question::Origin { stream: stream.to_owned() };
     let mut calls: FuturesUnordered<_> = holders
         .into_iter()
@@ -306,7 +317,7 @@
         match answer {
             Some(Answer::Origin { origin: Some(origin), .. }) => return AtEntries::Known(origin),
             Some(Answer::Origin { origin: None, running_ms })
-                if Duration::from_millis(running_ms) >= retention => {}
+                if Duration::from_millis(running_ms) >= RETENTION => {}
             _ => found = AtEntries::Missing,
         }
     }
--- a/crates/daisydrum/src/seeded/peers.rs
+++ b/crates/daisydrum/src/seeded/peers.rs
@@ -12,6 +12,7 @@
 };
 use gateway::{ends, relay::server, state::Gateway};
 use memory::{budget::Connection, frames};
+use placement::continuity::lifetime;
 use replica::host::Handle;
 use slog::{debug, info};
 use tarpc::server::Channel;
@@ -109,11 +110,12 @@
     }
 
     async fn exchange(&self, question: Vec<u8>) -> Vec<u8> {
-        let answer = match exchange::decode::<Question>(&question) {
+        let answer = match exchange::decode_question(&question) {
             Some(Question::Holdings) => self.holdings(),
             Some(Question::Suspicions) => self.suspicions(),
-            Some(Question::RecordOrigin { stream, origin }) => {
-                self.origin(&stream, |gateway| gateway.origins.keep(&stream, origin))
+            Some(Question::RecordOrigin { stream, origin, lifetime_ms }) => {
+                let until = Moment::now() + lifetime::recorded(lifetime_ms);
+                self.origin(&stream, |gateway| gateway.origins.keep(&stream, origin, until))
             }
             Some(Question::Origin { stream }) => self.origin(&stream, |_| {}),
             Some(Question::Access(process)) => match &self.gateway {
--- a/crates/daisydrum/src/seeded/subscription.rs
+++ b/crates/daisydrum/src/seeded/subscription.rs
@@ -295,7 +295,7 @@
     question: &Question,
     limit: Duration,
 ) -> Option<Answer> {
-    let question = exchange::encode(question);
+    let question = exchange::encode_question(question);
     let call =
         async |client: &PeerClient, context| client.exchange(context, question.clone()).await;
     match context.link(address).call(limit, call).await {
--- a/crates/daisydrum/tests/seeded/main.rs
+++ b/crates/daisydrum/tests/seeded/main.rs
@@ -22,6 +22,7 @@
 mod large_config;
 mod leaving;
 mod left_target;
+mod lifetime;
 mod metrics;
 mod odd_answers;
 mod odd_entries;
--- a/crates/daisydrum/tests/seeded/version_return.rs
+++ b/crates/daisydrum/tests/seeded/version_return.rs
@@ -3,6 +3,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use placement::continuity::VERSION_RETENTION;
 use platform_standin::{client, runner::Runner};
 use tokio::time;
 use yare::parameterized;
@@ -16,7 +17,7 @@
 };
 
 /// Time from the end of the earlier version's targets to the streams; instances have forgotten the version by then.
-const ABSENCE: Duration = Duration::from_secs(14);
+const ABSENCE: Duration = VERSION_RETENTION.saturating_add(Duration::from_secs(4));
 /// Time after which a version is clearly older than the next one.
 const OLDER: Duration = Duration::from_millis(2_500);
 
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -16,7 +16,10 @@
 
 pub use self::{
     access::{Access, Process},
-    encoding::{decode, decode_answer, decode_targets, encode, encode_answer, encode_targets},
+    encoding::{
+        decode, decode_answer, decode_beginnings, decode_question, decode_targets, encode,
+        encode_answer, encode_beginnings, encode_question, encode_targets,
+    },
     reach::{MAX_CUT_OFF, Reach},
 };
 use crate::{
@@ -84,6 +87,9 @@
         stream: String,
         /// The origin.
         origin: Origin,
+        /// As [`Beginning::lifetime_ms`].
+        #[serde(skip)]
+        lifetime_ms: Option<u64>,
     },
     /// Asks an entry instance for the origin of a stream.
     Origin {
@@ -139,6 +145,10 @@
     pub stream: String,
     /// The origin.
     pub origin: Origin,
+    /// Time from now on until which the stream may be taken up, in milliseconds; `None` from instances of earlier builds. It
+    /// follows the other fields; see [`encode_question`].
+    #[serde(skip)]
+    pub lifetime_ms: Option<u64>,
 }
 
 /// What a control instance knows of a stream and of the versions of its service.
@@ -146,7 +156,8 @@
 pub struct Testimony {
     /// The stream's origin; `None` if it has no record.
     pub origin: Option<Origin>,
-    /// Time for which no record is missing, in milliseconds.
+    /// Time for which no record is missing, in milliseconds; one that is lost counts from the time of a stream without a
+    /// record before its own stream can't be taken up any more.
     pub complete_ms: u64,
     /// Versions that the service's targets have, or had lately.
     pub versions: Vec<VersionAge>,
--- a/crates/fleet/src/exchange/encoding.rs
+++ b/crates/fleet/src/exchange/encoding.rs
@@ -5,7 +5,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
-    exchange::{Answer, Notice, ServiceVersions, Update},
+    exchange::{Answer, Beginning, Notice, Question, ServiceVersions, Update},
     registry::Target,
 };
 
@@ -23,6 +23,56 @@
     Some(targets)
 }
 
+/// Encodes a question. The lifetimes of the streams whose origins are to be kept follow it.
+pub fn encode_question(question: &Question) -> Vec<u8> {
+    match question {
+        Question::KeepOrigins(beginnings) => encode_beginnings(question, beginnings),
+        Question::RecordOrigin { lifetime_ms, .. } => {
+            [encode(question), encode(lifetime_ms)].concat()
+        }
+        _ => encode(question),
+    }
+}
+
+/// Decodes a question with or without what instances of earlier builds don't send; `None` if the bytes are not valid.
+pub fn decode_question(bytes: &[u8]) -> Option<Question> {
+    let (mut question, rest) = postcard::take_from_bytes::<Question>(bytes).ok()?;
+    match &mut question {
+        Question::KeepOrigins(beginnings) => set_lifetimes(beginnings, rest),
+        Question::RecordOrigin { lifetime_ms, .. } => {
+            *lifetime_ms = decode(rest).unwrap_or_default();
+        }
+        _ => {}
+    }
+    Some(question)
+}
+
+/// Encodes a message, and after it the lifetimes of the streams that it names.
+pub fn encode_beginnings(message: &impl Serialize, beginnings: &[Beginning]) -> Vec<u8> {
+    let lifetimes: Vec<Option<u64>> =
+        beginnings.iter().map(|beginning| beginning.lifetime_ms).collect();
+    [encode(message), encode(&lifetimes)].concat()
+}
+
+/// Decodes a message; `beginnings` yields the streams that it names, whose lifetimes follow it. `None` if the bytes are not
+/// valid.
+pub fn decode_beginnings<T: DeserializeOwned>(
+    bytes: &[u8],
+    beginnings: impl FnOnce(&mut T) -> &mut [Beginning],
+) -> Option<T> {
+    let (mut message, rest) = postcard::take_from_bytes::<T>(bytes).ok()?;
+    set_lifetimes(beginnings(&mut message), rest);
+    Some(message)
+}
+
+/// Sets the lifetimes of streams from their encoding; they stay unknown if it is missing.
+fn set_lifetimes(beginnings: &mut [Beginning], bytes: &[u8]) {
+    let lifetimes = decode::<Vec<Option<u64>>>(bytes).unwrap_or_default();
+    for (beginning, lifetime_ms) in beginnings.iter_mut().zip(lifetimes) {
+        beginning.lifetime_ms = lifetime_ms;
+    }
+}
+
 /// Encodes an answer. What instances of earlier builds can't decode follows it, and they leave it unread: the versions of
 /// the targets' software, then their ages, the roster, which targets are reclaimable, and the recent kinds of notices.
 pub fn encode_answer(answer: &Answer) -> Vec<u8> {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -11,7 +11,9 @@
     exchange::{Origin, ServiceVersions},
     registry::Target,
 };
-use placement::continuity::{self, Answers, History, Origins, tally::Outcome};
+use placement::continuity::{
+    self, Answers, History, Origins, RETENTION, VERSION_RETENTION, tally::Outcome,
+};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::recording::Recording;
@@ -31,6 +33,8 @@
         stream: String,
         /// The origin.
         origin: Origin,
+        /// Until when the stream may be taken up.
+        until: Moment,
         /// What becomes of that.
         recording: Recording,
     },
@@ -57,31 +61,15 @@
 struct Inner {
     origins: Origins,
     history: History,
-    retention: Duration,
-    version_retention: Duration,
     /// When an origin could not be recorded last.
     unrecorded_at: Option<Moment>,
 }
 
-impl Inner {
-    fn set_longest_timeout(&mut self, longest: Duration) {
-        self.retention = continuity::retention(longest);
-        self.version_retention = continuity::version_retention(longest);
-    }
-}
-
 impl Table {
     /// Creates an empty table; the receiver yields the questions to other instances.
     pub(crate) fn new() -> (Table, mpsc::Receiver<Question>) {
         let (questions, receiver) = mpsc::channel(MAX_QUEUED_QUESTIONS);
-        let mut inner = Inner::default();
-        inner.set_longest_timeout(Duration::ZERO);
-        (Table { inner: Mutex::new(inner), started: Moment::now(), questions }, receiver)
-    }
-
-    /// Sets the longest timeout of a route.
-    pub(crate) fn set_longest_timeout(&self, longest: Duration) {
-        self.lock().set_longest_timeout(longest);
+        (Table { inner: Mutex::default(), started: Moment::now(), questions }, receiver)
     }
 
     /// Records the software of a target that is known, or was until now.
@@ -108,22 +96,21 @@
         for (service, software) in targets {
             inner.history.see(service, software, now);
         }
-        let Inner { retention, version_retention, .. } = *inner;
-        inner.history.expire(version_retention, now);
-        inner.origins.expire(retention, now);
+        inner.history.expire(VERSION_RETENTION, now);
+        inner.origins.expire(now);
     }
 
-    /// The software version that all targets of a service have had for so long that no stream that may be taken up began
-    /// at another one, if there is one.
+    /// The software version that all targets of a service have had for so long that no stream without a record that may be
+    /// taken up began at another one, if there is one.
     pub(crate) fn settled_version(&self, service: &name::Service) -> Option<name::Software> {
         let inner = self.lock();
-        inner.history.versions(service)?.settled(inner.retention, Moment::now()).cloned()
+        inner.history.versions(service)?.settled(RETENTION, Moment::now()).cloned()
     }
 
     /// The version of a service that came clearly before all others.
     pub(crate) fn oldest_version(&self, service: &name::Service) -> Option<name::Software> {
         let inner = self.lock();
-        inner.history.versions(service)?.oldest(inner.retention).cloned()
+        inner.history.versions(service)?.oldest(RETENTION).cloned()
     }
 
     /// Records whether an origin could be recorded.
@@ -148,19 +135,17 @@
         self.lock().origins.get(stream).cloned()
     }
 
-    /// Keeps the origin of a stream.
-    pub fn keep(&self, stream: &str, origin: Origin) {
-        let mut inner = self.lock();
-        let retention = inner.retention;
-        let _evicted = inner.origins.record(stream, origin, retention, Moment::now());
+    /// Keeps the origin of a stream that may be taken up until then.
+    pub fn keep(&self, stream: &str, origin: Origin, until: Moment) {
+        let _evicted = self.lock().origins.record(stream, origin, until, Moment::now());
     }
 
-    /// Keeps the origin of a stream here and at the instances that hold it.
-    pub(crate) fn record(&self, stream: &str, origin: Origin) -> Recording {
-        self.keep(stream, origin.clone());
+    /// Keeps the origin of a stream that may be taken up until then, here and at the instances that hold it.
+    pub(crate) fn record(&self, stream: &str, origin: Origin, until: Moment) -> Recording {
+        self.keep(stream, origin.clone(), until);
         let recording = Recording::default();
         let stream = stream.to_owned();
-        self.ask(Question::Record { stream, origin, recording: recording.clone() });
+        self.ask(Question::Record { stream, origin, until, recording: recording.clone() });
         recording
     }
 
@@ -184,7 +169,7 @@
     ) -> continuity::Decision {
         let inner = self.lock();
         let versions = service.and_then(|service| inner.history.versions(service));
-        continuity::decide(versions, answers, inner.retention)
+        continuity::decide(versions, answers, RETENTION)
     }
 
     /// Time since the process started, from before which no origin is known.
@@ -192,11 +177,6 @@
         Moment::now().since(self.started)
     }
 
-    /// Time for which a caller may come back to a stream.
-    pub fn retention(&self) -> Duration {
-        self.lock().retention
-    }
-
     fn ask(&self, question: Question) {
         if self.questions.try_send(question).is_err() {
             metrics::counter!("daisydrum_origin_questions_unasked_total").increment(1);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -26,6 +26,7 @@
         Balancer, Key,
         selection::{Criteria, Decision, Plan, Prefill, Reason, Refusal},
     },
+    continuity::lifetime,
     health::Outcome,
     hedge::Another,
     quarantine::request::Content,
@@ -160,8 +161,25 @@
         }
     }
 
+    /// Whether the origin of the stream is recorded: it may be taken up, and either for a long time, or its service has had
+    /// several software versions lately.
+    pub(crate) fn needs_record(&self) -> bool {
+        self.route().retry == Retry::Resume
+            && (self.is_long_lived() || self.settled_version().is_none())
+    }
+
+    /// Whether the stream may be taken up for longer than one that need not be recorded.
+    pub(crate) fn is_long_lived(&self) -> bool {
+        self.lifetime() > lifetime::UNRECORDED
+    }
+
+    /// Time from the arrival of the request in which its caller may come back to the stream.
+    fn lifetime(&self) -> Duration {
+        lifetime::stream(self.metadata.timeout, self.route().timeout)
+    }
+
     /// The software version that all targets that may serve the request have had lately, if it is one.
-    pub(crate) fn settled_version(&self) -> Option<name::Software> {
+    fn settled_version(&self) -> Option<name::Software> {
         self.gateway.origins.settled_version(self.sole_service()?)
     }
 
@@ -434,7 +452,8 @@
     ) -> Recording {
         let stream = self.metadata.resumes.as_ref().unwrap_or(&self.metadata.id);
         let (service, software) = (service.clone(), beginning.software.clone());
-        self.gateway.origins.record(stream, exchange::Origin { service, software, run })
+        let until = self.arrived + self.lifetime() + lifetime::MARGIN;
+        self.gateway.origins.record(stream, exchange::Origin { service, software, run }, until)
     }
 
     /// Whether another run may be started while one is silent. One that may not be repeated may be started while the
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -191,8 +191,6 @@
         let declared =
             |name: &name::Service| config.services.iter().any(|service| service.name == *name);
         self.relay.retain(declared);
-        let longest = config.routes.iter().map(|route| route.timeout).max();
-        self.origins.set_longest_timeout(longest.unwrap_or_default());
         self.config.send_replace(Some(config));
         *self.installed_at.lock().unwrap_or_else(PoisonError::into_inner) = Moment::now();
         true
--- a/crates/gateway/src/stream/beginning.rs
+++ b/crates/gateway/src/stream/beginning.rs
@@ -82,11 +82,6 @@
         serves.then(|| Beginning { service: Some(service.clone()), software })
     }
 
-    /// Whether the origin of the stream is recorded: it may be taken up, and its service has had several versions lately.
-    fn needs_record(&self) -> bool {
-        self.request.route().retry == Retry::Resume && self.request.settled_version().is_none()
-    }
-
     /// Fixes where the stream begins, before its first event is forwarded, which `run` has brought.
     pub(super) async fn confirm_beginning(&mut self, run: hedge::Run) -> Confirmation {
         if self.request.progress().began.is_some() {
@@ -102,7 +97,7 @@
         let started = self.race.started();
         let is_relayed = self.request.progress().relays > 0;
         // Another run may have had another origin recorded, which would hold otherwise.
-        let number = if is_relayed && started > 1 && self.needs_record() {
+        let number = if is_relayed && started > 1 && self.request.needs_record() {
             Some(CONFIRMED_RUN)
         } else {
             (recording.is_some() && run.0 + 1 < started).then_some(started)
--- a/crates/gateway/src/stream/run.rs
+++ b/crates/gateway/src/stream/run.rs
@@ -4,7 +4,6 @@
 
 use common::clock::Moment;
 use entry::event::{Event, Kind, Sequence, Splitter};
-use fleet::config::Retry;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Response, body::Incoming, http::response::Parts};
 use memory::ledger::Class;
@@ -188,16 +187,12 @@
         taken_over.then_some(computed)
     }
 
-    /// Reports for which target the run waits, and has other instances record where the stream begins, unless its
-    /// service has had one software version lately.
+    /// Reports for which target the run waits, and has other instances record where the stream begins where that is needed.
     async fn report_step(&self, target: Key) -> Result<(), Abandoned> {
         let request = &self.request;
         let beginning = self.dispatch.beginning();
         let mut recording = None;
-        if !self.has_begun
-            && request.route().retry == Retry::Resume
-            && request.settled_version().is_none()
-        {
+        if !self.has_begun && request.needs_record() {
             // A stream that is taken up has the version that is recorded already; that is kept for longer.
             let taken_up = request.progress().began.is_some();
             let run = if taken_up { u32::MAX } else { self.run.0 };
--- a/crates/placement/examples/continuity.rs
+++ b/crates/placement/examples/continuity.rs
@@ -26,7 +26,8 @@
     let began = Instant::now();
     for (number, stream) in streams.iter().enumerate() {
         let now = Moment(number as u64 / 10);
-        let _evicted = origins.record(stream, origin.clone(), Duration::from_secs(8), now);
+        let until = now + Duration::from_secs(8);
+        let _evicted = origins.record(stream, origin.clone(), until, now);
     }
     println!("record an origin: {} ns", began.elapsed().as_nanos() / u128::from(ROUNDS));
     let began = Instant::now();
@@ -35,8 +36,9 @@
         "find an origin: {} ns ({found} kept)",
         began.elapsed().as_nanos() / u128::from(ROUNDS)
     );
-    let question = Question::RecordOrigin { stream: streams[0].clone(), origin };
-    println!("question to record one: {} bytes", exchange::encode(&question).len());
+    let question =
+        Question::RecordOrigin { stream: streams[0].clone(), origin, lifetime_ms: Some(8_000) };
+    println!("question to record one: {} bytes", exchange::encode_question(&question).len());
     println!(
         "instances loss restarts cuts killed power: mixed (most), share that went on (least), calls a stream, origins kept (most)"
     );
@@ -48,6 +50,7 @@
         cuts: 0,
         killed: 0.0,
         power: Power::Stays,
+        long_lived: 0.0,
         absence_ms: None,
     };
     let large = Plan { instances: 70, streams_per_s: 30.0, ..plan.clone() };
--- a/crates/placement/src/continuity.rs
+++ b/crates/placement/src/continuity.rs
@@ -7,15 +7,18 @@
 //! stream up asks the same control instances, whatever it believes itself: its own view may be old. [`testimony`]
 //! concludes from what a majority of them says, of which at least one has the record if there is one.
 //!
-//! While there has been one version only for the time in which callers come back, nothing is recorded. A stream without
-//! a record began at the oldest version: before the others came nothing was recorded, and since then an instance that
-//! can't have an origin recorded begins the stream at the oldest version. If which one is the oldest isn't clear, a stream
-//! without a record is refused.
+//! How long a caller may come back is a property of its stream, fixed when it begins ([`lifetime`]); no configuration in
+//! force later changes it. A record is kept until the stream that it is of can't be taken up any more. A stream is not
+//! recorded only if its lifetime is at most [`lifetime::UNRECORDED`] and there has been one version only for
+//! [`RETENTION`], which is longer. A stream without a record therefore began within `RETENTION`, and at the oldest
+//! version: before the others came nothing was recorded, and since then an instance that can't have an origin recorded
+//! begins the stream at the oldest version. If which one is the oldest isn't clear, a stream without a record is refused.
 //!
 //! A version whose targets come back after all instances have forgotten it arrives anew: meanwhile streams began at
 //! another one without a record. Control instances therefore observe when a version has no targets ([`presence`]).
 
 pub mod ledger;
+pub mod lifetime;
 pub mod presence;
 pub mod tally;
 pub mod testimony;
@@ -29,25 +32,17 @@
 
 /// Instances of each kind at which the origin of a stream is recorded.
 pub const HOLDERS: usize = 3;
-/// Time beyond the longest timeout of a route for which origins and versions that have gone are kept.
-const RETENTION_MARGIN: Duration = Duration::from_secs(2);
+/// Time for which a version that has gone may have begun a stream that has no record and may be taken up.
+pub const RETENTION: Duration = lifetime::UNRECORDED.saturating_add(lifetime::MARGIN);
+/// Time after which an entry instance no longer records origins on account of a version that has gone: a control instance
+/// may learn later that it has gone.
+pub const VERSION_RETENTION: Duration = RETENTION.saturating_add(OLDEST_MARGIN);
 /// Time by which a version must have come before all others to be the oldest one. Instances learn of a version, and of its
 /// end, at different times.
 const OLDEST_MARGIN: Duration = Duration::from_secs(2);
 /// Streams whose origins are kept.
 const MAX_ORIGINS: usize = 16_384;
 
-/// Time for which a caller may come back to a stream, if no route lasts longer than `longest`.
-pub fn retention(longest: Duration) -> Duration {
-    longest + RETENTION_MARGIN
-}
-
-/// Time after which an instance no longer records origins on account of a version that has gone, if no route lasts longer
-/// than `longest`: a control instance may learn later that it has gone.
-pub fn version_retention(longest: Duration) -> Duration {
-    retention(longest) + OLDEST_MARGIN
-}
-
 /// Origins of streams that other instances recorded here, and of this instance's own.
 #[derive(Clone, Debug)]
 pub struct Origins {
@@ -64,7 +59,8 @@
 #[derive(Clone, Debug)]
 struct Held {
     origin: Origin,
-    at: Moment,
+    /// Until when the stream may be taken up.
+    until: Moment,
 }
 
 impl Origins {
@@ -73,32 +69,31 @@
         Origins { origins: Map::default(), capacity }
     }
 
-    /// Records the origin of the stream that the request `stream` began. Of several, that of the latest run holds: the
-    /// earlier ones ended before their first event.
+    /// Records the origin of the stream that the request `stream` began and that may be taken up until then. Of several,
+    /// that of the latest run holds: the earlier ones ended before their first event.
     ///
-    /// Returns the time of the latest origin that had to be removed for it, if any had not expired.
+    /// Returns until when the streams may be taken up whose origins had to be removed for it, if there are any.
     pub fn record(
         &mut self,
         stream: &str,
         origin: Origin,
-        retention: Duration,
+        until: Moment,
         now: Moment,
     ) -> Option<Moment> {
         if let Some(held) = self.origins.get_mut(stream) {
             if held.origin.run <= origin.run {
-                *held = Held { origin, at: now };
+                *held = Held { origin, until: until.max(held.until) };
             }
             return None;
         }
-        let evicted =
-            if self.origins.len() >= self.capacity { self.evict(retention, now) } else { None };
-        self.origins.insert(stream.to_owned(), Held { origin, at: now });
+        let evicted = if self.origins.len() >= self.capacity { self.evict(now) } else { None };
+        self.origins.insert(stream.to_owned(), Held { origin, until });
         evicted
     }
 
-    /// The streams whose origins are kept, with the time of each record.
+    /// The streams whose origins are kept, and until when each may be taken up.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &Origin, Moment)> {
-        self.origins.iter().map(|(stream, held)| (stream.as_str(), &held.origin, held.at))
+        self.origins.iter().map(|(stream, held)| (stream.as_str(), &held.origin, held.until))
     }
 
     /// Origin of a stream, if it is known.
@@ -117,20 +112,21 @@
     }
 
     /// Removes the origins of streams that no caller comes back to.
-    pub fn expire(&mut self, retention: Duration, now: Moment) {
-        self.origins.retain(|_, held| now.since(held.at) < retention);
+    pub fn expire(&mut self, now: Moment) {
+        self.origins.retain(|_, held| held.until > now);
     }
 
-    /// Removes expired origins; if most have not expired, the older half. Returns the time of the latest of these.
-    fn evict(&mut self, retention: Duration, now: Moment) -> Option<Moment> {
-        self.expire(retention, now);
+    /// Removes expired origins; if most have not expired, those that expire next, a half of all. Returns when the last of
+    /// these would have expired.
+    fn evict(&mut self, now: Moment) -> Option<Moment> {
+        self.expire(now);
         if self.origins.len() < self.capacity / 2 {
             return None;
         }
-        let mut times: Vec<Moment> = self.origins.values().map(|held| held.at).collect();
-        let middle = times.len() / 2;
-        let median = *times.select_nth_unstable(middle).1;
-        self.origins.retain(|_, held| held.at > median);
+        let mut ends: Vec<Moment> = self.origins.values().map(|held| held.until).collect();
+        let middle = ends.len() / 2;
+        let median = *ends.select_nth_unstable(middle).1;
+        self.origins.retain(|_, held| held.until > median);
         Some(median)
     }
 }
--- a/crates/placement/src/continuity/ledger.rs
+++ b/crates/placement/src/continuity/ledger.rs
@@ -1,48 +1,47 @@
 //! The origins of streams that a control instance keeps for the entry instances, which may all lose theirs at once.
 //!
-//! Load: while a service has two versions, three records for each stream that begins, 45,000 a second in the largest
-//! fleet; none while it has one.
-
-use std::time::Duration;
+//! Load: three records for each stream that begins, 45,000 a second in the largest fleet, while a service has two versions;
+//! while it has one, only for streams with a long [`lifetime`].
 
 use common::clock::Moment;
 use fleet::exchange::{Origin, Testimony};
 
-use crate::continuity::{Origins, Versions, ms};
+use crate::continuity::{Origins, RETENTION, Versions, lifetime, ms};
 
 /// Streams whose origins are kept.
 const MAX_ORIGINS: usize = 131_072;
-/// Time for which they are kept; callers come back sooner.
-pub const RETENTION: Duration = Duration::from_secs(30);
 
 /// Origins of streams, and since when they are complete.
 #[derive(Clone, Debug)]
 pub struct Ledger {
     origins: Origins,
-    /// All origins are kept that were recorded since then and have not expired.
+    /// No record is missing once [`RETENTION`] has passed since then: a record that was lost is of a stream that may be taken
+    /// up until that time at most.
     complete_since: Moment,
 }
 
 impl Ledger {
-    /// Creates an empty ledger at `now`, before which an earlier process may have acknowledged others.
+    /// Creates an empty ledger at `now`, before which an earlier process may have acknowledged origins of any lifetime.
     pub fn new(now: Moment) -> Ledger {
-        Ledger { origins: Origins::with_capacity(MAX_ORIGINS), complete_since: now }
+        let complete_since = now + lifetime::LONGEST + lifetime::MARGIN - RETENTION;
+        Ledger { origins: Origins::with_capacity(MAX_ORIGINS), complete_since }
     }
 
-    /// Takes over that all origins are here again that an earlier process acknowledged since `since`.
+    /// Takes over that all origins are here again that an earlier process acknowledged, whose ledger was complete since
+    /// `since`, or that there was no earlier process.
     pub fn restore(&mut self, since: Moment) {
         self.complete_since = self.complete_since.min(since);
     }
 
-    /// Since when no record is missing.
+    /// Since when no record is missing; see [`Testimony::complete_ms`].
     pub fn complete_since(&self) -> Moment {
         self.complete_since
     }
 
-    /// Keeps the origin of a stream that was recorded at `at`.
-    pub fn keep(&mut self, stream: &str, origin: Origin, at: Moment) {
-        if let Some(evicted) = self.origins.record(stream, origin, RETENTION, at) {
-            self.complete_since = self.complete_since.max(evicted);
+    /// Keeps the origin of a stream that may be taken up until then.
+    pub fn keep(&mut self, stream: &str, origin: Origin, until: Moment, now: Moment) {
+        if let Some(evicted) = self.origins.record(stream, origin, until, now) {
+            self.complete_since = self.complete_since.max(evicted - RETENTION);
         }
     }
 
@@ -55,7 +54,7 @@
         }
     }
 
-    /// The streams whose origins are kept, with the time of each record.
+    /// The streams whose origins are kept, and until when each may be taken up.
     pub fn origins(&self) -> impl Iterator<Item = (&str, &Origin, Moment)> {
         self.origins.iter()
     }
@@ -72,6 +71,6 @@
 
     /// Removes the origins of streams that no caller comes back to.
     pub fn expire(&mut self, now: Moment) {
-        self.origins.expire(RETENTION, now);
+        self.origins.expire(now);
     }
 }
--- a/crates/placement/tests/continuity.rs
+++ b/crates/placement/tests/continuity.rs
@@ -29,6 +29,7 @@
     cuts: 0,
     killed: 0.0,
     power: Power::Stays,
+    long_lived: 0.0,
     absence_ms: None,
 };
 const LARGE: Plan = Plan { instances: 70, streams_per_s: 30.0, ..PLAN };
@@ -61,6 +62,14 @@
     it_returns_after_all_lost_power = {
         Plan { absence_ms: Some(13_000), power: Power::AllLose, killed: 0.02, ..PLAN }
     },
+    long_lived = { Plan { long_lived: 0.5, killed: 0.02, ..PLAN } },
+    long_lived_with_restarts_at_seventy = { Plan { long_lived: 0.5, restarts: 60, ..LARGE } },
+    long_lived_and_power_of_all = {
+        Plan { long_lived: 0.5, restarts: 3, power: Power::AllLose, ..PLAN }
+    },
+    long_lived_and_the_first_version_returns = {
+        Plan { long_lived: 0.5, absence_ms: Some(13_000), killed: 0.02, ..PLAN }
+    },
     all_at_once = { Plan { loss: 0.1, restarts: 3, cuts: 2, killed: 0.005, power: Power::EntriesLose, ..PLAN } },
 )]
 fn streams_go_on_at_their_software_version_and_most_do(plan: Plan) {
@@ -136,6 +145,20 @@
         &[testimony(LONG_MS, &[("v1", 5_900, 0), ("v2", 5_000, 0)])], None
     },
     records_may_be_lost = { &[testimony(500, &[("v1", 20_000, 0), ("v2", 5_000, 0)])], None },
+    one_of_three_may_have_lost_records = {
+        &[testimony(500, &[("v1", 20_000, 0), ("v2", 5_000, 0)]),
+          testimony(LONG_MS, &[("v1", 20_000, 0), ("v2", 5_000, 0)]),
+          testimony(LONG_MS, &[("v1", 20_000, 0), ("v2", 5_000, 0)])],
+        Some("v1")
+    },
+    one_of_two_may_have_lost_records = {
+        &[testimony(500, &[("v1", 20_000, 0), ("v2", 5_000, 0)]),
+          testimony(LONG_MS, &[("v1", 20_000, 0), ("v2", 5_000, 0)])],
+        None
+    },
+    records_of_long_ago_may_be_lost = {
+        &[testimony(500, &[("v1", 90_000, 40_000), ("v2", 60_000, 0)])], None
+    },
     both_were_there_at_the_start = {
         &[testimony(LONG_MS, &[("v1", 5_000, 0), ("v2", 5_000, 0)])], None
     },
@@ -262,13 +285,23 @@
 #[test]
 fn a_ledger_that_evicts_says_since_when_it_is_complete() {
     let mut ledger = Ledger::new(at(0));
+    ledger.restore(Moment::default());
     for stream in 0..140_000 {
-        ledger.keep(&format!("s{stream}"), origin("v1", 0), at(stream / 100));
+        let began = at(stream / 100);
+        let until = began + Duration::from_secs(40);
+        ledger.keep(&format!("s{stream}"), origin("v1", 0), until, began);
     }
     let testimony = ledger.testify("s139999", None, at(1_400));
     assert_eq!(testimony.origin, Some(origin("v1", 0)));
     assert!(testimony.complete_ms < 1_000, "{testimony:?}");
     assert!(ledger.testify("s0", None, at(1_400)).origin.is_none());
+    let is_complete = |ledger: &Ledger, ms| {
+        let complete_ms = ledger.testify("s0", None, at(ms)).complete_ms;
+        Duration::from_millis(complete_ms) >= continuity::RETENTION
+    };
+    // The last stream that had to go began at 0.65 s or later.
+    assert!(!is_complete(&ledger, 40_600));
+    assert!(is_complete(&ledger, 40_800));
     ledger.expire(at(60_000));
     assert!(ledger.is_empty());
 }
@@ -290,7 +323,18 @@
     two_lack_it = {
         &[with_origin("v1", 0), testimony(LONG_MS, &[]), testimony(LONG_MS, &[])], Verdict::Unrecorded
     },
-    a_majority_has_none = { &[testimony(LONG_MS, &[]), testimony(100, &[])], Verdict::Unrecorded },
+    a_majority_has_none = { &[testimony(LONG_MS, &[]), testimony(LONG_MS, &[])], Verdict::Unrecorded },
+    one_of_two_may_have_lost_it = { &[testimony(LONG_MS, &[]), testimony(100, &[])], Verdict::Unclear },
+    one_of_two_may_have_lost_it_and_there_is_one_version = {
+        &[testimony(LONG_MS, &[("v1", 20_000, 0)]), testimony(100, &[("v1", 20_000, 0)])],
+        Verdict::Unrecorded
+    },
+    one_of_three_may_have_lost_it = {
+        &[testimony(LONG_MS, &[]), testimony(100, &[]), testimony(LONG_MS, &[])], Verdict::Unrecorded
+    },
+    two_of_three_may_have_lost_it = {
+        &[testimony(LONG_MS, &[]), testimony(100, &[]), testimony(100, &[])], Verdict::Unrecorded
+    },
     one_answers = { &[testimony(LONG_MS, &[])], Verdict::Unclear },
     nobody_answers = { &[], Verdict::Unclear },
 )]
@@ -346,7 +390,7 @@
     for order in [[0, 1], [1, 0]] {
         let mut origins = Origins::default();
         for run in order {
-            origins.record("a", origin(&format!("v{run}"), run), RETENTION, at(0));
+            origins.record("a", origin(&format!("v{run}"), run), at(8_000), at(0));
         }
         assert_eq!(origins.get("a"), Some(&origin("v1", 1)));
     }
@@ -356,10 +400,12 @@
 fn memory_is_bounded_and_the_latest_origins_are_kept() {
     let mut origins = Origins::default();
     for stream in 0..60_000 {
-        origins.record(&format!("s{stream}"), origin("v1", 0), RETENTION, at(stream / 100));
+        let began = at(stream / 100);
+        let until = began + Duration::from_secs(8);
+        origins.record(&format!("s{stream}"), origin("v1", 0), until, began);
     }
     assert!(origins.len() <= 16_384, "{}", origins.len());
     assert!(origins.get("s59999").is_some());
-    origins.expire(RETENTION, at(60_000));
+    origins.expire(at(60_000));
     assert!(origins.is_empty());
 }
--- a/crates/placement/tests/continuity_model.rs
+++ b/crates/placement/tests/continuity_model.rs
@@ -18,7 +18,9 @@
 /// Steps of time, which are as long as instances may differ in what they know, and the last one.
 const TICK_MS: u64 = 2_000;
 const LAST_TICK: u8 = 7;
-const LONGEST_TIMEOUT: Duration = Duration::from_secs(6);
+/// Longest lifetime of a stream that need not be recorded, and what is added to lifetimes.
+const UNRECORDED: Duration = Duration::from_secs(6);
+const MARGIN: Duration = Duration::from_secs(2);
 const RETENTION_TICKS: u8 = 4;
 /// Steps from each of the starts.
 const DEPTH: usize = 6;
@@ -85,12 +87,12 @@
         // The ages travel with the versions.
         versions.learn(&software(SECOND), at(second_at).max(since), now);
     }
-    versions.expire(continuity::version_retention(LONGEST_TIMEOUT), now);
+    versions.expire(retention() + MARGIN, now);
     versions
 }
 
 fn retention() -> Duration {
-    continuity::retention(LONGEST_TIMEOUT)
+    UNRECORDED + MARGIN
 }
 
 fn origin(version: u8, run: u8) -> Origin {
@@ -289,8 +291,11 @@
             let control = self.control[number];
             let since = if control.wiped_at > 0 { at(control.wiped_at) } else { Moment(0) };
             let mut ledger = Ledger::new(since);
+            if control.wiped_at == 0 {
+                ledger.restore(Moment::default());
+            }
             if let Some((version, run)) = control.kept {
-                ledger.keep("s", origin(version, run), now);
+                ledger.keep("s", origin(version, run), now + retention(), now);
             }
             let versions = versions(self, control.second_at, control.first_gone_at, since);
             testimonies.push(ledger.testify("s", Some(&versions), now));
--- a/crates/placement/tests/support/returns.rs
+++ b/crates/placement/tests/support/returns.rs
@@ -23,7 +23,10 @@
 const AFTER_RETURN_MS: u64 = 12_000;
 /// Longest time until an instance knows of a change of the targets.
 const LEARN_MS: u64 = 1_500;
-const LONGEST_TIMEOUT_MS: u64 = 6_000;
+/// Longest lifetime of a stream that need not be recorded, what is added to lifetimes, and the longest one.
+const UNRECORDED_MS: u64 = 6_000;
+const MARGIN_MS: u64 = 2_000;
+const LONG_LIFETIME_MS: u64 = 60_000;
 const RESTART_MS: u64 = 1_000;
 const CUT_MS: u64 = 6_000;
 /// Time between a caller's attempts while no instance is up.
@@ -53,6 +56,8 @@
     /// Share of the streams whose first instance is killed before the caller returns.
     pub killed: f64,
     pub power: Power,
+    /// Share of the streams with a long lifetime, within which their callers return at any time.
+    pub long_lived: f64,
     /// For how long the first version has no targets until it returns, if it does.
     pub absence_ms: Option<u64>,
 }
@@ -138,11 +143,18 @@
 }
 
 fn retention() -> Duration {
-    continuity::retention(Duration::from_millis(LONGEST_TIMEOUT_MS))
+    Duration::from_millis(UNRECORDED_MS + MARGIN_MS)
 }
 
 fn version_retention() -> Duration {
-    continuity::version_retention(Duration::from_millis(LONGEST_TIMEOUT_MS))
+    retention() + Duration::from_millis(MARGIN_MS)
+}
+
+/// The ledger of a control instance that has lost nothing.
+fn complete_ledger(now: Moment) -> Ledger {
+    let mut ledger = Ledger::new(now);
+    ledger.restore(Moment::default());
+    ledger
 }
 
 /// Plays a plan.
@@ -160,7 +172,7 @@
     let control = (0..CONTROL_INSTANCES)
         .map(|number| Control {
             name: name::Instance(format!("10.1.0.{number}:7380")),
-            ledger: Ledger::new(Moment(EPOCH_MS - FIRST_KNOWN_MS)),
+            ledger: complete_ledger(moment(0)),
             versions: known_at_the_start(),
             down_until: 0,
         })
@@ -189,6 +201,7 @@
         now: 0,
     };
     let length_ms = simulation.first_returns_at().map_or(LENGTH_MS, |at| at + AFTER_RETURN_MS);
+    let length_ms = if plan.long_lived > 0.0 { length_ms + LONG_LIFETIME_MS } else { length_ms };
     while simulation.now < length_ms {
         while restarts.first().is_some_and(|(at, _)| *at <= simulation.now) {
             simulation.restart(restarts.remove(0).1);
@@ -255,12 +268,12 @@
             let synced: Vec<_> = control
                 .ledger
                 .origins()
-                .map(|(stream, origin, at)| (stream.to_owned(), origin.clone(), at))
+                .map(|(stream, origin, until)| (stream.to_owned(), origin.clone(), until))
                 .collect();
             let since = control.ledger.complete_since();
             control.ledger = Ledger::new(now);
-            for (stream, origin, at) in synced {
-                control.ledger.keep(&stream, origin, at);
+            for (stream, origin, until) in synced {
+                control.ledger.keep(&stream, origin, until, now);
             }
             control.ledger.restore(since);
         }
@@ -295,7 +308,7 @@
             self.see_versions(number);
             let instance = &mut self.instances[number];
             instance.versions.expire(version_retention(), at);
-            instance.origins.expire(retention(), at);
+            instance.origins.expire(at);
         }
         let present = self.versions_at(self.now);
         for control in &mut self.control {
@@ -354,20 +367,22 @@
         let mut software = versions[self.random.below(versions.len())];
         let stream = format!("{:016x}", self.random.next_u64());
         let at = moment(self.now);
-        if self.instances[first].versions.settled(retention(), at).is_none() {
+        let is_long_lived = self.plan.long_lived > 0.0 && self.random.unit() < self.plan.long_lived;
+        let lifetime_ms = if is_long_lived { LONG_LIFETIME_MS } else { UNRECORDED_MS };
+        let until = at + Duration::from_millis(lifetime_ms + MARGIN_MS);
+        if is_long_lived || self.instances[first].versions.settled(retention(), at).is_none() {
             let origin = Origin {
                 service: name::Service::from("engines"),
                 software: name::Software::from(software),
                 run: 0,
             };
-            let _evicted =
-                self.instances[first].origins.record(&stream, origin.clone(), retention(), at);
+            let _evicted = self.instances[first].origins.record(&stream, origin.clone(), until, at);
             let holders = self.holders(&stream);
             let mut tally = Tally { control: holders.len(), ..Tally::default() };
             for holder in holders {
                 if (0..RECORD_ATTEMPTS).any(|_| self.reaches(first, holder)) {
                     let _sent = tally.send();
-                    self.control[holder].ledger.keep(&stream, origin.clone(), at);
+                    self.control[holder].ledger.keep(&stream, origin.clone(), until, at);
                     tally.kept += 1;
                 }
             }
@@ -382,14 +397,14 @@
                 }
                 software = if oldest.0 == FIRST { FIRST } else { SECOND };
                 let origin = Origin { software: oldest.clone(), run: 1, ..origin };
-                let _evicted =
-                    self.instances[first].origins.record(&stream, origin, retention(), at);
+                let _evicted = self.instances[first].origins.record(&stream, origin, until, at);
             }
         }
         if self.random.unit() < self.plan.killed {
             self.restart(first);
         }
-        let at = self.now + 300 + self.random.below(4_000) as u64;
+        let latest_ms = if is_long_lived { LONG_LIFETIME_MS as usize } else { 4_000 };
+        let at = self.now + 300 + self.random.below(latest_ms) as u64;
         self.returns.push(Return { at, stream, software, first });
     }
 
