The file of origins is written anew once it has doubled, not each ten seconds

Found on the way, no caller saw it: a control instance writes its file anew once it has 2 MB, at most each 10 s. Records of long-lived streams stay, so that a file of more than 2 MB of them would be written whole each 10 s, beside the records that wait for the same disk. It is now written anew when it has twice the size that the last such write left. By reading; not measured.

--- a/crates/daisydrum/src/seeded/ledger.rs
+++ b/crates/daisydrum/src/seeded/ledger.rs
@@ -37,8 +37,10 @@
 const SAVE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Least time between two syncs.
 const SYNC_INTERVAL: Duration = Duration::from_millis(5);
-/// Size above which the file is written anew with what has not expired, and the least time between two such writes.
+/// Size above which the file is written anew with what has not expired, as a fixed size and as a multiple of what the last
+/// such write left, and the least time between two of them.
 const COMPACT_BYTES: u64 = 2 * 1024 * 1024;
+const COMPACT_FACTOR: u64 = 2;
 const COMPACT_INTERVAL: Duration = Duration::from_secs(10);
 
 /// What the file holds, one frame for each: its length and checksum, 4 bytes little-endian each, then its encoding.
@@ -190,11 +192,13 @@
     let mut file = None;
     let mut batch = Vec::new();
     let mut compacted_at = Moment::now();
+    let mut compacted_bytes = 0;
     let mut has_failed = false;
     while jobs.recv_many(&mut batch, MAX_QUEUED).await > 0 {
         let now = Moment::now();
         let is_due = now.since(compacted_at) >= COMPACT_INTERVAL;
-        let compact = file.is_none() || (is_due && file_bytes(file.as_ref()) > COMPACT_BYTES);
+        let limit = COMPACT_BYTES.max(compacted_bytes * COMPACT_FACTOR);
+        let compact = file.is_none() || (is_due && file_bytes(file.as_ref()) > limit);
         let mut records = Vec::new();
         if compact {
             compacted_at = now;
@@ -219,6 +223,9 @@
         match written {
             Ok(Ok(saved)) => {
                 has_failed = false;
+                if compact {
+                    compacted_bytes = file_bytes(Some(&saved));
+                }
                 file = Some(saved);
                 // Those that asked may have stopped waiting.
                 for saved in waiting {
