A long-lived stream that could not be recorded is recorded while it runs

By reading of the same class, no case: a stream whose origin can't be recorded begins at the oldest version. One with a lifetime above 15 s outlives the memory of that version, and would be taken for one of the next version when it is taken up. Its origin is recorded again each second while the stream runs, until a majority has it.

The wait of up to a second for a record that a majority may have is left out where the stream begins at the oldest version anyway: a late record says the truth then. It would have delayed first events of long-lived streams by 1.1 s while control instances are slow.

--- a/crates/gateway/src/recording.rs
+++ b/crates/gateway/src/recording.rs
@@ -44,18 +44,25 @@
         }
     }
 
+    /// Whether an instance that takes the stream up finds the origin.
+    pub(crate) fn is_recorded(&self) -> bool {
+        self.tally().is_recorded()
+    }
+
     /// Waits until an instance that takes the stream up finds the origin, and withdraws it if that takes too long.
     pub(crate) async fn resolve(&self) -> Outcome {
         if time::timeout(RECORD_TIMEOUT, self.wait()).await.is_ok() {
             return Outcome::Recorded;
         }
-        let outcome = self.tally().withdraw();
-        if outcome == Outcome::Uncertain
-            && time::timeout(CERTAINTY_TIMEOUT, self.wait()).await.is_ok()
-        {
-            return Outcome::Recorded;
+        self.tally().withdraw()
+    }
+
+    /// Waits further where [`Recording::resolve`] has left it uncertain.
+    pub(crate) async fn ascertain(&self) -> Outcome {
+        match time::timeout(CERTAINTY_TIMEOUT, self.wait()).await {
+            Ok(()) => Outcome::Recorded,
+            Err(_elapsed) => Outcome::Uncertain,
         }
-        outcome
     }
 
     async fn wait(&self) {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -39,7 +39,7 @@
     request::{Awaited, Pending, RESPONSE_MARGIN, Source},
     state::ms,
     stream::{
-        beginning::Confirmation,
+        beginning::{Confirmation, Unrecorded},
         output::Output,
         run::{Again, Ending, Update},
     },
@@ -123,6 +123,8 @@
     error_response: Option<Buffered>,
     /// The wait for targets of its software version since the last event.
     wait: Option<Wait>,
+    /// The record of where it began, while that may not be made.
+    unrecorded: Option<Unrecorded>,
     /// Why the last run ended early.
     cause: Option<Cause>,
     /// Why no further run was started.
@@ -150,6 +152,7 @@
         event_count: 0,
         error_response: None,
         wait: None,
+        unrecorded: None,
         cause: None,
         denied: None,
     };
@@ -199,6 +202,7 @@
                 None => self.request.remaining(),
             };
             let until_refusal = self.until_refusal();
+            let until_record = self.until_record();
             tokio::select! {
                 biased;
                 Some((run, update)) = self.updates.recv() => {
@@ -209,6 +213,9 @@
                 () = time::sleep(until_refusal.unwrap_or_default()), if until_refusal.is_some() => {
                     self.refuse_overdue()?;
                 }
+                () = time::sleep(until_record.unwrap_or_default()), if until_record.is_some() => {
+                    self.record_again();
+                }
                 () = time::sleep(until_check) => self.check_silence().await?,
             }
         }
--- a/crates/gateway/src/stream/beginning.rs
+++ b/crates/gateway/src/stream/beginning.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use common::clock::Moment;
 use fleet::config::Retry;
 use placement::{
     balancer::selection::{Reason, Refusal},
@@ -10,7 +11,7 @@
 };
 use slog::info;
 
-use crate::{error::Error, progress::Beginning, stream::Driver};
+use crate::{error::Error, progress::Beginning, recording::Recording, stream::Driver};
 
 /// Retry-After if it isn't known where a stream began.
 const UNKNOWN_ORIGIN_RETRY: Duration = Duration::from_millis(400);
@@ -18,6 +19,11 @@
 /// Number of the run in the record of a stream that has had runs at peers, which count their own runs from 0; above theirs
 /// and below that of streams that are taken up.
 const CONFIRMED_RUN: u32 = 1 << 16;
+/// The same where it is decided already at which version the stream goes on.
+pub(super) const DECIDED_RUN: u32 = u32::MAX;
+
+/// Time after which an origin that wasn't recorded is recorded once more.
+const RECORD_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Whether a stream begins with the first event of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -84,16 +90,17 @@
 
     /// Fixes where the stream begins, before its first event is forwarded, which `run` has brought.
     pub(super) async fn confirm_beginning(&mut self, run: hedge::Run) -> Confirmation {
-        if self.request.progress().began.is_some() {
-            return Confirmation::Begins;
-        }
         let Some(live) = self.runs.iter_mut().find(|live| live.run == run) else {
             return Confirmation::Begins;
         };
+        let mut recording = live.recording.take();
+        if self.request.progress().began.is_some() {
+            self.follow_record(recording);
+            return Confirmation::Begins;
+        }
         let Some(beginning) = live.beginning.clone() else {
             return Confirmation::Begins;
         };
-        let mut recording = live.recording.take();
         let started = self.race.started();
         let is_relayed = self.request.progress().relays > 0;
         // Another run may have had another origin recorded, which would hold otherwise.
@@ -107,18 +114,21 @@
         {
             recording = Some(self.request.record_origin(&beginning, service, number));
         }
-        let outcome = match recording {
-            Some(recording) => {
-                let outcome = recording.resolve().await;
-                self.request.gateway.origins.set_recorded(outcome);
-                outcome
-            }
+        let mut outcome = match &recording {
+            Some(recording) => recording.resolve().await,
             None => Outcome::Recorded,
         };
         let service = self.request.sole_service();
         let oldest =
             service.and_then(|service| self.request.gateway.origins.oldest_version(service));
         let supposed = oldest.filter(|oldest| *oldest != beginning.software);
+        if let Some(recording) = &recording {
+            // A late record of the version at which the stream begins anyway does no harm.
+            if outcome == Outcome::Uncertain && supposed.is_some() {
+                outcome = recording.ascertain().await;
+            }
+            self.request.gateway.origins.set_recorded(outcome);
+        }
         if let Some(oldest) = supposed
             && outcome != Outcome::Recorded
             && self.may_resume()
@@ -133,6 +143,50 @@
             return Confirmation::BeginsElsewhere;
         }
         self.request.progress().began = Some(beginning);
+        self.follow_record(recording);
         Confirmation::Begins
     }
+
+    /// Has the origin of a stream recorded later that wasn't before its first event, if the stream may outlive the versions
+    /// that are remembered without a record.
+    fn follow_record(&mut self, recording: Option<Recording>) {
+        if let Some(recording) = recording.filter(|_| self.request.is_long_lived()) {
+            self.unrecorded = Some(Unrecorded::new(recording, Moment::now()));
+        }
+    }
+
+    /// Time until [`Driver::record_again`] is due, if it is.
+    pub(super) fn until_record(&self) -> Option<Duration> {
+        self.unrecorded.as_ref().map(|unrecorded| unrecorded.due_at.since(Moment::now()))
+    }
+
+    /// Records the origin once more unless it is recorded by now.
+    pub(super) fn record_again(&mut self) {
+        let Some(Unrecorded { recording, .. }) = self.unrecorded.take() else {
+            return;
+        };
+        let request = &self.request;
+        let Some(began) = request.progress().began.clone().filter(|_| !recording.is_recorded())
+        else {
+            return;
+        };
+        if let Some(service) = began.service.as_ref().or(request.sole_service()) {
+            let recording = request.record_origin(&began, service, DECIDED_RUN);
+            self.unrecorded = Some(Unrecorded::new(recording, Moment::now()));
+        }
+    }
+}
+
+/// A long-lived stream that goes on while its origin may not be recorded.
+#[derive(Debug)]
+pub(super) struct Unrecorded {
+    recording: Recording,
+    /// When it is recorded once more.
+    due_at: Moment,
+}
+
+impl Unrecorded {
+    fn new(recording: Recording, now: Moment) -> Unrecorded {
+        Unrecorded { recording, due_at: now + RECORD_INTERVAL }
+    }
 }
--- a/crates/gateway/src/stream/run.rs
+++ b/crates/gateway/src/stream/run.rs
@@ -22,6 +22,7 @@
     request::{Execution, Pending},
     stream::{
         Cause,
+        beginning::DECIDED_RUN,
         held::{Held, hold},
     },
     whole::Buffered,
@@ -195,7 +196,7 @@
         if !self.has_begun && request.needs_record() {
             // A stream that is taken up has the version that is recorded already; that is kept for longer.
             let taken_up = request.progress().began.is_some();
-            let run = if taken_up { u32::MAX } else { self.run.0 };
+            let run = if taken_up { DECIDED_RUN } else { self.run.0 };
             recording = Some(request.record_origin(&beginning, self.dispatch.service(), run));
         }
         let limit = if request.has_attempts_left() { self.limit } else { request.remaining() };
