A stream goes on only at an engine whose process has said when it started

It was asked when it started only after a sign that this instance had seen: a refused, broken or early closed connection.

An engine is now asked over the new connection whenever a stream goes on there that has events already; a new stream isn't delayed. An engine that doesn't say when it started is trusted unless there is such a sign, as before.

Open: a stream that *begins* at the new process is taken for one of the earlier version until the process announces itself, and targets that can't be asked.

--- a/crates/daisydrum/tests/seeded/restarted_software.rs
+++ b/crates/daisydrum/tests/seeded/restarted_software.rs
@@ -29,6 +29,8 @@
     Broken,
     /// It closed idle connections.
     Closed,
+    /// They had no connection to it.
+    None,
 }
 
 /// Whether the service has engines, which say when they started.
@@ -108,6 +110,7 @@
     it_refused_connections = { Sign::Refused, Service::Engines },
     its_streams_broke_off = { Sign::Broken, Service::Engines },
     it_closed_idle_connections = { Sign::Closed, Service::Engines },
+    nobody_was_connected_to_it = { Sign::None, Service::Engines },
     a_plain_one_refused_connections = { Sign::Refused, Service::Plain },
     a_plain_one_closed_idle_connections = { Sign::Closed, Service::Plain },
 )]
@@ -151,10 +154,19 @@
             time::sleep(BEGINNING).await;
             (running, successor)
         }
+        Sign::None => {
+            ended.extend(end(first));
+            let successor = succeed(&name, address).await;
+            let running = streams(&callers, first_stream);
+            time::sleep(BEGINNING).await;
+            (running, successor)
+        }
     };
     // Instances connect to it again.
     time::sleep(2 * BEGINNING).await;
-    ended.extend(end(engines.remove(0)));
+    // Where only those streams show it that go on at the first engine, more of them do.
+    let ending = if sign == Sign::None { 2 } else { 1 };
+    ended.extend(engines.drain(..ending).flat_map(end));
     let responses = futures::future::join_all(running).await;
     let ran = |runs: &[Run], number: usize| runs.iter().any(|run| run.id == id(number));
     let earlier: Vec<Run> = engines.iter().flat_map(Runner::runs).chain(ended).collect();
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -200,13 +200,20 @@
         self.route().retry == Retry::Resume && *step != Step::Prefill
     }
 
-    /// Whether the target must say when its process started before it gets the request.
+    /// Whether the target must say when its process started before it gets the request: it may have restarted, also unnoticed if
+    /// the stream has events already.
     fn must_be_identified(&self, key: Key, step: &Step) -> bool {
-        self.version_matters(step) && self.gateway.balancer().must_be_identified(key, Moment::now())
+        if !self.version_matters(step) {
+            return false;
+        }
+        let goes_on = self.progress().began.is_some();
+        let balancer = self.gateway.balancer();
+        balancer.must_be_identified(key, Moment::now())
+            || (goes_on && balancer.can_be_identified(key))
     }
 
     /// Asks an engine over a new connection when its process started; `false` if it isn't the one that announced itself. One
-    /// that doesn't say so gets new streams only.
+    /// that doesn't say so and may have restarted gets new streams only.
     async fn identify(
         &self,
         key: Key,
@@ -220,7 +227,10 @@
             Some(Some(started_unix_ms)) => {
                 self.gateway.balancer().identify(key, started_unix_ms, Moment::now())
             }
-            Some(None) => self.progress().began.is_none(),
+            Some(None) => {
+                self.progress().began.is_none()
+                    || !self.gateway.balancer().is_doubted(key, Moment::now())
+            }
             None => false,
         };
         info!(self.gateway.log, "target_identified"; "id" => &self.metadata.id,
--- a/crates/placement/src/balancer.rs
+++ b/crates/placement/src/balancer.rs
@@ -420,9 +420,13 @@
 
     /// Whether an engine must say when its process started before it gets a stream that may go on at one version only.
     pub fn must_be_identified(&self, key: Key, now: Moment) -> bool {
+        self.is_doubted(key, now) && self.can_be_identified(key)
+    }
+
+    /// Whether a target is an engine, which says when its process started if it is asked.
+    pub fn can_be_identified(&self, key: Key) -> bool {
         let service = self.entries.get(key).map(|entry| &entry.target.service);
-        self.is_doubted(key, now)
-            && service.is_some_and(|service| self.engines.contains_key(service))
+        service.is_some_and(|service| self.engines.contains_key(service))
     }
 
     /// Moves a request of this instance from the target that it was planned for to another one.
