Records outlive callers that state the time of one attempt only

By reading, no case: a caller may state with each attempt how long it waits for that one. Its later attempts come after the lifetime that was stated first, when the record has gone or the versions without a record are forgotten. A record is kept for 30 s at least, as before, and a stream that is taken up is recorded whatever its lifetime is, so that the next attempt finds it.

Entry instances also forget versions right when they learn them from control instances, which remember them for longer: until the next refresh a version that had gone long ago could count as the oldest one, and streams were recorded that need not be.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -84,6 +84,8 @@
         for ServiceVersions { service, ages } in versions {
             inner.history.learn(service, ages, now);
         }
+        // Control instances remember versions for longer.
+        inner.history.expire(VERSION_RETENTION, now);
     }
 
     /// Records the software of all targets that are known, and forgets what has expired.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -162,10 +162,12 @@
     }
 
     /// Whether the origin of the stream is recorded: it may be taken up, and either for a long time, or its service has had
-    /// several software versions lately.
+    /// several software versions lately. One that is taken up is recorded, as its caller may state the time of one attempt only.
     pub(crate) fn needs_record(&self) -> bool {
         self.route().retry == Retry::Resume
-            && (self.is_long_lived() || self.settled_version().is_none())
+            && (self.metadata.takes_stream_up()
+                || self.is_long_lived()
+                || self.settled_version().is_none())
     }
 
     /// Whether the stream may be taken up for longer than one that need not be recorded.
@@ -452,7 +454,7 @@
     ) -> Recording {
         let stream = self.metadata.resumes.as_ref().unwrap_or(&self.metadata.id);
         let (service, software) = (service.clone(), beginning.software.clone());
-        let until = self.arrived + self.lifetime() + lifetime::MARGIN;
+        let until = self.arrived + self.lifetime().max(lifetime::LEAST_RECORDED) + lifetime::MARGIN;
         self.gateway.origins.record(stream, exchange::Origin { service, software, run }, until)
     }
 
