The model of all interleavings has long-lived streams, and versions that have gone

Streams have a lifetime now, short or long, and go on to be recorded where they could not be; checked is also a stream whose version has no targets any more, which no case of the model covered: it must not go on at the version that replaced it.

--- a/crates/placement/tests/continuity_model.rs
+++ b/crates/placement/tests/continuity_model.rs
@@ -27,6 +27,8 @@
 const CONTROL: usize = 3;
 const FIRST: u8 = 1;
 const SECOND: u8 = 2;
+/// Run in the record of a stream that has begun already.
+const DECIDED: u8 = 9;
 /// How long the first version and the records have been there at tick 0.
 const BEFORE_MS: u64 = 100_000;
 
@@ -47,11 +49,18 @@
     #[default]
     None,
     /// The origin is being recorded: who was not sent it yet, and who has acknowledged it.
-    Recording { version: u8, unsent: u8, kept: u8 },
+    Recording { version: u8, life: Life, unsent: u8, kept: u8 },
     /// It has ended before its first event.
     Ended,
     /// The caller has received an event. What was recorded may have been another version; who may still receive that.
-    Begun { version: u8, at: u8, late: u8 },
+    Begun { version: u8, life: Life, at: u8, late: u8, is_recorded: bool },
+}
+
+/// Whether the stream may be taken up for longer than versions are remembered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Life {
+    Short,
+    Long,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -201,42 +210,47 @@
                     if !serves || !known.contains(&software(version)) {
                         continue;
                     }
-                    let stream = if settled {
-                        Stream::Begun { version, at: self.tick, late: 0 }
-                    } else {
-                        Stream::Recording { version, unsent: (1 << CONTROL) - 1, kept: 0 }
-                    };
-                    next.push(State { stream, ..*self });
+                    for life in [Life::Short, Life::Long] {
+                        let stream = if settled && life == Life::Short {
+                            self.begun(version, life, 0, false)
+                        } else {
+                            recording(version, life)
+                        };
+                        next.push(State { stream, ..*self });
+                    }
                 }
                 if self.restarts == 0 && self.knows_second_at > 0 {
                     // A restarted instance learns from whom it reaches.
                     next.push(State { restarts: 1, knows_first_gone_at: 0, ..*self });
                 }
             }
-            Stream::Recording { version, unsent, kept } => {
+            Stream::Recording { version, life, unsent, kept } => {
                 for number in (0..CONTROL).filter(|number| unsent & (1 << number) != 0) {
                     let unsent = unsent & !(1 << number);
                     // It doesn't arrive yet, or its acknowledgement is lost.
-                    let sent = Stream::Recording { version, unsent, kept };
+                    let sent = Stream::Recording { version, life, unsent, kept };
                     next.push(State { stream: sent, ..*self });
                     if !self.control[number].is_cut_off {
                         let mut state = self.with_record(number, version);
                         state.stream = sent;
                         next.push(state);
                         let kept = kept | (1 << number);
-                        state.stream = Stream::Recording { version, unsent, kept };
+                        state.stream = Stream::Recording { version, life, unsent, kept };
                         next.push(state);
                     }
                 }
-                next.push(self.decide(version, unsent, kept));
+                next.push(self.decide(version, life, unsent, kept));
             }
             Stream::Ended => {}
-            Stream::Begun { version, at, late } => {
+            Stream::Begun { version, life, at, late, is_recorded } => {
                 let other = if version == FIRST { SECOND } else { FIRST };
+                if life == Life::Long && !is_recorded {
+                    next.push(self.record_again(version, at, late));
+                }
                 for number in (0..CONTROL).filter(|number| late & (1 << number) != 0) {
                     let late = late & !(1 << number);
                     let mut state = self.with_record(number, other);
-                    state.stream = Stream::Begun { version, at, late };
+                    state.stream = Stream::Begun { version, life, at, late, is_recorded };
                     next.push(state);
                 }
             }
@@ -252,11 +266,30 @@
             (SECOND, 0) => self.tick,
             (_, second_at) => second_at,
         };
-        self.with_control(number, Control { kept: Some((version, 0)), second_at, ..control })
+        let kept = control.kept.filter(|(_, run)| *run == DECIDED).or(Some((version, 0)));
+        self.with_control(number, Control { kept, second_at, ..control })
+    }
+
+    fn begun(&self, version: u8, life: Life, late: u8, is_recorded: bool) -> Stream {
+        Stream::Begun { version, life, at: self.tick, late, is_recorded }
+    }
+
+    /// The instance records at all control instances that it reaches where a long-lived stream has begun.
+    fn record_again(&self, version: u8, at: u8, late: u8) -> State {
+        let mut state = *self;
+        let mut kept = 0;
+        for number in (0..CONTROL).filter(|number| !self.control[*number].is_cut_off) {
+            state = state.with_record(number, version);
+            state.control[number].kept = Some((version, DECIDED));
+            kept += 1;
+        }
+        let is_recorded = kept >= testimony::majority(CONTROL);
+        state.stream = Stream::Begun { version, life: Life::Long, at, late, is_recorded };
+        state
     }
 
     /// The instance decides where the stream begins, and its caller receives an event.
-    fn decide(&self, version: u8, unsent: u8, kept: u8) -> State {
+    fn decide(&self, version: u8, life: Life, unsent: u8, kept: u8) -> State {
         let mut tally = Tally {
             control: CONTROL,
             sent: CONTROL - unsent.count_ones() as usize,
@@ -268,7 +301,7 @@
         let oldest = known.oldest(retention()).filter(|oldest| **oldest != software(version));
         let mut state = *self;
         let Some(oldest) = oldest.filter(|_| outcome != Outcome::Recorded) else {
-            state.stream = Stream::Begun { version, at: self.tick, late: 0 };
+            state.stream = self.begun(version, life, 0, outcome == Outcome::Recorded);
             return state;
         };
         let oldest = if *oldest == software(FIRST) { FIRST } else { SECOND };
@@ -276,7 +309,7 @@
         // Without targets of that version the stream ends before its first event.
         state.stream = if serves && outcome == Outcome::Unrecorded {
             let late = !unsent & !kept & ((1 << CONTROL) - 1);
-            Stream::Begun { version: oldest, at: self.tick, late }
+            self.begun(oldest, life, late, false)
         } else {
             Stream::Ended
         };
@@ -310,11 +343,11 @@
 
     /// Checks all answers that an instance may get that takes the stream up now.
     fn check(&self) {
-        let Stream::Begun { version, at, .. } = self.stream else {
+        let Stream::Begun { version, life, at, is_recorded, .. } = self.stream else {
             return;
         };
-        let serves = version == SECOND || self.first_gone_at == 0;
-        if self.tick - at >= RETENTION_TICKS || !serves {
+        let is_old = self.tick - at >= RETENTION_TICKS;
+        if is_old && (life == Life::Short || !is_recorded) {
             return;
         }
         let bits = |is: &dyn Fn(&Control) -> bool| -> u8 {
@@ -327,7 +360,9 @@
                 assert_eq!(on, software(version), "{answering:03b} of {self:#?}");
             }
         }
-        let keeping = bits(&|control| !control.is_cut_off && control.kept == Some((version, 0)));
+        let keeping = bits(&|control| {
+            !control.is_cut_off && control.kept.is_some_and(|(kept, _)| kept == version)
+        });
         if keeping.count_ones() as usize >= testimony::majority(CONTROL) {
             let goes_on = self.take_up(reached) != Decision::Refuse;
             assert!(goes_on, "a recorded stream is refused: {self:#?}");
@@ -345,7 +380,7 @@
             state.control.iter_mut().for_each(|control| control.second_at = second_at);
             starts.push(state);
             for version in [FIRST, SECOND] {
-                let stream = Stream::Recording { version, unsent: (1 << CONTROL) - 1, kept: 0 };
+                let stream = recording(version, Life::Short);
                 starts.push(State { stream, ..state });
                 let unknown = Control::default();
                 starts.push(State {
@@ -356,9 +391,35 @@
             }
         }
     }
+    starts.extend(replaced());
     starts
 }
 
+/// Fleets in which the second version has replaced the first, while a long-lived stream of either runs that has just been
+/// recorded, or can't have been.
+fn replaced() -> Vec<State> {
+    let mut starts = Vec::new();
+    for (version, kept) in [(FIRST, 0), (FIRST, 0b011), (FIRST, 0b111), (SECOND, 0b011)] {
+        for tick in [3, LAST_TICK - 1] {
+            let state = State { tick: 2, second_at: 1, knows_second_at: 1, ..State::new() };
+            let stream = state.begun(version, Life::Long, 0, kept != 0);
+            let mut state =
+                State { tick, first_gone_at: 2, knows_first_gone_at: 2, stream, ..state };
+            for (number, control) in state.control.iter_mut().enumerate() {
+                let is_kept = kept & (1 << number) != 0;
+                let kept = is_kept.then_some((version, 0));
+                *control = Control { second_at: 1, first_gone_at: 2, kept, ..Control::default() };
+            }
+            starts.push(state);
+        }
+    }
+    starts
+}
+
+fn recording(version: u8, life: Life) -> Stream {
+    Stream::Recording { version, life, unsent: (1 << CONTROL) - 1, kept: 0 }
+}
+
 #[test]
 fn no_interleaving_joins_two_versions() {
     let mut seen: Set<State> = Set::default();
