New streams wait for a slow record where they can't begin otherwise

While a version counts that has no targets any more, a stream begins at another one only once that is recorded; at the oldest it would have no target.

--- a/crates/daisydrum/src/seeded/directory/versions.rs
+++ b/crates/daisydrum/src/seeded/directory/versions.rs
@@ -103,6 +103,13 @@
         self.lock().ledger.restore(since);
     }
 
+    /// Whether this origin of a stream is kept, for as long as asked but for some time under way.
+    pub(crate) fn keeps_origin(&self, beginning: &Beginning, now: Moment) -> bool {
+        let Beginning { stream, origin, lifetime_ms } = beginning;
+        let until = now + lifetime::recorded(*lifetime_ms).saturating_sub(lifetime::MARGIN);
+        self.lock().ledger.keeps(stream, origin, until)
+    }
+
     /// The streams whose origins are kept.
     pub(crate) fn origins(&self, now: Moment) -> Vec<Beginning> {
         let inner = self.lock();
--- a/crates/daisydrum/src/seeded/ledger.rs
+++ b/crates/daisydrum/src/seeded/ledger.rs
@@ -120,8 +120,14 @@
 
     /// Keeps the origins of streams, after a version that they name and that this instance doesn't know.
     ///
-    /// Without a data folder they are kept in memory only.
-    pub(crate) async fn keep(&self, beginnings: Vec<Beginning>) -> Answer {
+    /// Those that it keeps already are not saved again: an instance that was not answered in time asks once more. Without a
+    /// data folder they are kept in memory only.
+    pub(crate) async fn keep(&self, mut beginnings: Vec<Beginning>) -> Answer {
+        let asked_at = Moment::now();
+        beginnings.retain(|beginning| !self.directory.keeps_origin(beginning, asked_at));
+        if beginnings.is_empty() {
+            return Answer::Kept;
+        }
         for Beginning { origin: Origin { service, software, .. }, .. } in &beginnings {
             if !self.directory.knows_version(service, software) {
                 self.save_version(service, software).await;
--- a/crates/daisydrum/src/seeded/origins.rs
+++ b/crates/daisydrum/src/seeded/origins.rs
@@ -163,7 +163,9 @@
 /// Has a control instance keep origins, those that are not withdrawn before the connection is established.
 async fn record_at_control(context: Context, address: SocketAddr, mut records: Vec<Record>) {
     let mut is_sent = false;
-    for _ in 0..RECORD_ATTEMPTS {
+    for attempt in 0..RECORD_ATTEMPTS {
+        // The disk of the control instance may be slow.
+        let limit = ANSWER_TIMEOUT * 2_u32.pow(attempt);
         let call = async |client: &PeerClient, deadline| {
             if !is_sent {
                 records.retain(|record| record.recording.send());
@@ -176,7 +178,7 @@
             let question = exchange::encode_question(&Question::KeepOrigins(beginnings));
             client.exchange(deadline, question).await
         };
-        let answer = match context.link(address).call(ANSWER_TIMEOUT, call).await {
+        let answer = match context.link(address).call(limit, call).await {
             Ok(answer) => exchange::decode_answer(&answer),
             Err(error) => {
                 debug!(context.log, "origins_not_recorded"; "address" => %address,
--- a/crates/daisydrum/tests/seeded/lifetime.rs
+++ b/crates/daisydrum/tests/seeded/lifetime.rs
@@ -5,6 +5,7 @@
 
 use placement::continuity::{RETENTION, lifetime};
 use platform_standin::{client, runner::Runner};
+use rustix::process::Signal;
 use tokio::time;
 use yare::parameterized;
 
@@ -19,6 +20,8 @@
 const OLDER: Duration = Duration::from_millis(2_500);
 /// Time after which a service with one version counts as settled at all instances.
 const SETTLED: Duration = RETENTION.saturating_add(OLDER);
+/// Time that a record takes at control instances that are slow.
+const SLOW_RECORD: Duration = Duration::from_millis(800);
 /// Time in which a change of the configuration is in force everywhere.
 const APPLY: Duration = Duration::from_secs(2);
 
@@ -135,6 +138,33 @@
     assert_most_go_on(&outcome, &received);
 }
 
+// While the earlier version counts, which has no targets any more, streams begin only with a record. One that took longer than
+// some hundred milliseconds had all new streams refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_begin_after_a_release_while_records_are_slow() {
+    let fleet = start("seeded-slow-records", 2).await;
+    let earlier = start_engines(&fleet, 2, "v1").await;
+    fleet.until_ready().await;
+    fleet::until_known(&fleet, &earlier).await;
+    time::sleep(OLDER).await;
+    let engines = start_engines(&fleet, 2, "v2").await;
+    fleet::until_known(&fleet, &engines).await;
+    time::sleep(OLDER).await;
+    leave(&fleet, &earlier).await;
+    drop(earlier);
+    time::sleep(2 * OLDER).await;
+    let slow = &fleet.control[1..];
+    slow.iter().for_each(|control| control.signal(Signal::STOP));
+    let resume = async {
+        time::sleep(SLOW_RECORD).await;
+        slow.iter().for_each(|control| control.signal(Signal::CONT));
+    };
+    let to = fleet.entries[0].callers();
+    let (received, ()) = tokio::join!(begin(to, Duration::from_secs(6)), resume);
+    let began = received.iter().filter(|last| **last > 0).count();
+    assert!(10 * began >= LEAST_IN_TEN * STREAMS, "{began} of {STREAMS} began");
+}
+
 /// Which instances are killed and started again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Restarted {
--- a/crates/gateway/src/recording.rs
+++ b/crates/gateway/src/recording.rs
@@ -49,20 +49,19 @@
         self.tally().is_recorded()
     }
 
-    /// Waits until an instance that takes the stream up finds the origin, and withdraws it if that takes too long.
-    pub(crate) async fn resolve(&self) -> Outcome {
-        if time::timeout(RECORD_TIMEOUT, self.wait()).await.is_ok() {
-            return Outcome::Recorded;
-        }
+    /// Waits until an instance that takes the stream up finds the origin; whether one does.
+    pub(crate) async fn resolve(&self) -> bool {
+        time::timeout(RECORD_TIMEOUT, self.wait()).await.is_ok()
+    }
+
+    /// Stops waiting.
+    pub(crate) fn withdraw(&self) -> Outcome {
         self.tally().withdraw()
     }
 
-    /// Waits further where [`Recording::resolve`] has left it uncertain.
-    pub(crate) async fn ascertain(&self) -> Outcome {
-        match time::timeout(CERTAINTY_TIMEOUT, self.wait()).await {
-            Ok(()) => Outcome::Recorded,
-            Err(_elapsed) => Outcome::Uncertain,
-        }
+    /// Waits further while it isn't certain; whether an instance that takes the stream up finds the origin.
+    pub(crate) async fn ascertain(&self) -> bool {
+        time::timeout(CERTAINTY_TIMEOUT, self.wait()).await.is_ok()
     }
 
     async fn wait(&self) {
--- a/crates/gateway/src/stream/beginning.rs
+++ b/crates/gateway/src/stream/beginning.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use common::clock::Moment;
+use common::{clock::Moment, name};
 use fleet::config::Retry;
 use placement::{
     balancer::selection::{Reason, Refusal},
@@ -114,22 +114,12 @@
         {
             recording = Some(self.request.record_origin(&beginning, service, number));
         }
-        let mut outcome = match &recording {
-            Some(recording) => recording.resolve().await,
-            None => Outcome::Recorded,
-        };
-        let service = self.request.sole_service();
-        let oldest =
-            service.and_then(|service| self.request.gateway.origins.oldest_version(service));
-        let supposed = oldest.filter(|oldest| *oldest != beginning.software);
+        let mut outcome = Outcome::Recorded;
         if let Some(recording) = &recording {
-            // A late record of the version at which the stream begins anyway does no harm.
-            if outcome == Outcome::Uncertain && supposed.is_some() {
-                outcome = recording.ascertain().await;
-            }
+            outcome = self.resolve(recording, &beginning).await;
             self.request.gateway.origins.set_recorded(outcome);
         }
-        if let Some(oldest) = supposed
+        if let Some(oldest) = self.supposed_version(&beginning)
             && outcome != Outcome::Recorded
             && self.may_resume()
         {
@@ -147,6 +137,33 @@
         Confirmation::Begins
     }
 
+    /// The version at which an instance would suppose that the stream began that finds no record, if it is another one.
+    fn supposed_version(&self, beginning: &Beginning) -> Option<name::Software> {
+        let oldest = self.request.gateway.origins.oldest_version(self.request.sole_service()?)?;
+        (oldest != beginning.software).then_some(oldest)
+    }
+
+    /// Waits for the record of where the stream begins, and withdraws it if that takes too long. It waits for longer where the
+    /// stream can't begin otherwise: the version at which streams without a record begin has no targets any more, or it
+    /// isn't certain that there is no record.
+    async fn resolve(&self, recording: &Recording, beginning: &Beginning) -> Outcome {
+        if recording.resolve().await {
+            return Outcome::Recorded;
+        }
+        let Some(oldest) = self.supposed_version(beginning) else {
+            // A late record of the version at which the stream begins anyway does no harm.
+            return recording.withdraw();
+        };
+        let serves = |service| self.request.gateway.balancer().serves_version(service, &oldest);
+        let serves = self.request.sole_service().is_some_and(serves);
+        let mut outcome = if serves { recording.withdraw() } else { Outcome::Uncertain };
+        if outcome == Outcome::Uncertain {
+            let is_recorded = recording.ascertain().await;
+            outcome = if is_recorded { Outcome::Recorded } else { recording.withdraw() };
+        }
+        outcome
+    }
+
     /// Has the origin of a stream recorded later that wasn't before its first event, if the stream may outlive the versions
     /// that are remembered without a record.
     fn follow_record(&mut self, recording: Option<Recording>) {
--- a/crates/placement/src/continuity.rs
+++ b/crates/placement/src/continuity.rs
@@ -96,6 +96,12 @@
         self.origins.iter().map(|(stream, held)| (stream.as_str(), &held.origin, held.until))
     }
 
+    /// Whether this origin of a stream is kept until then.
+    pub fn keeps(&self, stream: &str, origin: &Origin, until: Moment) -> bool {
+        let held = self.origins.get(stream);
+        held.is_some_and(|held| held.origin == *origin && held.until >= until)
+    }
+
     /// Origin of a stream, if it is known.
     pub fn get(&self, stream: &str) -> Option<&Origin> {
         self.origins.get(stream).map(|held| &held.origin)
--- a/crates/placement/src/continuity/ledger.rs
+++ b/crates/placement/src/continuity/ledger.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Whether this origin of a stream is kept until then.
+    pub fn keeps(&self, stream: &str, origin: &Origin, until: Moment) -> bool {
+        self.origins.keeps(stream, origin, until)
+    }
+
     /// What this instance says of a stream and of the versions of its service.
     pub fn testify(&self, stream: &str, versions: Option<&Versions>, now: Moment) -> Testimony {
         Testimony {
