--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -5,6 +5,7 @@
 mod consult;
 mod held;
 mod metering;
+mod origin;
 mod permission;
 mod relayed;
 mod send;
@@ -16,17 +17,13 @@
 
 use bytes::Bytes;
 use common::{clock::Moment, name};
-use fleet::{
-    config::{Config, Retry, Route},
-    exchange,
-};
+use fleet::config::{Config, Retry, Route};
 use hyper::{HeaderMap, Method, Response, Uri, body::Incoming};
 use placement::{
     balancer::{
         Balancer, Key,
         selection::{Criteria, Decision, Plan, Prefill, Reason, Refusal},
     },
-    continuity::lifetime,
     health::Outcome,
     hedge::Another,
     quarantine::request::Content,
@@ -42,8 +39,7 @@
     dispatch::Dispatch,
     error::Error,
     metric,
-    progress::{Beginning, Claim, Progress, Shared},
-    recording::Recording,
+    progress::{Claim, Progress, Shared},
     relay::{Assignment, CUT_OFF_RETRY, MAX_RELAYS},
     state::{Gateway, ms},
 };
@@ -161,30 +157,6 @@
         }
     }
 
-    /// Whether the origin of the stream is recorded: it may be taken up, and either for a long time, or its service has had
-    /// several software versions lately. One that is taken up is recorded, as its caller may state the time of one attempt only.
-    pub(crate) fn needs_record(&self) -> bool {
-        self.route().retry == Retry::Resume
-            && (self.metadata.takes_stream_up()
-                || self.is_long_lived()
-                || self.settled_version().is_none())
-    }
-
-    /// Whether the stream may be taken up for longer than one that need not be recorded.
-    pub(crate) fn is_long_lived(&self) -> bool {
-        self.lifetime() > lifetime::UNRECORDED
-    }
-
-    /// Time from the arrival of the request in which its caller may come back to the stream.
-    fn lifetime(&self) -> Duration {
-        lifetime::stream(self.metadata.timeout, self.route().timeout)
-    }
-
-    /// The software version that all targets that may serve the request have had lately, if it is one.
-    fn settled_version(&self) -> Option<name::Software> {
-        self.gateway.origins.settled_version(self.sole_service()?)
-    }
-
     /// Priority at the target; 0 is the most urgent. A stream that is taken up goes before new ones, which other versions'
     /// targets may serve as well.
     pub(crate) fn priority(&self) -> u8 {
@@ -445,19 +417,6 @@
         if self.may_retry() { Another::Allowed } else { Another::Denied }
     }
 
-    /// Has other instances record where the stream begins if its run number `run` brings the first event.
-    pub(crate) fn record_origin(
-        &self,
-        beginning: &Beginning,
-        service: &name::Service,
-        run: u32,
-    ) -> Recording {
-        let stream = self.metadata.resumes.as_ref().unwrap_or(&self.metadata.id);
-        let (service, software) = (service.clone(), beginning.software.clone());
-        let until = self.arrived + self.lifetime().max(lifetime::LEAST_RECORDED) + lifetime::MARGIN;
-        self.gateway.origins.record(stream, exchange::Origin { service, software, run }, until)
-    }
-
     /// Whether another run may be started while one is silent. One that may not be repeated may be started while the
     /// prompt is computed: of several, one claims the only run.
     pub(crate) fn may_run_beside(&self) -> bool {
