A test of streams whose route has moved to another service

A stream that has a record goes on at the service that began it (docs/design/continuity.md has the reasons). The behaviour is unchanged; the test was not run on earlier code. Streams without a record are taken for those of the new service, which stays open.

--- a/crates/daisydrum/tests/seeded/lifetime.rs
+++ b/crates/daisydrum/tests/seeded/lifetime.rs
@@ -12,7 +12,8 @@
 use crate::{
     fleet::{self, Daemon, Fleet, until},
     version_boundary::{
-        LEAST_IN_TEN, STREAMS, id, ids, parts, software, start, start_engines, take_up,
+        LEAST_IN_TEN, STREAMS, id, ids, parts, software, start, start_engine_of, start_engines,
+        take_up,
     },
 };
 
@@ -165,6 +166,32 @@
     assert!(10 * began >= LEAST_IN_TEN * STREAMS, "{began} of {STREAMS} began");
 }
 
+// A stream that has a record goes on at the service that began it, also after a configuration has moved its route to another.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_at_their_service_after_their_route_has_moved() {
+    let mut fleet = start("seeded-moved", 2).await;
+    let mut config = client::config(4);
+    let mut other = config["services"][0].clone();
+    other["name"] = "others".into();
+    config["services"].as_array_mut().unwrap().push(other);
+    fleet.declare_config(&config).await;
+    let engines = start_engines(&fleet, 2, "v1").await;
+    let others = vec![start_engine_of(&fleet, "others", "others-0", "w1").await];
+    fleet.until_ready().await;
+    fleet::until_known(&fleet, &engines).await;
+    fleet::until_known(&fleet, &others).await;
+    let callers: Vec<SocketAddr> = fleet.entries.iter().map(Daemon::callers).collect();
+    let received = begin(callers[0], Duration::from_secs(60)).await;
+    config["version"] = 5.into();
+    config["routes"][0]["service"] = "others".into();
+    fleet.declare_config(&config).await;
+    time::sleep(APPLY).await;
+    fleet.entries[0].kill();
+    let outcome = take_all_up(callers[1], &received, &[&engines, &others]).await;
+    assert_most_go_on(&outcome, &received);
+    assert!(others[0].runs().is_empty());
+}
+
 /// Which instances are killed and started again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Restarted {
--- a/crates/daisydrum/tests/seeded/version_boundary.rs
+++ b/crates/daisydrum/tests/seeded/version_boundary.rs
@@ -30,11 +30,16 @@
 }
 
 pub async fn start_engine(fleet: &Fleet, name: &str, software: &str) -> Runner {
+    start_engine_of(fleet, "engines", name, software).await
+}
+
+/// Starts an engine of a service.
+pub async fn start_engine_of(fleet: &Fleet, service: &str, name: &str, software: &str) -> Runner {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let announced_address = listener.local_addr().unwrap();
     Runner::start_with(Options {
         name: String::from(name),
-        service: String::from("engines"),
+        service: String::from(service),
         // Engines with a stage are ordered to change it.
         stage: None,
         software: String::from(software),
