--- a/crates/daisydrum/src/seeded/ledger.rs
+++ b/crates/daisydrum/src/seeded/ledger.rs
@@ -253,7 +253,7 @@
 fn snapshot(directory: &Directory, now: Moment) -> Vec<Record> {
     let at_unix_ms = clock::unix_ms();
     let versions = Record::Versions { at_unix_ms, versions: directory.versions(now) };
-    // While a record may be missing this is in the future.
+    // In the future while a record of a long-lived stream may be missing.
     let since = directory.complete_since();
     let since_unix_ms = at_unix_ms.saturating_add(since.0).saturating_sub(now.0);
     let complete = Record::Complete { since_unix_ms };
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -156,8 +156,8 @@
 pub struct Testimony {
     /// The stream's origin; `None` if it has no record.
     pub origin: Option<Origin>,
-    /// Time for which no record is missing, in milliseconds; one that is lost counts from the time of a stream without a
-    /// record before its own stream can't be taken up any more.
+    /// Time for which no record is missing, in milliseconds. Once it reaches the time for which versions count that have gone,
+    /// no lost record is of a stream that may be taken up.
     pub complete_ms: u64,
     /// Versions that the service's targets have, or had lately.
     pub versions: Vec<VersionAge>,
--- a/crates/placement/src/continuity/ledger.rs
+++ b/crates/placement/src/continuity/ledger.rs
@@ -15,8 +15,8 @@
 #[derive(Clone, Debug)]
 pub struct Ledger {
     origins: Origins,
-    /// No record is missing once [`RETENTION`] has passed since then: a record that was lost is of a stream that may be taken
-    /// up until that time at most.
+    /// [`RETENTION`] before the last stream ends whose record was lost. Instances that take a stream up trust a ledger that
+    /// is complete for that long.
     complete_since: Moment,
 }
 
