--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -106,8 +106,6 @@
     entries: roster::Members,
     /// When a control instance in contact with the leader first reported them.
     entries_reported_at: Option<Moment>,
-    /// Whether all control instances started together with this instance; `None` until one is heard.
-    starts_with_control: Option<bool>,
 }
 
 /// An instance that polls this one for updates.
@@ -132,7 +130,6 @@
             changing: Map::default(),
             entries: roster::Members::default(),
             entries_reported_at: None,
-            starts_with_control: None,
         }
     }
 }
--- a/crates/daisydrum/src/seeded/directory/instances.rs
+++ b/crates/daisydrum/src/seeded/directory/instances.rs
@@ -10,22 +10,7 @@
 /// Time after the first report of entry instances in which the rest become known; each polls every second.
 const ENTRIES_SETTLE_TIME: Duration = Duration::from_secs(2);
 
-/// Time within which all instances of a fleet start that starts for the first time, by their clocks.
-const FIRST_START_SPAN_NS: u64 = 3_000_000_000;
-
 impl Directory {
-    /// Records when the process of a control instance started, in nanoseconds since the Unix epoch by its clock.
-    pub(crate) fn hear_start(&self, started_unix_ns: u64) {
-        let is_near = started_unix_ns.abs_diff(self.incarnation) < FIRST_START_SPAN_NS;
-        let mut inner = self.lock();
-        inner.starts_with_control = Some(inner.starts_with_control.unwrap_or(true) && is_near);
-    }
-
-    /// Whether all control instances that have been heard started together with this instance.
-    pub(crate) fn starts_with_control(&self) -> bool {
-        self.lock().starts_with_control == Some(true)
-    }
-
     /// Records the entry instances that a control instance reports; see [`fleet::roster::Members::report`].
     ///
     /// Only reports in contact with the leader remove those that were not reported for [`fleet::roster::TIMEOUT`]: an instance
--- a/crates/daisydrum/src/seeded/entry.rs
+++ b/crates/daisydrum/src/seeded/entry.rs
@@ -84,7 +84,7 @@
     origins::start(context, directory, &gateway, outgoing.questions);
     ends::start(context, directory, outgoing.ends);
     usage::entry::start(context, directory, &gateway);
-    spawn(context, follow_targets(context.clone(), directory.clone(), Arc::clone(&gateway)));
+    spawn(context, follow_targets(directory.clone(), Arc::clone(&gateway)));
     spawn(context, follow_configs(directory.clone(), Arc::clone(&gateway)));
     spawn(context, maintain(Arc::clone(&gateway)));
     spawn(context, probe::run(Arc::clone(&gateway)));
@@ -141,7 +141,7 @@
     tokio::spawn(async move { end.run_until_cancelled(task).await });
 }
 
-async fn follow_targets(context: Context, directory: Directory, gateway: Arc<Gateway>) {
+async fn follow_targets(directory: Directory, gateway: Arc<Gateway>) {
     let mut changes = directory.changes();
     let mut revision = 0;
     let mut entries = None;
@@ -158,9 +158,6 @@
             info!(gateway.log, "target_known"; "target" => %target.name, "state" => ?target.state,
                 "stage" => ?target.stage, "software" => %target.software, "address" => %target.address);
         }
-        if context.settings.founding && directory.starts_with_control() {
-            gateway.set_first_start();
-        }
         gateway.set_changing(&directory.changing());
         let current =
             (directory.entries_revision(), directory.knows_entry_instances(Moment::now()));
--- a/crates/daisydrum/src/seeded/subscription.rs
+++ b/crates/daisydrum/src/seeded/subscription.rs
@@ -267,7 +267,6 @@
         self.directory.set_changing(self.address, update.changing);
         self.directory.add_control_instances(update.control);
         self.directory.hear_control(self.address, now);
-        self.directory.hear_start(update.cursor.incarnation);
         let contact = if update.contact { Contact::Held } else { Contact::Lost };
         let is_known = self.roster != 0 && update.roster == self.roster;
         let list = (!is_known).then_some(update.entries);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -79,8 +79,6 @@
     balancer: Mutex<Balancer>,
     budgets: Mutex<Map<name::Service, retry::Budget>>,
     retries: retry::Bounds,
-    /// Since when this process may use the slack of these.
-    start: Mutex<retry::Start>,
     instances: AtomicUsize,
     holdings_known: AtomicBool,
     /// The lease on the currency of the API keys.
@@ -131,7 +129,6 @@
             ),
             budgets: Mutex::default(),
             retries: options.retries,
-            start: Mutex::new(retry::Start::new(&options.retries, Moment::now())),
             instances: AtomicUsize::new(1),
             holdings_known: AtomicBool::new(false),
             keys: Arc::new(access::Keys::new(options.revocation)),
@@ -209,10 +206,9 @@
     /// Retries left to this instance, by service.
     pub(crate) fn retries_left(&self, now: Moment) -> Vec<(name::Service, f64)> {
         let instances = self.instances.load(Ordering::Relaxed);
-        let bounds = self.retry_bounds(now);
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let left = |(service, budget): (&name::Service, &mut retry::Budget)| {
-            (service.clone(), budget.left(&bounds, instances, now))
+            (service.clone(), budget.left(&self.retries, instances, now))
         };
         budgets.iter_mut().map(left).collect()
     }
@@ -317,25 +313,12 @@
         budget.count(&self.retries, Moment::now());
     }
 
-    /// Records that no process of this fleet ran before, so that none has used retries.
-    pub fn set_first_start(&self) {
-        *self.start.lock().unwrap_or_else(PoisonError::into_inner) = retry::Start::first();
-    }
-
-    /// The bounds on retries that hold for this process.
-    fn retry_bounds(&self, now: Moment) -> retry::Bounds {
-        let start = *self.start.lock().unwrap_or_else(PoisonError::into_inner);
-        start.bounds(&self.retries, now)
-    }
-
     /// Takes one retry out of a service's budget; `false` if none is left.
     pub(crate) fn take_retry(&self, service: &name::Service) -> bool {
-        let now = Moment::now();
         let instances = self.instances.load(Ordering::Relaxed);
-        let bounds = self.retry_bounds(now);
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let budget = budgets.entry(service.clone()).or_default();
-        let taken = budget.take(&bounds, instances, now);
+        let taken = budget.take(&self.retries, instances, Moment::now());
         if !taken {
             metrics::counter!("daisydrum_repeats_denied_total").increment(1);
         }
--- a/crates/placement/src/retry.rs
+++ b/crates/placement/src/retry.rs
@@ -2,8 +2,7 @@
 //!
 //! In a sliding window, all instances together may retry at most a share `ratio` of their requests plus `slack`
 //! more. Each instance uses `ratio` of its own requests and an equal share of the slack, so the instances need not
-//! coordinate. A reserve is left unused for instances that this one doesn't know of. A process that takes the place of an
-//! earlier one has no slack for a window ([`Start`]).
+//! coordinate. A reserve is left unused for instances that this one doesn't know of.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -23,30 +22,6 @@
     pub slack: f64,
 }
 
-/// Since when a process may use its share of the slack: a process before it may have used the same share in the same window.
-#[derive(Clone, Copy, Debug)]
-pub struct Start {
-    slack_from: Moment,
-}
-
-impl Start {
-    /// A process that started at `now` and may have had one before it.
-    pub fn new(bounds: &Bounds, now: Moment) -> Start {
-        Start { slack_from: now + bounds.window }
-    }
-
-    /// A process of a fleet that has just started for the first time.
-    pub fn first() -> Start {
-        Start { slack_from: Moment::default() }
-    }
-
-    /// The bounds that hold for the process.
-    pub fn bounds(&self, bounds: &Bounds, now: Moment) -> Bounds {
-        let slack = if now < self.slack_from { 0.0 } else { bounds.slack };
-        Bounds { slack, ..*bounds }
-    }
-}
-
 /// Retry budget of one instance for one service.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
