A process that takes the place of another has no slack of retries for a window

Cause: the budget is counted in a process's memory, and entry instances have no disk. Each new process had its share of the slack again, which the one before had used in the same window.

A process has no slack for a window after its start unless none ran before it. Control instances remember the processes that poll them and say in their first update when they last heard of an earlier one of the instance, or for how long they have heard of none (fleet::succession; both follow what earlier builds read). So instances that are added, and those of a new fleet, have their slack at once.

--- a/crates/daisydrum/src/seeded/directory.rs
+++ b/crates/daisydrum/src/seeded/directory.rs
@@ -28,7 +28,7 @@
     exchange::{Answer, Cursor, Identity, Kind, Question, ServiceVersions, Update},
     register::Document,
     registry::{Merge, Registry, State, Target},
-    roster,
+    roster, succession,
 };
 use placement::continuity::{History, ledger::Ledger, lifetime};
 use tokio::{sync::watch, time};
@@ -106,6 +106,10 @@
     entries: roster::Members,
     /// When a control instance in contact with the leader first reported them.
     entries_reported_at: Option<Moment>,
+    /// Processes that poll this one.
+    processes: succession::Processes,
+    /// What control instances tell of an earlier process of this instance.
+    evidence: succession::Evidence,
 }
 
 /// An instance that polls this one for updates.
@@ -130,6 +134,8 @@
             changing: Map::default(),
             entries: roster::Members::default(),
             entries_reported_at: None,
+            processes: succession::Processes::new(Moment::now()),
+            evidence: succession::Evidence::default(),
         }
     }
 }
@@ -142,6 +148,7 @@
     version: u64,
     wait_ms: u64,
     roster: u64,
+    started_unix_ns: u64,
 }
 
 impl Directory {
@@ -348,11 +355,12 @@
                 Kind::Entry => Answer::Refused,
             },
             Question::Follow { from, cursor, version, wait_ms } => {
-                let poll = Poll { from, cursor, version, wait_ms, roster: 0 };
+                let (roster, started_unix_ns) = (0, 0);
+                let poll = Poll { from, cursor, version, wait_ms, roster, started_unix_ns };
                 Answer::Update(self.follow(poll).await)
             }
-            Question::FollowChanges { from, cursor, version, wait_ms, roster } => {
-                let poll = Poll { from, cursor, version, wait_ms, roster };
+            Question::FollowChanges { from, cursor, version, wait_ms, roster, started_unix_ns } => {
+                let poll = Poll { from, cursor, version, wait_ms, roster, started_unix_ns };
                 Answer::Update(self.follow(poll).await)
             }
             // Only entry instances know what engines have cached, and which streams have begun. Origins, standings,
@@ -363,8 +371,10 @@
 
     /// Answers a poll as soon as there is an update, or when its wait is over.
     async fn follow(&self, poll: Poll) -> Update {
-        let Poll { from, cursor, version, wait_ms, roster } = poll;
+        let Poll { from, cursor, version, wait_ms, roster, started_unix_ns } = poll;
         let arrived = Moment::now();
+        let predecessor = self.hear_process(&from.instance, started_unix_ns, arrived);
+        let predecessor = predecessor.filter(|_| cursor.incarnation != self.incarnation);
         let cursor = self.record_subscriber(&from, cursor);
         let wait = Duration::from_millis(wait_ms);
         let mut changes = self.changed.subscribe();
@@ -379,7 +389,7 @@
         };
         let _elapsed = time::timeout(wait, new).await;
         let update = self.update(&from, cursor, roster);
-        Update { reading: self.reading(arrived, Moment::now()), ..update }
+        Update { reading: self.reading(arrived, Moment::now()), predecessor, ..update }
     }
 
     /// Sets the newest version of the configuration that the leader confirmed, and when that reading began.
@@ -459,6 +469,7 @@
             versions,
             roster: inner.roster,
             reading: None,
+            predecessor: None,
         }
     }
 
--- a/crates/daisydrum/src/seeded/directory/instances.rs
+++ b/crates/daisydrum/src/seeded/directory/instances.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use common::{clock::Moment, name};
-use fleet::exchange::{Identity, Kind};
+use fleet::{
+    exchange::{Identity, Kind},
+    succession::Predecessor,
+};
 
 use crate::seeded::directory::{Contact, Directory, Inner};
 
@@ -54,6 +57,40 @@
         self.lock().entries_reported_at.is_some_and(|at| now.since(at) >= ENTRIES_SETTLE_TIME)
     }
 
+    /// When this process started, in nanoseconds since the Unix epoch by its clock.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Records that the fleet starts for the first time: no instance had an earlier process.
+    pub(crate) fn begin_fleet(&self) {
+        let mut inner = self.lock();
+        inner.processes.begin();
+        inner.evidence.add(Predecessor::Unheard { for_ms: u64::MAX });
+    }
+
+    /// Records a poll of a process, and returns what is known of the one before; `None` if the start of the process isn't
+    /// known.
+    pub(super) fn hear_process(
+        &self,
+        instance: &name::Instance,
+        started_unix_ns: u64,
+        now: Moment,
+    ) -> Option<Predecessor> {
+        let predecessor = self.lock().processes.hear(instance, started_unix_ns, now);
+        (started_unix_ns > 0).then_some(predecessor)
+    }
+
+    /// Records what a control instance knows of an earlier process of this instance.
+    pub(crate) fn hear_predecessor(&self, predecessor: Predecessor) {
+        self.lock().evidence.add(predecessor);
+    }
+
+    /// Whether no earlier process of this instance ran within `window` before it started.
+    pub(crate) fn excludes_predecessor(&self, window: Duration) -> bool {
+        self.lock().evidence.excludes(window)
+    }
+
     /// Other entry instances.
     pub(crate) fn entry_instances(&self) -> Vec<Identity> {
         self.lock().entries.iter().cloned().collect()
--- a/crates/daisydrum/src/seeded/entry.rs
+++ b/crates/daisydrum/src/seeded/entry.rs
@@ -84,7 +84,8 @@
     origins::start(context, directory, &gateway, outgoing.questions);
     ends::start(context, directory, outgoing.ends);
     usage::entry::start(context, directory, &gateway);
-    spawn(context, follow_targets(directory.clone(), Arc::clone(&gateway)));
+    let retry_window = Duration::from_secs(bounds.window_s);
+    spawn(context, follow_targets(directory.clone(), Arc::clone(&gateway), retry_window));
     spawn(context, follow_configs(directory.clone(), Arc::clone(&gateway)));
     spawn(context, maintain(Arc::clone(&gateway)));
     spawn(context, probe::run(Arc::clone(&gateway)));
@@ -141,7 +142,7 @@
     tokio::spawn(async move { end.run_until_cancelled(task).await });
 }
 
-async fn follow_targets(directory: Directory, gateway: Arc<Gateway>) {
+async fn follow_targets(directory: Directory, gateway: Arc<Gateway>, retry_window: Duration) {
     let mut changes = directory.changes();
     let mut revision = 0;
     let mut entries = None;
@@ -159,6 +160,7 @@
                 "stage" => ?target.stage, "software" => %target.software, "address" => %target.address);
         }
         gateway.set_changing(&directory.changing());
+        gateway.set_has_predecessor(!directory.excludes_predecessor(retry_window));
         let current =
             (directory.entries_revision(), directory.knows_entry_instances(Moment::now()));
         if entries.replace(current) != Some(current) {
--- a/crates/daisydrum/src/seeded/ledger.rs
+++ b/crates/daisydrum/src/seeded/ledger.rs
@@ -109,6 +109,7 @@
         if context.settings.founding && !matches!(loaded, Some(Ok(_))) {
             // No earlier process of the fleet has acknowledged any.
             directory.restore_origins(Moment::default());
+            directory.begin_fleet();
         }
         let jobs = folder.map(|folder| {
             let (jobs, receiver) = mpsc::channel(MAX_QUEUED);
--- a/crates/daisydrum/src/seeded/subscription.rs
+++ b/crates/daisydrum/src/seeded/subscription.rs
@@ -172,7 +172,8 @@
             if self.lists_changes { self.directory.entries_digest(self.address) } else { 0 };
         let question = if self.lists_changes {
             let roster = self.roster;
-            Question::FollowChanges { from, cursor, version, wait_ms, roster }
+            let started_unix_ns = self.directory.incarnation();
+            Question::FollowChanges { from, cursor, version, wait_ms, roster, started_unix_ns }
         } else {
             Question::Follow { from, cursor, version, wait_ms }
         };
@@ -267,6 +268,9 @@
         self.directory.set_changing(self.address, update.changing);
         self.directory.add_control_instances(update.control);
         self.directory.hear_control(self.address, now);
+        if let Some(predecessor) = update.predecessor {
+            self.directory.hear_predecessor(predecessor);
+        }
         let contact = if update.contact { Contact::Held } else { Contact::Lost };
         let is_known = self.roster != 0 && update.roster == self.roster;
         let list = (!is_known).then_some(update.entries);
--- a/crates/daisydrum/tests/seeded/metrics.rs
+++ b/crates/daisydrum/tests/seeded/metrics.rs
@@ -11,7 +11,7 @@
 use platform_standin::{client, runner::Runner};
 use rustix::process::{Pid, Signal};
 
-use crate::fleet::{self, until};
+use crate::fleet::{self, Daemon, Fleet, Start, until};
 
 /// Reads the metrics at an address: name with labels, and value.
 pub async fn read_metrics(address: SocketAddr) -> BTreeMap<String, f64> {
@@ -120,3 +120,45 @@
         tokio::time::timeout(STOP_TIMEOUT, ended).await.expect("the process ends").unwrap();
     assert!(status.success());
 }
+
+async fn repeats_left(fleet: &Fleet, entry: usize) -> f64 {
+    let entry = &fleet.entries[entry];
+    let left = "daisydrum_repeats_left{service=\"portal\"}";
+    until("a request is counted", async || {
+        client::post_plain(entry.callers(), "/lodge/1", "l").await;
+        read_metrics(entry.readiness()).await.contains_key(left)
+    })
+    .await;
+    read_metrics(entry.readiness()).await[left]
+}
+
+// BUDGET: each process of a rolling restart had the slack of the window once more.
+#[tokio::test]
+async fn only_a_process_without_one_before_it_has_the_slack_of_retries_at_once() {
+    let mut fleet = fleet::new("seeded-slack");
+    fleet.set_further_settings("\"retries\": { \"window_s\": 20 }");
+    for _ in 0..3 {
+        fleet.add_control(Start::First);
+    }
+    fleet.add_entry();
+    fleet.declare(3).await;
+    let _portal = Runner::start("portal", "portal", None, 0, fleet.control_addresses()).await;
+    fleet.until_ready().await;
+    let mut has_slack = Vec::new();
+    has_slack.push(("first start", repeats_left(&fleet, 0).await > 5.0));
+    fleet.entries[0].kill();
+    fleet.entries[0].start();
+    fleet.until_ready().await;
+    has_slack.push(("restart", repeats_left(&fleet, 0).await > 5.0));
+    let added = fleet.add_entry();
+    fleet.until_ready().await;
+    has_slack.push(("added", repeats_left(&fleet, added).await > 5.0));
+    fleet.entries.iter_mut().chain(&mut fleet.control).for_each(Daemon::kill);
+    fleet.control.iter_mut().chain(&mut fleet.entries).for_each(Daemon::start);
+    fleet.until_ready().await;
+    has_slack.push(("restart of all", repeats_left(&fleet, 0).await > 5.0));
+    until("a window has passed", async || repeats_left(&fleet, 0).await > 5.0).await;
+    let expected =
+        [("first start", true), ("restart", false), ("added", true), ("restart of all", false)];
+    assert_eq!(has_slack, expected);
+}
--- a/crates/daisydrum/tests/seeded/spread.rs
+++ b/crates/daisydrum/tests/seeded/spread.rs
@@ -80,6 +80,7 @@
     fn update(&self) -> Answer {
         Answer::Update(Update {
             reading: None,
+            predecessor: None,
             cursor: Cursor { incarnation: 1, revision: 0 },
             contact: true,
             version: self.version.load(Ordering::SeqCst),
--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -24,7 +24,7 @@
 };
 use crate::{
     condition::Rate, departure::Departure, register::Document, registry::Target, standing::Record,
-    usage,
+    succession::Predecessor, usage,
 };
 
 /// Name, address, data centre and kind of an instance, as its peers know it.
@@ -125,6 +125,10 @@
         wait_ms: u64,
         /// Digest of the entry instances that the last answer listed; 0 for none.
         roster: u64,
+        /// Start of the asking process, in nanoseconds since the Unix epoch; 0 from instances of earlier builds. It follows
+        /// the other fields.
+        #[serde(skip)]
+        started_unix_ns: u64,
     },
     /// Asks a control instance to keep what an entry instance has counted. Sent, as the following ones, only where the
     /// platform's API is set; instances of earlier builds refuse it.
@@ -221,6 +225,9 @@
     /// The newest reading of the configuration's version; `None` where API keys need none, and then not sent.
     #[serde(skip)]
     pub reading: Option<Reading>,
+    /// What the control instance knows of an earlier process of the instance that asks; sent with the first update only.
+    #[serde(skip)]
+    pub predecessor: Option<Predecessor>,
 }
 
 /// The answer to a [`Question`].
--- a/crates/fleet/src/exchange/encoding.rs
+++ b/crates/fleet/src/exchange/encoding.rs
@@ -23,13 +23,17 @@
     Some(targets)
 }
 
-/// Encodes a question. The lifetimes of the streams whose origins are to be kept follow it.
+/// Encodes a question. The lifetimes of the streams whose origins are to be kept, or the start of the process that polls,
+/// follow it.
 pub fn encode_question(question: &Question) -> Vec<u8> {
     match question {
         Question::KeepOrigins(beginnings) => encode_beginnings(question, beginnings),
         Question::RecordOrigin { lifetime_ms, .. } => {
             [encode(question), encode(lifetime_ms)].concat()
         }
+        Question::FollowChanges { started_unix_ns, .. } => {
+            [encode(question), encode(started_unix_ns)].concat()
+        }
         _ => encode(question),
     }
 }
@@ -42,6 +46,9 @@
         Question::RecordOrigin { lifetime_ms, .. } => {
             *lifetime_ms = decode(rest).unwrap_or_default();
         }
+        Question::FollowChanges { started_unix_ns, .. } => {
+            *started_unix_ns = decode(rest).unwrap_or_default();
+        }
         _ => {}
     }
     Some(question)
@@ -74,7 +81,8 @@
 }
 
 /// Encodes an answer. What instances of earlier builds can't decode follows it, and they leave it unread: the versions of
-/// the targets' software, then their ages, the roster, which targets are reclaimable, and the recent kinds of notices.
+/// the targets' software, then their ages, the roster, which targets are reclaimable, the earlier process, and the recent
+/// kinds of notices.
 pub fn encode_answer(answer: &Answer) -> Vec<u8> {
     match answer {
         Answer::Update(update) => {
@@ -104,7 +112,8 @@
             update.roster = roster;
             if let Ok((reading, rest)) = postcard::take_from_bytes::<Reading>(rest) {
                 update.reading = Some(reading).filter(|reading| *reading != NO_READING);
-                set_reclaimable(&mut update.targets, rest);
+                let rest = set_reclaimable(&mut update.targets, rest);
+                update.predecessor = decode(rest);
             }
         }
         Answer::Suspicions(notices) => {
@@ -134,14 +143,17 @@
 /// for a reading from long ago, which renews no lease.
 const NO_READING: Reading = Reading { version: 0, age_ms: u64::MAX, held_ms: 0 };
 
-/// Encodes what an update carries only where it is enabled: the reading, and which targets are reclaimable.
+/// Encodes what not every update carries: the reading, which targets are reclaimable, and the earlier process.
 fn encode_optional(update: &Update) -> Vec<u8> {
     let reclaimable = reclaimable(&update.targets);
-    if reclaimable.is_empty() {
-        return update.reading.map(|reading| encode(&reading)).unwrap_or_default();
-    }
     let reading = update.reading.unwrap_or(NO_READING);
-    [encode(&reading), encode(&reclaimable)].concat()
+    match update.predecessor {
+        Some(predecessor) => {
+            [encode(&reading), encode(&reclaimable), encode(&predecessor)].concat()
+        }
+        None if !reclaimable.is_empty() => [encode(&reading), encode(&reclaimable)].concat(),
+        None => update.reading.map(|reading| encode(&reading)).unwrap_or_default(),
+    }
 }
 
 /// Positions of the reclaimable ones among targets.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod relay;
 pub mod roster;
 pub mod standing;
+pub mod succession;
 pub mod tenure;
 pub mod usage;
 pub mod warmup;
--- a/crates/fleet/tests/decoding.rs
+++ b/crates/fleet/tests/decoding.rs
@@ -98,6 +98,7 @@
         versions: Vec::new(),
         roster: 5,
         reading: None,
+        predecessor: None,
     };
     let headers = vec![(String::from("x-a"), vec![1, 2, 3]); 4];
     let began = Some(relay::Beginning { service: None, software: name::Software::from("v1") });
--- a/crates/fleet/tests/registry.rs
+++ b/crates/fleet/tests/registry.rs
@@ -228,6 +228,7 @@
     assert_eq!(exchange::decode::<Vec<Target>>(&bytes), Some(without));
     let update = exchange::Update {
         reading: None,
+        predecessor: None,
         cursor: exchange::Cursor::default(),
         contact: true,
         version: 3,
@@ -288,6 +289,7 @@
         versions: Vec::new(),
         roster: 7,
         reading: None,
+        predecessor: None,
     };
     let answer = exchange::Answer::Update(update.clone());
     let bytes = exchange::encode_answer(&answer);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -79,6 +79,9 @@
     balancer: Mutex<Balancer>,
     budgets: Mutex<Map<name::Service, retry::Budget>>,
     retries: retry::Bounds,
+    started: Moment,
+    /// Whether an earlier process of this instance may have used retries shortly before.
+    has_predecessor: AtomicBool,
     instances: AtomicUsize,
     holdings_known: AtomicBool,
     /// The lease on the currency of the API keys.
@@ -129,6 +132,8 @@
             ),
             budgets: Mutex::default(),
             retries: options.retries,
+            started: Moment::now(),
+            has_predecessor: AtomicBool::new(true),
             instances: AtomicUsize::new(1),
             holdings_known: AtomicBool::new(false),
             keys: Arc::new(access::Keys::new(options.revocation)),
@@ -206,9 +211,10 @@
     /// Retries left to this instance, by service.
     pub(crate) fn retries_left(&self, now: Moment) -> Vec<(name::Service, f64)> {
         let instances = self.instances.load(Ordering::Relaxed);
+        let bounds = self.retry_bounds(now);
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let left = |(service, budget): (&name::Service, &mut retry::Budget)| {
-            (service.clone(), budget.left(&self.retries, instances, now))
+            (service.clone(), budget.left(&bounds, instances, now))
         };
         budgets.iter_mut().map(left).collect()
     }
@@ -313,12 +319,25 @@
         budget.count(&self.retries, Moment::now());
     }
 
+    /// Sets whether an earlier process of this instance may have used retries shortly before this one started.
+    pub fn set_has_predecessor(&self, has_predecessor: bool) {
+        self.has_predecessor.store(has_predecessor, Ordering::Relaxed);
+    }
+
+    /// The bounds on retries that hold for this process.
+    fn retry_bounds(&self, now: Moment) -> retry::Bounds {
+        let has_predecessor = self.has_predecessor.load(Ordering::Relaxed);
+        retry::Start { at: self.started, has_predecessor }.bounds(&self.retries, now)
+    }
+
     /// Takes one retry out of a service's budget; `false` if none is left.
     pub(crate) fn take_retry(&self, service: &name::Service) -> bool {
+        let now = Moment::now();
         let instances = self.instances.load(Ordering::Relaxed);
+        let bounds = self.retry_bounds(now);
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let budget = budgets.entry(service.clone()).or_default();
-        let taken = budget.take(&self.retries, instances, Moment::now());
+        let taken = budget.take(&bounds, instances, now);
         if !taken {
             metrics::counter!("daisydrum_repeats_denied_total").increment(1);
         }
--- a/crates/placement/src/retry.rs
+++ b/crates/placement/src/retry.rs
@@ -2,7 +2,8 @@
 //!
 //! In a sliding window, all instances together may retry at most a share `ratio` of their requests plus `slack`
 //! more. Each instance uses `ratio` of its own requests and an equal share of the slack, so the instances need not
-//! coordinate. A reserve is left unused for instances that this one doesn't know of.
+//! coordinate. A reserve is left unused for instances that this one doesn't know of. A process that takes the place of an
+//! earlier one has no slack for a window ([`Start`]).
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -22,6 +23,24 @@
     pub slack: f64,
 }
 
+/// Start of the process that counts.
+#[derive(Clone, Copy, Debug)]
+pub struct Start {
+    /// When it started.
+    pub at: Moment,
+    /// Whether an earlier process of the instance may have used its share of the slack shortly before.
+    pub has_predecessor: bool,
+}
+
+impl Start {
+    /// The bounds that hold for the process.
+    pub fn bounds(&self, bounds: &Bounds, now: Moment) -> Bounds {
+        let is_used = self.has_predecessor && now.since(self.at) < bounds.window;
+        let slack = if is_used { 0.0 } else { bounds.slack };
+        Bounds { slack, ..*bounds }
+    }
+}
+
 /// Retry budget of one instance for one service.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
--- a/crates/placement/tests/retry.rs
+++ b/crates/placement/tests/retry.rs
@@ -6,18 +6,20 @@
 mod retries;
 
 use common::clock::Moment;
-use placement::retry::Budget;
+use placement::retry::{Budget, Start};
 use retries::{BOUNDS, Model, Plan, Restarts, simulate};
 use yare::parameterized;
 
 struct Counted {
     budget: Budget,
     instances: usize,
+    start: Start,
 }
 
 impl Model for Counted {
-    fn start(&mut self, _now: Moment) {
-        *self = Counted { budget: Budget::default(), instances: 1 };
+    fn start(&mut self, now: Moment) {
+        let start = Start { at: now, has_predecessor: true };
+        *self = Counted { budget: Budget::default(), instances: 1, start };
     }
 
     fn report(&mut self, others: &[usize], _now: Moment) {
@@ -31,12 +33,31 @@
     }
 
     fn take(&mut self, now: Moment) -> bool {
-        self.budget.take(&BOUNDS, self.instances, now)
+        self.budget.take(&self.start.bounds(&BOUNDS, now), self.instances, now)
     }
 }
 
 fn model(_number: usize) -> Counted {
-    Counted { budget: Budget::default(), instances: 1 }
+    let start = Start { at: Moment(0), has_predecessor: false };
+    Counted { budget: Budget::default(), instances: 1, start }
+}
+
+// BUDGET: each process of a rolling restart had the slack of the window once more.
+#[test]
+fn a_process_that_may_have_had_one_before_it_has_no_slack_for_a_window() {
+    let (mut model, started) = (model(0), Moment(60_000));
+    assert!(model.take(started));
+    model.start(started);
+    for _ in 0..5 {
+        model.count(started);
+    }
+    let slack = |model: &mut Counted, now| {
+        std::iter::repeat_with(|| model.take(now)).take_while(|taken| *taken).count()
+    };
+    assert_eq!(slack(&mut model, started), 0);
+    let window = started + BOUNDS.window;
+    assert_eq!(slack(&mut model, window - std::time::Duration::from_millis(1)), 0);
+    assert!(slack(&mut model, window) > 0);
 }
 
 /// Requests a second of the fleet: few for its slack, and many.
--- a/crates/settings/src/seeded.rs
+++ b/crates/settings/src/seeded.rs
@@ -99,7 +99,8 @@
     /// Retries allowed for each request in the window.
     #[schemars(range(min = 0, max = 10))]
     pub ratio: f64,
-    /// Retries allowed in the window in addition to those that `ratio` allows.
+    /// Retries allowed in the window in addition to those that `ratio` allows. An instance that restarts uses none of them for a
+    /// window.
     #[schemars(range(min = 0, max = 1_000_000))]
     pub slack: f64,
 }
