--- a/crates/scaling/tests/precedence.rs
+++ b/crates/scaling/tests/precedence.rs
@@ -76,6 +76,7 @@
 /// Guards against a data centre that waits for as long as the number of targets in another one keeps changing.
 #[test]
 fn a_data_centre_does_not_wait_for_one_whose_replacements_come_and_go() {
-    let first = first_given_up(|elapsed_ms| 6 + u32::from((elapsed_ms / STEP_MS).is_multiple_of(2)));
+    let first =
+        first_given_up(|elapsed_ms| 6 + u32::from((elapsed_ms / STEP_MS).is_multiple_of(2)));
     assert_eq!(first, Some((String::from(CHEAP), 2_500)));
 }
