--- a/crates/fleet/src/exchange.rs
+++ b/crates/fleet/src/exchange.rs
@@ -199,7 +199,7 @@
 }
 
 /// Changes at a control instance since a cursor.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Update {
     /// Position after these changes.
     pub cursor: Cursor,
--- a/crates/fleet/src/succession.rs
+++ b/crates/fleet/src/succession.rs
@@ -1,7 +1,7 @@
 //! Which processes of instances take the place of earlier ones.
 //!
-//! What an instance counts in its memory is lost with its process. A control instance remembers the processes that polled
-//! it, and tells a new one when it last heard of the one before.
+//! Counts that an instance keeps in memory are lost with its process. A control instance records the processes that poll it
+//! and reports to a new one when the previous one last polled.
 
 use std::{cmp::Ordering, time::Duration};
 
@@ -84,7 +84,7 @@
     }
 }
 
-/// What control instances have told a process about an earlier one.
+/// Reports of control instances about an earlier process of this instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Evidence {
     /// Shortest time since an earlier process was heard of.
@@ -94,7 +94,7 @@
 }
 
 impl Evidence {
-    /// Adds what a control instance tells.
+    /// Adds the report of a control instance.
     pub fn add(&mut self, predecessor: Predecessor) {
         match predecessor {
             Predecessor::Heard { age_ms } => {
